--- /dev/null
+++ b/rowanshift/__init__.py
@@ -0,0 +1,1 @@
+"""rowanshift: spreads keys over cache servers before a slow origin."""
--- /dev/null
+++ b/rowanshift/adapter/__main__.py
@@ -0,0 +1,12 @@
+"""Reads batches on standard input and answers each on standard output."""
+
+import sys
+
+from rowanshift.adapter.wire import WireError, serve
+
+if __name__ == "__main__":
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as error:
+        print(f"rowanshift: {error}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/rowanshift/adapter/wire.py
@@ -0,0 +1,171 @@
+"""The bench's wire: decodes events into calls of ``Router`` and encodes its ``Results``. It decides nothing."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+import orjson
+
+from rowanshift.choice import Router
+from rowanshift.model import Category, Entry, Results, Semantics, Settings
+
+WRITE = 4  # bit of state_bits
+
+
+class WireError(Exception):
+    """Input that can't be followed; the text says what was wrong and where."""
+
+
+def settings_of(data: dict[str, Any]) -> Settings:
+    """The settings that the module reads, in seconds."""
+    try:
+        limits, rules, domain = data["limits"], data["guarantees"], data.get("domain") or {}
+        return Settings(
+            categories=[
+                Category(float(c["credit"]), c["due_time_us"] / 1e6, Semantics(c["semantics"]),
+                         c.get("group") or "", (c.get("window_us") or 0) / 1e6)
+                for c in data["categories"]
+            ],
+            quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
+            ordinal=data["ordinal"],
+            routers=max(1, data["replicas_of_me"]),
+            aside=domain.get("mode") == "aside",
+            origin_kind=domain.get("origin_kind", -1),
+            ask=data["registry_mode"] == "ask",
+            live_heft=data.get("weight_kind") == "live",
+            peers=bool(limits["peers"]),
+            second_copies=bool(limits["second_copies"]),
+            cancelling=bool(limits["cancelling"]),
+            retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
+            max_hand_offs=limits["max_hand_offs"],
+            drain_grace=rules["drain_grace_us"] / 1e6,
+            overload_factor=rules["overload_factor"],
+            overload_for=rules["overload_for_us"] / 1e6,
+            start_share=rules["start_capacity"],
+            warm_within=max(rules["warm_within_us"], 1) / 1e6,
+            origin_fall_for=(domain.get("origin_fall_us") or 0) / 1e6,
+        )
+    except KeyError as error:
+        raise WireError(f"start: the settings lack {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise WireError(f"start: a setting can't be used: {error}") from error
+
+
+class Instance:
+    """One router's life after another, under one number."""
+
+    def __init__(self, name: str, banks: dict[int, list[Entry]]) -> None:
+        self.name, self.banks = name, banks
+        self.router: Router | None = None
+        self.calls: dict[str, Callable[..., None]] = {
+            "start": self.start, "order": self.order, "result": self.result, "timer": self.timer,
+            "directory_update": self.directory_update, "heard": self.heard, "streaming": self.streaming,
+            "cancelled_by_client": self.cancelled_by_client, "probe_done": self.probe_done, "down": self.down,
+        }
+
+    def start(self, now: float, seed: int, data: dict[str, Any], *_: Any) -> None:
+        self.router = Router(settings_of(data), seed, now)
+
+    def order(self, now: float, corr: int, grade: int, billing: int | None, key: str | None, expires: int,
+              _cost: Any = None, _size: Any = None, bits: int | None = 0, *_: Any) -> None:
+        self.router.take(now, corr, grade, billing or 0, key, expires / 1e6, bool((bits or 0) & WRITE))
+
+    def result(self, now: float, corr: int, copy: int, server: str, verdict: int, spent: int, final: bool,
+               remark: int | None = None, *_: Any) -> None:
+        self.router.answered(now, corr, copy, server, verdict, spent / 1e6, bool(final), remark)
+
+    def timer(self, now: float, *_: Any) -> None:
+        self.router.woken(now)
+
+    def directory_update(self, now: float, bank: int | None, scope: str, *_: Any) -> None:
+        if scope != "failed" and bank not in self.banks:
+            raise WireError(f"directory_update: no page has bank {bank!r}")
+        self.router.list_changed(now, scope, [] if scope == "failed" else self.banks[bank])
+
+    def heard(self, now: float, author: int, payload: str, *_: Any) -> None:
+        self.router.heard(now, author, b64decode(payload))
+
+    def streaming(self, now: float, corr: int, *_: Any) -> None:
+        self.router.streaming(now, corr)
+
+    def cancelled_by_client(self, now: float, corr: int, *_: Any) -> None:
+        self.router.abandoned(now, corr)
+
+    def probe_done(self, now: float, *_: Any) -> None:
+        """Nothing is probed."""
+
+    def down(self, now: float, *_: Any) -> None:
+        self.router = None
+
+
+def encode(results: Results) -> list[list[Any]]:
+    out: list[list[Any]] = [["try", wi, round(at * 1e6), server] for wi, at, server in results.hand_offs]
+    out += [["withdraw", wi, number] for wi, number in results.withdrawals]
+    out += [[answer.value, wi, round(back * 1e6)] if answer.value == "bounce" else [answer.value, wi]
+            for wi, answer, back in results.answers]
+    out += [["notify", "*", b64encode(payload).decode()] for payload in results.messages]
+    out += [["ping", server] for server in results.probes]
+    out += [["emit", line] for line in results.log]
+    if results.subscribe:
+        out.append(["stream_changes", True])
+    if results.wake is not None:
+        out.append(["wake_at", "w", max(1, -round(-results.wake * 1e6))])
+    return out
+
+
+class Wire:
+    """All instances of this process and the pages they share."""
+
+    def __init__(self) -> None:
+        self.banks: dict[int, list[Entry]] = {}
+        self.instances: dict[str, Instance] = {}
+
+    def page(self, bank: int, entries: list[list[Any]], *_: Any) -> None:
+        self.banks[bank] = [
+            Entry(server, cell or 0, 1.0 if heft is None else float(heft), zone or 0, health, kind or 0,
+                  (came_up or 0) / 1e6)
+            for cell, server, heft, zone, health, kind, came_up, *_ in entries
+        ]
+
+    def answer(self, batch: dict[str, Any]) -> dict[str, Any]:
+        now = batch["wall_us"] / 1e6
+        parts = []
+        for part in batch["parts"]:
+            name = part["i"]
+            instance = self.instances.get(name)
+            if instance is None:
+                instance = self.instances[name] = Instance(name, self.banks)
+            calls = instance.calls
+            for item in part["items"]:
+                what = item[0]
+                if what == "page":
+                    self.page(*item[1:])
+                    continue
+                call = calls.get(what)
+                if call is None:
+                    raise WireError(f"{name}: unknown event {what!r}")
+                if instance.router is None and what != "start":
+                    raise WireError(f"{name}: {what} before its start")
+                try:
+                    call(now, *item[1:])
+                except (TypeError, ValueError, LookupError, AttributeError) as error:
+                    raise WireError(f"{name}: {what} can't be followed: {type(error).__name__}: {error}") from error
+            if instance.router is not None and (results := instance.router.drain()):
+                parts.append({"i": name, "output": encode(results)})
+        return {"parts": parts}
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    wire = Wire()
+    for number, line in enumerate(source, 1):
+        try:
+            batch = orjson.loads(line)
+            reply = wire.answer(batch)
+        except orjson.JSONDecodeError as error:
+            raise WireError(f"line {number}: not JSON: {error}") from error
+        except (KeyError, TypeError) as error:
+            raise WireError(f"line {number}: not a batch: {error!r}") from error
+        except WireError as error:
+            raise WireError(f"line {number}: {error}") from error
+        sink.write(orjson.dumps(reply) + b"\n")
+        sink.flush()
--- /dev/null
+++ b/rowanshift/choice.py
@@ -0,0 +1,584 @@
+"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls ``list_changed``,
+``take``, ``answered``, ``streaming``, ``abandoned``, ``heard`` and ``woken`` as things happen, with the time, and
+carries out what ``drain`` returns. The types of the interface are laid down in ``rowanshift/model.py``.
+
+A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a hand-off (ho)
+passes them the other way. docs/design.md tells what is kept of the design, what departs from it, and when.
+"""
+
+from bisect import bisect_right
+from collections import OrderedDict
+from hashlib import blake2b
+from heapq import heappop, heappush
+from itertools import count
+from struct import pack, unpack
+
+from rowanshift.model import Answer, Category, Entry, Results, Semantics, Settings, Verdict
+
+POINTS = 64  # ring points of a cache of mean heft
+WALK = 6  # distinct caches kept of a key's ring walk
+EPOCH = 1.0
+LEASE = 5.0
+HOT_EPOCHS = 4
+TABLE = 512  # keys scored at once
+SAMPLES = 128  # aimed at in an epoch
+TICK = 0.1
+SPENT = [0.001 * 2 ** (i / 2) for i in range(1, 24)]  # edges of the bins of answer times
+
+
+def stable(text: str) -> int:
+    """A hash that every router shares, whatever its process."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+class Chance:
+    """A linear congruential generator, of which the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 32) / 2**32
+
+
+class Cache:
+    """What this router knows of one cache server, or of the origin."""
+
+    def __init__(self, entry: Entry, now: float) -> None:
+        self.entry, self.server, self.told = entry, entry.server, now
+        self.inflight = 0
+        self.limit = 8.0  # hos out at once; adapts to answer times
+        self.cut_at = 0.0
+        self.held: list[tuple[tuple[bool, float], int, Item]] = []
+        self.share = 1.0  # of its keys it keeps, by health
+        self.strikes = 0
+        self.silent_until = 0.0
+        self.bins = [0] * (len(SPENT) + 1)
+        self.answers = 0  # in this epoch
+        self.rate = 0.0  # answers a second, of this router
+        self.budget = 1.0
+        self.budget_at = now
+
+    def quantile(self, q: float) -> float:
+        left = q * sum(self.bins)
+        for edge, n in zip(SPENT, self.bins, strict=False):
+            left -= n
+            if left <= 0:
+                return edge
+        return SPENT[-1]
+
+
+class Item:
+    """A work item that this router has taken and not yet answered."""
+
+    __slots__ = ("category", "customer", "due", "expiry", "hos", "id", "key", "missed", "out", "over", "ran_group",
+                 "ran_since", "stage", "streams", "taken", "write")
+
+    def __init__(self, id: int, category: Category, key: str | None, now: float, expiry: float, write: bool) -> None:
+        self.id, self.category, self.key, self.taken, self.expiry, self.write = id, category, key, now, expiry, write
+        self.due = now + category.due
+        self.over = False  # beyond its customer's share
+        self.hos: list[tuple[Cache, float]] = []
+        self.out = 0  # hos without an outcome
+        self.ran_since: float | None = None  # first sending that may have run
+        self.ran_group: object = None
+        self.missed: list[Cache] = []
+        self.stage = 0  # changes whenever a timer set for this wi is overtaken
+        self.streams = False
+
+
+class Hot:
+    """A scored key: its streak of epochs over the mark and, while leased, its shadows."""
+
+    __slots__ = ("current", "lease", "score", "shadows", "streak")
+
+    def __init__(self) -> None:
+        self.score, self.streak, self.lease, self.shadows = 0.0, 0, 0.0, 0
+        self.current = -1  # the replica drawn
+
+
+class Router:
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        self.s, self.now = settings, now
+        self.chance = Chance(seed)
+        self.results = Results()
+        self.items: dict[int, Item] = {}
+        self.caches: dict[str, Cache] = {}
+        self.ready: list[Cache] = []
+        self.origin: Cache | None = None
+        self.ring: list[tuple[int, Cache]] = []
+        self.walks: dict[str, list[tuple[Cache, float]]] = {}
+        self.order = count()
+        self.timers: list[tuple[float, int, str, Item | None, int]] = []
+        self.wake_at = 0.0
+        self.held: OrderedDict[int, float] = OrderedDict()  # held wis, the oldest first
+        self.fetching: dict[str, list[Item]] = {}  # key out at the origin, and the wis that follow
+        self.due = min(c.due for c in settings.categories)
+        self.scores: dict[str, Hot] = {}
+        self.samples, self.accesses, self.rate = 0.0, 0, 1.0
+        self.extra = 1.0  # part of the work beyond shares that is admitted
+        self.seen = [0] * len(settings.quotas)
+        self.portion = [1 / settings.routers] * len(settings.quotas)
+        self.tokens = [0.0] * len(settings.quotas)
+        self.told: dict[int, tuple[float, tuple[int, ...]]] = {}  # what peers saw
+        self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
+        self.spare = 1.0  # second copies in hand
+        self.retry_list = 0.0
+        self.at(now + TICK, "tick")
+        self.at(now + EPOCH, "epoch")
+        if settings.ask:  # not all at once when routers start together
+            self.at(now + 0.5 * self.chance.draw(), "ask")
+
+    # calls ---------------------------------------------------------------------------------------------------
+
+    def drain(self) -> Results:
+        out, self.results = self.results, Results()
+        if self.timers and (self.wake_at <= self.now or self.timers[0][0] < self.wake_at):
+            self.wake_at = max(self.timers[0][0], self.now + 1e-6)
+            out.wake = self.wake_at - self.now
+        return out
+
+    def take(self, now: float, id: int, category: int, customer: int, key: str | None, left: float,
+             write: bool) -> None:
+        self.now = now
+        item = self.items[id] = Item(id, self.s.categories[category], key, now, now + left, write)
+        if left <= 0 or not self._share(item, customer):
+            self.give_up(item)
+            return
+        self._hotness(item)
+        self._forward(item)
+
+    def answered(self, now: float, id: int, number: int, server: str, verdict: int, spent: float, final: bool,
+                 remark: int | None) -> None:
+        self.now = now
+        cache = self.caches[server]
+        cache.inflight -= 1
+        self._observe(cache, verdict, spent)
+        item = self.items.get(id)
+        if item is not None:
+            item.out -= 1
+            item.stage += 1
+            if final:
+                self._end(item, verdict == Verdict.FINISHED)
+            else:
+                self._came_back(item, cache, verdict, remark)
+        self._release(cache)
+
+    def streaming(self, now: float, id: int) -> None:
+        self.now = now
+        if (item := self.items.get(id)) is not None:
+            item.streams = True
+            item.stage += 1
+
+    def abandoned(self, now: float, id: int) -> None:
+        self.now = now
+        if (item := self.items.get(id)) is not None:
+            self._end(item, False)
+
+    def heard(self, now: float, author: int, payload: bytes) -> None:
+        self.now = now
+        if len(payload) == 2 * len(self.seen):
+            self.told[author] = (now, unpack(f">{len(self.seen)}H", payload))
+
+    def list_changed(self, now: float, scope: str, entries: list[Entry]) -> None:
+        self.now = now
+        if scope == "failed":
+            self.retry_list = min(8.0, max(1.0, 2 * self.retry_list))
+            self.at(now + self.retry_list * (0.5 + self.chance.draw()), "ask")
+            return
+        if scope != "cached":
+            self.retry_list = 0.0
+        if scope != "delta":
+            named = {e.server for e in entries}
+            entries = entries + [c.entry._replace(health="dead") for c in self.caches.values()
+                                 if c.server not in named]
+        for entry in entries:
+            cache = self.caches.get(entry.server)
+            if cache is None:
+                self.caches[entry.server] = Cache(entry, now)
+            else:
+                if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
+                    inflight, held = cache.inflight, cache.held
+                    cache.__init__(entry, now)
+                    cache.inflight, cache.held = inflight, held
+                cache.entry = entry
+        live = [c for c in self.caches.values() if c.entry.health == "live"]
+        self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
+        self.ready = [c for c in live if c is not self.origin]
+        self._lay_ring()
+        for cache in self.caches.values():
+            if cache.entry.health != "live":
+                self._turn_out(cache)
+
+    def woken(self, now: float) -> None:
+        self.now = now
+        while self.timers and self.timers[0][0] <= now:
+            _, _, what, item, stage = heappop(self.timers)
+            if what == "tick":
+                self._tick()
+            elif what == "epoch":
+                self._epoch()
+            elif what == "ask":
+                self.results.subscribe = True
+            elif item is not None and item.stage == stage and item.id in self.items:
+                if what == "hold":
+                    self._held_long(item)
+                elif what == "copy":
+                    self._second_copy(item)
+                else:
+                    self._forward(item)
+
+    def at(self, when: float, what: str, item: Item | None = None) -> None:
+        heappush(self.timers, (when, next(self.order), what, item, item.stage if item else 0))
+
+    # share ---------------------------------------------------------------------------------------------------
+
+    def _share(self, item: Item, customer: int) -> bool:
+        if customer < len(self.tokens):
+            self.seen[customer] += 1
+            if self.tokens[customer] >= 1:
+                self.tokens[customer] -= 1
+            else:
+                item.over = True
+                return self.extra >= 1 or self.chance.draw() < self.extra
+        return True
+
+    def _tick(self) -> None:
+        """Refills the shares; work beyond them gives way while held work waits long."""
+        self.at(self.now + TICK, "tick")
+        for i, quota in enumerate(self.s.quotas):
+            full = quota * self.portion[i]
+            self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK)
+        waited = self.now - next(iter(self.held.values())) if self.held else 0.0
+        before = self.extra
+        self.extra = max(0.01, self.extra * 0.6) if waited > 0.1 * self.due else min(1.0, self.extra + 0.01)
+        if (before < 1) != (self.extra < 1):
+            self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
+
+    def _exchange(self) -> None:
+        """Splits each customer's share by where its work comes in; evenly while peers are silent."""
+        seen = [min(n, 65535) for n in self.seen]
+        self.seen = [0] * len(seen)
+        if self.s.peers and self.s.routers > 1 and seen:
+            self.results.messages.append(pack(f">{len(seen)}H", *seen))
+        told = [row for when, row in self.told.values() if self.now - when < 3 * EPOCH]
+        even = 1 / self.s.routers
+        for i, own in enumerate(seen):
+            total = own + sum(row[i] for row in told)
+            aim = own / total if told and total else even
+            self.portion[i] += 0.5 * (max(aim, 0.1 * even) - self.portion[i])
+
+    # hotness -------------------------------------------------------------------------------------------------
+
+    def _hotness(self, item: Item) -> None:
+        self.accesses += 1
+        if item.key is None or (self.rate < 1 and self.chance.draw() >= self.rate):
+            return
+        self.samples += 1
+        hot = self.scores.get(item.key)
+        if hot is None:
+            if item.write or len(self.scores) >= TABLE:
+                return
+            hot = self.scores[item.key] = Hot()
+        hot.score += -1 if item.write else 1
+
+    def _epoch(self) -> None:
+        self.at(self.now + EPOCH, "epoch")
+        ready = max(1, len(self.ready))
+        for key, hot in list(self.scores.items()):
+            share = hot.score / max(self.samples, 1.0) * ready
+            hot.streak = hot.streak + 1 if share > 1 else 0
+            if hot.streak >= HOT_EPOCHS:
+                if not hot.shadows:
+                    self.results.log.append(f"hot {key}: {share / ready:.2f} of samples")
+                hot.lease = self.now + LEASE
+                hot.shadows = min(int(share), hot.shadows + 1, ready - 1, WALK - 1)
+            elif hot.lease < self.now:
+                hot.shadows = 0
+            hot.score /= 2
+            if hot.score < 0.5 and not hot.shadows:
+                del self.scores[key]
+        self.samples /= 2
+        self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
+        self.accesses = 0
+        self._exchange()
+        self._health()
+
+    # placement -----------------------------------------------------------------------------------------------
+
+    def _lay_ring(self) -> None:
+        mean = sum(c.entry.heft for c in self.ready) / max(1, len(self.ready)) or 1.0
+        points = []
+        for c in self.ready:
+            n = POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / mean))
+            points += [(stable(f"{c.server}#{i}"), c.server) for i in range(n)]
+        self.ring = [(p, self.caches[server]) for p, server in sorted(points)]
+        self.walks.clear()
+
+    def _walk(self, key: str) -> list[tuple[Cache, float]]:
+        """The first distinct caches on the key's ring walk, each with the key's place in its share."""
+        walk = self.walks.get(key)
+        if walk is None:
+            if len(self.walks) > 20000:
+                self.walks.clear()
+            walk, seen = [], set()
+            start = bisect_right(self.ring, stable(key), key=lambda point: point[0])
+            for i in range(len(self.ring)):
+                cache = self.ring[(start + i) % len(self.ring)][1]
+                if cache.server not in seen:
+                    seen.add(cache.server)
+                    walk.append((cache, stable(f"{key}@{cache.server}") / 2**64))
+                    if len(walk) == WALK:
+                        break
+            self.walks[key] = walk
+        return walk
+
+    def warmth(self, cache: Cache) -> float:
+        """The part of its capacity that a cache surely has."""
+        up = cache.entry.came_up
+        if not up or self.now - up >= self.s.warm_within:
+            return 1.0
+        return self.s.start_share + (1 - self.s.start_share) * max(0.0, self.now - up) / self.s.warm_within
+
+    def _open(self, cache: Cache, item: Item) -> bool:
+        """Whether a new ho may go to the cache, by rule and by health, leaving its load aside."""
+        if cache.entry.health != "live" or cache.silent_until > self.now or (cache.strikes and cache.inflight):
+            return False
+        if item.ran_since is not None and item.category.semantics is Semantics.TICKETED:
+            group = {"all": 0, "zone": cache.entry.zone, "cell": cache.entry.cell}.get(item.category.group)
+            if group != item.ran_group or self.now - item.ran_since >= item.category.window:
+                return False
+        return True
+
+    def _cold_room(self, cache: Cache) -> bool:
+        """Keeps a cold cache under its warm share of what warm fellows finish; if all do, none falls over."""
+        warm = self.warmth(cache)
+        if warm >= 1:
+            return True
+        rate = max(0.5, warm * self.warm_rate * cache.entry.heft)
+        cache.budget = min(max(1.0, rate * self.s.overload_for / 2),
+                           cache.budget + rate * (self.now - cache.budget_at))
+        cache.budget_at = self.now
+        return cache.budget >= 1
+
+    def _place(self, item: Item) -> Cache | None:
+        key = item.key if item.key is not None else str(item.id)
+        walk = self._walk(key)
+        hot = self.scores.get(key)
+        if hot is not None and hot.shadows and not item.hos:
+            replica = self._replica(hot, [c for c, _ in walk[: hot.shadows + 1]
+                                          if self._open(c, item) and self.warmth(c) >= 1])
+            if replica is not None:
+                return replica
+        spare = None
+        for cache, place in walk:
+            if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
+                continue
+            warm = self.warmth(cache)
+            if warm < 1 and not self._cold_room(cache):
+                continue
+            if place < warm * cache.share:
+                return cache
+            spare = spare or cache
+        return spare
+
+    def _replica(self, hot: Hot, replicas: list[Cache]) -> Cache | None:
+        """One replica drawn at random and kept, until it holds well over the mean in flight."""
+        if not replicas:
+            return None
+        mean = sum(c.inflight for c in self.ready) / len(self.ready)
+        if not 0 <= hot.current < len(replicas):
+            hot.current = int(self.chance.draw() * len(replicas))
+        elif replicas[hot.current].inflight > 2 * mean + 2:
+            hot.current = min(range(len(replicas)), key=lambda i: replicas[i].inflight)
+        return replicas[hot.current]
+
+    def _observe(self, cache: Cache, verdict: int, spent: float) -> None:
+        """Adapts the limit of hos out at once, and tells a silent cache from a busy one."""
+        if verdict in (Verdict.FINISHED, Verdict.MISS, Verdict.ERROR):
+            cache.answers += 1
+            if cache.strikes:
+                self.results.log.append(f"{cache.server} answers again after {cache.strikes} strikes")
+                cache.strikes, cache.silent_until = 0, 0.0
+            if verdict == Verdict.FINISHED:
+                cache.bins[bisect_right(SPENT, spent)] += 1
+        if verdict in (Verdict.RESET, Verdict.UNREACHABLE, Verdict.TIMED_OUT):
+            cache.strikes += 1
+            if cache.strikes > 1 or verdict != Verdict.TIMED_OUT:
+                cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
+                if cache.strikes == 2:
+                    self.results.log.append(f"{cache.server} silent: {Verdict(verdict).name} after {spent:.3f} s")
+        slow = spent > 0.4 * self.due or verdict == Verdict.FULL
+        if not slow and verdict == Verdict.FINISHED:
+            if cache.inflight + 1 >= 0.7 * cache.limit:
+                cache.limit = min(256.0, cache.limit + 1 / cache.limit)
+        elif slow and self.now - cache.cut_at > spent:
+            cache.limit, cache.cut_at = max(2.0, cache.limit * 0.85), self.now
+
+    def _health(self) -> None:
+        """A cache whose high quantile is far over its fellows' keeps fewer keys, the others walk on."""
+        warm = [c for c in self.ready if self.warmth(c) >= 1]
+        for c in self.caches.values():
+            c.rate += 0.4 * (c.answers / EPOCH - c.rate)
+            c.answers = 0
+        if len(warm) > 1 or (warm and not self.warm_rate):
+            self.warm_rate = sum(c.rate for c in warm) / max(1e-9, sum(c.entry.heft for c in warm))
+        judged = sorted(c.quantile(0.9) for c in self.ready if sum(c.bins) >= 4)
+        for c in self.ready:
+            if len(judged) > 2 and sum(c.bins) >= 4:
+                high, fellows = c.quantile(0.9), judged[len(judged) // 2]
+                before = c.share
+                bad = high > 2 * fellows and high > 0.4 * self.due
+                c.share = max(0.1, c.share * 0.7) if bad else min(1.0, c.share + 0.1)
+                if (before < 1) != (c.share < 1):
+                    self.results.log.append(f"{c.server} {'eased' if bad else 'whole'}: {high:.3f} s, fellows {fellows:.3f}")
+            c.bins = [n // 2 for n in c.bins]
+
+    # pace ----------------------------------------------------------------------------------------------------
+
+    def _forward(self, item: Item) -> None:
+        if item.write and self.s.aside:
+            self._gate(item)
+            return
+        if item.key in self.fetching and not item.hos:
+            self._hold(item, self.fetching[item.key])
+            return
+        cache = self._place(item)
+        if cache is None:
+            self._gate(item)
+        elif cache.inflight < cache.limit:
+            self._hand_off(item, cache)
+        else:
+            self._hold(item, cache.held)
+
+    def _hold(self, item: Item, queue: list) -> None:
+        item.stage += 1
+        self.held.setdefault(item.id, self.now)
+        if queue is self.fetching.get(item.key):
+            queue.append(item)
+        else:
+            heappush(queue, ((item.over, -item.category.credit), next(self.order), item, item.stage))
+        self.at(min(self.now + 0.5 * item.category.due, item.expiry - 0.01), "hold", item)
+
+    def _held_long(self, item: Item) -> None:
+        self.give_up(item)
+
+    def _release(self, cache: Cache) -> None:
+        """Sends held wis on while the cache, or the origin, has room."""
+        while cache.held and cache.inflight < cache.limit and cache.silent_until <= self.now:
+            *_, item, stage = heappop(cache.held)
+            if item.stage == stage and item.id in self.items:
+                if cache is self.origin:
+                    self._gate(item)
+                elif self._open(cache, item) and self._cold_room(cache):
+                    self._hand_off(item, cache)
+                else:
+                    self._forward(item)
+
+    def _turn_out(self, cache: Cache) -> None:
+        held, cache.held = cache.held, []
+        for *_, item, stage in sorted(held, key=lambda entry: entry[:2]):
+            if item.stage == stage and item.id in self.items:
+                self._forward(item)
+
+    def _gate(self, item: Item) -> None:
+        """The origin: few fetches out, one a key, its pace set by its answer times."""
+        origin = self.origin
+        if origin is None or not self.s.aside or not self._open(origin, item):
+            self.give_up(item)
+        elif not item.write and item.key in self.fetching and item.key is not None:
+            self._hold(item, self.fetching[item.key])
+        elif origin.inflight < origin.limit:
+            if not item.write and item.key is not None:
+                self.fetching[item.key] = []
+            self._hand_off(item, origin)
+        else:
+            self._hold(item, origin.held)
+
+    # hand-off ------------------------------------------------------------------------------------------------
+
+    def _hand_off(self, item: Item, cache: Cache) -> None:
+        item.stage += 1
+        self.held.pop(item.id, None)
+        if self.warmth(cache) < 1:
+            cache.budget -= 1
+        item.hos.append((cache, self.now))
+        item.out += 1
+        cache.inflight += 1
+        give_up_at = 0.0
+        if cache is not self.origin and not item.write and len(item.hos) < self.s.max_hand_offs:
+            give_up_at = min(item.expiry, self.now + 0.8 * item.category.due)
+            if self.s.second_copies and item.category.semantics is Semantics.RERUNNABLE:
+                self.at(self.now + 0.35 * item.category.due, "copy", item)
+            self.spare = min(10.0, self.spare + 0.05)
+        self.results.hand_offs.append((item.id, give_up_at, cache.server))
+
+    def _second_copy(self, item: Item) -> None:
+        if self.spare < 1 or len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
+            return
+        cache = self._place(item)
+        if cache is not None and cache.inflight < cache.limit:
+            self.spare -= 1
+            self._hand_off(item, cache)
+
+    def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
+        """Decides what follows a ho that did not finish its wi."""
+        if cache is self.origin and not item.write:
+            self._fetched(item, False)
+        if verdict in (Verdict.ERROR, Verdict.RESET, Verdict.TIMED_OUT, Verdict.WITHDRAWN):
+            if item.ran_since is None:
+                number = next(i for i, (c, _) in enumerate(item.hos) if c is cache)
+                item.ran_since = item.hos[number][1]
+                entry = cache.entry
+                item.ran_group = {"all": 0, "zone": entry.zone, "cell": entry.cell}.get(item.category.group)
+        elif verdict == Verdict.MISS:
+            item.missed.append(cache)
+        if item.streams or (item.out and not self.s.second_copies):
+            return
+        if verdict == Verdict.MISS:
+            self._gate(item)
+        elif item.out:
+            return
+        elif self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs or verdict == Verdict.MOOT:
+            self.give_up(item)
+        elif item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE:
+            self.give_up(item)
+        elif item.missed:
+            self._gate(item)
+        else:
+            self._forward(item)
+
+    def _fetched(self, item: Item, stored: bool) -> None:
+        for follower in self.fetching.pop(item.key, ()):
+            if follower.id in self.items:
+                follower.stage += 1
+                if follower.missed and not stored:
+                    self._gate(follower)
+                else:
+                    self._forward_again(follower)
+
+    def _forward_again(self, item: Item) -> None:
+        if item.missed and not item.out and len(item.hos) < self.s.max_hand_offs:
+            cache = item.missed[0]
+            if self._open(cache, item) and cache.inflight < cache.limit and self._cold_room(cache):
+                self._hand_off(item, cache)
+                return
+            self._gate(item)
+        else:
+            self._forward(item)
+
+    def _end(self, item: Item, finished: bool) -> None:
+        del self.items[item.id]
+        self.held.pop(item.id, None)
+        item.stage += 1
+        if not item.write and any(c is self.origin for c, _ in item.hos):
+            self._fetched(item, finished)
+
+    def give_up(self, item: Item) -> None:
+        """Answers at once: deferred where that assures no harm, with a time to come back, else written off."""
+        safe = item.category.semantics is Semantics.RERUNNABLE or (not item.out and item.ran_since is None) or (
+            item.category.semantics is Semantics.TICKETED and item.category.group == "all")
+        answer = Answer.DEFERRED if safe and not item.streams else Answer.WRITTEN_OFF
+        self.results.answers.append((item.id, answer, self.s.retry_after if item.over else 0.0))
+        self._end(item, False)
