Keep a second copy's miss from following the work item's own fetch

A read whose second copy had missed and whose first copy missed too became a follower of its own fetch; when the fetch failed it was answered twice and the adapter stopped.

--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -1,4 +1,4 @@
-"""The bench's wire: decodes events into calls of ``Router`` and encodes its ``Results``. It decides nothing."""
+"""The bench's wire: events to calls of ``Router``, and its ``Results`` back. It decides nothing."""
 
 from base64 import b64decode, b64encode
 from collections.abc import Callable
@@ -27,7 +27,6 @@
                 for c in data["categories"]
             ],
             quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
-            ordinal=data["ordinal"],
             routers=max(1, data["replicas_of_me"]),
             aside=domain.get("mode") == "aside",
             origin_kind=domain.get("origin_kind", -1),
@@ -38,12 +37,9 @@
             cancelling=bool(limits["cancelling"]),
             retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
             max_hand_offs=limits["max_hand_offs"],
-            drain_grace=rules["drain_grace_us"] / 1e6,
-            overload_factor=rules["overload_factor"],
             overload_for=rules["overload_for_us"] / 1e6,
             start_share=rules["start_capacity"],
             warm_within=max(rules["warm_within_us"], 1) / 1e6,
-            origin_fall_for=(domain.get("origin_fall_us") or 0) / 1e6,
         )
     except KeyError as error:
         raise WireError(f"start: the settings lack {error}") from error
@@ -149,7 +145,7 @@
                 try:
                     call(now, *item[1:])
                 except (TypeError, ValueError, LookupError, AttributeError) as error:
-                    raise WireError(f"{name}: {what} can't be followed: {type(error).__name__}: {error}") from error
+                    raise WireError(f"{name}: {what} can't be followed: {error!r}") from error
             if instance.router is not None and (results := instance.router.drain()):
                 parts.append({"i": name, "output": encode(results)})
         return {"parts": parts}
--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -1,9 +1,9 @@
-"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls ``list_changed``,
-``take``, ``answered``, ``streaming``, ``abandoned``, ``heard`` and ``woken`` as things happen, with the time, and
-carries out what ``drain`` returns. The types of the interface are laid down in ``rowanshift/model.py``.
+"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls ``take``,
+``answered``, ``list_changed``, ``streaming``, ``abandoned``, ``heard`` and ``woken`` as things happen, with
+the time, and carries out what ``drain`` returns. The interface is laid down in ``rowanshift/model.py``.
 
-A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a hand-off (ho)
-passes them the other way. docs/design.md tells what is kept of the design, what departs from it, and when.
+A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a
+hand-off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
 """
 
 from bisect import bisect_right
@@ -54,6 +54,7 @@
         self.share = 1.0  # of its keys it keeps, by health
         self.strikes = 0
         self.silent_until = 0.0
+        self.heard_at = now  # last answer, or the first sending after none was out
         self.bins = [0] * (len(SPENT) + 1)
         self.answers = 0  # in this epoch
         self.rate = 0.0  # answers a second, of this router
@@ -72,18 +73,18 @@
 class Item:
     """A work item that this router has taken and not yet answered."""
 
-    __slots__ = ("category", "customer", "due", "expiry", "hos", "id", "key", "missed", "out", "over", "ran_group",
-                 "ran_since", "stage", "streams", "taken", "write")
+    __slots__ = ("category", "expiry", "hos", "id", "key", "leads", "missed", "out", "over", "ran_group",
+                 "ran_since", "stage", "streams", "write")
 
-    def __init__(self, id: int, category: Category, key: str | None, now: float, expiry: float, write: bool) -> None:
-        self.id, self.category, self.key, self.taken, self.expiry, self.write = id, category, key, now, expiry, write
-        self.due = now + category.due
+    def __init__(self, id: int, category: Category, key: str | None, expiry: float, write: bool) -> None:
+        self.id, self.category, self.key, self.expiry, self.write = id, category, key, expiry, write
         self.over = False  # beyond its customer's share
         self.hos: list[tuple[Cache, float]] = []
         self.out = 0  # hos without an outcome
         self.ran_since: float | None = None  # first sending that may have run
         self.ran_group: object = None
         self.missed: list[Cache] = []
+        self.leads = False  # its fetch is out at the origin, others follow
         self.stage = 0  # changes whenever a timer set for this wi is overtaken
         self.streams = False
 
@@ -130,7 +131,7 @@
         if settings.ask:  # not all at once when routers start together
             self.at(now + 0.5 * self.chance.draw(), "ask")
 
-    # calls ---------------------------------------------------------------------------------------------------
+    # calls ------------------------------------------------
 
     def drain(self) -> Results:
         out, self.results = self.results, Results()
@@ -142,7 +143,7 @@
     def take(self, now: float, id: int, category: int, customer: int, key: str | None, left: float,
              write: bool) -> None:
         self.now = now
-        item = self.items[id] = Item(id, self.s.categories[category], key, now, now + left, write)
+        item = self.items[id] = Item(id, self.s.categories[category], key, now + left, write)
         if left <= 0 or not self._share(item, customer):
             self.give_up(item)
             return
@@ -232,7 +233,7 @@
     def at(self, when: float, what: str, item: Item | None = None) -> None:
         heappush(self.timers, (when, next(self.order), what, item, item.stage if item else 0))
 
-    # share ---------------------------------------------------------------------------------------------------
+    # share ------------------------------------------------
 
     def _share(self, item: Item, customer: int) -> bool:
         if customer < len(self.tokens):
@@ -269,7 +270,7 @@
             aim = own / total if told and total else even
             self.portion[i] += 0.5 * (max(aim, 0.1 * even) - self.portion[i])
 
-    # hotness -------------------------------------------------------------------------------------------------
+    # hotness ----------------------------------------------
 
     def _hotness(self, item: Item) -> None:
         self.accesses += 1
@@ -305,7 +306,7 @@
         self._exchange()
         self._health()
 
-    # placement -----------------------------------------------------------------------------------------------
+    # placement --------------------------------------------
 
     def _lay_ring(self) -> None:
         mean = sum(c.entry.heft for c in self.ready) / max(1, len(self.ready)) or 1.0
@@ -343,7 +344,9 @@
 
     def _open(self, cache: Cache, item: Item) -> bool:
         """Whether a new ho may go to the cache, by rule and by health, leaving its load aside."""
-        if cache.entry.health != "live" or cache.silent_until > self.now or (cache.strikes and cache.inflight):
+        if cache.entry.health != "live" or cache.silent_until > self.now:
+            return False
+        if cache.inflight and (cache.strikes or self.now - cache.heard_at > 0.6 * self.due):
             return False
         if item.ran_since is not None and item.category.semantics is Semantics.TICKETED:
             group = {"all": 0, "zone": cache.entry.zone, "cell": cache.entry.cell}.get(item.category.group)
@@ -398,17 +401,18 @@
         """Adapts the limit of hos out at once, and tells a silent cache from a busy one."""
         if verdict in (Verdict.FINISHED, Verdict.MISS, Verdict.ERROR):
             cache.answers += 1
+            cache.heard_at = self.now
             if cache.strikes:
                 self.results.log.append(f"{cache.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
             if verdict == Verdict.FINISHED:
                 cache.bins[bisect_right(SPENT, spent)] += 1
-        if verdict in (Verdict.RESET, Verdict.UNREACHABLE, Verdict.TIMED_OUT):
+        elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
-            if cache.strikes > 1 or verdict != Verdict.TIMED_OUT:
-                cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
-                if cache.strikes == 2:
-                    self.results.log.append(f"{cache.server} silent: {Verdict(verdict).name} after {spent:.3f} s")
+            cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
+            if cache.strikes == 1:
+                name = Verdict(verdict).name.lower()
+                self.results.log.append(f"{cache.server} silent: {name} after {spent:.3f} s")
         slow = spent > 0.4 * self.due or verdict == Verdict.FULL
         if not slow and verdict == Verdict.FINISHED:
             if cache.inflight + 1 >= 0.7 * cache.limit:
@@ -432,10 +436,11 @@
                 bad = high > 2 * fellows and high > 0.4 * self.due
                 c.share = max(0.1, c.share * 0.7) if bad else min(1.0, c.share + 0.1)
                 if (before < 1) != (c.share < 1):
-                    self.results.log.append(f"{c.server} {'eased' if bad else 'whole'}: {high:.3f} s, fellows {fellows:.3f}")
+                    mode = "eased" if bad else "whole"
+                    self.results.log.append(f"{c.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
             c.bins = [n // 2 for n in c.bins]
 
-    # pace ----------------------------------------------------------------------------------------------------
+    # pace -------------------------------------------------
 
     def _forward(self, item: Item) -> None:
         if item.write and self.s.aside:
@@ -491,12 +496,12 @@
             self._hold(item, self.fetching[item.key])
         elif origin.inflight < origin.limit:
             if not item.write and item.key is not None:
-                self.fetching[item.key] = []
+                item.leads, self.fetching[item.key] = True, []
             self._hand_off(item, origin)
         else:
             self._hold(item, origin.held)
 
-    # hand-off ------------------------------------------------------------------------------------------------
+    # hand-off ---------------------------------------------
 
     def _hand_off(self, item: Item, cache: Cache) -> None:
         item.stage += 1
@@ -505,14 +510,14 @@
             cache.budget -= 1
         item.hos.append((cache, self.now))
         item.out += 1
+        if not cache.inflight:
+            cache.heard_at = self.now
         cache.inflight += 1
-        give_up_at = 0.0
-        if cache is not self.origin and not item.write and len(item.hos) < self.s.max_hand_offs:
-            give_up_at = min(item.expiry, self.now + 0.8 * item.category.due)
-            if self.s.second_copies and item.category.semantics is Semantics.RERUNNABLE:
-                self.at(self.now + 0.35 * item.category.due, "copy", item)
+        if cache is not self.origin and not item.write and self.s.second_copies and (
+                item.category.semantics is Semantics.RERUNNABLE):
+            self.at(self.now + 0.35 * item.category.due, "copy", item)
             self.spare = min(10.0, self.spare + 0.05)
-        self.results.hand_offs.append((item.id, give_up_at, cache.server))
+        self.results.hand_offs.append((item.id, 0.0, cache.server))
 
     def _second_copy(self, item: Item) -> None:
         if self.spare < 1 or len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
@@ -524,7 +529,7 @@
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
         """Decides what follows a ho that did not finish its wi."""
-        if cache is self.origin and not item.write:
+        if cache is self.origin:
             self._fetched(item, False)
         if verdict in (Verdict.ERROR, Verdict.RESET, Verdict.TIMED_OUT, Verdict.WITHDRAWN):
             if item.ran_since is None:
@@ -534,15 +539,14 @@
                 item.ran_group = {"all": 0, "zone": entry.zone, "cell": entry.cell}.get(item.category.group)
         elif verdict == Verdict.MISS:
             item.missed.append(cache)
-        if item.streams or (item.out and not self.s.second_copies):
+        if item.streams or item.leads:  # a second copy's miss must not make a wi follow its own fetch
             return
         if verdict == Verdict.MISS:
             self._gate(item)
         elif item.out:
             return
-        elif self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs or verdict == Verdict.MOOT:
-            self.give_up(item)
-        elif item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE:
+        elif (self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs
+              or verdict == Verdict.MOOT or (item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
             self.give_up(item)
         elif item.missed:
             self._gate(item)
@@ -550,6 +554,9 @@
             self._forward(item)
 
     def _fetched(self, item: Item, stored: bool) -> None:
+        if not item.leads:
+            return
+        item.leads = False
         for follower in self.fetching.pop(item.key, ()):
             if follower.id in self.items:
                 follower.stage += 1
@@ -572,13 +579,13 @@
         del self.items[item.id]
         self.held.pop(item.id, None)
         item.stage += 1
-        if not item.write and any(c is self.origin for c, _ in item.hos):
-            self._fetched(item, finished)
+        self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
-        """Answers at once: deferred where that assures no harm, with a time to come back, else written off."""
-        safe = item.category.semantics is Semantics.RERUNNABLE or (not item.out and item.ran_since is None) or (
-            item.category.semantics is Semantics.TICKETED and item.category.group == "all")
+        """Answers at once: deferred where that assures no harm, else written off."""
+        what = item.category.semantics
+        safe = what is Semantics.RERUNNABLE or (not item.out and item.ran_since is None) or (
+            what is Semantics.TICKETED and item.category.group == "all")
         answer = Answer.DEFERRED if safe and not item.streams else Answer.WRITTEN_OFF
         self.results.answers.append((item.id, answer, self.s.retry_after if item.over else 0.0))
         self._end(item, False)
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -60,7 +60,6 @@
 class Settings:
     categories: list[Category]
     quotas: list[float]  # work items a second of each customer, over all routers
-    ordinal: int
     routers: int
     aside: bool
     origin_kind: int
@@ -71,21 +70,18 @@
     cancelling: bool
     retry_after: float  # 0: no time to come back may be given
     max_hand_offs: int
-    drain_grace: float
-    overload_factor: float
     overload_for: float
     start_share: float
     warm_within: float
-    origin_fall_for: float
 
 
 @dataclass(slots=True)
 class Results:
     """What a router wants done since its front last looked."""
 
-    hand_offs: list[tuple[int, float, str]] = field(default_factory=list)  # wi, give up at (0: expiry), server
+    hand_offs: list[tuple[int, float, str]] = field(default_factory=list)  # wi, time-out (0: expiry), server
     withdrawals: list[tuple[int, int]] = field(default_factory=list)  # wi, hand-off number
-    answers: list[tuple[int, Answer, float]] = field(default_factory=list)  # wi, answer, seconds to come back
+    answers: list[tuple[int, Answer, float]] = field(default_factory=list)  # wi, answer, when to come back
     messages: list[bytes] = field(default_factory=list)  # to every peer
     probes: list[str] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
@@ -93,5 +89,5 @@
     wake: float | None = None  # wait before the next call of ``woken``
 
     def __bool__(self) -> bool:
-        return bool(self.hand_offs or self.answers or self.withdrawals or self.wake is not None or self.messages
-                    or self.log or self.subscribe or self.probes)
+        return bool(self.hand_offs or self.answers or self.withdrawals or self.wake is not None
+                    or self.messages or self.log or self.subscribe or self.probes)
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,42 @@
+"""Builds settings, lists and routers for the tests."""
+
+from rowanshift.choice import Router
+from rowanshift.model import Category, Entry, Semantics, Settings, Verdict
+
+RERUNNABLE, TICKETED, EXCLUSIVE, ZONAL = range(4)
+ORIGIN = "origin:1"
+CATEGORIES = [
+    Category(1.0, 0.5, Semantics.RERUNNABLE, "all", 5.0),
+    Category(3.0, 0.5, Semantics.TICKETED, "all", 5.0),
+    Category(8.0, 0.5, Semantics.EXCLUSIVE, "all", 5.0),
+    Category(3.0, 0.5, Semantics.TICKETED, "zone", 5.0),
+]
+
+
+def settings(**changes) -> Settings:
+    plain = dict(categories=CATEGORIES, quotas=[30.0, 30.0], routers=3, aside=True, origin_kind=1, ask=False,
+                 live_heft=False, peers=False, second_copies=False, cancelling=True, retry_after=2.0,
+                 max_hand_offs=4, overload_for=3.0, start_share=0.2, warm_within=20.0)
+    return Settings(**plain | changes)
+
+
+def entry(n: int | str, health: str = "live", came_up=0.0, heft=1.0, zone=0) -> Entry:
+    return Entry(ORIGIN if n == "origin" else f"cache:{n}", 0, heft, zone, health, int(n == "origin"), came_up)
+
+
+def router(caches: int = 5, now: float = 100.0, entries: list[Entry] | None = None, **changes) -> Router:
+    made = Router(settings(**changes), 7, now)
+    rows = [entry(n) for n in range(caches)] if entries is None else entries
+    made.list_changed(now, "cached", [*rows, entry("origin")])
+    made.drain()
+    return made
+
+
+def take(r: Router, id: int, key: str = "k", category: int = RERUNNABLE, write: bool = False, left=2.0):
+    r.take(r.now, id, category, 0, key, left, write)
+    return r.drain()
+
+
+def come_back(r: Router, id: int, server: str, verdict: Verdict, after: float = 0.02, number: int = 0):
+    r.answered(r.now + after, id, number, server, verdict, after, verdict == Verdict.FINISHED, None)
+    return r.drain()
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,177 @@
+"""Each test builds its state and calls one function; no bench."""
+
+import pytest
+from helpers import EXCLUSIVE, ORIGIN, RERUNNABLE, TICKETED, ZONAL, come_back, entry, router, take
+
+from rowanshift.choice import LEASE, Hot
+from rowanshift.model import Answer, Verdict
+
+KEYS = [f"k:{n}" for n in range(300)]
+
+
+@pytest.mark.parametrize(("category", "verdict", "again"), [
+    (RERUNNABLE, Verdict.ERROR, True), (RERUNNABLE, Verdict.RESET, True), (RERUNNABLE, Verdict.FULL, True),
+    (TICKETED, Verdict.ERROR, True), (TICKETED, Verdict.UNREACHABLE, True),
+    (EXCLUSIVE, Verdict.ERROR, False), (EXCLUSIVE, Verdict.RESET, False), (EXCLUSIVE, Verdict.FULL, True),
+    (EXCLUSIVE, Verdict.WITHDRAWN, False), (EXCLUSIVE, Verdict.UNREACHABLE, True),
+])
+def test_goes_again_only_where_no_effect_happens_twice(category, verdict, again):
+    r = router(aside=False)
+    first = take(r, 1, category=category, write=True).hand_offs[0][2]
+    results = come_back(r, 1, first, verdict)
+    assert bool(results.hand_offs) == again
+    assert again or [a for _, a, _ in results.answers] == [Answer.WRITTEN_OFF]
+
+
+@pytest.mark.parametrize(("category", "ran", "answer"), [
+    (RERUNNABLE, True, Answer.DEFERRED), (TICKETED, True, Answer.DEFERRED),
+    (ZONAL, True, Answer.WRITTEN_OFF), (ZONAL, False, Answer.DEFERRED),
+    (EXCLUSIVE, True, Answer.WRITTEN_OFF), (EXCLUSIVE, False, Answer.DEFERRED),
+])
+def test_defers_only_where_a_retry_does_no_harm(category, ran, answer):
+    r = router()
+    take(r, 1, category=category, write=True)
+    item = r.items[1]
+    item.out, item.ran_since = 0, 99.0 if ran else None
+    r.give_up(item)
+    assert [a for _, a, _ in r.drain().answers] == [answer] and not r.items
+
+
+@pytest.mark.parametrize(("zone", "age", "goes"), [(0, 1.0, True), (1, 1.0, False), (0, 5.0, False)])
+def test_ticketed_stays_in_its_group_and_window(zone, age, goes):
+    r = router(entries=[entry(0, zone=zone)])
+    take(r, 1, category=ZONAL, write=True)
+    item = r.items[1]
+    item.ran_since, item.ran_group = r.now - age, 0
+    assert r._open(r.caches["cache:0"], item) == goes
+
+
+def test_a_late_outcome_after_the_final_answer_changes_nothing():
+    r = router()
+    server = take(r, 1).hand_offs[0][2]
+    r.abandoned(r.now, 1)
+    assert not come_back(r, 1, server, Verdict.ERROR).hand_offs and r.caches[server].inflight == 0
+
+
+@pytest.mark.parametrize("caches", [0, 1])
+def test_an_expired_work_item_is_answered_at_once(caches):
+    assert len(take(router(caches), 1, left=0).answers) == 1
+
+
+def test_without_cache_and_origin_work_is_deferred():
+    r = router(0)
+    r.list_changed(r.now, "delta", [entry("origin", "dead")])
+    assert [a for _, a, _ in take(r, 1).answers] == [Answer.DEFERRED]
+
+
+@pytest.mark.parametrize("health", ["quiescing", "dead"])
+def test_a_drained_cache_gets_nothing_new_and_others_keep_their_keys(health):
+    r = router()
+    before = {k: r._walk(k)[0][0].server for k in KEYS}
+    r.list_changed(r.now, "delta", [entry(2, health)])
+    after = {k: r._walk(k)[0][0].server for k in KEYS}
+    assert "cache:2" not in after.values()
+    assert all(after[k] == home for k, home in before.items() if home != "cache:2")
+
+
+def test_heft_weighs_ring_points():
+    r = router(entries=[entry(0, heft=3.0), entry(1), entry(2)])
+    homes = [r._walk(k)[0][0].server for k in KEYS]
+    assert homes.count("cache:0") > homes.count("cache:1") + homes.count("cache:2") * 0.5
+
+
+def test_a_server_absent_from_a_full_list_is_gone():
+    r = router()
+    r.list_changed(r.now, "full", [entry(0), entry("origin")])
+    assert [c.server for c in r.ready] == ["cache:0"]
+
+
+@pytest.mark.parametrize(("age", "low", "high"), [(0.0, 0.19, 0.21), (10.0, 0.59, 0.61), (20.0, 1.0, 1.0)])
+def test_warm_share_rises_evenly(age, low, high):
+    r = router(entries=[entry(0, came_up=50.0), entry(1)])
+    r.now = 50.0 + age
+    assert low <= r.warmth(r.caches["cache:0"]) <= high
+
+
+def test_a_cold_cache_takes_no_more_than_its_budget():
+    r = router(entries=[entry(0, came_up=100.0), entry(1)])
+    r.warm_rate = 10.0  # its budget: 2 a second
+    sent = [ho[2] for n in range(40) for ho in take(r, n, KEYS[n]).hand_offs]
+    assert 1 <= sent.count("cache:0") <= 4
+
+
+def test_a_restarted_cache_is_judged_anew():
+    r = router()
+    r.caches["cache:0"].strikes = 3
+    r.list_changed(r.now, "delta", [entry(0, came_up=99.0)])
+    assert r.caches["cache:0"].strikes == 0 and r.warmth(r.caches["cache:0"]) < 1
+
+
+@pytest.mark.parametrize(("share", "epochs", "hot"), [(0.4, 3, False), (0.4, 4, True), (0.1, 8, False)])
+def test_a_key_is_hot_after_four_epochs_over_one_servers_share(share, epochs, hot):
+    r = router(5)
+    for _ in range(epochs):
+        r.scores.setdefault("k", Hot()).score += 100 * share
+        r.samples += 100
+        r._epoch()
+    assert bool(r.scores["k"].shadows) == hot
+
+
+def test_a_lease_runs_out_when_the_key_cools():
+    r = router()
+    hot = r.scores["k"] = Hot()
+    hot.shadows, hot.lease = 2, r.now + LEASE
+    r.now += LEASE + 0.1
+    r._epoch()
+    assert "k" not in r.scores
+
+
+@pytest.mark.parametrize(("write", "score"), [(False, 1), (True, -1)])
+def test_reads_raise_and_writes_lower_a_score(write, score):
+    r = router()
+    r.scores["k"] = Hot()
+    take(r, 1, write=write)
+    assert r.scores["k"].score == score
+
+
+def test_a_replica_is_kept_until_it_holds_well_over_the_mean():
+    r = router()
+    hot, replicas = Hot(), r.ready[:2]
+    kept = r._replica(hot, replicas)
+    assert r._replica(hot, replicas) is kept
+    kept.inflight = 9
+    assert r._replica(hot, replicas) is not kept
+
+
+def test_one_fetch_a_key_and_followers_read_the_cache():
+    r = router()
+    home = take(r, 1).hand_offs[0][2]
+    take(r, 2)
+    assert come_back(r, 1, home, Verdict.MISS).hand_offs == [(1, 0.0, ORIGIN)]
+    assert not come_back(r, 2, home, Verdict.MISS).hand_offs
+    assert [h[2] for h in come_back(r, 1, ORIGIN, Verdict.FINISHED, number=1).hand_offs] == [home]
+
+
+def test_the_origin_gate_holds_what_is_over_its_limit():
+    r = router()
+    r.origin.limit = 1.0
+    assert take(r, 1, "a", write=True).hand_offs and not take(r, 2, "b", write=True).hand_offs
+    assert come_back(r, 1, ORIGIN, Verdict.FINISHED).hand_offs[0][0] == 2
+
+
+@pytest.mark.parametrize(("extra", "admitted"), [(1.0, True), (0.0, False)])
+def test_work_beyond_a_share_gives_way_only_under_overload(extra, admitted):
+    r = router()
+    r.extra = extra
+    assert bool(take(r, 1).hand_offs) == admitted
+
+
+def test_a_second_copys_miss_does_not_follow_the_own_fetch():
+    r = router(second_copies=True)
+    home = take(r, 1).hand_offs[0][2]
+    r._second_copy(r.items[1])
+    other = r.drain().hand_offs[0][2]
+    come_back(r, 1, other, Verdict.MISS, number=1)
+    come_back(r, 1, home, Verdict.MISS)
+    results = come_back(r, 1, ORIGIN, Verdict.ERROR, number=2)
+    assert not results.answers and r.fetching["k"] == []
