--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -546,7 +546,8 @@
         elif item.out:
             return
         elif (self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs
-              or verdict == Verdict.MOOT or (item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
+              or verdict == Verdict.MOOT
+              or (item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
             self.give_up(item)
         elif item.missed:
             self._gate(item)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,7 +21,8 @@
 
 
 def entry(n: int | str, health: str = "live", came_up=0.0, heft=1.0, zone=0) -> Entry:
-    return Entry(ORIGIN if n == "origin" else f"cache:{n}", 0, heft, zone, health, int(n == "origin"), came_up)
+    server = ORIGIN if n == "origin" else f"cache:{n}"
+    return Entry(server, 0, heft, zone, health, int(n == "origin"), came_up)
 
 
 def router(caches: int = 5, now: float = 100.0, entries: list[Entry] | None = None, **changes) -> Router:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,8 @@
 import orjson
 import pytest
 
-from rowanshift.adapter.wire import WireError, serve
+from rowanshift.adapter.wire import WireError, encode, serve
+from rowanshift.model import Results
 
 
 def run(*lines: str) -> list:
@@ -33,3 +34,8 @@
 def test_bad_input_is_named(line, says):
     with pytest.raises(WireError, match=says):
         run(line)
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.1000004, 0.0000001, 2.5])
+def test_a_wake_is_never_early(wait):
+    assert encode(Results(wake=wait))[0][2] > wait * 1e6
