--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -105,7 +105,7 @@
     if results.subscribe:
         out.append(["stream_changes", True])
     if results.wake is not None:
-        out.append(["wake_at", "w", 1 + int(results.wake * 1e6)])  # never early: an early call finds nothing due
+        out.append(["wake_at", "w", 1 + int(results.wake * 1e6)])  # an early wake would find nothing due
     return out
 
 
--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -374,6 +374,7 @@
                                           if self._open(c, item) and self.warmth(c) >= 1])
             if replica is not None:
                 return replica
+        mean = sum(c.inflight for c in self.ready) / max(1, len(self.ready))
         spare = None
         for cache, place in walk:
             if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
@@ -381,7 +382,7 @@
             warm = self.warmth(cache)
             if warm < 1 and not self._cold_room(cache):
                 continue
-            if place < warm * cache.share:
+            if place < warm * cache.share and cache.inflight < min(cache.limit, 2 * mean + 2):
                 return cache
             spare = spare or cache
         return spare
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -175,3 +175,11 @@
     come_back(r, 1, home, Verdict.MISS)
     results = come_back(r, 1, ORIGIN, Verdict.ERROR, number=2)
     assert not results.answers and r.fetching["k"] == []
+
+
+@pytest.mark.parametrize(("load", "kept"), [(0, True), (8, False)])
+def test_a_home_well_over_the_mean_in_flight_passes_reads_on(load, kept):
+    r = router()
+    home = r._walk("k")[0][0]
+    home.inflight = load
+    assert (take(r, 1).hand_offs[0][2] == home.server) == kept
