--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -49,7 +49,6 @@
         self.entry, self.server, self.told = entry, entry.server, now
         self.inflight = 0
         self.limit = 8.0  # hos out at once; adapts to answer times
-        self.cut_at = 0.0
         self.held: list[tuple[tuple[bool, float], int, Item]] = []
         self.share = 1.0  # of its keys it keeps, by health
         self.strikes = 0
@@ -414,12 +413,10 @@
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.server} silent: {name} after {spent:.3f} s")
-        slow = spent > 0.4 * self.due or verdict == Verdict.FULL
-        if not slow and verdict == Verdict.FINISHED:
-            if cache.inflight + 1 >= 0.7 * cache.limit:
-                cache.limit = min(256.0, cache.limit + 1 / cache.limit)
-        elif slow and self.now - cache.cut_at > spent:
-            cache.limit, cache.cut_at = max(2.0, cache.limit * 0.85), self.now
+        if spent > 0.6 * self.due or verdict == Verdict.FULL:  # settles where one answer in seven is slow
+            cache.limit = max(2.0, cache.limit - 6 / cache.limit)
+        elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
+            cache.limit = min(256.0, cache.limit + 1 / cache.limit)
 
     def _health(self) -> None:
         """A cache whose high quantile is far over its fellows' keeps fewer keys, the others walk on."""
