--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -252,7 +252,7 @@
             self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK)
         waited = self.now - next(iter(self.held.values())) if self.held else 0.0
         before = self.extra
-        self.extra = max(0.01, self.extra * 0.6) if waited > 0.1 * self.due else min(1.0, self.extra + 0.01)
+        self.extra = max(0.01, self.extra * 0.6) if waited > 0.3 * self.due else min(1.0, self.extra + 0.02)
         if (before < 1) != (self.extra < 1):
             self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
 
@@ -264,9 +264,11 @@
             self.results.messages.append(pack(f">{len(seen)}H", *seen))
         told = [row for when, row in self.told.values() if self.now - when < 3 * EPOCH]
         even = 1 / self.s.routers
+        own_part = sum(seen) / EPOCH / max(1.0, sum(self.s.quotas))
+        alone = even if self.s.peers else max(even, own_part)  # customers of a lopsided router are not over
         for i, own in enumerate(seen):
             total = own + sum(row[i] for row in told)
-            aim = own / total if told and total else even
+            aim = own / total if told and total else alone
             self.portion[i] += 0.5 * (max(aim, 0.1 * even) - self.portion[i])
 
     # hotness ----------------------------------------------
