--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -57,6 +57,7 @@
         self.bins = [0] * (len(SPENT) + 1)
         self.answers = 0  # in this epoch
         self.rate = 0.0  # answers a second, of this router
+        self.base = 0.0  # of an origin slow by nature: its usual answer time, rising slowly
         self.budget = 1.0
         self.budget_at = now
 
@@ -415,7 +416,8 @@
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.server} silent: {name} after {spent:.3f} s")
-        if spent > 0.6 * self.due or verdict == Verdict.FULL:  # settles where one answer in seven is slow
+        slow = min(self.due, max(0.6 * self.due, 3 * cache.base))
+        if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
             cache.limit = max(2.0, cache.limit - 6 / cache.limit)
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
             cache.limit = min(256.0, cache.limit + 1 / cache.limit)
@@ -439,6 +441,10 @@
                     mode = "eased" if bad else "whole"
                     self.results.log.append(f"{c.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
             c.bins = [n // 2 for n in c.bins]
+        if self.origin is not None and sum(self.origin.bins) >= 4:
+            median = self.origin.quantile(0.5)
+            self.origin.base = min(median, 1.02 * self.origin.base or median)
+            self.origin.bins = [n // 2 for n in self.origin.bins]
 
     # pace -------------------------------------------------
 
