--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -13,7 +13,7 @@
 from itertools import count
 from struct import pack, unpack
 
-from rowanshift.model import Answer, Category, Entry, Results, Semantics, Settings, Verdict
+from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Verdict
 
 POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
@@ -23,7 +23,6 @@
 TABLE = 512  # keys scored at once
 SAMPLES = 128  # aimed at in an epoch
 TICK = 0.1
-SPENT = [0.001 * 2 ** (i / 2) for i in range(1, 24)]  # edges of the bins of answer times
 
 
 def stable(text: str) -> int:
@@ -42,63 +41,6 @@
         return (self.state >> 32) / 2**32
 
 
-class Cache:
-    """What this router knows of one cache server, or of the origin."""
-
-    def __init__(self, entry: Entry, now: float) -> None:
-        self.entry, self.server, self.told = entry, entry.server, now
-        self.inflight = 0
-        self.limit = 8.0  # hos out at once; adapts to answer times
-        self.held: list[tuple[tuple[bool, float], int, Item]] = []
-        self.share = 1.0  # of its keys it keeps, by health
-        self.strikes = 0
-        self.silent_until = 0.0
-        self.heard_at = now  # last answer, or the first sending after none was out
-        self.bins = [0] * (len(SPENT) + 1)
-        self.answers = 0  # in this epoch
-        self.rate = 0.0  # answers a second, of this router
-        self.base = 0.0  # of an origin slow by nature: its usual answer time, rising slowly
-        self.budget = 1.0
-        self.budget_at = now
-
-    def quantile(self, q: float) -> float:
-        left = q * sum(self.bins)
-        for edge, n in zip(SPENT, self.bins, strict=False):
-            left -= n
-            if left <= 0:
-                return edge
-        return SPENT[-1]
-
-
-class Item:
-    """A work item that this router has taken and not yet answered."""
-
-    __slots__ = ("category", "expiry", "hos", "id", "key", "leads", "missed", "out", "over", "ran_group",
-                 "ran_since", "stage", "streams", "write")
-
-    def __init__(self, id: int, category: Category, key: str | None, expiry: float, write: bool) -> None:
-        self.id, self.category, self.key, self.expiry, self.write = id, category, key, expiry, write
-        self.over = False  # beyond its customer's share
-        self.hos: list[tuple[Cache, float]] = []
-        self.out = 0  # hos without an outcome
-        self.ran_since: float | None = None  # first sending that may have run
-        self.ran_group: object = None
-        self.missed: list[Cache] = []
-        self.leads = False  # its fetch is out at the origin, others follow
-        self.stage = 0  # changes whenever a timer set for this wi is overtaken
-        self.streams = False
-
-
-class Hot:
-    """A scored key: its streak of epochs over the mark and, while leased, its shadows."""
-
-    __slots__ = ("current", "lease", "score", "shadows", "streak")
-
-    def __init__(self) -> None:
-        self.score, self.streak, self.lease, self.shadows = 0.0, 0, 0.0, 0
-        self.current = -1  # the replica drawn
-
-
 class Router:
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.s, self.now = settings, now
@@ -193,16 +135,14 @@
         if scope != "delta":
             named = {e.server for e in entries}
             entries = entries + [c.entry._replace(health="dead") for c in self.caches.values()
-                                 if c.server not in named]
+                                 if c.entry.server not in named]
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
-                self.caches[entry.server] = Cache(entry, now)
+                self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
-                    inflight, held = cache.inflight, cache.held
-                    cache.__init__(entry, now)
-                    cache.inflight, cache.held = inflight, held
+                    cache.__init__(entry, cache.inflight, cache.held, now, now)
                 cache.entry = entry
         live = [c for c in self.caches.values() if c.entry.health == "live"]
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
@@ -315,7 +255,7 @@
         points = []
         for c in self.ready:
             n = POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / mean))
-            points += [(stable(f"{c.server}#{i}"), c.server) for i in range(n)]
+            points += [(stable(f"{c.entry.server}#{i}"), c.entry.server) for i in range(n)]
         self.ring = [(p, self.caches[server]) for p, server in sorted(points)]
         self.walks.clear()
 
@@ -329,9 +269,9 @@
             start = bisect_right(self.ring, stable(key), key=lambda point: point[0])
             for i in range(len(self.ring)):
                 cache = self.ring[(start + i) % len(self.ring)][1]
-                if cache.server not in seen:
-                    seen.add(cache.server)
-                    walk.append((cache, stable(f"{key}@{cache.server}") / 2**64))
+                if cache.entry.server not in seen:
+                    seen.add(cache.entry.server)
+                    walk.append((cache, stable(f"{key}@{cache.entry.server}") / 2**64))
                     if len(walk) == WALK:
                         break
             self.walks[key] = walk
@@ -406,16 +346,16 @@
             cache.answers += 1
             cache.heard_at = self.now
             if cache.strikes:
-                self.results.log.append(f"{cache.server} answers again after {cache.strikes} strikes")
+                self.results.log.append(f"{cache.entry.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
             if verdict == Verdict.FINISHED:
-                cache.bins[bisect_right(SPENT, spent)] += 1
+                cache.spent.add(spent)
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
             cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
-                self.results.log.append(f"{cache.server} silent: {name} after {spent:.3f} s")
+                self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
             cache.limit = max(2.0, cache.limit - 6 / cache.limit)
@@ -430,21 +370,21 @@
             c.answers = 0
         if len(warm) > 1 or (warm and not self.warm_rate):
             self.warm_rate = sum(c.rate for c in warm) / max(1e-9, sum(c.entry.heft for c in warm))
-        judged = sorted(c.quantile(0.9) for c in self.ready if sum(c.bins) >= 4)
+        judged = sorted(c.spent.quantile(0.9) for c in self.ready if c.spent.total >= 4)
         for c in self.ready:
-            if len(judged) > 2 and sum(c.bins) >= 4:
-                high, fellows = c.quantile(0.9), judged[len(judged) // 2]
+            if len(judged) > 2 and c.spent.total >= 4:
+                high, fellows = c.spent.quantile(0.9), judged[len(judged) // 2]
                 before = c.share
                 bad = high > 2 * fellows and high > 0.4 * self.due
                 c.share = max(0.1, c.share * 0.7) if bad else min(1.0, c.share + 0.1)
                 if (before < 1) != (c.share < 1):
                     mode = "eased" if bad else "whole"
-                    self.results.log.append(f"{c.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
-            c.bins = [n // 2 for n in c.bins]
-        if self.origin is not None and sum(self.origin.bins) >= 4:
-            median = self.origin.quantile(0.5)
+                    self.results.log.append(f"{c.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
+            c.spent.halve()
+        if self.origin is not None and self.origin.spent.total >= 4:
+            median = self.origin.spent.quantile(0.5)
             self.origin.base = min(median, 1.02 * self.origin.base or median)
-            self.origin.bins = [n // 2 for n in self.origin.bins]
+            self.origin.spent.halve()
 
     # pace -------------------------------------------------
 
@@ -523,7 +463,7 @@
                 item.category.semantics is Semantics.RERUNNABLE):
             self.at(self.now + 0.35 * item.category.due, "copy", item)
             self.spare = min(10.0, self.spare + 0.05)
-        self.results.hand_offs.append((item.id, 0.0, cache.server))
+        self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
     def _second_copy(self, item: Item) -> None:
         if self.spare < 1 or len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -1,9 +1,10 @@
-"""The interface of the decision module: what goes in and what comes out; types only.
+"""The interface of the decision module: what goes in and what comes out, and what it remembers; types only.
 
 A front builds a ``Settings``, makes one ``choice.Router`` with it for each life of a router, calls the
 router's methods as things happen and carries out what has gathered in its ``Results``. Times are seconds.
 """
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import NamedTuple
@@ -91,3 +92,82 @@
     def __bool__(self) -> bool:
         return bool(self.hand_offs or self.answers or self.withdrawals or self.wake is not None
                     or self.messages or self.log or self.subscribe or self.probes)
+
+
+EDGES = [0.001 * 2 ** (i / 2) for i in range(1, 24)]  # seconds
+
+
+class Histogram:
+    """Answer times in a few coarse bins."""
+
+    __slots__ = ("bins", "total")
+
+    def __init__(self) -> None:
+        self.bins, self.total = [0] * (len(EDGES) + 1), 0
+
+    def add(self, seconds: float) -> None:
+        self.bins[bisect_right(EDGES, seconds)] += 1
+        self.total += 1
+
+    def halve(self) -> None:
+        self.bins = [n // 2 for n in self.bins]
+        self.total = sum(self.bins)
+
+    def quantile(self, q: float) -> float:
+        left = q * self.total
+        for edge, n in zip(EDGES, self.bins, strict=False):
+            left -= n
+            if left <= 0:
+                return edge
+        return EDGES[-1]
+
+
+@dataclass(slots=True, eq=False)
+class Cache:
+    """What a router knows of one cache server, or of the origin."""
+
+    entry: Entry
+    inflight: int = 0
+    held: list[tuple[tuple[bool, float], int, "Item", int]] = field(default_factory=list)
+    heard_at: float = 0.0  # last answer, or the first sending after none was out
+    budget_at: float = 0.0
+    budget: float = 1.0  # hand-offs that it may have while cold
+    limit: float = 8.0  # hand-offs out at once; adapts to answer times
+    share: float = 1.0  # of its keys that it keeps, by health
+    strikes: int = 0
+    silent_until: float = 0.0
+    spent: Histogram = field(default_factory=Histogram)
+    base: float = 0.0  # the origin's usual answer time; rises slowly
+    answers: int = 0  # in this epoch
+    rate: float = 0.0  # answers a second, to this router
+
+
+@dataclass(slots=True, eq=False)
+class Item:
+    """A work item that a router has taken and not yet answered."""
+
+    id: int
+    category: Category
+    key: str | None
+    expiry: float
+    write: bool
+    over: bool = False  # beyond its customer's share
+    hos: list[tuple[Cache, float]] = field(default_factory=list)  # where and when it was handed
+    out: int = 0  # hand-offs without an outcome
+    ran_since: float | None = None  # first sending that may have run
+    ran_group: int | None = None  # the group that drops its repeats
+    missed: list[Cache] = field(default_factory=list)
+    leads: bool = False  # its fetch is out at the origin, others follow
+    stage: int = 0  # changes whenever a timer set for it is overtaken
+    streams: bool = False
+
+
+@dataclass(slots=True)
+class Hot:
+    """A scored key: its streak of epochs over the mark and, while leased, its shadows."""
+
+    score: float = 0.0
+    streak: int = 0
+    lease: float = 0.0
+    shadows: int = 0
+    current: int = -1  # the replica drawn
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,8 +3,8 @@
 import pytest
 from helpers import EXCLUSIVE, ORIGIN, RERUNNABLE, TICKETED, ZONAL, come_back, entry, router, take
 
-from rowanshift.choice import LEASE, Hot
-from rowanshift.model import Answer, Verdict
+from rowanshift.choice import LEASE
+from rowanshift.model import Answer, Hot, Verdict
 
 KEYS = [f"k:{n}" for n in range(300)]
 
@@ -67,23 +67,23 @@
 @pytest.mark.parametrize("health", ["quiescing", "dead"])
 def test_a_drained_cache_gets_nothing_new_and_others_keep_their_keys(health):
     r = router()
-    before = {k: r._walk(k)[0][0].server for k in KEYS}
+    before = {k: r._walk(k)[0][0].entry.server for k in KEYS}
     r.list_changed(r.now, "delta", [entry(2, health)])
-    after = {k: r._walk(k)[0][0].server for k in KEYS}
+    after = {k: r._walk(k)[0][0].entry.server for k in KEYS}
     assert "cache:2" not in after.values()
     assert all(after[k] == home for k, home in before.items() if home != "cache:2")
 
 
 def test_heft_weighs_ring_points():
     r = router(entries=[entry(0, heft=3.0), entry(1), entry(2)])
-    homes = [r._walk(k)[0][0].server for k in KEYS]
+    homes = [r._walk(k)[0][0].entry.server for k in KEYS]
     assert homes.count("cache:0") > homes.count("cache:1") + homes.count("cache:2") * 0.5
 
 
 def test_a_server_absent_from_a_full_list_is_gone():
     r = router()
     r.list_changed(r.now, "full", [entry(0), entry("origin")])
-    assert [c.server for c in r.ready] == ["cache:0"]
+    assert [c.entry.server for c in r.ready] == ["cache:0"]
 
 
 @pytest.mark.parametrize(("age", "low", "high"), [(0.0, 0.19, 0.21), (10.0, 0.59, 0.61), (20.0, 1.0, 1.0)])
@@ -182,7 +182,7 @@
     r = router()
     home = r._walk("k")[0][0]
     home.inflight = load
-    assert (take(r, 1).hand_offs[0][2] == home.server) == kept
+    assert (take(r, 1).hand_offs[0][2] == home.entry.server) == kept
 
 
 @pytest.mark.parametrize(("peers", "portion"), [(False, 0.5 * (1 / 3 + 1.0)), (True, 1 / 3)])
