--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -191,3 +191,11 @@
     r.seen = [30, 30]  # all of both quotas comes in here
     r._exchange()
     assert r.portion[0] == pytest.approx(portion)
+
+
+@pytest.mark.parametrize(("base", "grows"), [(0.05, False), (0.14, True)])
+def test_the_gate_knows_an_origin_slow_by_nature(base, grows):
+    r = router()
+    r.origin.base, r.origin.limit, r.origin.inflight = base, 4.0, 4
+    r._observe(r.origin, Verdict.FINISHED, 0.35)  # over 0.6 of the due time
+    assert (r.origin.limit > 4.0) == grows
