--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -139,7 +139,8 @@
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
-                self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now)
+                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache before limits settle
+                self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now, limit=start)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
                     cache.__init__(entry, cache.inflight, cache.held, now, now)
@@ -358,7 +359,7 @@
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
-            cache.limit = max(2.0, cache.limit - 6 / cache.limit)
+            cache.limit = max(1.0, cache.limit - 6 / cache.limit)
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
             cache.limit = min(256.0, cache.limit + 1 / cache.limit)
 
