--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -325,7 +325,8 @@
             warm = self.warmth(cache)
             if warm < 1 and not self._cold_room(cache):
                 continue
-            if place < warm * cache.share and cache.inflight < min(cache.limit, 2 * mean + 2):
+            room = min(cache.limit if spare is None else 0.5 * cache.limit, 2 * mean + 2)
+            if place < warm * cache.share and cache.inflight < room:
                 return cache
             spare = spare or cache
         return spare
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,10 +1,10 @@
 """Each test builds its state and calls one function; no bench."""
 
 import pytest
-from helpers import EXCLUSIVE, ORIGIN, RERUNNABLE, TICKETED, ZONAL, come_back, entry, router, take
+from helpers import CATEGORIES, EXCLUSIVE, ORIGIN, RERUNNABLE, TICKETED, ZONAL, come_back, entry, router, take
 
 from rowanshift.choice import LEASE
-from rowanshift.model import Answer, Hot, Verdict
+from rowanshift.model import Answer, Hot, Item, Verdict
 
 KEYS = [f"k:{n}" for n in range(300)]
 
@@ -199,3 +199,13 @@
     r.origin.base, r.origin.limit, r.origin.inflight = base, 4.0, 4
     r._observe(r.origin, Verdict.FINISHED, 0.35)  # over 0.6 of the due time
     assert (r.origin.limit > 4.0) == grows
+
+
+@pytest.mark.parametrize(("others", "kept"), [(0, False), (5, True)])
+def test_a_full_home_passes_on_only_where_there_is_room(others, kept):
+    r = router()
+    for cache in r.ready:
+        cache.limit, cache.inflight = 8.0, others
+    home = r._walk("k")[0][0]
+    home.limit, home.inflight = 4.0, 4
+    assert (r._place(Item(1, CATEGORIES[RERUNNABLE], "k", r.now + 2, False)) is home) == kept
