--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -139,8 +139,7 @@
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
-                # many routers must not crowd a cache before limits settle; the origin's gate is shared by all keys
-                start = 8.0 if entry.kind == self.s.origin_kind else max(2.0, 24 / self.s.routers)
+                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache before limits settle
                 self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now, limit=start)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
