--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -139,7 +139,7 @@
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
-                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache
+                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache before limits settle
                 self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now, limit=start)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
@@ -358,7 +358,7 @@
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
-        slow = min(self.due, max(0.4 * self.due, 3 * cache.base))
+        slow = min(self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
             cache.limit = max(1.0, cache.limit - 6 / cache.limit)
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
@@ -382,11 +382,11 @@
                 if (before < 1) != (c.share < 1):
                     mode = "eased" if bad else "whole"
                     self.results.log.append(f"{c.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
-        for c in self.caches.values():
-            if c.spent.total >= 4:
-                median = c.spent.quantile(0.5)
-                c.base = min(median, 1.02 * c.base or median)
             c.spent.halve()
+        if self.origin is not None and self.origin.spent.total >= 4:
+            median = self.origin.spent.quantile(0.5)
+            self.origin.base = min(median, 1.02 * self.origin.base or median)
+            self.origin.spent.halve()
 
     # pace -------------------------------------------------
 
