--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -139,7 +139,7 @@
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
-                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache
+                start = max(2.0, 24 / self.s.routers)  # many routers must not crowd a cache before limits settle
                 self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now, limit=start)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
@@ -461,20 +461,14 @@
         if not cache.inflight:
             cache.heard_at = self.now
         cache.inflight += 1
-        if cache is not self.origin and not item.write and item.category.semantics is Semantics.RERUNNABLE:
+        if cache is not self.origin and not item.write and self.s.second_copies and (
+                item.category.semantics is Semantics.RERUNNABLE):
             self.at(self.now + 0.35 * item.category.due, "copy", item)
             self.spare = min(10.0, self.spare + 0.05)
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
     def _second_copy(self, item: Item) -> None:
-        if len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
-            return
-        if not self.s.second_copies:  # stuck behind another's answer: nothing came since it was sent
-            behind, sent = item.hos[-1]
-            if self.s.cancelling and behind.heard_at < sent:
-                self.results.withdrawals.append((item.id, len(item.hos) - 1))
-            return
-        if self.spare < 1:
+        if self.spare < 1 or len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
             return
         cache = self._place(item)
         if cache is not None and cache.inflight < cache.limit:
