--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -15,7 +15,7 @@
 
 from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Verdict
 
-POINTS = 200  # ring points of a cache of mean heft
+POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
 EPOCH = 1.0
 LEASE = 5.0
