--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -23,7 +23,6 @@
 TABLE = 512  # keys scored at once
 SAMPLES = 128  # aimed at in an epoch
 TICK = 0.1
-OTHER_FETCH = 3  # remark: a miss while the cache has told another to fetch
 
 
 def stable(text: str) -> int:
@@ -170,7 +169,7 @@
                 elif what == "copy":
                     self._second_copy(item)
                 else:
-                    self._forward_again(item)
+                    self._forward(item)
 
     def at(self, when: float, what: str, item: Item | None = None) -> None:
         heappush(self.timers, (when, next(self.order), what, item, item.stage if item else 0))
@@ -490,11 +489,7 @@
             item.missed.append(cache)
         if item.streams or item.leads:  # a second copy's miss must not make a wi follow its own fetch
             return
-        if verdict == Verdict.MISS and remark == OTHER_FETCH and item.missed.count(cache) == 1 and not item.out and (
-                len(item.hos) + 1 < self.s.max_hand_offs and self.origin is not None):
-            self.held.setdefault(item.id, self.now)  # another router fetches the key: read the cache once more
-            self.at(self.now + max(0.02, 0.6 * self.origin.base), "again", item)
-        elif verdict == Verdict.MISS:
+        if verdict == Verdict.MISS:
             self._gate(item)
         elif item.out:
             return
