--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -463,7 +463,7 @@
         cache.inflight += 1
         if cache is not self.origin and not item.write and self.s.second_copies and (
                 item.category.semantics is Semantics.RERUNNABLE):
-            self.at(self.now + 0.5 * item.category.due, "copy", item)
+            self.at(self.now + 0.35 * item.category.due, "copy", item)
             self.spare = min(10.0, self.spare + 0.05)
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
