--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -362,8 +362,7 @@
         if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
             cache.limit = max(1.0, cache.limit - 6 / cache.limit)
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
-            top = 256.0 if cache is self.origin else max(3.0, 36 / self.s.routers)
-            cache.limit = min(top, cache.limit + 1 / cache.limit)
+            cache.limit = min(256.0, cache.limit + 1 / cache.limit)
 
     def _health(self) -> None:
         """A cache whose high quantile is far over its fellows' keeps fewer keys, the others walk on."""
