--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -382,11 +382,11 @@
                 if (before < 1) != (c.share < 1):
                     mode = "eased" if bad else "whole"
                     self.results.log.append(f"{c.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
-        for c in self.caches.values():
-            if c.spent.total >= 4:
-                median = c.spent.quantile(0.5)
-                c.base = min(median, 1.02 * c.base or (median if c is self.origin else 0.2 * self.due))
             c.spent.halve()
+        if self.origin is not None and self.origin.spent.total >= 4:
+            median = self.origin.spent.quantile(0.5)
+            self.origin.base = min(median, 1.02 * self.origin.base or median)
+            self.origin.spent.halve()
 
     # pace -------------------------------------------------
 
