--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -66,7 +66,6 @@
         self.tokens = [0.0] * len(settings.quotas)
         self.told: dict[int, tuple[float, tuple[int, ...]]] = {}  # what peers saw
         self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
-        self.spare = 1.0  # second copies in hand
         self.retry_list = 0.0
         self.at(now + TICK, "tick")
         self.at(now + EPOCH, "epoch")
@@ -166,8 +165,6 @@
             elif item is not None and item.stage == stage and item.id in self.items:
                 if what == "hold":
                     self._held_long(item)
-                elif what == "copy":
-                    self._second_copy(item)
                 else:
                     self._forward(item)
 
@@ -461,20 +458,8 @@
         if not cache.inflight:
             cache.heard_at = self.now
         cache.inflight += 1
-        if cache is not self.origin and not item.write and self.s.second_copies and (
-                item.category.semantics is Semantics.RERUNNABLE):
-            self.at(self.now + 0.35 * item.category.due, "copy", item)
-            self.spare = min(10.0, self.spare + 0.05)
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
-    def _second_copy(self, item: Item) -> None:
-        if self.spare < 1 or len(item.hos) + 1 >= self.s.max_hand_offs or item.streams:
-            return
-        cache = self._place(item)
-        if cache is not None and cache.inflight < cache.limit:
-            self.spare -= 1
-            self._hand_off(item, cache)
-
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
         """Decides what follows a ho that did not finish its wi."""
         if cache is self.origin:
@@ -487,12 +472,10 @@
                 item.ran_group = {"all": 0, "zone": entry.zone, "cell": entry.cell}.get(item.category.group)
         elif verdict == Verdict.MISS:
             item.missed.append(cache)
-        if item.streams or item.leads:  # a second copy's miss must not make a wi follow its own fetch
+        if item.streams:
             return
         if verdict == Verdict.MISS:
             self._gate(item)
-        elif item.out:
-            return
         elif (self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs
               or verdict == Verdict.MOOT
               or (item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
