--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -404,11 +404,10 @@
 
     def _hold(self, item: Item, queue: list) -> None:
         item.stage += 1
+        self.held.setdefault(item.id, self.now)
         if queue is self.fetching.get(item.key):
             queue.append(item)
         else:
-            if self.origin is None or queue is not self.origin.held:  # a wait for the origin is not overload
-                self.held.setdefault(item.id, self.now)
             heappush(queue, ((item.over, -item.category.credit), next(self.order), item, item.stage))
         self.at(min(self.now + 0.5 * item.category.due, item.expiry - 0.01), "hold", item)
 
