--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -203,8 +203,7 @@
             self.results.messages.append(pack(f">{len(seen)}H", *seen))
         told = [row for when, row in self.told.values() if self.now - when < 3 * EPOCH]
         even = 1 / self.s.routers
-        own_part = sum(seen) / EPOCH / max(1.0, sum(self.s.quotas))
-        alone = even if self.s.peers else max(even, own_part)  # customers of a lopsided router are not over
+        alone = even if self.s.peers else min(1.0, 2 * even)  # customers of a lopsided router are not over
         for i, own in enumerate(seen):
             total = own + sum(row[i] for row in told)
             aim = own / total if told and total else alone
