Let a cold cache have half the overload factor times what warm fellows finish

Cause, from the ablation: the budget at one time the finished rate sent keys past cold caches that could serve them. Half the factor leaves a margin of two under rule 4.

--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -37,6 +37,7 @@
             cancelling=bool(limits["cancelling"]),
             retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
             max_hand_offs=limits["max_hand_offs"],
+            overload_factor=rules["overload_factor"],
             overload_for=rules["overload_for_us"] / 1e6,
             start_share=rules["start_capacity"],
             warm_within=max(rules["warm_within_us"], 1) / 1e6,
--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -298,7 +298,7 @@
         warm = self.warmth(cache)
         if warm >= 1:
             return True
-        rate = max(0.5, warm * self.warm_rate * cache.entry.heft)
+        rate = max(0.5, warm * self.warm_rate * cache.entry.heft * self.s.overload_factor / 2)
         cache.budget = min(max(1.0, rate * self.s.overload_for / 2),
                            cache.budget + rate * (self.now - cache.budget_at))
         cache.budget_at = self.now
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -71,6 +71,7 @@
     cancelling: bool
     retry_after: float  # 0: no time to come back may be given
     max_hand_offs: int
+    overload_factor: float
     overload_for: float
     start_share: float
     warm_within: float
