--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -518,5 +518,6 @@
         safe = what is Semantics.RERUNNABLE or (not item.out and item.ran_since is None) or (
             what is Semantics.TICKETED and item.category.group == "all")
         answer = Answer.DEFERRED if safe and not item.streams else Answer.WRITTEN_OFF
-        self.results.answers.append((item.id, answer, self.s.retry_after if item.over else 0.0))
+        back = self.s.retry_after if item.over else min(self.s.retry_after, 0.25 * item.category.due)
+        self.results.answers.append((item.id, answer, back))
         self._end(item, False)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -208,3 +208,11 @@
     home = r._walk("k")[0][0]
     home.limit, home.inflight = 4.0, 4
     assert (r._place(Item(1, CATEGORIES[RERUNNABLE], "k", r.now + 2, False)) is home) == kept
+
+
+@pytest.mark.parametrize(("over", "back"), [(True, 2.0), (False, 0.125)])
+def test_a_deferral_tells_when_to_come_back(over, back):
+    r = router()
+    item = r.items[1] = Item(1, CATEGORIES[RERUNNABLE], "k", r.now + 2, False, over=over)
+    r.give_up(item)
+    assert r.drain().answers == [(1, Answer.DEFERRED, back)]
