--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -191,7 +191,7 @@
             self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK)
         waited = self.now - next(iter(self.held.values())) if self.held else 0.0
         before = self.extra
-        self.extra = max(0.01, self.extra * 0.6) if waited > 0.1 * self.due else min(1.0, self.extra + 0.02)
+        self.extra = max(0.01, self.extra * 0.6) if waited > 0.15 * self.due else min(1.0, self.extra + 0.02)
         if (before < 1) != (self.extra < 1):
             self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
 
@@ -408,7 +408,7 @@
             queue.append(item)
         else:
             heappush(queue, ((item.over, -item.category.credit), next(self.order), item, item.stage))
-        self.at(min(self.now + 0.2 * item.category.due, item.expiry - 0.01), "hold", item)
+        self.at(min(self.now + 0.3 * item.category.due, item.expiry - 0.01), "hold", item)
 
     def _held_long(self, item: Item) -> None:
         self.give_up(item)
