--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -33,8 +33,6 @@
             ask=data["registry_mode"] == "ask",
             live_heft=data.get("weight_kind") == "live",
             peers=bool(limits["peers"]),
-            second_copies=bool(limits["second_copies"]),
-            cancelling=bool(limits["cancelling"]),
             retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
             max_hand_offs=limits["max_hand_offs"],
             overload_factor=rules["overload_factor"],
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -67,8 +67,6 @@
     ask: bool
     live_heft: bool
     peers: bool
-    second_copies: bool
-    cancelling: bool
     retry_after: float  # 0: no time to come back may be given
     max_hand_offs: int
     overload_factor: float
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -167,7 +167,7 @@
 
 
 def test_a_work_item_is_never_out_twice_and_leads_its_fetch_alone():
-    r = router(second_copies=True)
+    r = router()
     home = take(r, 1).hand_offs[0][2]
     r.woken(r.now + 0.45)
     assert not r.drain().hand_offs
