--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -354,7 +354,7 @@
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
-        slow = min(self.due, max(0.6 * self.due, 3 * cache.base))
+        slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
             cache.limit = max(1.0, cache.limit - 6 / cache.limit)
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
