--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -6,14 +6,15 @@
 hand-off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
 """
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import count
+from math import log2
 from struct import pack, unpack
 
-from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Verdict
+from rowanshift.model import Answer, Cache, Entry, Histogram, Hot, Item, Results, Semantics, Settings, Verdict
 
 POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
@@ -30,6 +31,12 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+def points_of(server: str, n: int) -> tuple[int, ...]:
+    """A cache's points on the ring, eight a hash."""
+    rows = (blake2b(f"{server}#{i}".encode(), digest_size=64).digest() for i in range(-(-n // 8)))
+    return tuple(point for row in rows for point in unpack(">8Q", row))[:n]
+
+
 class Chance:
     """A linear congruential generator, of which the high bits are used."""
 
@@ -50,7 +57,9 @@
         self.caches: dict[str, Cache] = {}
         self.ready: list[Cache] = []
         self.origin: Cache | None = None
-        self.ring: list[tuple[int, Cache]] = []
+        self.ring: list[int] = []  # points in order, and whose they are
+        self.owner: dict[int, Cache] = {}
+        self.out = 0  # hos out at caches
         self.walks: dict[str, list[tuple[Cache, float]]] = {}
         self.order = count()
         self.timers: list[tuple[float, int, str, Item | None, int]] = []
@@ -65,10 +74,11 @@
         self.portion = [1 / settings.routers] * len(settings.quotas)
         self.tokens = [0.0] * len(settings.quotas)
         self.told: dict[int, tuple[float, tuple[int, ...]]] = {}  # what peers saw
+        self.finished = 0  # answers of warm caches in this epoch
+        self.fellows = Histogram()  # answer times of all caches
         self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
         self.retry_list = 0.0
-        self.at(now + TICK, "tick")
-        self.at(now + EPOCH, "epoch")
+        self.refilled, self.epoch_at = now, now + EPOCH
         if settings.ask:  # not all at once when routers start together
             self.at(now + 0.5 * self.chance.draw(), "ask")
 
@@ -84,6 +94,10 @@
     def take(self, now: float, id: int, category: int, customer: int, key: str | None, left: float,
              write: bool) -> None:
         self.now = now
+        if now - self.refilled >= TICK:  # as work comes in: nothing ticks while idle
+            self._refill((now - self.refilled) / TICK)
+        if now >= self.epoch_at:
+            self._epoch()
         item = self.items[id] = Item(id, self.s.categories[category], key, now + left, write)
         if left <= 0 or not self._share(item, customer):
             self.give_up(item)
@@ -96,6 +110,7 @@
         self.now = now
         cache = self.caches[server]
         cache.inflight -= 1
+        self.out -= cache.entry.kind != self.s.origin_kind
         self._observe(cache, verdict, spent)
         item = self.items.get(id)
         if item is not None:
@@ -142,7 +157,7 @@
                 self.caches[entry.server] = Cache(entry, heard_at=now, budget_at=now, limit=start)
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
-                    cache.__init__(entry, cache.inflight, cache.held, now, now)
+                    cache.__init__(entry, cache.points, cache.inflight, cache.held, now, now)
                 cache.entry = entry
         live = [c for c in self.caches.values() if c.entry.health == "live"]
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
@@ -156,11 +171,7 @@
         self.now = now
         while self.timers and self.timers[0][0] <= now:
             _, _, what, item, stage = heappop(self.timers)
-            if what == "tick":
-                self._tick()
-            elif what == "epoch":
-                self._epoch()
-            elif what == "ask":
+            if what == "ask":
                 self.results.subscribe = True
             elif item is not None and item.stage == stage and item.id in self.items:
                 if what == "hold":
@@ -183,15 +194,18 @@
                 return self.extra >= 1 or self.chance.draw() < self.extra
         return True
 
-    def _tick(self) -> None:
+    def _refill(self, ticks: float) -> None:
         """Refills the shares; work beyond them gives way while held work waits long."""
-        self.at(self.now + TICK, "tick")
+        self.refilled = self.now
         for i, quota in enumerate(self.s.quotas):
             full = quota * self.portion[i]
-            self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK)
+            self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK * ticks)
         waited = self.now - next(iter(self.held.values())) if self.held else 0.0
         before = self.extra
-        self.extra = max(0.01, self.extra * 0.6) if waited > 0.15 * self.due else min(1.0, self.extra + 0.02)
+        if waited > 0.15 * self.due:
+            self.extra = max(0.01, self.extra * 0.6 ** min(ticks, waited / TICK))
+        else:
+            self.extra = min(1.0, self.extra + 0.02 * ticks)
         if (before < 1) != (self.extra < 1):
             self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
 
@@ -224,7 +238,7 @@
         hot.score += -1 if item.write else 1
 
     def _epoch(self) -> None:
-        self.at(self.now + EPOCH, "epoch")
+        span, self.epoch_at = self.now - self.epoch_at + EPOCH, self.now + EPOCH
         ready = max(1, len(self.ready))
         for key, hot in list(self.scores.items()):
             share = hot.score / max(self.samples, 1.0) * ready
@@ -242,18 +256,32 @@
         self.samples /= 2
         self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
         self.accesses = 0
+        heft = sum(c.entry.heft for c in self.ready)
+        if heft and self.finished:  # many answers tell more than few
+            seen = self.finished / span / heft
+            self.warm_rate += min(0.4, self.finished / 32) * (seen - self.warm_rate)
+        self.finished = 0
         self._exchange()
-        self._health()
 
     # placement --------------------------------------------
 
     def _lay_ring(self) -> None:
+        """Merges what has changed into the ring: laid anew, a deploy would take a large fleet's CPU."""
         mean = sum(c.entry.heft for c in self.ready) / max(1, len(self.ready)) or 1.0
-        points = []
-        for c in self.ready:
-            n = POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / mean))
-            points += [(stable(f"{c.entry.server}#{i}"), c.entry.server) for i in range(n)]
-        self.ring = [(p, self.caches[server]) for p, server in sorted(points)]
+        unit = 2.0 ** round(log2(mean))  # steady while caches come and go, and the same at every router
+        wanted = {c: POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / unit))
+                  for c in self.ready}
+        for c in self.caches.values():
+            if c.points and len(c.points) != wanted.get(c):
+                for point in c.points:
+                    del self.owner[point], self.ring[bisect_left(self.ring, point)]
+                c.points = ()
+        for c, n in wanted.items():
+            if not c.points:
+                c.points = points_of(c.entry.server, n)
+                self.owner.update(dict.fromkeys(c.points, c))
+                self.ring += c.points
+        self.ring.sort()
         self.walks.clear()
 
     def _walk(self, key: str) -> list[tuple[Cache, float]]:
@@ -263,11 +291,11 @@
             if len(self.walks) > 20000:
                 self.walks.clear()
             walk, seen = [], set()
-            start = bisect_right(self.ring, stable(key), key=lambda point: point[0])
+            start = bisect_right(self.ring, stable(key))
             for i in range(len(self.ring)):
-                cache = self.ring[(start + i) % len(self.ring)][1]
-                if cache.entry.server not in seen:
-                    seen.add(cache.entry.server)
+                cache = self.owner[self.ring[(start + i) % len(self.ring)]]
+                if cache not in seen:
+                    seen.add(cache)
                     walk.append((cache, stable(f"{key}@{cache.entry.server}") / 2**64))
                     if len(walk) == WALK:
                         break
@@ -313,7 +341,7 @@
                                           if self._open(c, item) and self.warmth(c) >= 1])
             if replica is not None:
                 return replica
-        mean = sum(c.inflight for c in self.ready) / max(1, len(self.ready))
+        mean = self.out / max(1, len(self.ready))
         spare = None
         for cache, place in walk:
             if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
@@ -331,7 +359,7 @@
         """One replica drawn at random and kept, until it holds well over the mean in flight."""
         if not replicas:
             return None
-        mean = sum(c.inflight for c in self.ready) / len(self.ready)
+        mean = self.out / len(self.ready)
         if not 0 <= hot.current < len(replicas):
             hot.current = int(self.chance.draw() * len(replicas))
         elif replicas[hot.current].inflight > 2 * mean + 2:
@@ -341,13 +369,12 @@
     def _observe(self, cache: Cache, verdict: int, spent: float) -> None:
         """Adapts the limit of hos out at once, and tells a silent cache from a busy one."""
         if verdict in (Verdict.FINISHED, Verdict.MISS, Verdict.ERROR):
-            cache.answers += 1
             cache.heard_at = self.now
             if cache.strikes:
                 self.results.log.append(f"{cache.entry.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
             if verdict == Verdict.FINISHED:
-                cache.spent.add(spent)
+                self._judge(cache, spent)
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
             cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
@@ -360,29 +387,27 @@
         elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
             cache.limit = min(256.0, cache.limit + 1 / cache.limit)
 
-    def _health(self) -> None:
+    def _judge(self, cache: Cache, spent: float) -> None:
         """A cache whose high quantile is far over its fellows' keeps fewer keys, the others walk on."""
-        warm = [c for c in self.ready if self.warmth(c) >= 1]
-        for c in self.caches.values():
-            c.rate += 0.4 * (c.answers / EPOCH - c.rate)
-            c.answers = 0
-        if len(warm) > 1 or (warm and not self.warm_rate):
-            self.warm_rate = sum(c.rate for c in warm) / max(1e-9, sum(c.entry.heft for c in warm))
-        judged = sorted(c.spent.quantile(0.9) for c in self.ready if c.spent.total >= 4)
-        for c in self.ready:
-            if len(judged) > 2 and c.spent.total >= 4:
-                high, fellows = c.spent.quantile(0.9), judged[len(judged) // 2]
-                before = c.share
-                bad = high > 2 * fellows and high > 0.4 * self.due
-                c.share = max(0.1, c.share * 0.7) if bad else min(1.0, c.share + 0.1)
-                if (before < 1) != (c.share < 1):
-                    mode = "eased" if bad else "whole"
-                    self.results.log.append(f"{c.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
-            c.spent.halve()
-        if self.origin is not None and self.origin.spent.total >= 4:
-            median = self.origin.spent.quantile(0.5)
-            self.origin.base = min(median, 1.02 * self.origin.base or median)
-            self.origin.spent.halve()
+        cache.spent.add(spent)
+        if cache is self.origin:
+            if cache.spent.total >= 32:
+                median = cache.spent.quantile(0.5)
+                cache.base = min(median, 1.02 * cache.base or median)
+                cache.spent.halve()
+            return
+        self.finished += self.warmth(cache) >= 1
+        self.fellows.add(spent)
+        if self.fellows.total >= 512:
+            self.fellows.halve()
+        if cache.spent.total >= 8:  # by count: at a quiet router answers come seconds apart
+            high, fellows = cache.spent.quantile(0.9), self.fellows.quantile(0.75)
+            before, bad = cache.share, high > 3 * fellows and high > 0.4 * self.due
+            cache.share = max(0.1, before * 0.7) if bad else min(1.0, before + 0.1)
+            if (before < 1) != (cache.share < 1):
+                mode = "eased" if bad else "whole"
+                self.results.log.append(f"{cache.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
+            cache.spent.halve()
 
     # pace -------------------------------------------------
 
@@ -457,6 +482,7 @@
         if not cache.inflight:
             cache.heard_at = self.now
         cache.inflight += 1
+        self.out += cache.entry.kind != self.s.origin_kind
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -126,6 +126,7 @@
     """What a router knows of one cache server, or of the origin."""
 
     entry: Entry
+    points: tuple[int, ...] = ()  # on the ring, while it is there
     inflight: int = 0
     held: list[tuple[tuple[bool, float], int, "Item", int]] = field(default_factory=list)
     heard_at: float = 0.0  # last answer, or the first sending after none was out
@@ -137,8 +138,6 @@
     silent_until: float = 0.0
     spent: Histogram = field(default_factory=Histogram)
     base: float = 0.0  # the origin's usual answer time; rises slowly
-    answers: int = 0  # in this epoch
-    rate: float = 0.0  # answers a second, to this router
 
 
 @dataclass(slots=True, eq=False)
