--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -28,9 +28,11 @@
             ],
             quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
             routers=max(1, data["replicas_of_me"]),
+            ordinal=data["ordinal"],
             aside=domain.get("mode") == "aside",
             origin_kind=domain.get("origin_kind", -1),
             ask=data["registry_mode"] == "ask",
+            ask_within=rules["ask_within_us"] / 1e6,
             live_heft=data.get("weight_kind") == "live",
             peers=bool(limits["peers"]),
             retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
@@ -98,7 +100,8 @@
     out += [["withdraw", wi, number] for wi, number in results.withdrawals]
     out += [[answer.value, wi, round(back * 1e6)] if answer.value == "bounce" else [answer.value, wi]
             for wi, answer, back in results.answers]
-    out += [["notify", "*", b64encode(payload).decode()] for payload in results.messages]
+    out += [["notify", "*" if peer is None else peer, b64encode(payload).decode()]
+            for peer, payload in results.messages]
     out += [["ping", server] for server in results.probes]
     out += [["emit", line] for line in results.log]
     if results.subscribe:
--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -12,9 +12,9 @@
 from heapq import heappop, heappush
 from itertools import count
 from math import log, log2
-from struct import pack, unpack
+from struct import unpack
 
-from rowanshift.model import Answer, Cache, Entry, Histogram, Hot, Item, Results, Semantics, Settings, Verdict
+from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Tally, Verdict
 
 POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
@@ -23,6 +23,7 @@
 HOT_EPOCHS = 4
 TABLE = 512  # keys scored at once
 SAMPLES = 128  # aimed at in an epoch
+EVIDENCE = 24  # samples that an epoch and its past hold at least
 TICK = 0.1
 REGAIN = 1.2  # growth a second of a limit under one
 
@@ -68,20 +69,21 @@
         self.held: OrderedDict[int, float] = OrderedDict()  # held wis, the oldest first
         self.fetching: dict[str, list[Item]] = {}  # key out at the origin, and the wis that follow
         self.due = min(c.due for c in settings.categories)
-        self.scores: dict[str, Hot] = {}
+        self.scores: dict[int, Hot] = {}
         self.samples, self.accesses, self.rate = 0.0, 0, 1.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
-        self.seen = [0] * len(settings.quotas)
-        self.portion = [1 / settings.routers] * len(settings.quotas)
-        self.tokens = [0.0] * len(settings.quotas)
-        self.told: dict[int, tuple[float, tuple[int, ...]]] = {}  # what peers saw
+        self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
+        self.tally_at = self.told_at = now
+        self.telling = 0  # second for which this router last took it on to tell all
+        self.asked = [0.0] * len(settings.quotas)  # work items a second of each customer, at all routers
+        self.waited = 0.0  # how long the oldest held wi had waited, over routers
+        self.list_wait = min(0.9 * settings.ask_within, 0.03 * settings.routers)  # one list serves all
+        self.eased_at, self.epoch_at = now, now + EPOCH
         self.finished = 0  # answers of warm caches in this epoch
-        self.fellows = Histogram()  # answer times of all caches
+        self.fleet = Cache(Entry("fleet", 0, 1.0, 0, "live", -1, 0.0))  # all caches taken as one
         self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
-        self.retry_list = 0.0
-        self.refilled, self.epoch_at = now, now + EPOCH
         if settings.ask:  # not all at once when routers start together
-            self.at(now + 0.5 * self.chance.draw(), "ask")
+            self.at(now + self.list_wait * self.chance.draw(), "ask")
 
     # calls ------------------------------------------------
 
@@ -95,11 +97,14 @@
     def take(self, now: float, id: int, category: int, customer: int, key: str | None, left: float,
              write: bool) -> None:
         self.now = now
-        if now - self.refilled >= TICK:  # as work comes in: nothing ticks while idle
-            self._refill((now - self.refilled) / TICK)
+        if now - self.eased_at >= TICK:  # as work comes in: nothing ticks while idle
+            self._ease((now - self.eased_at) / TICK)
+        if now - self.tally_at >= EPOCH:
+            self._exchange()
         if now >= self.epoch_at:
             self._epoch()
         item = self.items[id] = Item(id, self.s.categories[category], key, now + left, write)
+        item.mark = stable(key if key is not None else str(id)) >> 32
         if left <= 0 or not self._share(item, customer):
             self.give_up(item)
             return
@@ -136,17 +141,22 @@
 
     def heard(self, now: float, author: int, payload: bytes) -> None:
         self.now = now
-        if len(payload) == 2 * len(self.seen):
-            self.told[author] = (now, unpack(f">{len(self.seen)}H", payload))
+        tally = Tally.unpack(payload, len(self.asked))
+        if tally is None:  # of another version
+            return
+        if tally.total:
+            self.told_at = now
+            self._learn(tally)
+        else:
+            self.tally.add(tally)
+            self._tell_soon()
 
     def list_changed(self, now: float, scope: str, entries: list[Entry]) -> None:
         self.now = now
         if scope == "failed":
-            self.retry_list = min(8.0, max(1.0, 2 * self.retry_list))
-            self.at(now + self.retry_list * (0.5 + self.chance.draw()), "ask")
+            self.list_wait = min(2 * self.s.ask_within, max(1.0, 2 * self.list_wait))
+            self.at(now + self.list_wait * (0.5 + self.chance.draw()), "ask")
             return
-        if scope != "cached":
-            self.retry_list = 0.0
         if scope != "delta":
             named = {e.server for e in entries}
             entries = entries + [c.entry._replace(health="dead") for c in self.caches.values()
@@ -174,6 +184,8 @@
             _, _, what, item, stage = heappop(self.timers)
             if what == "ask":
                 self.results.subscribe = True
+            elif what == "tell":
+                self._tell()
             elif item is not None and item.stage == stage and item.id in self.items:
                 if what == "hold":
                     self.give_up(item)
@@ -186,43 +198,71 @@
     # share ------------------------------------------------
 
     def _share(self, item: Item, customer: int) -> bool:
-        if customer < len(self.tokens):
-            self.seen[customer] += 1
-            if self.tokens[customer] >= 1:
-                self.tokens[customer] -= 1
-            else:
-                item.over = True
-                return self.extra >= 1 or self.chance.draw() < self.extra
-        return True
+        """Work beyond a share is drawn by chance, which adds up where a share of a router is under one wi."""
+        if customer >= len(self.asked):
+            return True
+        self.tally.asked[customer] += 1
+        item.over = self.chance.draw() * self.asked[customer] >= self.s.quotas[customer] > 0
+        return not item.over or self.extra >= 1 or self.chance.draw() < self.extra
 
-    def _refill(self, ticks: float) -> None:
-        """Refills the shares; work beyond them gives way while held work waits long."""
-        self.refilled = self.now
-        for i, quota in enumerate(self.s.quotas):
-            full = quota * self.portion[i]
-            self.tokens[i] = min(max(1.0, full), self.tokens[i] + full * TICK * ticks)
-        waited = self.now - next(iter(self.held.values())) if self.held else 0.0
-        before = self.extra
+    def _oldest(self) -> float:
+        return self.now - next(iter(self.held.values())) if self.held else 0.0
+
+    def _ease(self, ticks: float) -> None:
+        """Work beyond the shares gives way while held work waits long, here or over all routers."""
+        self.eased_at, before = self.now, self.extra
+        waited = max(self._oldest(), self.waited)
         if waited > 0.15 * self.due:
-            self.extra = max(0.01, self.extra * 0.6 ** min(ticks, waited / TICK))
+            self.extra = max(0.01, before * 0.6 ** min(ticks, waited / TICK))
         else:
-            self.extra = min(1.0, self.extra + 0.02 * ticks)
+            self.extra = min(1.0, before + 0.02 * ticks)
         if (before < 1) != (self.extra < 1):
             self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
 
     def _exchange(self) -> None:
-        """Splits each customer's share by where its work comes in; evenly while peers are silent."""
-        seen = [min(n, 65535) for n in self.seen]
-        self.seen = [0] * len(seen)
-        if self.s.peers and self.s.routers > 1 and seen:
-            self.results.messages.append(pack(f">{len(seen)}H", *seen))
-        told = [row for when, row in self.told.values() if self.now - when < 3 * EPOCH]
-        even = 1 / self.s.routers
-        alone = even if self.s.peers else min(1.0, 2 * even)  # customers of a lopsided router are not over
-        for i, own in enumerate(seen):
-            total = own + sum(row[i] for row in told)
-            aim = own / total if told and total else alone
-            self.portion[i] += 0.5 * (max(aim, 0.1 * even) - self.portion[i])
+        """Sends the tally to the teller, a router drawn anew each second, who tells all routers the sum."""
+        tally = self.tally
+        tally.span += self.now - self.tally_at
+        tally.waited += self._oldest() * (self.now - self.tally_at)
+        self.tally_at = self.now
+        if not self.s.peers or self.s.routers == 1:
+            self._learn(tally)
+        elif (teller := int(self.now / EPOCH) % self.s.routers) == self.s.ordinal:
+            self._tell_soon()
+            return
+        else:
+            if self.now - self.told_at > 3 * EPOCH:  # peers are silent
+                self._learn(tally)
+            self.results.messages.append((teller, tally.pack()))
+        self.tally = Tally([0] * len(self.asked))
+
+    def _tell_soon(self) -> None:
+        second = int(self.now / EPOCH)
+        if second % self.s.routers == self.s.ordinal and second > self.telling:
+            self.telling = second  # what comes later is sent on with this router's next tally
+            self.at((second + 0.9) * EPOCH, "tell")
+
+    def _tell(self) -> None:
+        self.tally.total = True
+        self.results.messages.append((None, self.tally.pack()))
+        self.told_at = self.now
+        self._learn(self.tally)
+        self.tally = Tally([0] * len(self.asked))
+
+    def _learn(self, tally: Tally) -> None:
+        """Takes in what one router saw, or all; many observations tell more than few."""
+        span = max(tally.span, 1e-3)
+        routers = self.s.routers if self.s.peers else max(1.0, self.s.routers / 2)  # this one may be lopsided
+        gain = min(0.5, sum(tally.asked) / 64)
+        for i, n in enumerate(tally.asked):
+            self.asked[i] += gain * (n / span * routers - self.asked[i])
+        if not tally.total:
+            return
+        self.waited = tally.waited / span
+        self.samples += tally.samples
+        for mark, n in tally.reads.items():
+            if mark in self.scores or len(self.scores) < TABLE:
+                self.scores.setdefault(mark, Hot()).score += n
 
     # hotness ----------------------------------------------
 
@@ -231,29 +271,34 @@
         if item.key is None or (self.rate < 1 and self.chance.draw() >= self.rate):
             return
         self.samples += 1
-        hot = self.scores.get(item.key)
+        worth = -1 if item.write else 1
+        self.tally.samples += 1
+        self.tally.reads[item.mark] = self.tally.reads.get(item.mark, 0) + worth
+        hot = self.scores.get(item.mark)
         if hot is None:
             if item.write or len(self.scores) >= TABLE:
                 return
-            hot = self.scores[item.key] = Hot()
-        hot.score += -1 if item.write else 1
+            hot = self.scores[item.mark] = Hot()
+        hot.score += worth
 
     def _epoch(self) -> None:
+        if self.samples < EVIDENCE:  # the mark means nothing yet
+            return
         span, self.epoch_at = self.now - self.epoch_at + EPOCH, self.now + EPOCH
         ready = max(1, len(self.ready))
-        for key, hot in list(self.scores.items()):
-            share = hot.score / max(self.samples, 1.0) * ready
-            hot.streak = hot.streak + 1 if share > 1 else 0
+        for mark, hot in list(self.scores.items()):
+            share = hot.score / self.samples * ready
+            hot.streak = hot.streak + 1 if share > 1 and hot.score > 2 else 0
             if hot.streak >= HOT_EPOCHS:
                 if not hot.shadows:
-                    self.results.log.append(f"hot {key}: {share / ready:.2f} of samples")
+                    self.results.log.append(f"hot {mark:08x}: {share / ready:.2f} of samples")
                 hot.lease = self.now + LEASE
-                hot.shadows = min(int(share), hot.shadows + 1, ready - 1, WALK - 1)
+                hot.shadows = min(int(share), 2 * hot.shadows + 1, ready - 1)
             elif hot.lease < self.now:
                 hot.shadows = 0
             hot.score /= 2
             if hot.score < 0.5 and not hot.shadows:
-                del self.scores[key]
+                del self.scores[mark]
         self.samples /= 2
         self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
         self.accesses = 0
@@ -262,7 +307,6 @@
             seen = self.finished / span / heft
             self.warm_rate += min(0.4, self.finished / 32) * (seen - self.warm_rate)
         self.finished = 0
-        self._exchange()
 
     # placement --------------------------------------------
 
@@ -285,22 +329,22 @@
         self.ring.sort()
         self.walks.clear()
 
-    def _walk(self, key: str) -> list[tuple[Cache, float]]:
+    def _walk(self, mark: int, length: int = WALK) -> list[tuple[Cache, float]]:
         """The first distinct caches on the key's ring walk, each with the key's place in its share."""
-        walk = self.walks.get(key)
-        if walk is None:
+        walk = self.walks.get(mark)
+        if walk is None or len(walk) < min(length, len(self.ready)):
             if len(self.walks) > 20000:
                 self.walks.clear()
             walk, seen = [], set()
-            start = bisect_right(self.ring, stable(key))
+            start = bisect_right(self.ring, mark << 32)
             for i in range(len(self.ring)):
                 cache = self.owner[self.ring[(start + i) % len(self.ring)]]
                 if cache not in seen:
                     seen.add(cache)
-                    walk.append((cache, stable(f"{key}@{cache.entry.server}") / 2**64))
-                    if len(walk) == WALK:
+                    walk.append((cache, stable(f"{mark}@{cache.entry.server}") / 2**64))
+                    if len(walk) == length:
                         break
-            self.walks[key] = walk
+            self.walks[mark] = walk
         return walk
 
     def warmth(self, cache: Cache) -> float:
@@ -334,9 +378,8 @@
 
     def _place(self, item: Item) -> tuple[Cache | None, bool]:
         """Where a read goes, and whether there is room at once."""
-        key = item.key if item.key is not None else str(item.id)
-        walk = self._walk(key)
-        hot = self.scores.get(key)
+        hot = self.scores.get(item.mark)
+        walk = self._walk(item.mark, WALK + hot.shadows if hot else WALK)
         if hot is not None and hot.shadows and not item.hos:
             replica = self._replica(hot, [c for c, _ in walk[: hot.shadows + 1]
                                           if self._open(c, item) and self.warmth(c) >= 1])
@@ -344,7 +387,7 @@
                 return replica, self._room(replica)
         mean = self.out / max(1, len(self.ready))
         spare = None
-        for cache, place in walk:
+        for cache, place in walk[:WALK]:
             if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
                 continue
             warm = self.warmth(cache)
@@ -408,11 +451,11 @@
                 cache.spent.halve()
             return
         self.finished += self.warmth(cache) >= 1
-        self.fellows.add(spent)
-        if self.fellows.total >= 512:
-            self.fellows.halve()
+        self.fleet.spent.add(spent)
+        if self.fleet.spent.total >= 512:
+            self.fleet.spent.halve()
         if cache.spent.total >= 8:  # by count: at a quiet router answers come seconds apart
-            high, fellows = cache.spent.quantile(0.9), self.fellows.quantile(0.75)
+            high, fellows = cache.spent.quantile(0.9), self.fleet.spent.quantile(0.75)
             before, bad = cache.share, high > 3 * fellows and high > 0.4 * self.due
             cache.share = max(0.1, before * 0.7) if bad else min(1.0, before + 0.1)
             if (before < 1) != (cache.share < 1):
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -7,6 +7,7 @@
 from bisect import bisect_right
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from struct import Struct, pack, unpack_from
 from typing import NamedTuple
 
 
@@ -62,9 +63,11 @@
     categories: list[Category]
     quotas: list[float]  # work items a second of each customer, over all routers
     routers: int
+    ordinal: int  # this router's number among them
     aside: bool
     origin_kind: int
     ask: bool
+    ask_within: float
     live_heft: bool
     peers: bool
     retry_after: float  # 0: no time to come back may be given
@@ -82,7 +85,7 @@
     hand_offs: list[tuple[int, float, str]] = field(default_factory=list)  # wi, time-out (0: expiry), server
     withdrawals: list[tuple[int, int]] = field(default_factory=list)  # wi, hand-off number
     answers: list[tuple[int, Answer, float]] = field(default_factory=list)  # wi, answer, when to come back
-    messages: list[bytes] = field(default_factory=list)  # to every peer
+    messages: list[tuple[int | None, bytes]] = field(default_factory=list)  # to a peer, or to all
     probes: list[str] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
     subscribe: bool = False
@@ -149,6 +152,7 @@
     key: str | None
     expiry: float
     write: bool
+    mark: int = 0  # the key's hash
     over: bool = False  # beyond its customer's share
     hos: list[tuple[Cache, float]] = field(default_factory=list)  # where and when it was handed
     out: int = 0  # hand-offs without an outcome
@@ -160,6 +164,49 @@
     streams: bool = False
 
 
+HEAD = Struct(">BffI")  # version and kind, span, waited, samples
+READS = Struct(">IH")
+
+
+@dataclass(slots=True)
+class Tally:
+    """What a router saw for a while, or the sum of many; it goes to a peer in one message."""
+
+    asked: list[int]  # work items of each customer
+    span: float = 0.0  # router seconds
+    waited: float = 0.0  # oldest wait of held work, times span
+    samples: int = 0
+    reads: dict[int, int] = field(default_factory=dict)  # key's hash to reads less writes, sampled
+    total: bool = False  # over all routers
+
+    def add(self, other: "Tally") -> None:
+        self.asked = [a + b for a, b in zip(self.asked, other.asked, strict=True)]
+        self.span += other.span
+        self.waited += other.waited
+        self.samples += other.samples
+        for mark, n in other.reads.items():
+            self.reads[mark] = self.reads.get(mark, 0) + n
+
+    def pack(self) -> bytes:
+        rows = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 400 * n > self.samples)
+        head = HEAD.pack(0x20 | self.total, self.span, self.waited, self.samples)
+        head += pack(f">{len(self.asked)}I", *self.asked)
+        room = (256 - len(head)) // READS.size
+        return head + b"".join(READS.pack(mark, min(-n, 65535)) for n, mark in rows[:room])
+
+    @classmethod
+    def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
+        """None for a message that a router of this version wouldn't send."""
+        start = HEAD.size + 4 * customers
+        if len(payload) < start or (len(payload) - start) % READS.size or payload[0] not in (0x20, 0x21):
+            return None
+        kind, span, waited, samples = HEAD.unpack_from(payload)
+        if not (0 <= span < 1e9 and 0 <= waited < 1e9):
+            return None
+        return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
+                   dict(READS.iter_unpack(payload[start:])), bool(kind & 1))
+
+
 @dataclass(slots=True)
 class Hot:
     """A scored key: its streak of epochs over the mark and, while leased, its shadows."""
