--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -61,7 +61,6 @@
         self.origin: Cache | None = None
         self.ring: list[int] = []  # points in order, and whose they are
         self.owner: dict[int, Cache] = {}
-        self.out = 0  # hos out at caches
         self.walks: dict[str, list[tuple[Cache, float]]] = {}
         self.order = count()
         self.timers: list[tuple[float, int, str, Item | None, int]] = []
@@ -116,7 +115,7 @@
         self.now = now
         cache = self.caches[server]
         cache.inflight -= 1
-        self.out -= cache.entry.kind != self.s.origin_kind
+        self.fleet.inflight -= cache.entry.kind != self.s.origin_kind
         self._observe(cache, verdict, spent)
         item = self.items.get(id)
         if item is not None:
@@ -127,6 +126,7 @@
             else:
                 self._came_back(item, cache, verdict, remark)
         self._release(cache)
+        self._release(self.fleet)
 
     def streaming(self, now: float, id: int) -> None:
         self.now = now
@@ -174,6 +174,8 @@
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
         self.ready = [c for c in live if c is not self.origin]
         self._lay_ring()
+        if scope == "cached":
+            self.fleet.limit = max(1.0, 24 * len(self.ready) / self.s.routers)
         for cache in self.caches.values():
             if cache.entry.health != "live":
                 self._turn_out(cache)
@@ -385,15 +387,15 @@
                                           if self._open(c, item) and self.warmth(c) >= 1])
             if replica is not None:
                 return replica, self._room(replica)
-        mean = self.out / max(1, len(self.ready))
+        mean = self.fleet.inflight / max(1, len(self.ready))
         spare = None
         for cache, place in walk[:WALK]:
             if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
                 continue
             warm = self.warmth(cache)
-            if warm < 1 and not (place < warm * cache.share and self._cold_room(cache)):
+            if warm < 1 and not (place < warm and self._cold_room(cache)):
                 continue
-            if place < warm * cache.share and cache.inflight < 2 * mean + 2 and self._room(
+            if place < warm and cache.inflight < 2 * mean + 2 and self._room(
                     cache, 1.0 if spare is None else 0.5):
                 return cache, True
             spare = spare or cache
@@ -416,7 +418,7 @@
                  for c in replicas}
         if hot.current not in drawn:
             hot.current = min(drawn, key=drawn.get)
-        elif hot.current.limit < 1 or hot.current.inflight > 2 * self.out / len(self.ready) + 2:
+        elif hot.current.limit < 1 or hot.current.inflight > 2 * self.fleet.inflight / len(self.ready) + 2:
             hot.current = min(drawn, key=lambda c: (c.inflight, drawn[c]))
         return hot.current
 
@@ -428,7 +430,12 @@
                 self.results.log.append(f"{cache.entry.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
             if verdict == Verdict.FINISHED:
-                self._judge(cache, spent)
+                cache.spent.add(spent)
+                self.finished += cache is not self.origin and self.warmth(cache) >= 1
+                if cache is self.origin and cache.spent.total >= 32:
+                    median = cache.spent.quantile(0.5)
+                    cache.base = min(median, 1.02 * cache.base or median)
+                    cache.spent.halve()
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
             cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
@@ -436,32 +443,15 @@
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
-        if spent > slow or verdict == Verdict.FULL:  # settles where one answer in seven is slow
-            cache.limit = max(0.02, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
-        elif verdict == Verdict.FINISHED and cache.inflight + 1 >= 0.7 * cache.limit:
-            cache.limit = min(256.0, cache.limit + min(1 / cache.limit, 0.12 * cache.limit))
-
-    def _judge(self, cache: Cache, spent: float) -> None:
-        """A cache whose high quantile is far over its fellows' keeps fewer keys, the others walk on."""
-        cache.spent.add(spent)
-        if cache is self.origin:
-            if cache.spent.total >= 32:
-                median = cache.spent.quantile(0.5)
-                cache.base = min(median, 1.02 * cache.base or median)
-                cache.spent.halve()
-            return
-        self.finished += self.warmth(cache) >= 1
-        self.fleet.spent.add(spent)
-        if self.fleet.spent.total >= 512:
-            self.fleet.spent.halve()
-        if cache.spent.total >= 8:  # by count: at a quiet router answers come seconds apart
-            high, fellows = cache.spent.quantile(0.9), self.fleet.spent.quantile(0.75)
-            before, bad = cache.share, high > 3 * fellows and high > 0.4 * self.due
-            cache.share = max(0.1, before * 0.7) if bad else min(1.0, before + 0.1)
-            if (before < 1) != (cache.share < 1):
-                mode = "eased" if bad else "whole"
-                self.results.log.append(f"{cache.entry.server} {mode}: {high:.3f} s, fellows {fellows:.3f} s")
-            cache.spent.halve()
+        if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
+            self._settle(cache, spent > slow or verdict == Verdict.FULL)
+
+    def _settle(self, cache: Cache, slow: bool, least: float = 0.02) -> None:
+        """Moves a limit to where one answer in seven is slow."""
+        if slow:
+            cache.limit = max(least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
+        elif cache.inflight + 1 >= 0.7 * cache.limit:
+            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.12 * cache.limit))
 
     # pace -------------------------------------------------
 
@@ -472,6 +462,9 @@
         if item.key in self.fetching and not item.hos:
             self._hold(item, None)
             return
+        if not item.hos and not self._room(self.fleet):
+            self._hold(item, self.fleet)
+            return
         cache, room = self._place(item)
         if cache is None:
             self._gate(item)
@@ -499,7 +492,7 @@
             if item.stage == stage and item.id in self.items:
                 if cache is self.origin:
                     self._gate(item)
-                elif self._open(cache, item) and self._cold_room(cache):
+                elif cache is not self.fleet and self._open(cache, item) and self._cold_room(cache):
                     self._hand_off(item, cache)
                 else:
                     self._forward(item)
@@ -536,7 +529,7 @@
         if not cache.inflight:
             cache.heard_at = self.now
         cache.inflight += 1
-        self.out += cache.entry.kind != self.s.origin_kind
+        self.fleet.inflight += cache.entry.kind != self.s.origin_kind
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
@@ -588,6 +581,9 @@
         del self.items[item.id]
         self.held.pop(item.id, None)
         item.stage += 1
+        if item.hos and not item.missed and not item.write:  # late by the caches alone
+            late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
+            self._settle(self.fleet, late, 3 * len(self.ready) / self.s.routers)
         self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -136,7 +136,6 @@
     asked_at: float = 0.0  # when room was last asked for while cold
     limit: float = 8.0  # hand-offs out at once, under one a chance; adapts to answer times
     limit_at: float = 0.0
-    share: float = 1.0  # of its keys that it keeps, by health
     strikes: int = 0
     silent_until: float = 0.0
     spent: Histogram = field(default_factory=Histogram)
