--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -69,7 +69,7 @@
         self.fetching: dict[str, list[Item]] = {}  # key out at the origin, and the wis that follow
         self.due = min(c.due for c in settings.categories)
         self.scores: dict[int, Hot] = {}
-        self.samples, self.accesses, self.rate = 0.0, 0, 1.0
+        self.samples, self.accesses, self.rate, self.load = 0.0, 0, 1.0, 0.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
         self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
         self.tally_at = self.told_at = now
@@ -303,6 +303,7 @@
                 del self.scores[mark]
         self.samples /= 2
         self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
+        self.load += min(0.5, self.accesses / 32) * (self.accesses / span - self.load)
         self.accesses = 0
         heft = sum(c.entry.heft for c in self.ready)
         if heft and self.finished:  # many answers tell more than few
@@ -430,12 +431,13 @@
                 self.results.log.append(f"{cache.entry.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
             if verdict == Verdict.FINISHED:
-                cache.spent.add(spent)
-                self.finished += cache is not self.origin and self.warmth(cache) >= 1
-                if cache is self.origin and cache.spent.total >= 32:
-                    median = cache.spent.quantile(0.5)
-                    cache.base = min(median, 1.02 * cache.base or median)
-                    cache.spent.halve()
+                timed = cache if cache is self.origin else self.fleet
+                timed.spent.add(spent)
+                if timed.spent.total >= 16:
+                    median = timed.spent.quantile(0.5)
+                    timed.base = min(median, 1.02 * timed.base or median)
+                    timed.spent.halve()
+                self.finished += timed is self.fleet and self.warmth(cache) >= 1
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
             cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
@@ -446,10 +448,10 @@
         if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
             self._settle(cache, spent > slow or verdict == Verdict.FULL)
 
-    def _settle(self, cache: Cache, slow: bool, least: float = 0.02) -> None:
+    def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
         if slow:
-            cache.limit = max(least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
+            cache.limit = max(0.02, least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
         elif cache.inflight + 1 >= 0.7 * cache.limit:
             cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.12 * cache.limit))
 
@@ -583,7 +585,7 @@
         item.stage += 1
         if item.hos and not item.missed and not item.write:  # late by the caches alone
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
-            self._settle(self.fleet, late, 3 * len(self.ready) / self.s.routers)
+            self._settle(self.fleet, late, 4 * self.load * self.fleet.base)
         self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
