--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -57,6 +57,7 @@
         self.results = Results()
         self.items: dict[int, Item] = {}
         self.caches: dict[str, Cache] = {}
+        self.named: dict[int, Cache] = {}  # by the hash of the server, as peers tell of it
         self.ready: list[Cache] = []
         self.origin: Cache | None = None
         self.ring: list[int] = []  # points in order, and whose they are
@@ -165,7 +166,8 @@
             cache = self.caches.get(entry.server)
             if cache is None:
                 start = max(1.0, 24 / self.s.routers)  # many routers must not crowd a cache
-                self.caches[entry.server] = Cache(entry, heard_at=now, asked_at=now, limit=start)
+                cache = Cache(entry, heard_at=now, asked_at=now, limit=start)
+                self.caches[entry.server] = self.named[stable(entry.server) >> 32] = cache
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
                     cache.__init__(entry, cache.points, cache.inflight, cache.held, now, now)
@@ -261,6 +263,10 @@
         if not tally.total:
             return
         self.waited = tally.waited / span
+        slow = [self.named[mark] for mark, n in tally.caches.items() if n > 0 and mark in self.named]
+        for cache in slow if 2 * len(slow) < len(self.ready) else ():  # were most slow, it would be the load
+            if cache.heard_at < self.now - EPOCH:  # own answers, where there are any, tell as much
+                self._settle(cache, True)
         self.samples += tally.samples
         for mark, n in tally.reads.items():
             if mark in self.scores or len(self.scores) < TABLE:
@@ -446,7 +452,10 @@
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
-            self._settle(cache, spent > slow or verdict == Verdict.FULL)
+            bad = spent > slow or verdict == Verdict.FULL
+            self._settle(cache, bad)
+            mark = stable(cache.entry.server) >> 32
+            self.tally.caches[mark] = self.tally.caches.get(mark, 0) + (6 if bad else -1)
 
     def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
@@ -583,7 +592,8 @@
         del self.items[item.id]
         self.held.pop(item.id, None)
         item.stage += 1
-        if item.hos and not item.missed and not item.write:  # late by the caches alone
+        if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:
+            # late by the caches alone, and not by one that is known as slow
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
             self._settle(self.fleet, late, 4 * self.load * self.fleet.base)
         self._fetched(item, finished)
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -163,8 +163,8 @@
     streams: bool = False
 
 
-HEAD = Struct(">BffI")  # version and kind, span, waited, samples
-READS = Struct(">IH")
+HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
+ROW = Struct(">Ih")
 
 
 @dataclass(slots=True)
@@ -176,6 +176,7 @@
     waited: float = 0.0  # oldest wait of held work, times span
     samples: int = 0
     reads: dict[int, int] = field(default_factory=dict)  # key's hash to reads less writes, sampled
+    caches: dict[int, int] = field(default_factory=dict)  # server's hash to 6 a slow answer less 1 a good one
     total: bool = False  # over all routers
 
     def add(self, other: "Tally") -> None:
@@ -183,27 +184,30 @@
         self.span += other.span
         self.waited += other.waited
         self.samples += other.samples
-        for mark, n in other.reads.items():
-            self.reads[mark] = self.reads.get(mark, 0) + n
+        for own, others in ((self.reads, other.reads), (self.caches, other.caches)):
+            for mark, n in others.items():
+                own[mark] = own.get(mark, 0) + n
 
     def pack(self) -> bytes:
-        rows = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 400 * n > self.samples)
-        head = HEAD.pack(0x20 | self.total, self.span, self.waited, self.samples)
+        reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)[:24]
+        caches = sorted((-n, mark) for mark, n in self.caches.items() if n > 0 or not self.total)
+        head = HEAD.pack(0x30 | self.total, len(reads), self.span, self.waited, self.samples)
         head += pack(f">{len(self.asked)}I", *self.asked)
-        room = (256 - len(head)) // READS.size
-        return head + b"".join(READS.pack(mark, min(-n, 65535)) for n, mark in rows[:room])
+        rows = [ROW.pack(mark, max(-32767, min(-n, 32767))) for n, mark in reads + caches]
+        return head + b"".join(rows[:(256 - len(head)) // ROW.size])
 
     @classmethod
     def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
         """None for a message that a router of this version wouldn't send."""
         start = HEAD.size + 4 * customers
-        if len(payload) < start or (len(payload) - start) % READS.size or payload[0] not in (0x20, 0x21):
+        if len(payload) < start or (len(payload) - start) % ROW.size or payload[0] not in (0x30, 0x31):
             return None
-        kind, span, waited, samples = HEAD.unpack_from(payload)
-        if not (0 <= span < 1e9 and 0 <= waited < 1e9):
+        kind, reads, span, waited, samples = HEAD.unpack_from(payload)
+        rows = list(ROW.iter_unpack(payload[start:]))
+        if not (0 <= span < 1e9 and 0 <= waited < 1e9) or reads > len(rows):
             return None
         return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
-                   dict(READS.iter_unpack(payload[start:])), bool(kind & 1))
+                   dict(rows[:reads]), dict(rows[reads:]), bool(kind & 1))
 
 
 @dataclass(slots=True)
