--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -70,7 +70,7 @@
         self.fetching: dict[str, list[Item]] = {}  # key out at the origin, and the wis that follow
         self.due = min(c.due for c in settings.categories)
         self.scores: dict[int, Hot] = {}
-        self.samples, self.accesses, self.rate, self.load = 0.0, 0, 1.0, 0.0
+        self.samples, self.accesses, self.rate = 0.0, 0, 1.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
         self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
         self.tally_at = self.told_at = now
@@ -81,6 +81,7 @@
         self.eased_at, self.epoch_at = now, now + EPOCH
         self.finished = 0  # answers of warm caches in this epoch
         self.fleet = Cache(Entry("fleet", 0, 1.0, 0, "live", -1, 0.0))  # all caches taken as one
+        self.heft = 0.0  # of all ready caches
         self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
         if settings.ask:  # not all at once when routers start together
             self.at(now + self.list_wait * self.chance.draw(), "ask")
@@ -175,6 +176,7 @@
         live = [c for c in self.caches.values() if c.entry.health == "live"]
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
         self.ready = [c for c in live if c is not self.origin]
+        self.heft = sum(c.entry.heft for c in self.ready)
         self._lay_ring()
         if scope == "cached":
             self.fleet.limit = max(1.0, 24 * len(self.ready) / self.s.routers)
@@ -309,11 +311,9 @@
                 del self.scores[mark]
         self.samples /= 2
         self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
-        self.load += min(0.5, self.accesses / 32) * (self.accesses / span - self.load)
         self.accesses = 0
-        heft = sum(c.entry.heft for c in self.ready)
-        if heft and self.finished:  # many answers tell more than few
-            seen = self.finished / span / heft
+        if self.heft and self.finished:  # many answers tell more than few
+            seen = self.finished / span / self.heft
             self.warm_rate += min(0.4, self.finished / 32) * (seen - self.warm_rate)
         self.finished = 0
 
@@ -321,7 +321,7 @@
 
     def _lay_ring(self) -> None:
         """Merges what has changed into the ring: laid anew, a deploy would take a large fleet's CPU."""
-        mean = sum(c.entry.heft for c in self.ready) / max(1, len(self.ready)) or 1.0
+        mean = self.heft / max(1, len(self.ready)) or 1.0
         unit = 2.0 ** round(log2(mean))  # steady while caches come and go, and the same at every router
         wanted = {c: POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / unit))
                   for c in self.ready}
@@ -595,7 +595,7 @@
         if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:
             # late by the caches alone, and not by one that is known as slow
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
-            self._settle(self.fleet, late, 4 * self.load * self.fleet.base)
+            self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base)
         self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
