--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -18,8 +18,7 @@
 
 POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
-EPOCH = 0.5
-TELL = 1.0  # a sum over routers, each
+EPOCH = 1.0
 LEASE = 5.0
 HOT_EPOCHS = 4
 TABLE = 512  # keys scored at once
@@ -101,7 +100,7 @@
         self.now = now
         if now - self.eased_at >= TICK:  # as work comes in: nothing ticks while idle
             self._ease((now - self.eased_at) / TICK)
-        if now - self.tally_at >= TELL:
+        if now - self.tally_at >= EPOCH:
             self._exchange()
         if now >= self.epoch_at:
             self._epoch()
@@ -234,20 +233,20 @@
         self.tally_at = self.now
         if not self.s.peers or self.s.routers == 1:
             self._learn(tally)
-        elif (teller := int(self.now / TELL) % self.s.routers) == self.s.ordinal:
+        elif (teller := int(self.now / EPOCH) % self.s.routers) == self.s.ordinal:
             self._tell_soon()
             return
         else:
-            if self.now - self.told_at > 3 * TELL:  # peers are silent
+            if self.now - self.told_at > 3 * EPOCH:  # peers are silent
                 self._learn(tally)
             self.results.messages.append((teller, tally.pack()))
         self.tally = Tally([0] * len(self.asked))
 
     def _tell_soon(self) -> None:
-        second = int(self.now / TELL)
+        second = int(self.now / EPOCH)
         if second % self.s.routers == self.s.ordinal and second > self.telling:
             self.telling = second  # what comes later is sent on with this router's next tally
-            self.at((second + 0.9) * TELL, "tell")
+            self.at((second + 0.9) * EPOCH, "tell")
 
     def _tell(self) -> None:
         self.tally.total = True
@@ -268,7 +267,7 @@
         self.waited = tally.waited / span
         slow = [self.named[mark] for mark, n in tally.caches.items() if n > 0 and mark in self.named]
         for cache in slow if 2 * len(slow) < len(self.ready) else ():  # were most slow, it would be the load
-            if cache.heard_at < self.now - TELL:  # own answers, where there are any, tell as much
+            if cache.heard_at < self.now - EPOCH:  # own answers, where there are any, tell as much
                 self._settle(cache, True)
         self.samples += tally.samples
         for mark, n in tally.reads.items():
@@ -295,11 +294,11 @@
     def _epoch(self) -> None:
         if self.samples < EVIDENCE:  # the mark means nothing yet
             return
-        span, self.epoch_at = self.now - self.epoch_at + EPOCH, max(self.epoch_at, self.now - EPOCH) + EPOCH
+        span, self.epoch_at = self.now - self.epoch_at + EPOCH, self.now + EPOCH
         ready = max(1, len(self.ready))
         for mark, hot in list(self.scores.items()):
             share = hot.score / self.samples * ready
-            hot.streak = hot.streak + 1 if share > 1 and hot.score >= 0.75 else 0  # over three reads
+            hot.streak = hot.streak + 1 if share > 1 and hot.score > 2 else 0
             if hot.streak >= HOT_EPOCHS:
                 if not hot.shadows:
                     self.results.log.append(f"hot {mark:08x}: {share / ready:.2f} of samples")
