--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -411,11 +411,14 @@
     def _room(self, cache: Cache, part: float = 1.0) -> bool:
         """Whether the cache may have one more out. Below one it is a chance, since one at each of hundreds of
         routers is hundreds; it grows back with time, since a quiet router hears of a cache seldom."""
+        self._regain(cache)
+        limit = part * cache.limit
+        return cache.inflight < limit if limit >= 1 else not cache.inflight and self.chance.draw() < limit
+
+    def _regain(self, cache: Cache) -> None:
         if cache.limit < 1:
             cache.limit = min(1.0, cache.limit * REGAIN ** min(60.0, self.now - cache.limit_at))
         cache.limit_at = self.now
-        limit = part * cache.limit
-        return cache.inflight < limit if limit >= 1 else not cache.inflight and self.chance.draw() < limit
 
     def _replica(self, hot: Hot, replicas: list[Cache]) -> Cache | None:
         """One replica drawn at random and kept, until it holds well over the mean in flight."""
@@ -459,6 +462,7 @@
 
     def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
+        self._regain(cache)
         if slow:
             cache.limit = max(0.02, least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
         elif cache.inflight + 1 >= 0.7 * cache.limit:
