--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -303,7 +303,7 @@
                 if not hot.shadows:
                     self.results.log.append(f"hot {mark:08x}: {share / ready:.2f} of samples")
                 hot.lease = self.now + LEASE
-                hot.shadows = min(int(2 * share), 2 * hot.shadows + 1, ready - 1)
+                hot.shadows = min(int(share), 2 * hot.shadows + 1, ready - 1)
             elif hot.lease < self.now:
                 hot.shadows = 0
             hot.score /= 2
