--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -80,7 +80,7 @@
         self.list_wait = min(0.9 * settings.ask_within, 0.03 * settings.routers)  # one list serves all
         self.eased_at, self.epoch_at = now, now + EPOCH
         self.finished = 0  # answers of warm caches in this epoch
-        self.fleet = Cache(Entry("fleet", 0, 1.0, 0, "live", -1, 0.0))  # all caches taken as one
+        self.fleet = Cache(Entry("fleet", 0, 1.0, 0, "live", -1, 0.0), 0)  # all caches taken as one
         self.heft = 0.0  # of all ready caches
         self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
         if settings.ask:  # not all at once when routers start together
@@ -167,11 +167,11 @@
             cache = self.caches.get(entry.server)
             if cache is None:
                 start = max(1.0, 24 / self.s.routers)  # many routers must not crowd a cache
-                cache = Cache(entry, heard_at=now, asked_at=now, limit=start)
-                self.caches[entry.server] = self.named[stable(entry.server) >> 32] = cache
+                cache = Cache(entry, stable(entry.server) >> 32, heard_at=now, asked_at=now, limit=start)
+                self.caches[entry.server] = self.named[cache.mark] = cache
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
-                    cache.__init__(entry, cache.points, cache.inflight, cache.held, now, now)
+                    cache.__init__(entry, cache.mark, cache.points, cache.inflight, cache.held, now, now)
                 cache.entry = entry
         live = [c for c in self.caches.values() if c.entry.health == "live"]
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
@@ -249,12 +249,24 @@
             self.at((second + 0.9) * EPOCH, "tell")
 
     def _tell(self) -> None:
-        self.tally.total = True
+        self.tally.slow, self.tally.total = self._over(self.tally), True
         self.results.messages.append((None, self.tally.pack()))
         self.told_at = self.now
         self._learn(self.tally)
         self.tally = Tally([0] * len(self.asked))
 
+    def _over(self, tally: Tally) -> dict[int, int]:
+        """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
+        mean = sum(tally.sent.values()) / (self.heft or 1.0)
+        over = {}
+        for cache in self.ready:
+            sent, slow = tally.sent.get(cache.mark, 0), tally.slow.get(cache.mark, 0)
+            if sent >= 8 and sent > 1.3 * mean * cache.entry.heft:
+                over[cache.mark] = int(255 * 1.3 * mean * cache.entry.heft / sent)
+            if slow > 1 and 7 * slow > sent:
+                over[cache.mark] = min(160, over.get(cache.mark, 255))
+        return over if 2 * len(over) < len(self.ready) else {}
+
     def _learn(self, tally: Tally) -> None:
         """Takes in what one router saw, or all; many observations tell more than few."""
         span = max(tally.span, 1e-3)
@@ -265,10 +277,11 @@
         if not tally.total:
             return
         self.waited = tally.waited / span
-        slow = [self.named[mark] for mark, n in tally.caches.items() if n > 0 and mark in self.named]
-        for cache in slow if 2 * len(slow) < len(self.ready) else ():  # were most slow, it would be the load
-            if cache.heard_at < self.now - EPOCH:  # own answers, where there are any, tell as much
-                self._settle(cache, True)
+        for mark, part in tally.slow.items():
+            cache = self.named.get(mark)
+            if cache and cache.heard_at < self.now - EPOCH:  # own answers, where there are any, tell as much
+                self._regain(cache)
+                cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
         self.samples += tally.samples
         for mark, n in tally.reads.items():
             if mark in self.scores or len(self.scores) < TABLE:
@@ -457,8 +470,8 @@
         if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
             bad = spent > slow or verdict == Verdict.FULL
             self._settle(cache, bad)
-            mark = stable(cache.entry.server) >> 32
-            self.tally.caches[mark] = self.tally.caches.get(mark, 0) + (6 if bad else -1)
+            if bad:
+                self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
 
     def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
@@ -539,6 +552,7 @@
     def _hand_off(self, item: Item, cache: Cache) -> None:
         item.stage += 1
         self.held.pop(item.id, None)
+        self.tally.sent[cache.mark] = self.tally.sent.get(cache.mark, 0) + (cache is not self.origin)
         item.hos.append((cache, self.now))
         item.out += 1
         if not cache.inflight:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -129,6 +129,7 @@
     """What a router knows of one cache server, or of the origin."""
 
     entry: Entry
+    mark: int  # the server's hash, as peers tell of it
     points: tuple[int, ...] = ()  # on the ring, while it is there
     inflight: int = 0
     held: list[tuple[tuple[bool, float], int, "Item", int]] = field(default_factory=list)
@@ -164,7 +165,7 @@
 
 
 HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
-ROW = Struct(">Ih")
+ROW = Struct(">IHB")
 
 
 @dataclass(slots=True)
@@ -176,7 +177,8 @@
     waited: float = 0.0  # oldest wait of held work, times span
     samples: int = 0
     reads: dict[int, int] = field(default_factory=dict)  # key's hash to reads less writes, sampled
-    caches: dict[int, int] = field(default_factory=dict)  # server's hash to 6 a slow answer less 1 a good one
+    sent: dict[int, int] = field(default_factory=dict)  # server's hash to hand-offs
+    slow: dict[int, int] = field(default_factory=dict)  # to slow answers; in a total, 255ths to keep
     total: bool = False  # over all routers
 
     def add(self, other: "Tally") -> None:
@@ -184,30 +186,33 @@
         self.span += other.span
         self.waited += other.waited
         self.samples += other.samples
-        for own, others in ((self.reads, other.reads), (self.caches, other.caches)):
+        for own, others in ((self.reads, other.reads), (self.sent, other.sent), (self.slow, other.slow)):
             for mark, n in others.items():
                 own[mark] = own.get(mark, 0) + n
 
     def pack(self) -> bytes:
-        reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)[:24]
-        caches = sorted((-n, mark) for mark, n in self.caches.items() if n > 0 or not self.total)
-        head = HEAD.pack(0x30 | self.total, len(reads), self.span, self.waited, self.samples)
+        reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)
+        rows = [(mark, min(-n, 65535), 0) for n, mark in reads[:20]]
+        caches = self.slow if self.total else self.sent | self.slow
+        rows += [(mark, 0 if self.total else min(self.sent.get(mark, 0), 65535),
+                  min(self.slow.get(mark, 0), 255)) for mark in caches]
+        head = HEAD.pack(0x40 | self.total, min(len(reads), 20), self.span, self.waited, self.samples)
         head += pack(f">{len(self.asked)}I", *self.asked)
-        rows = [ROW.pack(mark, max(-32767, min(-n, 32767))) for n, mark in reads + caches]
-        return head + b"".join(rows[:(256 - len(head)) // ROW.size])
+        return head + b"".join(ROW.pack(*row) for row in rows[:(256 - len(head)) // ROW.size])
 
     @classmethod
     def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
         """None for a message that a router of this version wouldn't send."""
         start = HEAD.size + 4 * customers
-        if len(payload) < start or (len(payload) - start) % ROW.size or payload[0] not in (0x30, 0x31):
+        if len(payload) < start or (len(payload) - start) % ROW.size or payload[0] not in (0x40, 0x41):
             return None
         kind, reads, span, waited, samples = HEAD.unpack_from(payload)
         rows = list(ROW.iter_unpack(payload[start:]))
         if not (0 <= span < 1e9 and 0 <= waited < 1e9) or reads > len(rows):
             return None
         return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
-                   dict(rows[:reads]), dict(rows[reads:]), bool(kind & 1))
+                   {mark: n for mark, n, _ in rows[:reads]}, {mark: n for mark, n, _ in rows[reads:]},
+                   {mark: n for mark, _, n in rows[reads:] if n}, bool(kind & 1))
 
 
 @dataclass(slots=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -221,7 +221,7 @@
     assert sent == receivers
 
 
-@pytest.mark.parametrize("payload", [b"", b"\x00", b"\x30" * 9, b"\x99" * 40, b"\x30" + b"\xff" * 255])
+@pytest.mark.parametrize("payload", [b"", b"\x00", b"\x40" * 9, b"\x99" * 40, b"\x40" + b"\xff" * 255])
 def test_a_message_of_another_version_is_passed_over(payload):
     r = router(peers=True)
     r.heard(r.now, 1, payload)
