--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -193,9 +193,7 @@
             elif what == "tell":
                 self._tell()
             elif item is not None and item.stage == stage and item.id in self.items:
-                if what == "late":
-                    self._late(item)
-                elif what == "hold":
+                if what == "hold":
                     self.give_up(item)
                 else:
                     self._forward_again(item)
@@ -562,17 +560,6 @@
         cache.inflight += 1
         self.fleet.inflight += cache.entry.kind != self.s.origin_kind
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
-        if cache is not self.origin and item.category.semantics is Semantics.RERUNNABLE:
-            self.at(self.now + 0.5 * item.category.due, "late", item)
-
-    def _late(self, item: Item) -> None:
-        """Takes a read back from a cache that sits on it: a jammed one would keep it past its expiry."""
-        cache = item.hos[-1][0]
-        if len(item.hos) < self.s.max_hand_offs and self.now + 0.1 < item.expiry:
-            item.stage += 1
-            self._settle(cache, True)
-            self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
-            self.results.withdrawals.append((item.id, len(item.hos) - 1))
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
         """Decides what follows a ho that did not finish its wi."""
