--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -193,11 +193,7 @@
             elif what == "tell":
                 self._tell()
             elif item is not None and item.stage == stage and item.id in self.items:
-                if what == "late":  # counted now, since its answer may be long in coming
-                    cache = item.hos[-1][0]
-                    self._settle(cache, True)
-                    self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
-                elif what == "hold":
+                if what == "hold":
                     self.give_up(item)
                 else:
                     self._forward_again(item)
@@ -471,10 +467,9 @@
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
-        if verdict == Verdict.FULL or verdict == Verdict.FINISHED or (cache is self.origin and spent > slow):
-            bad = verdict == Verdict.FULL or (cache is self.origin and spent > slow)
-            if bad or spent <= slow:
-                self._settle(cache, bad)
+        if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
+            bad = spent > slow or verdict == Verdict.FULL
+            self._settle(cache, bad)
             if bad:
                 self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
 
@@ -565,8 +560,6 @@
         cache.inflight += 1
         self.fleet.inflight += cache.entry.kind != self.s.origin_kind
         self.results.hand_offs.append((item.id, 0.0, cache.entry.server))
-        if cache is not self.origin:
-            self.at(self.now + 0.6 * self.due, "late", item)
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
         """Decides what follows a ho that did not finish its wi."""
