--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -167,7 +167,7 @@
             cache = self.caches.get(entry.server)
             if cache is None:
                 start = max(1.0, 24 / self.s.routers)  # many routers must not crowd a cache
-                cache = Cache(entry, stable(entry.server) >> 32, heard_at=now, asked_at=now, limit=start)
+                cache = Cache(entry, stable(entry.server) >> 48, heard_at=now, asked_at=now, limit=start)
                 self.caches[entry.server] = self.named[cache.mark] = cache
             else:
                 if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
@@ -258,14 +258,17 @@
     def _over(self, tally: Tally) -> dict[int, int]:
         """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
         mean = sum(tally.sent.values()) / (self.heft or 1.0)
+        slow = {c.mark for c in self.ready
+                if 7 * tally.slow.get(c.mark, 0) > max(7, tally.sent.get(c.mark, 0))}
+        if 2 * len(slow) > len(self.ready):  # it is the load, not the caches
+            slow = set()
         over = {}
         for cache in self.ready:
-            sent, slow = tally.sent.get(cache.mark, 0), tally.slow.get(cache.mark, 0)
-            if sent >= 8 and sent > 1.3 * mean * cache.entry.heft:
-                over[cache.mark] = int(255 * 1.3 * mean * cache.entry.heft / sent)
-            if slow > 1 and 7 * slow > sent:
-                over[cache.mark] = min(160, over.get(cache.mark, 255))
-        return over if 2 * len(over) < len(self.ready) else {}
+            sent, part = tally.sent.get(cache.mark, 0), 1.3 * mean * cache.entry.heft
+            keep = min(0.6 if cache.mark in slow else 1.0, part / sent if sent >= 8 else 1.0)
+            if keep < 1:
+                over[cache.mark] = int(255 * keep)
+        return over
 
     def _learn(self, tally: Tally) -> None:
         """Takes in what one router saw, or all; many observations tell more than few."""
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -165,7 +165,8 @@
 
 
 HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
-ROW = Struct(">IHB")
+READ = Struct(">IH")  # key, reads less writes
+CACHE = Struct(">HBB")  # server, hand-offs, slow ones
 
 
 @dataclass(slots=True)
@@ -191,28 +192,32 @@
                 own[mark] = own.get(mark, 0) + n
 
     def pack(self) -> bytes:
-        reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)
-        rows = [(mark, min(-n, 65535), 0) for n, mark in reads[:20]]
-        caches = self.slow if self.total else self.sent | self.slow
-        rows += [(mark, 0 if self.total else min(self.sent.get(mark, 0), 65535),
-                  min(self.slow.get(mark, 0), 255)) for mark in caches]
-        head = HEAD.pack(0x40 | self.total, min(len(reads), 20), self.span, self.waited, self.samples)
+        reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)[:16]
+        if self.total:
+            caches = [(mark, 0, n) for mark, n in sorted(self.slow.items(), key=lambda row: row[::-1])]
+        else:
+            caches = [(mark, min(self.sent.get(mark, 0), 255), min(self.slow.get(mark, 0), 255))
+                      for mark in self.sent | self.slow]
+        head = HEAD.pack(0x40 | self.total, len(reads), self.span, self.waited, self.samples)
         head += pack(f">{len(self.asked)}I", *self.asked)
-        return head + b"".join(ROW.pack(*row) for row in rows[:(256 - len(head)) // ROW.size])
+        head += b"".join(READ.pack(mark, min(-n, 65535)) for n, mark in reads)
+        return head + b"".join(CACHE.pack(*row) for row in caches[:(256 - len(head)) // CACHE.size])
 
     @classmethod
     def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
         """None for a message that a router of this version wouldn't send."""
         start = HEAD.size + 4 * customers
-        if len(payload) < start or (len(payload) - start) % ROW.size or payload[0] not in (0x40, 0x41):
+        if len(payload) < start or payload[0] not in (0x40, 0x41):
             return None
         kind, reads, span, waited, samples = HEAD.unpack_from(payload)
-        rows = list(ROW.iter_unpack(payload[start:]))
-        if not (0 <= span < 1e9 and 0 <= waited < 1e9) or reads > len(rows):
+        end = start + READ.size * reads
+        whole = len(payload) >= end and (len(payload) - end) % CACHE.size == 0
+        if not whole or not (0 <= span < 1e9 and 0 <= waited < 1e9):
             return None
+        caches = list(CACHE.iter_unpack(payload[end:]))
         return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
-                   {mark: n for mark, n, _ in rows[:reads]}, {mark: n for mark, n, _ in rows[reads:]},
-                   {mark: n for mark, _, n in rows[reads:] if n}, bool(kind & 1))
+                   dict(READ.iter_unpack(payload[start:end])), {mark: n for mark, n, _ in caches},
+                   {mark: n for mark, _, n in caches if n}, bool(kind & 1))
 
 
 @dataclass(slots=True)
