--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -507,21 +507,11 @@
         else:
             self._hold(item, cache)
 
-    def _readers(self, mark: int) -> float:
-        """Routers that read the key while one fetch of it is out; all would fetch what a write has voided."""
-        hot = self.scores.get(mark)
-        if hot is None or self.samples < EVIDENCE:
-            return 0.0
-        rate = (hot.score - 1) / self.samples * sum(self.asked)  # one read alone shows nothing
-        return min(self.s.routers, rate * (self.origin.base or 0.2 * self.due))
-
-    def _hold(self, item: Item, cache: Cache | None, wait: float = 0.0) -> None:
+    def _hold(self, item: Item, cache: Cache | None) -> None:
         """Holds a wi until the cache answers, or its key's fetch; where none is out, for a drawn while."""
         item.stage += 1
         since = self.held.setdefault(item.id, self.now)
-        if wait:
-            self.at(self.now + (0.5 + self.chance.draw()) * wait, "again", item)
-        elif cache is None:
+        if cache is None:
             self.fetching[item.key].append(item)
         elif cache.inflight:
             heappush(cache.held, ((item.over, -item.category.credit), next(self.order), item, item.stage))
@@ -556,9 +546,6 @@
             self.give_up(item)
         elif not item.write and item.key in self.fetching and item.key is not None:
             self._hold(item, None)
-        elif not item.write and len(item.hos) + 1 < self.s.max_hand_offs and (
-                self.chance.draw() * self._readers(item.mark) > 1):  # let another router's fetch come in
-            self._hold(item, None, origin.base or 0.2 * self.due)
         elif self._room(origin):
             if not item.write and item.key is not None:
                 item.leads, self.fetching[item.key] = True, []
