--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -259,7 +259,7 @@
         """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
         mean = sum(tally.sent.values()) / (self.heft or 1.0)
         slow = {c.mark for c in self.ready
-                if 7 * tally.slow.get(c.mark, 0) > max(7, tally.sent.get(c.mark, 0))}
+                if 3 * tally.slow.get(c.mark, 0) > max(6, tally.sent.get(c.mark, 0))}
         if 2 * len(slow) > len(self.ready):  # it is the load, not the caches
             slow = set()
         over = {}
