--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -479,13 +479,13 @@
             if bad:
                 self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
 
-    def _settle(self, cache: Cache, slow: bool, least: float = 0.0, gain: float = 0.5) -> None:
+    def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
         self._regain(cache)
         if slow:
             cache.limit = max(0.02, least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
         elif cache.inflight + 1 >= 0.7 * cache.limit:
-            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, gain * cache.limit))
+            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.5 * cache.limit))
 
     # pace -------------------------------------------------
 
@@ -619,7 +619,7 @@
         if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:
             # late by the caches alone, and not by one that is known as slow
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
-            self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base, 0.12)
+            self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base)
         self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
