--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -472,17 +472,13 @@
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
-        slow = self._mark(cache if cache is self.origin else self.fleet)
+        slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
             bad = spent > slow or verdict == Verdict.FULL
             self._settle(cache, bad)
             if bad:
                 self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
 
-    def _mark(self, timed: Cache) -> float:
-        """From where on an answer is slow: three usual times of the origin, or of all caches."""
-        return min(1.5 * self.due, max(0.6 * self.due, 3 * timed.base))
-
     def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
         self._regain(cache)
@@ -622,7 +618,7 @@
         item.stage += 1
         if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:
             # late by the caches alone, and not by one that is known as slow
-            late = not finished or self.now - item.hos[0][1] > self._mark(self.fleet)
+            late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
             self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base)
         self._fetched(item, finished)
 
