--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -429,8 +429,8 @@
         routers is hundreds; it grows back with time, since a quiet router hears of a cache seldom."""
         self._regain(cache)
         limit = part * cache.limit
-        if cache is self.fleet and limit < 1:  # under one out on average is a rate, by the usual answer time
-            limit *= (self.now - cache.asked_at) / max(cache.base, 0.01)
+        if cache is self.fleet and limit < 1:  # under one out on average is a rate, by present times
+            limit *= (self.now - cache.asked_at) / max(cache.median, 0.01)
             cache.asked_at = self.now
         return cache.inflight < limit if limit >= 1 else not cache.inflight and self.chance.draw() < limit
 
@@ -462,8 +462,8 @@
                 timed = cache if cache is self.origin else self.fleet
                 timed.spent.add(spent)
                 if timed.spent.total >= 16:
-                    median = timed.spent.quantile(0.5)
-                    timed.base = min(median, 1.02 * timed.base or median)
+                    timed.median = timed.spent.quantile(0.5)
+                    timed.base = min(timed.median, 1.02 * timed.base or timed.median)
                     timed.spent.halve()
                 self.finished += timed is self.fleet and self.warmth(cache) >= 1
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -140,7 +140,8 @@
     strikes: int = 0
     silent_until: float = 0.0
     spent: Histogram = field(default_factory=Histogram)
-    base: float = 0.0  # the origin's usual answer time; rises slowly
+    median: float = 0.0  # answer time of the origin, or of all caches
+    base: float = 0.0  # the lowest such median; rises slowly
 
 
 @dataclass(slots=True, eq=False)
