--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -221,7 +221,7 @@
         if waited > 0.15 * self.due:
             self.extra = max(0.01, before * 0.6 ** min(ticks, waited / TICK))
         else:
-            self.extra = min(1.0, before + 0.02 * ticks)
+            self.extra = min(1.0, before * 1.03**ticks)
         if (before < 1) != (self.extra < 1):
             self.results.log.append(f"shares {'on' if self.extra < 1 else 'off'}: oldest held {waited:.3f} s")
 
