--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -25,7 +25,6 @@
 SAMPLES = 128  # aimed at in an epoch
 EVIDENCE = 24  # samples that an epoch and its past hold at least
 TICK = 0.1
-RETURN = 0.75  # part of deferred work that comes again
 REGAIN = 1.2  # growth a second of a limit under one
 
 
@@ -73,7 +72,7 @@
         self.scores: dict[int, Hot] = {}
         self.samples, self.accesses, self.rate = 0.0, 0, 1.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
-        self.tally = Tally([0.0] * len(settings.quotas))  # since it was last sent on or learned from
+        self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
         self.tally_at = self.told_at = now
         self.telling = 0  # second for which this router last took it on to tell all
         self.asked = [0.0] * len(settings.quotas)  # work items a second of each customer, at all routers
@@ -209,7 +208,6 @@
         if customer >= len(self.asked):
             return True
         self.tally.asked[customer] += 1
-        item.customer = customer
         item.over = self.chance.draw() * self.asked[customer] >= self.s.quotas[customer] > 0
         return not item.over or self.extra >= 1 or self.chance.draw() < self.extra
 
@@ -242,7 +240,7 @@
             if self.now - self.told_at > 3 * EPOCH:  # peers are silent
                 self._learn(tally)
             self.results.messages.append((teller, tally.pack()))
-        self.tally = Tally([0.0] * len(self.asked))
+        self.tally = Tally([0] * len(self.asked))
 
     def _tell_soon(self) -> None:
         second = int(self.now / EPOCH)
@@ -255,7 +253,7 @@
         self.results.messages.append((None, self.tally.pack()))
         self.told_at = self.now
         self._learn(self.tally)
-        self.tally = Tally([0.0] * len(self.asked))
+        self.tally = Tally([0] * len(self.asked))
 
     def _over(self, tally: Tally) -> dict[int, int]:
         """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
@@ -632,6 +630,4 @@
         answer = Answer.DEFERRED if safe and not item.streams else Answer.WRITTEN_OFF
         back = self.s.retry_after if item.over else min(self.s.retry_after, 0.25 * item.category.due)
         self.results.answers.append((item.id, answer, back))
-        if item.customer is not None:  # most come again, and would make their customer seem to ask for more
-            self.tally.asked[item.customer] -= RETURN
         self._end(item, False)
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -154,7 +154,6 @@
     expiry: float
     write: bool
     mark: int = 0  # the key's hash
-    customer: int | None = None  # where it has a quota
     over: bool = False  # beyond its customer's share
     hos: list[tuple[Cache, float]] = field(default_factory=list)  # where and when it was handed
     out: int = 0  # hand-offs without an outcome
@@ -175,7 +174,7 @@
 class Tally:
     """What a router saw for a while, or the sum of many; it goes to a peer in one message."""
 
-    asked: list[float]  # work items of each customer, less what comes again
+    asked: list[int]  # work items of each customer
     span: float = 0.0  # router seconds
     waited: float = 0.0  # oldest wait of held work, times span
     samples: int = 0
@@ -201,7 +200,7 @@
             caches = [(mark, min(self.sent.get(mark, 0), 255), min(self.slow.get(mark, 0), 255))
                       for mark in self.sent | self.slow]
         head = HEAD.pack(0x40 | self.total, len(reads), self.span, self.waited, self.samples)
-        head += pack(f">{len(self.asked)}f", *self.asked)
+        head += pack(f">{len(self.asked)}I", *self.asked)
         head += b"".join(READ.pack(mark, min(-n, 65535)) for n, mark in reads)
         return head + b"".join(CACHE.pack(*row) for row in caches[:(256 - len(head)) // CACHE.size])
 
@@ -214,11 +213,10 @@
         kind, reads, span, waited, samples = HEAD.unpack_from(payload)
         end = start + READ.size * reads
         whole = len(payload) >= end and (len(payload) - end) % CACHE.size == 0
-        asked = list(unpack_from(f">{customers}f", payload, HEAD.size))
-        if not whole or not all(abs(x) < 1e9 for x in (span, waited, *asked)):
+        if not whole or not (0 <= span < 1e9 and 0 <= waited < 1e9):
             return None
         caches = list(CACHE.iter_unpack(payload[end:]))
-        return cls(asked, span, waited, samples,
+        return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
                    dict(READ.iter_unpack(payload[start:end])), {mark: n for mark, n, _ in caches},
                    {mark: n for mark, _, n in caches if n}, bool(kind & 1))
 
