--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -76,8 +76,6 @@
         self.tally_at = self.told_at = now
         self.telling = 0  # second for which this router last took it on to tell all
         self.asked = [0.0] * len(settings.quotas)  # work items a second of each customer, at all routers
-        self.room = [0.0] * len(settings.quotas)  # work items of each customer that are within its share
-        self.load = 0.0
         self.waited = 0.0  # how long the oldest held wi had waited, over routers
         self.list_wait = min(0.9 * settings.ask_within, 0.03 * settings.routers)  # one list serves all
         self.eased_at, self.epoch_at = now, now + EPOCH
@@ -210,11 +208,7 @@
         if customer >= len(self.asked):
             return True
         self.tally.asked[customer] += 1
-        room, part = self.room, min(1.0, self.s.quotas[customer] / max(self.asked[customer], 1e-9))
-        room[customer] = min(max(1.0, self.load * part), room[customer] + part)
-        item.over = room[customer] < self.chance.draw()
-        if not item.over:
-            room[customer] -= 1.0
+        item.over = self.chance.draw() * self.asked[customer] >= self.s.quotas[customer] > 0
         return not item.over or self.extra >= 1 or self.chance.draw() < self.extra
 
     def _oldest(self) -> float:
