--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -19,6 +19,7 @@
 POINTS = 64  # ring points of a cache of mean heft
 WALK = 6  # distinct caches kept of a key's ring walk
 EPOCH = 1.0
+TELL = 1.0  # a sum over routers, each
 LEASE = 5.0
 HOT_EPOCHS = 4
 TABLE = 512  # keys scored at once
@@ -100,7 +101,7 @@
         self.now = now
         if now - self.eased_at >= TICK:  # as work comes in: nothing ticks while idle
             self._ease((now - self.eased_at) / TICK)
-        if now - self.tally_at >= EPOCH:
+        if now - self.tally_at >= TELL:
             self._exchange()
         if now >= self.epoch_at:
             self._epoch()
@@ -233,20 +234,20 @@
         self.tally_at = self.now
         if not self.s.peers or self.s.routers == 1:
             self._learn(tally)
-        elif (teller := int(self.now / EPOCH) % self.s.routers) == self.s.ordinal:
+        elif (teller := int(self.now / TELL) % self.s.routers) == self.s.ordinal:
             self._tell_soon()
             return
         else:
-            if self.now - self.told_at > 3 * EPOCH:  # peers are silent
+            if self.now - self.told_at > 3 * TELL:  # peers are silent
                 self._learn(tally)
             self.results.messages.append((teller, tally.pack()))
         self.tally = Tally([0] * len(self.asked))
 
     def _tell_soon(self) -> None:
-        second = int(self.now / EPOCH)
+        second = int(self.now / TELL)
         if second % self.s.routers == self.s.ordinal and second > self.telling:
             self.telling = second  # what comes later is sent on with this router's next tally
-            self.at((second + 0.9) * EPOCH, "tell")
+            self.at((second + 0.9) * TELL, "tell")
 
     def _tell(self) -> None:
         self.tally.slow, self.tally.total = self._over(self.tally), True
@@ -275,6 +276,8 @@
         span = max(tally.span, 1e-3)
         routers = self.s.routers if self.s.peers else max(1.0, self.s.routers / 2)  # this one may be lopsided
         gain = min(0.5, sum(tally.asked) / 64)
+        if self.s.peers and span < 0.75 * self.s.routers * TELL and any(self.asked):
+            gain = 0.0  # part of the routers, as in a cut: they may be lopsided
         for i, n in enumerate(tally.asked):
             self.asked[i] += gain * (n / span * routers - self.asked[i])
         if not tally.total:
@@ -282,7 +285,7 @@
         self.waited = tally.waited / span
         for mark, part in tally.slow.items():
             cache = self.named.get(mark)
-            if cache and cache.heard_at < self.now - EPOCH:  # own answers, where there are any, tell as much
+            if cache and cache.heard_at < self.now - TELL:  # own answers, where there are any, tell as much
                 self._regain(cache)
                 cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
         self.samples += tally.samples
