--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -23,7 +23,6 @@
 LEASE = 5.0
 HOT_EPOCHS = 4
 TABLE = 512  # keys scored at once
-SAMPLES = 128  # aimed at in an epoch
 EVIDENCE = 24  # samples that an epoch and its past hold at least
 TICK = 0.1
 REGAIN = 1.2  # growth a second of a limit under one
@@ -68,10 +67,9 @@
         self.timers: list[tuple[float, int, str, Item | None, int]] = []
         self.wake_at = 0.0
         self.held: OrderedDict[int, float] = OrderedDict()  # held wis, the oldest first
-        self.fetching: dict[str, list[Item]] = {}  # key out at the origin, and the wis that follow
         self.due = min(c.due for c in settings.categories)
         self.scores: dict[int, Hot] = {}
-        self.samples, self.accesses, self.rate = 0.0, 0, 1.0
+        self.samples = 0.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
         self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
         self.tally_at = self.told_at = now
@@ -296,8 +294,7 @@
     # hotness ----------------------------------------------
 
     def _hotness(self, item: Item) -> None:
-        self.accesses += 1
-        if item.key is None or (self.rate < 1 and self.chance.draw() >= self.rate):
+        if item.key is None:
             return
         self.samples += 1
         worth = -1 if item.write else 1
@@ -329,8 +326,6 @@
             if hot.score < 0.5 and not hot.shadows:
                 del self.scores[mark]
         self.samples /= 2
-        self.rate = min(1.0, SAMPLES / max(self.accesses, 1))
-        self.accesses = 0
         if self.heft and self.finished:  # many answers tell more than few
             seen = self.finished / span / self.heft
             self.warm_rate += min(0.4, self.finished / 32) * (seen - self.warm_rate)
@@ -496,9 +491,6 @@
         if item.missed or (item.write and self.s.aside):
             self._gate(item)
             return
-        if item.key in self.fetching and not item.hos:
-            self._hold(item, None)
-            return
         if not item.hos and not self._room(self.fleet):
             self._hold(item, self.fleet)
             return
@@ -510,13 +502,11 @@
         else:
             self._hold(item, cache)
 
-    def _hold(self, item: Item, cache: Cache | None) -> None:
-        """Holds a wi until the cache answers, or its key's fetch; where none is out, for a drawn while."""
+    def _hold(self, item: Item, cache: Cache) -> None:
+        """Holds a wi until the cache answers; where nothing is out there, for a drawn while."""
         item.stage += 1
         since = self.held.setdefault(item.id, self.now)
-        if cache is None:
-            self.fetching[item.key].append(item)
-        elif cache.inflight:
+        if cache.inflight:
             heappush(cache.held, ((item.over, -item.category.credit), next(self.order), item, item.stage))
         else:
             self.at(self.now + (0.05 + 0.1 * self.chance.draw()) * item.category.due, "again", item)
@@ -547,11 +537,7 @@
         origin = self.origin
         if origin is None or not self.s.aside or not self._open(origin, item):
             self.give_up(item)
-        elif not item.write and item.key in self.fetching and item.key is not None:
-            self._hold(item, None)
         elif self._room(origin):
-            if not item.write and item.key is not None:
-                item.leads, self.fetching[item.key] = True, []
             self._hand_off(item, origin)
         else:
             self._hold(item, origin)
@@ -572,8 +558,6 @@
 
     def _came_back(self, item: Item, cache: Cache, verdict: int, remark: int | None) -> None:
         """Decides what follows a ho that did not finish its wi."""
-        if cache is self.origin:
-            self._fetched(item, False)
         if verdict in (Verdict.ERROR, Verdict.RESET, Verdict.TIMED_OUT, Verdict.WITHDRAWN):
             if item.ran_since is None:
                 number = next(i for i, (c, _) in enumerate(item.hos) if c is cache)
@@ -595,18 +579,6 @@
         else:
             self._forward(item)
 
-    def _fetched(self, item: Item, stored: bool) -> None:
-        if not item.leads:
-            return
-        item.leads = False
-        for follower in self.fetching.pop(item.key, ()):
-            if follower.id in self.items:
-                follower.stage += 1
-                if follower.missed and not stored:
-                    self._gate(follower)
-                else:
-                    self._forward_again(follower)
-
     def _forward_again(self, item: Item) -> None:
         """Another look where it missed: the key may have come meanwhile, by any router's fetch."""
         cache = item.missed[0] if item.missed and len(item.hos) + 1 < self.s.max_hand_offs else None
@@ -623,7 +595,6 @@
             # late by the caches alone, and not by one that is known as slow
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
             self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base)
-        self._fetched(item, finished)
 
     def give_up(self, item: Item) -> None:
         """Answers at once: deferred where that assures no harm, else written off."""
