--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict
 from hashlib import blake2b
 from heapq import heappop, heappush
-from itertools import count
+from itertools import chain, count
 from math import log, log2
 from struct import unpack
 
@@ -39,6 +39,11 @@
     return tuple(point for row in rows for point in unpack(">8Q", row))[:n]
 
 
+def group_of(cache: Cache, item: Item) -> int | None:
+    """Which caches drop repeats of the wi together with this one."""
+    return {"all": 0, "zone": cache.entry.zone, "cell": cache.entry.cell}.get(item.category.group)
+
+
 class Chance:
     """A linear congruential generator, of which the high bits are used."""
 
@@ -57,12 +62,11 @@
         self.results = Results()
         self.items: dict[int, Item] = {}
         self.caches: dict[str, Cache] = {}
-        self.named: dict[int, Cache] = {}  # by the hash of the server, as peers tell of it
         self.ready: list[Cache] = []
         self.origin: Cache | None = None
-        self.ring: list[int] = []  # points in order, and whose they are
-        self.owner: dict[int, Cache] = {}
-        self.walks: dict[str, list[tuple[Cache, float]]] = {}
+        self.ring: list[int] = []  # points in order
+        self.owner: dict[int, Cache] = {}  # whose a point is
+        self.walks: dict[int, list[Cache]] = {}
         self.order = count()
         self.timers: list[tuple[float, int, str, Item | None, int]] = []
         self.wake_at = 0.0
@@ -72,16 +76,13 @@
         self.samples = 0.0
         self.extra = 1.0  # part of the work beyond shares that is admitted
         self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
-        self.tally_at = self.told_at = now
-        self.telling = 0  # second for which this router last took it on to tell all
+        self.tally_at, self.told_at, self.telling = now, now, 0  # the last: second that this router told of
         self.asked = [0.0] * len(settings.quotas)  # work items a second of each customer, at all routers
         self.waited = 0.0  # how long the oldest held wi had waited, over routers
         self.list_wait = min(0.9 * settings.ask_within, 0.03 * settings.routers)  # one list serves all
-        self.eased_at, self.epoch_at = now, now + EPOCH
-        self.finished = 0  # answers of warm caches in this epoch
+        self.eased_at, self.epoch_at, self.finished = now, now + EPOCH, 0  # answers of warm caches
         self.fleet = Cache(Entry("fleet", 0, 1.0, 0, "live", -1, 0.0), 0)  # all caches taken as one
-        self.heft = 0.0  # of all ready caches
-        self.warm_rate = 0.0  # finished a second and heft at warm caches, remembered
+        self.heft, self.warm_rate = 0.0, 0.0  # of all ready caches; finished a second and heft at warm ones
         if settings.ask:  # not all at once when routers start together
             self.at(now + self.list_wait * self.chance.draw(), "ask")
 
@@ -106,8 +107,7 @@
         item = self.items[id] = Item(id, self.s.categories[category], key, now + left, write)
         item.mark = stable(key if key is not None else str(id)) >> 32
         if left <= 0 or not self._share(item, customer):
-            self.give_up(item)
-            return
+            return self.give_up(item)
         self._hotness(item)
         self._forward(item)
 
@@ -118,8 +118,7 @@
         cache.inflight -= 1
         self.fleet.inflight -= cache.entry.kind != self.s.origin_kind
         self._observe(cache, verdict, spent)
-        item = self.items.get(id)
-        if item is not None:
+        if (item := self.items.get(id)) is not None:
             item.out -= 1
             item.stage += 1
             if final:
@@ -132,8 +131,7 @@
     def streaming(self, now: float, id: int) -> None:
         self.now = now
         if (item := self.items.get(id)) is not None:
-            item.streams = True
-            item.stage += 1
+            item.streams, item.stage = True, item.stage + 1
 
     def abandoned(self, now: float, id: int) -> None:
         self.now = now
@@ -143,12 +141,9 @@
     def heard(self, now: float, author: int, payload: bytes) -> None:
         self.now = now
         tally = Tally.unpack(payload, len(self.asked))
-        if tally is None:  # of another version
-            return
-        if tally.total:
-            self.told_at = now
+        if tally is not None and tally.total:
             self._learn(tally)
-        else:
+        elif tally is not None:  # else it is of another version
             self.tally.add(tally)
             self._tell_soon()
 
@@ -167,11 +162,10 @@
             if cache is None:
                 start = max(1.0, 24 / self.s.routers)  # many routers must not crowd a cache
                 cache = Cache(entry, stable(entry.server) >> 48, heard_at=now, asked_at=now, limit=start)
-                self.caches[entry.server] = self.named[cache.mark] = cache
-            else:
-                if entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
-                    cache.__init__(entry, cache.mark, cache.points, cache.inflight, cache.held, now, now)
-                cache.entry = entry
+                self.caches[entry.server] = cache
+            elif entry.came_up != cache.entry.came_up:  # a new life: nothing learned of the old one holds
+                cache.__init__(entry, cache.mark, cache.points, cache.inflight, cache.held, now, now)
+            cache.entry = entry
         live = [c for c in self.caches.values() if c.entry.health == "live"]
         self.origin = next((c for c in live if c.entry.kind == self.s.origin_kind and self.s.aside), None)
         self.ready = [c for c in live if c is not self.origin]
@@ -179,9 +173,8 @@
         self._lay_ring()
         if scope == "cached":
             self.fleet.limit = max(1.0, 24 * len(self.ready) / self.s.routers)
-        for cache in self.caches.values():
-            if cache.entry.health != "live":
-                self._turn_out(cache)
+        for cache in (c for c in self.caches.values() if c.entry.health != "live"):
+            self._turn_out(cache)
 
     def woken(self, now: float) -> None:
         self.now = now
@@ -191,11 +184,8 @@
                 self.results.subscribe = True
             elif what == "tell":
                 self._tell()
-            elif item is not None and item.stage == stage and item.id in self.items:
-                if what == "hold":
-                    self.give_up(item)
-                else:
-                    self._forward_again(item)
+            elif item.stage == stage and item.id in self.items:
+                (self.give_up if what == "hold" else self._forward_again)(item)
 
     def at(self, when: float, what: str, item: Item | None = None) -> None:
         heappush(self.timers, (when, next(self.order), what, item, item.stage if item else 0))
@@ -204,10 +194,9 @@
 
     def _share(self, item: Item, customer: int) -> bool:
         """Work beyond a share is drawn by chance, which adds up where a share of a router is under one wi."""
-        if customer >= len(self.asked):
-            return True
-        self.tally.asked[customer] += 1
-        item.over = self.chance.draw() * self.asked[customer] >= self.s.quotas[customer] > 0
+        if customer < len(self.asked):
+            self.tally.asked[customer] += 1
+            item.over = self.chance.draw() * self.asked[customer] >= self.s.quotas[customer] > 0
         return not item.over or self.extra >= 1 or self.chance.draw() < self.extra
 
     def _oldest(self) -> float:
@@ -233,8 +222,7 @@
         if not self.s.peers or self.s.routers == 1:
             self._learn(tally)
         elif (teller := int(self.now / TELL) % self.s.routers) == self.s.ordinal:
-            self._tell_soon()
-            return
+            return self._tell_soon()
         else:
             if self.now - self.told_at > 3 * TELL:  # peers are silent
                 self._learn(tally)
@@ -250,24 +238,21 @@
     def _tell(self) -> None:
         self.tally.slow, self.tally.total = self._over(self.tally), True
         self.results.messages.append((None, self.tally.pack()))
-        self.told_at = self.now
         self._learn(self.tally)
         self.tally = Tally([0] * len(self.asked))
 
     def _over(self, tally: Tally) -> dict[int, int]:
         """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
         mean = sum(tally.sent.values()) / (self.heft or 1.0)
-        slow = {c.mark for c in self.ready
-                if 3 * tally.slow.get(c.mark, 0) > max(6, tally.sent.get(c.mark, 0))}
-        if 2 * len(slow) > len(self.ready):  # it is the load, not the caches
-            slow = set()
+        slow = {m for m, n in tally.slow.items() if 3 * n > max(6, tally.sent.get(m, 0))}
+        many = 2 * len(slow) > len(self.ready)  # it is the load, not the caches
         over = {}
         for cache in self.ready:
-            sent, part = tally.sent.get(cache.mark, 0), 1.3 * mean * cache.entry.heft
-            keep = min(0.6 if cache.mark in slow else 1.0, part / sent if sent >= 8 else 1.0)
-            if keep < 1:
-                over[cache.mark] = int(255 * keep)
-        return over
+            keep = 0.6 if cache.mark in slow and not many else 1.0
+            if (sent := tally.sent.get(cache.mark, 0)) >= 8:
+                keep = min(keep, 1.3 * mean * cache.entry.heft / sent)
+            over[cache.mark] = int(255 * keep)
+        return {mark: keep for mark, keep in over.items() if keep < 255}
 
     def _learn(self, tally: Tally) -> None:
         """Takes in what one router saw, or all; many observations tell more than few."""
@@ -280,10 +265,10 @@
             self.asked[i] += gain * (n / span * routers - self.asked[i])
         if not tally.total:
             return
-        self.waited = tally.waited / span
-        for mark, part in tally.slow.items():
-            cache = self.named.get(mark)
-            if cache and cache.heard_at < self.now - TELL:  # own answers, where there are any, tell as much
+        self.told_at, self.waited = self.now, tally.waited / span
+        for cache in self.ready:
+            part = tally.slow.get(cache.mark, 255)
+            if part < 255 and cache.heard_at < self.now - TELL:  # own answers, where any came, tell as much
                 self._regain(cache)
                 cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
         self.samples += tally.samples
@@ -296,20 +281,16 @@
     def _hotness(self, item: Item) -> None:
         if item.key is None:
             return
-        self.samples += 1
         worth = -1 if item.write else 1
+        self.samples += 1
         self.tally.samples += 1
         self.tally.reads[item.mark] = self.tally.reads.get(item.mark, 0) + worth
-        hot = self.scores.get(item.mark)
-        if hot is None:
-            if item.write or len(self.scores) >= TABLE:
-                return
-            hot = self.scores[item.mark] = Hot()
-        hot.score += worth
+        if item.mark in self.scores or (not item.write and len(self.scores) < TABLE):
+            self.scores.setdefault(item.mark, Hot()).score += worth
 
     def _epoch(self) -> None:
-        if self.samples < EVIDENCE:  # the mark means nothing yet
-            return
+        if self.samples < EVIDENCE:
+            return  # the mark means nothing yet
         span, self.epoch_at = self.now - self.epoch_at + EPOCH, self.now + EPOCH
         ready = max(1, len(self.ready))
         for mark, hot in list(self.scores.items()):
@@ -339,32 +320,28 @@
         unit = 2.0 ** round(log2(mean))  # steady while caches come and go, and the same at every router
         wanted = {c: POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / unit))
                   for c in self.ready}
-        for c in self.caches.values():
-            if c.points and len(c.points) != wanted.get(c):
-                for point in c.points:
-                    del self.owner[point], self.ring[bisect_left(self.ring, point)]
-                c.points = ()
-        for c, n in wanted.items():
-            if not c.points:
-                c.points = points_of(c.entry.server, n)
-                self.owner.update(dict.fromkeys(c.points, c))
-                self.ring += c.points
+        for c in (c for c in self.caches.values() if len(c.points) != wanted.get(c, 0)):
+            for point in c.points:
+                del self.owner[point], self.ring[bisect_left(self.ring, point)]
+            c.points = ()
+        for c in (c for c in self.ready if not c.points):
+            c.points = points_of(c.entry.server, wanted[c])
+            self.owner.update(dict.fromkeys(c.points, c))
+            self.ring += c.points
         self.ring.sort()
         self.walks.clear()
 
-    def _walk(self, mark: int, length: int = WALK) -> list[tuple[Cache, float]]:
-        """The first distinct caches on the key's ring walk, each with the key's place in its share."""
+    def _walk(self, mark: int, length: int = WALK) -> list[Cache]:
+        """The first distinct caches on the key's ring walk."""
         walk = self.walks.get(mark)
         if walk is None or len(walk) < min(length, len(self.ready)):
             if len(self.walks) > 20000:
                 self.walks.clear()
-            walk, seen = [], set()
+            walk = []
             start = bisect_right(self.ring, mark << 32)
-            for i in range(len(self.ring)):
-                cache = self.owner[self.ring[(start + i) % len(self.ring)]]
-                if cache not in seen:
-                    seen.add(cache)
-                    walk.append((cache, stable(f"{mark}@{cache.entry.server}") / 2**64))
+            for point in chain(self.ring[start:], self.ring[:start]):
+                if self.owner[point] not in walk:
+                    walk.append(self.owner[point])
                     if len(walk) == length:
                         break
             self.walks[mark] = walk
@@ -372,10 +349,8 @@
 
     def warmth(self, cache: Cache) -> float:
         """The part of its capacity that a cache surely has."""
-        up = cache.entry.came_up
-        if not up or self.now - up >= self.s.warm_within:
-            return 1.0
-        return self.s.start_share + (1 - self.s.start_share) * max(0.0, self.now - up) / self.s.warm_within
+        up = (self.now - cache.entry.came_up) / self.s.warm_within if cache.entry.came_up else 1.0
+        return min(1.0, self.s.start_share + (1 - self.s.start_share) * max(0.0, up))
 
     def _open(self, cache: Cache, item: Item) -> bool:
         """Whether a new ho may go to the cache, by rule and by health, leaving its load aside."""
@@ -383,18 +358,14 @@
             return False
         if cache.inflight and (cache.strikes or self.now - cache.heard_at > 0.6 * self.due):
             return False
-        if item.ran_since is not None and item.category.semantics is Semantics.TICKETED:
-            group = {"all": 0, "zone": cache.entry.zone, "cell": cache.entry.cell}.get(item.category.group)
-            if group != item.ran_group or self.now - item.ran_since >= item.category.window:
-                return False
-        return True
+        if item.ran_since is None or item.category.semantics is not Semantics.TICKETED:
+            return True
+        return group_of(cache, item) == item.ran_group and self.now - item.ran_since < item.category.window
 
     def _cold_room(self, cache: Cache) -> bool:
-        """Keeps a cold cache under its warm share of what warm fellows finish; if all do, none falls over.
-        By chance: a first token or a floor at each of hundreds of routers would push it over."""
-        warm = self.warmth(cache)
-        if warm >= 1:
-            return True
+        """Keeps a cold cache under its warm share of what warm fellows finish; if all do, none falls over."""
+        if (warm := self.warmth(cache)) >= 1:
+            return True  # else by chance: a first token at each of hundreds of routers would push it over
         rate = warm * self.warm_rate * cache.entry.heft * self.s.overload_factor / 2
         since, cache.asked_at = self.now - cache.asked_at, self.now
         return self.chance.draw() < rate * since
@@ -404,27 +375,22 @@
         hot = self.scores.get(item.mark)
         walk = self._walk(item.mark, WALK + hot.shadows if hot else WALK)
         if hot is not None and hot.shadows and not item.hos:
-            replica = self._replica(hot, [c for c, _ in walk[: hot.shadows + 1]
-                                          if self._open(c, item) and self.warmth(c) >= 1])
-            if replica is not None:
+            replicas = [c for c in walk[: hot.shadows + 1] if self._open(c, item) and self.warmth(c) >= 1]
+            if replicas:
+                replica = self._replica(hot, replicas)
                 return replica, self._room(replica)
-        mean = self.fleet.inflight / max(1, len(self.ready))
-        spare = None
-        for cache, place in walk[:WALK]:
-            if cache in item.missed or not self._open(cache, item) or any(cache is h for h, _ in item.hos):
+        mean, spare = self.fleet.inflight / max(1, len(self.ready)), None
+        for cache in walk[:WALK]:
+            tried = any(cache is h for h, _ in item.hos)
+            if tried or not self._open(cache, item) or not self._cold_room(cache):
                 continue
-            warm = self.warmth(cache)
-            if warm < 1 and not (place < warm and self._cold_room(cache)):
-                continue
-            if place < warm and cache.inflight < 2 * mean + 2 and self._room(
-                    cache, 1.0 if spare is None else 0.5):
+            if cache.inflight < 2 * mean + 2 and self._room(cache, 0.5 if spare else 1.0):
                 return cache, True
             spare = spare or cache
         return spare, spare is not None and self._room(spare)
 
     def _room(self, cache: Cache, part: float = 1.0) -> bool:
-        """Whether the cache may have one more out. Below one it is a chance, since one at each of hundreds of
-        routers is hundreds; it grows back with time, since a quiet router hears of a cache seldom."""
+        """Whether the cache may have one more out; by chance below one, since hundreds of routers add up."""
         self._regain(cache)
         limit = part * cache.limit
         if cache is self.fleet and limit < 1:  # under one out on average is a rate, by present times
@@ -433,14 +399,13 @@
         return cache.inflight < limit if limit >= 1 else not cache.inflight and self.chance.draw() < limit
 
     def _regain(self, cache: Cache) -> None:
+        """Lets a limit below one grow back with time, since a quiet router hears of a cache seldom."""
         if cache.limit < 1:
             cache.limit = min(1.0, cache.limit * REGAIN ** min(60.0, self.now - cache.limit_at))
         cache.limit_at = self.now
 
-    def _replica(self, hot: Hot, replicas: list[Cache]) -> Cache | None:
+    def _replica(self, hot: Hot, replicas: list[Cache]) -> Cache:
         """One replica drawn at random and kept, until it holds well over the mean in flight."""
-        if not replicas:
-            return None
         drawn = {c: -log(1 - self.chance.draw()) / max(1e-9, c.entry.heft * min(1.0, c.limit))
                  for c in replicas}
         if hot.current not in drawn:
@@ -471,11 +436,11 @@
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
         slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
-        if spent > slow or verdict == Verdict.FULL or verdict == Verdict.FINISHED:
-            bad = spent > slow or verdict == Verdict.FULL
-            self._settle(cache, bad)
-            if bad:
-                self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
+        if spent > slow or verdict == Verdict.FULL:
+            self._settle(cache, True)
+            self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
+        elif verdict == Verdict.FINISHED:
+            self._settle(cache, False)
 
     def _settle(self, cache: Cache, slow: bool, least: float = 0.0) -> None:
         """Moves a limit to where one answer in seven is slow."""
@@ -489,18 +454,14 @@
 
     def _forward(self, item: Item) -> None:
         if item.missed or (item.write and self.s.aside):
-            self._gate(item)
-            return
+            return self._gate(item)
         if not item.hos and not self._room(self.fleet):
-            self._hold(item, self.fleet)
-            return
+            return self._hold(item, self.fleet)
         cache, room = self._place(item)
         if cache is None:
             self._gate(item)
-        elif room:
-            self._hand_off(item, cache)
         else:
-            self._hold(item, cache)
+            (self._hand_off if room else self._hold)(item, cache)
 
     def _hold(self, item: Item, cache: Cache) -> None:
         """Holds a wi until the cache answers; where nothing is out there, for a drawn while."""
@@ -537,10 +498,8 @@
         origin = self.origin
         if origin is None or not self.s.aside or not self._open(origin, item):
             self.give_up(item)
-        elif self._room(origin):
-            self._hand_off(item, origin)
         else:
-            self._hold(item, origin)
+            (self._hand_off if self._room(origin) else self._hold)(item, origin)
 
     # hand-off ---------------------------------------------
 
@@ -560,22 +519,18 @@
         """Decides what follows a ho that did not finish its wi."""
         if verdict in (Verdict.ERROR, Verdict.RESET, Verdict.TIMED_OUT, Verdict.WITHDRAWN):
             if item.ran_since is None:
-                number = next(i for i, (c, _) in enumerate(item.hos) if c is cache)
-                item.ran_since = item.hos[number][1]
-                entry = cache.entry
-                item.ran_group = {"all": 0, "zone": entry.zone, "cell": entry.cell}.get(item.category.group)
+                item.ran_since = next(when for c, when in item.hos if c is cache)
+                item.ran_group = group_of(cache, item)
         elif verdict == Verdict.MISS:
             item.missed.append(cache)
         if item.streams:
             return
         if verdict == Verdict.MISS:
             self._gate(item)
-        elif (self.now >= item.expiry - 0.005 or len(item.hos) >= self.s.max_hand_offs
-              or verdict == Verdict.MOOT
-              or (item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
+        elif (item.expiry < self.now + 0.005 or verdict == Verdict.MOOT
+              or len(item.hos) >= self.s.max_hand_offs or (
+                  item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
             self.give_up(item)
-        elif item.missed:
-            self._gate(item)
         else:
             self._forward(item)
 
@@ -591,8 +546,7 @@
         del self.items[item.id]
         self.held.pop(item.id, None)
         item.stage += 1
-        if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:
-            # late by the caches alone, and not by one that is known as slow
+        if item.hos and not item.missed and not item.write and item.hos[-1][0].limit >= 0.5:  # not known slow
             late = not finished or self.now - item.hos[0][1] > 0.6 * item.category.due
             self._settle(self.fleet, late, 2.5 * self.warm_rate * self.heft * self.fleet.base)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -68,16 +68,16 @@
 @pytest.mark.parametrize("health", ["quiescing", "dead"])
 def test_a_drained_cache_gets_nothing_new_and_others_keep_their_keys(health):
     r = router()
-    before = {k: r._walk(stable(k) >> 32)[0][0].entry.server for k in KEYS}
+    before = {k: r._walk(stable(k) >> 32)[0].entry.server for k in KEYS}
     r.list_changed(r.now, "delta", [entry(2, health)])
-    after = {k: r._walk(stable(k) >> 32)[0][0].entry.server for k in KEYS}
+    after = {k: r._walk(stable(k) >> 32)[0].entry.server for k in KEYS}
     assert "cache:2" not in after.values()
     assert all(after[k] == home for k, home in before.items() if home != "cache:2")
 
 
 def test_heft_weighs_ring_points():
     r = router(entries=[entry(0, heft=3.0), entry(1), entry(2)])
-    homes = [r._walk(stable(k) >> 32)[0][0].entry.server for k in KEYS]
+    homes = [r._walk(stable(k) >> 32)[0].entry.server for k in KEYS]
     assert homes.count("cache:0") > homes.count("cache:1") + homes.count("cache:2") * 0.5
 
 
@@ -152,7 +152,7 @@
 
 
 def test_a_held_fetch_looks_at_its_home_again_before_the_origin():
-    """Many routers fetch a voided key at once; while the origin strains, the key may come by another's fetch."""
+    """Many routers fetch a voided key at once; while the origin strains, another's fetch may bring it."""
     r = router()
     home = take(r, 1).hand_offs[0][2]
     r.origin.limit, r.origin.limit_at = 1e-9, r.now + 10
@@ -188,7 +188,7 @@
 @pytest.mark.parametrize(("load", "kept"), [(0, True), (8, False)])
 def test_a_home_well_over_the_mean_in_flight_passes_reads_on(load, kept):
     r = router()
-    home = r._walk(K)[0][0]
+    home = r._walk(K)[0]
     home.inflight = load
     assert (take(r, 1).hand_offs[0][2] == home.entry.server) == kept
 
@@ -242,7 +242,7 @@
     r = router()
     for cache in r.ready:
         cache.limit, cache.inflight = 8.0, others
-    home = r._walk(K)[0][0]
+    home = r._walk(K)[0]
     home.limit, home.inflight = 4.0, 4
     assert (r._place(Item(1, CATEGORIES[RERUNNABLE], "k", r.now + 2, False, mark=K))[0] is home) == kept
 
