--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -367,10 +367,8 @@
         if (warm := self.warmth(cache)) >= 1:
             return True  # else by chance: a first token at each of hundreds of routers would push it over
         rate = warm * self.warm_rate * cache.entry.heft * self.s.overload_factor / 2
-        full = max(1.0, rate * self.s.overload_for / 2)
-        cache.budget = min(full, cache.budget + rate * (self.now - cache.asked_at))
-        cache.asked_at = self.now
-        return self.chance.draw() < cache.budget
+        since, cache.asked_at = self.now - cache.asked_at, self.now
+        return self.chance.draw() < rate * since
 
     def _place(self, item: Item) -> tuple[Cache | None, bool]:
         """Where a read goes, and whether there is room at once."""
@@ -511,7 +509,6 @@
         self.tally.sent[cache.mark] = self.tally.sent.get(cache.mark, 0) + (cache is not self.origin)
         item.hos.append((cache, self.now))
         item.out += 1
-        cache.budget -= self.warmth(cache) < 1
         if not cache.inflight:
             cache.heard_at = self.now
         cache.inflight += 1
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -134,7 +134,6 @@
     inflight: int = 0
     held: list[tuple[tuple[bool, float], int, "Item", int]] = field(default_factory=list)
     heard_at: float = 0.0  # last answer, or the first sending after none was out
-    budget: float = 0.0
     asked_at: float = 0.0  # when room was last asked for while cold
     limit: float = 8.0  # hand-offs out at once, under one a chance; adapts to answer times
     limit_at: float = 0.0
