--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -12,7 +12,6 @@
 from heapq import heappop, heappush
 from itertools import chain, count
 from math import log, log2
-from struct import unpack
 
 from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Tally, Verdict
 
@@ -34,9 +33,8 @@
 
 
 def points_of(server: str, n: int) -> tuple[int, ...]:
-    """A cache's points on the ring, eight a hash."""
-    rows = (blake2b(f"{server}#{i}".encode(), digest_size=64).digest() for i in range(-(-n // 8)))
-    return tuple(point for row in rows for point in unpack(">8Q", row))[:n]
+    """A cache's points on the ring, hashed once in its life."""
+    return tuple(stable(f"{server}#{i}") for i in range(n))
 
 
 def group_of(cache: Cache, item: Item) -> int | None:
