--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -416,6 +416,7 @@
         """Adapts the limit of hos out at once, and tells a silent cache from a busy one."""
         if verdict in (Verdict.FINISHED, Verdict.MISS, Verdict.ERROR):
             cache.heard_at = self.now
+            self.finished += cache is not self.origin and self.warmth(cache) >= 1  # misses weigh as well
             if cache.strikes:
                 self.results.log.append(f"{cache.entry.server} answers again after {cache.strikes} strikes")
                 cache.strikes, cache.silent_until = 0, 0.0
@@ -426,7 +427,6 @@
                     timed.median = timed.spent.quantile(0.5)
                     timed.base = min(timed.median, 1.02 * timed.base or timed.median)
                     timed.spent.halve()
-                self.finished += timed is self.fleet and self.warmth(cache) >= 1
         elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
             cache.strikes += 1
             cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
