--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -246,7 +246,7 @@
         many = 2 * len(slow) > len(self.ready)  # it is the load, not the caches
         over = {}
         for cache in self.ready:
-            keep = 0.6 if cache.mark in slow and not many else 1.0
+            keep = 0.7 if cache.mark in slow and not many else 1.0
             if (sent := tally.sent.get(cache.mark, 0)) >= 8 and tally.slow.get(cache.mark):
                 keep = min(keep, 1.3 * mean * cache.entry.heft / sent)
             over[cache.mark] = int(255 * keep)
