--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -224,6 +224,7 @@
         else:
             if self.now - self.told_at > 3 * TELL:  # peers are silent
                 self._learn(tally)
+            self._count_out(tally)
             self.results.messages.append((teller, tally.pack()))
         self.tally = Tally([0] * len(self.asked))
 
@@ -234,23 +235,25 @@
             self.at((second + 0.9) * TELL, "tell")
 
     def _tell(self) -> None:
-        self.tally.slow, self.tally.total = self._over(self.tally), True
+        self._count_out(self.tally)
+        self.tally.keep, self.tally.total = self._over(self.tally), True
         self.results.messages.append((None, self.tally.pack()))
         self._learn(self.tally)
         self.tally = Tally([0] * len(self.asked))
 
+    def _count_out(self, tally: Tally) -> None:
+        for cache in self.ready:
+            if cache.inflight:
+                tally.out[cache.mark] = tally.out.get(cache.mark, 0) + cache.inflight
+
     def _over(self, tally: Tally) -> dict[int, int]:
-        """Caches sent well over their part by heft, or slow while most are not: what to keep, in 255ths."""
-        mean = sum(tally.sent.values()) / (self.heft or 1.0)
-        slow = {m for m, n in tally.slow.items() if 3 * n > max(6, tally.sent.get(m, 0))}
-        many = 2 * len(slow) > len(self.ready)  # it is the load, not the caches
-        over = {}
+        """Caches that hold well over the mean of all routers' hos in flight, by heft: what to keep, in 255ths."""
+        mean, over = sum(tally.out.values()) / (self.heft or 1.0), {}
         for cache in self.ready:
-            keep = 0.7 if cache.mark in slow and not many else 1.0
-            if (sent := tally.sent.get(cache.mark, 0)) >= 8 and tally.slow.get(cache.mark):
-                keep = min(keep, 1.3 * mean * cache.entry.heft / sent)
-            over[cache.mark] = int(255 * keep)
-        return {mark: keep for mark, keep in over.items() if keep < 255}
+            part, out = 2 * mean * cache.entry.heft + 2, tally.out.get(cache.mark, 0)
+            if out > part:
+                over[cache.mark] = int(255 * max(0.3, part / out))
+        return over
 
     def _learn(self, tally: Tally) -> None:
         """Takes in what one router saw, or all; many observations tell more than few."""
@@ -265,7 +268,7 @@
             return
         self.told_at, self.waited = self.now, tally.waited / span
         for cache in self.ready:
-            part = tally.slow.get(cache.mark, 255)
+            part = tally.keep.get(cache.mark, 255)
             if part < 255 and cache.heard_at < self.now - TELL:  # own answers, where any came, tell as much
                 self._regain(cache)
                 cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
@@ -436,7 +439,6 @@
         slow = min(1.5 * self.due, max(0.6 * self.due, 3 * cache.base))
         if spent > slow or verdict == Verdict.FULL:
             self._settle(cache, True)
-            self.tally.slow[cache.mark] = self.tally.slow.get(cache.mark, 0) + 1
         elif verdict == Verdict.FINISHED:
             self._settle(cache, False)
 
@@ -504,7 +506,6 @@
     def _hand_off(self, item: Item, cache: Cache) -> None:
         item.stage += 1
         self.held.pop(item.id, None)
-        self.tally.sent[cache.mark] = self.tally.sent.get(cache.mark, 0) + (cache is not self.origin)
         item.hos.append((cache, self.now))
         item.out += 1
         if not cache.inflight:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -166,7 +166,7 @@
 
 HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
 READ = Struct(">IH")  # key, reads less writes
-CACHE = Struct(">HBB")  # server, hand-offs, slow ones
+CACHE = Struct(">BH")  # hand-offs out there, or 255ths to keep of what goes there, and the server
 
 
 @dataclass(slots=True)
@@ -178,8 +178,8 @@
     waited: float = 0.0  # oldest wait of held work, times span
     samples: int = 0
     reads: dict[int, int] = field(default_factory=dict)  # key's hash to reads less writes, sampled
-    sent: dict[int, int] = field(default_factory=dict)  # server's hash to hand-offs
-    slow: dict[int, int] = field(default_factory=dict)  # to slow answers; in a total, 255ths to keep
+    out: dict[int, int] = field(default_factory=dict)  # server's hash to hand-offs out
+    keep: dict[int, int] = field(default_factory=dict)  # in a total: to 255ths of reads to keep there
     total: bool = False  # over all routers
 
     def add(self, other: "Tally") -> None:
@@ -187,21 +187,18 @@
         self.span += other.span
         self.waited += other.waited
         self.samples += other.samples
-        for own, others in ((self.reads, other.reads), (self.sent, other.sent), (self.slow, other.slow)):
+        for own, others in ((self.reads, other.reads), (self.out, other.out)):
             for mark, n in others.items():
                 own[mark] = own.get(mark, 0) + n
 
     def pack(self) -> bytes:
         reads = sorted((-n, mark) for mark, n in self.reads.items() if n > 0 and 200 * n > self.samples)[:16]
-        if self.total:
-            caches = [(mark, 0, n) for mark, n in sorted(self.slow.items(), key=lambda row: row[::-1])]
-        else:
-            caches = [(mark, min(self.sent.get(mark, 0), 255), min(self.slow.get(mark, 0), 255))
-                      for mark in self.sent | self.slow]
+        caches = self.keep if self.total else self.out
+        rows = sorted((min(n, 255), mark) for mark, n in caches.items())[:: 1 if self.total else -1]
         head = HEAD.pack(0x40 | self.total, len(reads), self.span, self.waited, self.samples)
         head += pack(f">{len(self.asked)}I", *self.asked)
         head += b"".join(READ.pack(mark, min(-n, 65535)) for n, mark in reads)
-        return head + b"".join(CACHE.pack(*row) for row in caches[:(256 - len(head)) // CACHE.size])
+        return head + b"".join(CACHE.pack(*row) for row in rows[:(256 - len(head)) // CACHE.size])
 
     @classmethod
     def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
@@ -214,10 +211,10 @@
         whole = len(payload) >= end and (len(payload) - end) % CACHE.size == 0
         if not whole or not (0 <= span < 1e9 and 0 <= waited < 1e9):
             return None
-        caches = list(CACHE.iter_unpack(payload[end:]))
+        caches = {mark: n for n, mark in CACHE.iter_unpack(payload[end:])}
         return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
-                   dict(READ.iter_unpack(payload[start:end])), {mark: n for mark, n, _ in caches},
-                   {mark: n for mark, _, n in caches if n}, bool(kind & 1))
+                   dict(READ.iter_unpack(payload[start:end])), *(({}, caches) if kind & 1 else (caches, {})),
+                   bool(kind & 1))
 
 
 @dataclass(slots=True)
