--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -247,10 +247,10 @@
                 tally.out[cache.mark] = tally.out.get(cache.mark, 0) + cache.inflight
 
     def _over(self, tally: Tally) -> dict[int, int]:
-        """Caches that hold well over the mean of all routers' hos in flight, by heft: what to keep, in 255ths."""
+        """Caches that hold well over the mean in flight of all routers, by heft: what to keep, in 255ths."""
         mean, over = sum(tally.out.values()) / (self.heft or 1.0), {}
         for cache in self.ready:
-            part, out = 2 * mean * cache.entry.heft + 2, tally.out.get(cache.mark, 0)
+            part, out = 1.2 * mean * cache.entry.heft + 1, tally.out.get(cache.mark, 0)
             if out > part:
                 over[cache.mark] = int(255 * max(0.3, part / out))
         return over
