--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -253,3 +253,62 @@
     item = r.items[1] = Item(1, CATEGORIES[RERUNNABLE], "k", r.now + 2, False, over=over)
     r.give_up(item)
     assert r.drain().answers == [(1, Answer.DEFERRED, back)]
+
+
+@pytest.mark.parametrize(("reads", "hot"), [(2, False), (8, True)])
+def test_a_quiet_router_counts_no_epoch_for_a_key_on_one_or_two_reads(reads, hot):
+    r = router(50, routers=500)
+    for n in range(30):  # at two a second
+        take(r, n, key="k" if n < reads else f"k:{n}")
+        r.now += 0.5
+    r._epoch()
+    assert (K in r.scores and r.scores[K].streak > 0) == hot
+
+
+@pytest.mark.parametrize("routers", [3, 500])
+def test_slow_fetches_bring_down_what_all_routers_fetch(routers):
+    """After a flush every router has reads to fetch; none may go on sending one at a time."""
+    sent = 0
+    for seed in range(routers):
+        r = router(routers=routers, seed=seed)
+        r.origin.limit = 1.0
+        for _ in range(3):
+            r._observe(r.origin, Verdict.FINISHED, 2.0)
+        sent += r._room(r.origin)
+    assert sent <= max(2, 0.2 * routers)
+
+
+@pytest.mark.parametrize(("out", "named"), [((40, 4, 4), [0]), ((9, 9, 9), []), ((1, 0, 0), [])])
+def test_the_teller_names_a_cache_well_over_the_mean_in_flight_but_no_busy_fleet(out, named):
+    r = router(3, peers=True)
+    marks = [c.mark for c in r.ready]
+    over = r._over(Tally([0, 0], out=dict(zip(marks, out, strict=True))))
+    assert list(over) == [marks[i] for i in named] and all(keep < 255 for keep in over.values())
+
+
+def test_a_limit_cut_before_it_was_first_asked_for_stays_cut():
+    """Peers' word came before the router's own first hand-off, and a minute's regain undid it."""
+    r = router(now=1000.0)
+    cache = r.ready[0]
+    r._settle(cache, True)
+    r._settle(cache, True)
+    r._settle(cache, True)
+    r._regain(cache)
+    assert cache.limit < 8.0
+
+
+@pytest.mark.parametrize(("span", "moves"), [(4.0, True), (1.0, False)])
+def test_a_sum_over_one_side_of_a_cut_does_not_move_what_customers_ask(span, moves):
+    r = router(peers=True, routers=4)
+    r.asked = [10.0, 10.0]
+    r._learn(Tally([400, 400], span=span, total=True))
+    assert (r.asked[0] > 10) == moves
+
+
+@pytest.mark.parametrize(("routers", "caches", "quotas"), [(1, 1, []), (1000, 1, [0.0]), (1000, 3, [0.2])])
+def test_settings_at_the_edges_leave_every_work_item_answered_or_out(routers, caches, quotas):
+    r = router(caches, routers=routers, ordinal=routers - 1, quotas=quotas, peers=True)
+    for n in range(50):
+        results = take(r, n, KEYS[n])
+        r.now += 0.1
+        assert len(results.hand_offs) + len(results.answers) + len(r.held) >= 1
