--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -296,7 +296,7 @@
         ready = max(1, len(self.ready))
         for mark, hot in list(self.scores.items()):
             share = hot.score / self.samples * ready
-            hot.streak = hot.streak + 1 if share > 1 and hot.score > 1 else 0  # four reads at least
+            hot.streak = hot.streak + 1 if share > 1 and hot.score > 2 else 0
             if hot.streak >= HOT_EPOCHS:
                 if not hot.shadows:
                     self.results.log.append(f"hot {mark:08x}: {share / ready:.2f} of samples")
