--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -24,7 +24,7 @@
 TABLE = 512  # keys scored at once
 EVIDENCE = 24  # samples that an epoch and its past hold at least
 TICK = 0.1
-REGAIN = 1.2  # growth a second of a limit under one
+REGAIN = 1.08  # growth a second of a limit under one
 
 
 def stable(text: str) -> int:
