--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -448,7 +448,7 @@
         if slow:
             cache.limit = max(0.02, least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
         elif cache.inflight + 1 >= 0.7 * cache.limit:
-            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.25 * cache.limit))
+            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.5 * cache.limit))
 
     # pace -------------------------------------------------
 
