--- /dev/null
+++ b/rowanshift/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m rowanshift``."""
+
+from rowanshift.cli import main
+
+if __name__ == "__main__":
+    main()
--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -7,7 +7,8 @@
 import orjson
 
 from rowanshift.choice import Router
-from rowanshift.model import Category, Entry, Results, Semantics, Settings
+from rowanshift.model import Entry, Results
+from rowanshift.settings import SettingsError, settings_of
 
 WRITE = 4  # bit of state_bits
 
@@ -16,38 +17,6 @@
     """Input that can't be followed; the text says what was wrong and where."""
 
 
-def settings_of(data: dict[str, Any]) -> Settings:
-    """The settings that the module reads, in seconds."""
-    try:
-        limits, rules, domain = data["limits"], data["guarantees"], data.get("domain") or {}
-        return Settings(
-            categories=[
-                Category(float(c["credit"]), c["due_time_us"] / 1e6, Semantics(c["semantics"]),
-                         c.get("group") or "", (c.get("window_us") or 0) / 1e6)
-                for c in data["categories"]
-            ],
-            quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
-            routers=max(1, data["replicas_of_me"]),
-            ordinal=data["ordinal"],
-            aside=domain.get("mode") == "aside",
-            origin_kind=domain.get("origin_kind", -1),
-            ask=data["registry_mode"] == "ask",
-            ask_within=rules["ask_within_us"] / 1e6,
-            live_heft=data.get("weight_kind") == "live",
-            peers=bool(limits["peers"]),
-            retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
-            max_hand_offs=limits["max_hand_offs"],
-            overload_factor=rules["overload_factor"],
-            overload_for=rules["overload_for_us"] / 1e6,
-            start_share=rules["start_capacity"],
-            warm_within=max(rules["warm_within_us"], 1) / 1e6,
-        )
-    except KeyError as error:
-        raise WireError(f"start: the settings lack {error}") from error
-    except (TypeError, ValueError, AttributeError) as error:
-        raise WireError(f"start: a setting can't be used: {error}") from error
-
-
 class Instance:
     """One router's life after another, under one number."""
 
@@ -61,7 +30,10 @@
         }
 
     def start(self, now: float, seed: int, data: dict[str, Any], *_: Any) -> None:
-        self.router = Router(settings_of(data), seed, now)
+        try:
+            self.router = Router(settings_of(data), seed, now)
+        except SettingsError as error:
+            raise WireError(f"start: {error}") from error
 
     def order(self, now: float, corr: int, grade: int, billing: int | None, key: str | None, expires: int,
               _cost: Any = None, _size: Any = None, bits: int | None = 0, *_: Any) -> None:
--- /dev/null
+++ b/rowanshift/cli.py
@@ -0,0 +1,60 @@
+"""The command line."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+from loguru import logger
+
+from rowanshift import __version__
+from rowanshift.net.config import Config, ConfigError, load
+from rowanshift.net.service import Service
+
+app = typer.Typer(help="Spreads keys over cache servers before a slow origin.", no_args_is_help=True,
+                  add_completion=False, pretty_exceptions_enable=False)
+
+ConfigPath = Annotated[Path, typer.Option("--config", "-c", envvar="BALANCER_CONFIG",
+                                          help="The configuration, as JSON.")]
+
+
+def loaded(path: Path) -> Config:
+    try:
+        return load(path)
+    except ConfigError as error:
+        typer.echo(f"rowanshift: {error}", err=True)
+        raise typer.Exit(2) from error
+
+
+@app.command()
+def serve(config: ConfigPath, level: Annotated[str, typer.Option(help="What to log.")] = "INFO") -> None:
+    """Run a router until SIGTERM."""
+    settings = loaded(config)
+    logger.remove()
+    logger.add(sys.stderr, level=level.upper(), format="{time:HH:mm:ss.SSS} {level: <7} {message}",
+               backtrace=False, diagnose=False)
+    try:
+        trio.run(Service(settings).run)
+    except OSError as error:
+        typer.echo(f"rowanshift: {error}", err=True)
+        raise typer.Exit(1) from error
+
+
+@app.command()
+def check(config: ConfigPath) -> None:
+    """Read a configuration and say what is in it."""
+    c = loaded(config)
+    typer.echo(f"{c.name}: listens on {c.listen[0]}:{c.listen[1]}; {len(c.names.categories)} categories, "
+               f"{len(c.names.tenants)} tenants, {len(c.known.get('instances', ()))} servers known, "
+               f"{c.settings.routers} routers")
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(__version__)
+
+
+def main() -> None:
+    app()
--- /dev/null
+++ b/rowanshift/net/config.py
@@ -0,0 +1,94 @@
+"""The configuration that a router is started with."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from rowanshift.model import Settings
+from rowanshift.settings import SettingsError, settings_of
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration that can't be used; the text says why."""
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """Positions in the settings by the names that stand on the wire."""
+
+    categories: dict[bytes, int]
+    tenants: dict[bytes, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
+    known: dict[str, Any]
+    settings: Settings
+    names: Names
+    dial_within: float
+    idle_for: float
+    longest: float  # the longest expiry of a category
+
+
+def address_of(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def positions(names: list[str]) -> dict[str, int]:
+    return {name: n for n, name in enumerate(names)}
+
+
+def config_of(data: dict[str, Any]) -> Config:
+    try:
+        raw, limits = data["settings"], data["limits"]
+        categories, tenants = raw["categories"], raw.get("tenants") or ()
+        return Config(
+            name=str(data["name"]),
+            listen=address_of(data["listen"]),
+            discovery=address_of(data["discovery"]),
+            seed=int(data["seed"], 16),
+            sockets=int(limits["sockets"]),
+            peer_listen=address_of(data["peer_listen"]) if data.get("peer_listen") else None,
+            peers=[address_of(text) for text in data.get("peers") or ()],
+            peers_all=address_of(data["peers_all"]) if data.get("peers_all") else None,
+            known=data.get("known") or {"generation": 0, "instances": []},
+            settings=settings_of(raw),
+            names=Names({c["name"].encode(): n for n, c in enumerate(categories)},
+                        {t["name"].encode(): n for n, t in enumerate(tenants)},
+                        positions(raw.get("zones") or []), positions(raw.get("kinds") or [])),
+            dial_within=raw["limits"]["dial_timeout_us"] / 1e6,
+            idle_for=raw["limits"]["conn_idle_us"] / 1e6,
+            longest=max(c["expiry_us"] for c in categories) / 1e6,
+        )
+    except SettingsError as error:
+        raise ConfigError(str(error)) from error
+    except KeyError as error:
+        raise ConfigError(f"the configuration lacks {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"the configuration can't be used: {error}") from error
+
+
+def load(path: Path) -> Config:
+    try:
+        return config_of(orjson.loads(path.read_bytes()))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
--- /dev/null
+++ b/rowanshift/net/discovery.py
@@ -0,0 +1,85 @@
+"""The list of cache servers: as it was known, then a watch of its changes."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import orjson
+import trio
+from loguru import logger
+
+from rowanshift.model import Entry
+from rowanshift.net.config import Address, Names, address_of
+from rowanshift.net.connection import Connection
+
+HEALTH = {"active": "live", "leaving": "quiescing", "left": "dead"}
+SILENCE = 7.0  # an empty line comes every 2 s
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 3.0
+
+
+def entry_of(data: dict[str, Any], names: Names) -> Entry:
+    return Entry(data["instanceId"], data.get("cell") or 0, float(data.get("weight", 1.0)),
+                 names.zones.get(data.get("zone"), 0), HEALTH[data["lifecycle"]],
+                 names.kinds.get(data.get("machineType"), -2), (data.get("startedAtMs") or 0) / 1e3)
+
+
+class Discovery:
+    def __init__(self, address: Address, names: Names, ask: bool, random_: random.Random,
+                 locate: Callable[[str, Address], None],
+                 list_changed: Callable[[str, list[Entry]], None]) -> None:
+        self.address, self.names, self.ask, self.random = address, names, ask, random_
+        self.locate, self.list_changed = locate, list_changed
+        self.generation = 0
+        self.wanted = trio.Event()  # in ask mode the module says when to watch
+        self.pause = FIRST_PAUSE
+        if not ask:
+            self.wanted.set()
+
+    def subscribe(self) -> None:
+        self.wanted.set()
+
+    def learn(self, data: dict[str, Any], scope: str = "") -> None:
+        """Takes in one object of discovery's."""
+        entries = [entry_of(row, self.names) for row in data["instances"]]
+        for row in (row for row in data["instances"] if row.get("hostPort")):
+            self.locate(row["instanceId"], address_of(row["hostPort"]))
+        self.generation = data["generation"]
+        self.list_changed(scope or ("full" if data.get("reset") else "delta"), entries)
+
+    async def run(self) -> None:
+        while True:
+            await self.wanted.wait()
+            try:
+                await self._watch()
+            except (OSError, trio.TooSlowError, h11.ProtocolError, ValueError, TypeError, KeyError) as error:
+                logger.info("the watch of the list broke: {!r}", error)
+            if self.ask:  # the module chooses when to ask again
+                self.wanted = trio.Event()
+                self.list_changed("failed", [])
+            else:
+                await trio.sleep(self.pause * (0.5 + self.random.random()))
+                self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+
+    async def _watch(self) -> None:
+        """Follows one watch to its end, which is always an error."""
+        with trio.socket.socket() as sock:
+            connection = Connection(sock, h11.CLIENT)
+            with trio.fail_after(SILENCE):
+                await sock.connect(self.address)
+                target = f"/api/targets?follow=1&since={self.generation}"
+                host = "{}:{}".format(*self.address)
+                await connection.send(h11.Request(method="GET", target=target, headers=[("Host", host)]), b"")
+                head = await connection.event()
+            if not isinstance(head, h11.Response) or head.status_code != 200:
+                raise ValueError(f"discovery answered {head!r}")
+            rest = b""
+            while True:
+                with trio.fail_after(SILENCE):
+                    event = await connection.event()
+                if not isinstance(event, h11.Data):
+                    raise ValueError("the watch ended")
+                *lines, rest = (rest + event.data).split(b"\n")
+                for line in filter(bytes.strip, lines):
+                    self.learn(orjson.loads(line))
+                    self.pause = FIRST_PAUSE
--- /dev/null
+++ b/rowanshift/net/driver.py
@@ -0,0 +1,110 @@
+"""Owns the ``Router``: calls in as things happen, its ``Results`` out to both sides, and the wake timer."""
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from loguru import logger
+
+from rowanshift.choice import Router
+from rowanshift.model import Answer, Entry, Settings, Verdict
+from rowanshift.net.clock import Clock
+from rowanshift.net.exchange import Exchange, HandOff, Reply
+from rowanshift.net.servers import Servers
+
+WAY_BACK = 0.01  # kept of a work item's time for the answer to reach the client
+STATUS = {Answer.DEFERRED: 503, Answer.WRITTEN_OFF: 502}
+
+
+class Driver:
+    def __init__(self, settings: Settings, seed: int, clock: Clock, servers: Servers) -> None:
+        self.clock, self.servers = clock, servers
+        self.router = Router(settings, seed, clock.now())
+        self.exchanges: dict[int, Exchange] = {}
+        self.tell: Callable[[int | None, bytes], None] = lambda *_: None
+        self.subscribe: Callable[[], None] = lambda: None
+        self.waking = trio.CancelScope()
+        self.wake_at = float("inf")
+        servers.done = self.done
+
+    # calls ------------------------------------------------
+
+    def take(self, exchange: Exchange) -> None:
+        self.exchanges[exchange.id] = exchange
+        exchange.expiry -= WAY_BACK
+        now = self.clock.now()
+        self._call(self.router.take, now, exchange.id, exchange.category, exchange.customer, exchange.key,
+                   exchange.expiry - now, exchange.write)
+
+    def gone(self, exchange: Exchange) -> None:
+        if exchange.end(None):
+            del self.exchanges[exchange.id]
+            self._call(self.router.abandoned, self.clock.now(), exchange.id)
+
+    def done(self, ho: HandOff, verdict: Verdict, remark: int | None, reply: Reply | None) -> None:
+        exchange, now = ho.exchange, self.clock.now()
+        if verdict is Verdict.FINISHED:
+            self._end(exchange.id, reply)
+        self._call(self.router.answered, now, exchange.id, ho.number, ho.server, verdict, now - ho.at,
+                   exchange.ended, remark)
+
+    def list_changed(self, scope: str, entries: list[Entry]) -> None:
+        self._call(self.router.list_changed, self.clock.now(), scope, entries)
+
+    def heard(self, ordinal: int, payload: bytes) -> None:
+        self._call(self.router.heard, self.clock.now(), ordinal, payload)
+
+    async def keep_waking(self) -> None:
+        while True:
+            with trio.CancelScope(deadline=self.clock.deadline(self.wake_at)) as self.waking:
+                await trio.sleep_forever()
+            if self.clock.now() >= self.wake_at:  # else it was set earlier, or came early and would be lost
+                self.wake_at = float("inf")
+                self._call(self.router.woken, self.clock.now())
+
+    # results ----------------------------------------------
+
+    def _call(self, call: Callable[..., None], now: float, *args: Any) -> None:
+        """Makes a call; its failure must not end what the router holds besides."""
+        try:
+            call(now, *args)
+            unsent = self._carry_out(now)
+            while unsent:  # for want of a descriptor
+                for ho in unsent:
+                    self.router.answered(now, ho.exchange.id, ho.number, ho.server, Verdict.MOOT, 0.0,
+                                         ho.exchange.ended, None)
+                unsent = self._carry_out(now)
+        except Exception:
+            logger.exception("a call of the router failed")
+
+    def _carry_out(self, now: float) -> list[HandOff]:
+        """Carries out what has gathered; returns the hand-offs that could not be sent."""
+        results = self.router.drain()
+        unsent = [ho for ho in map(self._hand_off, results.hand_offs) if ho is not None]
+        for id, number in results.withdrawals:
+            self.servers.withdraw(id, number)
+        for id, answer, back in results.answers:
+            self._end(id, Reply(STATUS[answer], retry_after=back if answer is Answer.DEFERRED else 0.0))
+        for ordinal, payload in results.messages:
+            self.tell(ordinal, payload)
+        for line in results.log:
+            logger.info("{}", line)
+        if results.subscribe:
+            self.subscribe()
+        if results.wake is not None:
+            self.wake_at = now + results.wake
+            self.waking.deadline = self.clock.deadline(self.wake_at)
+        return unsent
+
+    def _hand_off(self, wanted: tuple[int, float, str]) -> HandOff | None:
+        """Starts a hand-off; returns it if it could not be."""
+        id, until, server = wanted
+        exchange = self.exchanges[id]
+        number, exchange.hand_offs = exchange.hand_offs, exchange.hand_offs + 1
+        until = min(until or exchange.expiry, exchange.expiry)
+        ho = HandOff(exchange, number, server, self.clock.now(), until)
+        return None if self.servers.hand_off(ho) else ho
+
+    def _end(self, id: int, reply: Reply | None) -> None:
+        if (exchange := self.exchanges.pop(id, None)) is not None:
+            exchange.end(reply)
--- /dev/null
+++ b/rowanshift/net/exchange.py
@@ -0,0 +1,51 @@
+"""A work item between the client and the server side, which meet only here. No I/O."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """A final answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: bytes = b""
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    id: int
+    category: int
+    customer: int
+    key: str | None
+    write: bool
+    expiry: float
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # those that go on to a server as they came
+    body: bytes
+    hand_offs: int = 0
+    ended: bool = False
+    reply: Reply | None = None  # none if the client has gone away
+    wake: Callable[[], None] = field(default=lambda: None)  # set by the side that waits for the end
+
+    def end(self, reply: Reply | None) -> bool:
+        """Ends the work item once; what comes later changes nothing."""
+        if self.ended:
+            return False
+        self.ended, self.reply = True, reply
+        self.wake()
+        return True
+
+
+@dataclass(slots=True, eq=False)
+class HandOff:
+    """One sending of a work item to a server."""
+
+    exchange: Exchange
+    number: int
+    server: str
+    at: float
+    until: float
--- /dev/null
+++ b/rowanshift/net/peers.py
@@ -0,0 +1,48 @@
+"""Datagrams between routers; a sender's address tells its ordinal."""
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+LARGEST = 256
+
+
+class Peers:
+    def __init__(self, sock: trio.socket.SocketType, addresses: list[tuple[str, int]],
+                 everyone: tuple[str, int] | None, heard: Callable[[int, bytes], None]) -> None:
+        self.sock, self.addresses, self.everyone, self.heard = sock, addresses, everyone, heard
+        self.ordinals = {address: n for n, address in enumerate(addresses)}
+        self.outbox, self.inbox = trio.open_memory_channel[tuple[int | None, bytes]](16)
+
+    def tell(self, ordinal: int | None, payload: bytes) -> None:
+        """Sends to one router, or to all; a message may be lost, so a full outbox loses it."""
+        try:
+            self.outbox.send_nowait((ordinal, payload))
+        except trio.WouldBlock:
+            logger.debug("a message to a peer is lost")
+
+    async def send(self) -> None:
+        async for ordinal, payload in self.inbox:
+            address = self.everyone if ordinal is None else self.addresses[ordinal]
+            if address is None or len(payload) > LARGEST:
+                continue
+            try:
+                await self.sock.sendto(payload, address)
+            except OSError as error:
+                logger.debug("to peer {}: {}", ordinal, error)
+
+    async def listen(self) -> None:
+        while True:
+            try:
+                payload, sender = await self.sock.recvfrom(LARGEST + 1)
+            except OSError as error:  # an earlier datagram came back undelivered
+                logger.debug("from peers: {}", error)
+                await trio.sleep(0.01)
+                continue
+            ordinal = self.ordinals.get(sender)
+            if ordinal is not None and len(payload) <= LARGEST:
+                try:
+                    self.heard(ordinal, payload)
+                except Exception:
+                    logger.exception("a message of peer {} failed", ordinal)
--- /dev/null
+++ b/rowanshift/net/ring.py
@@ -0,0 +1,52 @@
+"""A ring buffer of bytes: one a direction a connection."""
+
+CAPACITY = 8192
+
+
+class Ring:
+    __slots__ = ("capacity", "size", "start", "view")
+
+    def __init__(self, capacity: int = CAPACITY) -> None:
+        self.view = memoryview(bytearray(capacity))
+        self.capacity, self.start, self.size = capacity, 0, 0
+
+    def __len__(self) -> int:
+        return self.size
+
+    def space(self) -> memoryview:
+        """The first free run; empty when the ring is full."""
+        end = self.start + self.size
+        if end >= self.capacity:
+            return self.view[end - self.capacity:self.start]
+        return self.view[end:]
+
+    def filled(self, n: int) -> None:
+        """So many bytes have been put into ``space()``."""
+        self.size += n
+
+    def held(self) -> memoryview:
+        """The first run of held bytes."""
+        return self.view[self.start:min(self.start + self.size, self.capacity)]
+
+    def drop(self, n: int) -> None:
+        """So many bytes of ``held()`` are done with."""
+        self.size -= n
+        self.start = (self.start + n) % self.capacity if self.size else 0
+
+    def write(self, data: bytes | memoryview) -> int:
+        """Takes what fits and returns how much."""
+        taken = 0
+        while taken < len(data) and (space := self.space()):
+            n = min(len(space), len(data) - taken)
+            space[:n] = data[taken:taken + n]
+            self.filled(n)
+            taken += n
+        return taken
+
+    def read(self) -> bytes:
+        """Takes out all that is held."""
+        data = bytes(self.held())
+        self.drop(len(data))
+        if self.size:
+            data += self.read()
+        return data
--- /dev/null
+++ b/rowanshift/net/service.py
@@ -0,0 +1,113 @@
+"""The router as a service: its phases from start to exit."""
+
+import gc
+import random
+import resource
+import signal
+import socket
+from enum import Enum
+
+import trio
+from loguru import logger
+
+from rowanshift.net.budget import Budget
+from rowanshift.net.clients import BACKLOG, Clients
+from rowanshift.net.clock import Clock
+from rowanshift.net.config import Config
+from rowanshift.net.discovery import Discovery
+from rowanshift.net.driver import Driver
+from rowanshift.net.peers import Peers
+from rowanshift.net.servers import Servers
+
+ACCEPT_FOR = 0.5  # after SIGTERM: connections go on coming for a while
+
+
+class Phase(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"  # accepts, but closes each connection with its answer
+    FINISHING = "finishing"  # accepts no more, and ends what it has taken
+    STOPPED = "stopped"
+
+
+class Service:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.phase = Phase.STARTING
+
+    def enter(self, phase: Phase) -> None:
+        self.phase = phase
+        logger.info("{} {}", self.config.name, phase.value)
+
+    async def run(self) -> None:
+        config = self.config
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                clock, budget = Clock(), Budget(min(config.sockets, soft))
+                servers = Servers(clock, config.dial_within, config.idle_for, budget, nursery)
+                driver = Driver(config.settings, config.seed, clock, servers)
+                clients = Clients(config.names, driver, clock, budget)
+                discovery = Discovery(config.discovery, config.names, config.settings.ask,
+                                      random.Random(config.seed), servers.locate, driver.list_changed)
+                driver.subscribe = discovery.subscribe
+                discovery.learn(config.known, "cached")
+                nursery.start_soon(driver.keep_waking)
+                nursery.start_soon(discovery.run)
+                await self._meet_peers(nursery, driver)
+                listener = await bound(socket.SOCK_STREAM, config.listen)
+                listener.listen(BACKLOG)
+                accepting = trio.CancelScope()
+                nursery.start_soon(self._accept, accepting, clients, listener)
+                gc.collect()
+                gc.freeze()  # what has been loaded stays
+
+                clients.ready = True
+                self.enter(Phase.SERVING)
+                await anext(signals)
+
+                self.enter(Phase.LEAVING)
+                clients.leaving = True
+                await trio.sleep(ACCEPT_FOR)
+
+                self.enter(Phase.FINISHING)
+                accepting.cancel()
+                await trio.lowlevel.checkpoint()
+                await self._finish(clients, listener, nursery)
+
+                self.enter(Phase.STOPPED)
+                nursery.cancel_scope.cancel()
+
+    async def _accept(self, accepting: trio.CancelScope, clients: Clients,
+                      listener: trio.socket.SocketType) -> None:
+        async with trio.open_nursery() as nursery:
+            with accepting:
+                await clients.accept(listener, nursery)
+
+    async def _finish(self, clients: Clients, listener: trio.socket.SocketType,
+                      nursery: trio.Nursery) -> None:
+        """Takes what the kernel has accepted, closes the listener and what is idle, and ends the rest."""
+        with trio.move_on_after(0.02):
+            await clients.accept(listener, nursery)
+        listener.close()
+        clients.leave()
+        with trio.move_on_after(self.config.longest + 1.0):
+            while clients.budget.clients > 0:
+                await trio.sleep(0.01)
+
+    async def _meet_peers(self, nursery: trio.Nursery, driver: Driver) -> None:
+        config = self.config
+        if config.peer_listen is None:
+            return
+        sock = await bound(socket.SOCK_DGRAM, config.peer_listen)
+        peers = Peers(sock, config.peers, config.peers_all, driver.heard)
+        driver.tell = peers.tell
+        nursery.start_soon(peers.send)
+        nursery.start_soon(peers.listen)
+
+
+async def bound(kind: int, address: tuple[str, int]) -> trio.socket.SocketType:
+    sock = trio.socket.socket(socket.AF_INET, kind)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await sock.bind(address)
+    return sock
--- /dev/null
+++ b/rowanshift/settings.py
@@ -0,0 +1,41 @@
+"""The settings object that every front is given, to the ``Settings`` that the module reads."""
+
+from typing import Any
+
+from rowanshift.model import Category, Semantics, Settings
+
+
+class SettingsError(ValueError):
+    """A settings object that can't be used; the text says why."""
+
+
+def settings_of(data: dict[str, Any]) -> Settings:
+    """The settings that the module reads, in seconds."""
+    try:
+        limits, rules, domain = data["limits"], data["guarantees"], data.get("domain") or {}
+        return Settings(
+            categories=[
+                Category(float(c["credit"]), c["due_time_us"] / 1e6, Semantics(c["semantics"]),
+                         c.get("group") or "", (c.get("window_us") or 0) / 1e6)
+                for c in data["categories"]
+            ],
+            quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
+            routers=max(1, data["replicas_of_me"]),
+            ordinal=data["ordinal"],
+            aside=domain.get("mode") == "aside",
+            origin_kind=domain.get("origin_kind", -1),
+            ask=data["registry_mode"] == "ask",
+            ask_within=rules["ask_within_us"] / 1e6,
+            live_heft=data.get("weight_kind") == "live",
+            peers=bool(limits["peers"]),
+            retry_after=limits["max_retry_after_us"] / 1e6 if limits["retry_after"] else 0.0,
+            max_hand_offs=limits["max_hand_offs"],
+            overload_factor=rules["overload_factor"],
+            overload_for=rules["overload_for_us"] / 1e6,
+            start_share=rules["start_capacity"],
+            warm_within=max(rules["warm_within_us"], 1) / 1e6,
+        )
+    except KeyError as error:
+        raise SettingsError(f"the settings lack {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise SettingsError(f"a setting can't be used: {error}") from error
