Pass on every end-to-end header field, both ways

Checked: a log line of each request as it came showed Idempotency-Key on that write, the mark by which a repeat is known; method, path, body and X-Txn were sent on right, and plain reads went through. At fault: the list of three passed-on fields in net/clients.py. Now all but hop-by-hop fields, and those that Connection names, go on; so do those of a server's answer.

--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -10,17 +10,17 @@
 from rowanshift.net.budget import Budget
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import Names
-from rowanshift.net.connection import Connection, Oversize
+from rowanshift.net.connection import Connection, Oversize, end_to_end
 from rowanshift.net.exchange import Exchange, Reply
 
 READY = b"/-/ready"
+LEFT = b"x-remaining-ms"
 IDLE_FOR = 120.0  # seconds that a client's connection may stand idle
 REQUEST_WITHIN = 10.0  # a request's first byte to its last
 REPLY_WITHIN = 10.0
 OVERDUE = 0.03  # after the expiry
 LONGEST_LEFT_MS = 3_600_000
 BACKLOG = 1024
-PASSED_ON = (b"x-txn", b"host", b"content-type")
 
 
 class BadRequest(Exception):
@@ -49,12 +49,12 @@
     customer = names.tenants.get(fields.get(b"x-org")) if names.tenants else 0
     if customer is None:
         raise BadRequest(400, "unknown tenant")
-    left = fields.get(b"x-remaining-ms", b"")
+    left = fields.get(LEFT, b"")
     if not left.isdigit() or len(left) > 9 or int(left) > LONGEST_LEFT_MS:
         raise BadRequest(400, "X-Remaining-Ms is no whole number of milliseconds")
     key = unquote(rest[-1].decode("ascii")) if rest and rest[-1] else None
     return Exchange(id, position, customer, key, head.method == b"PUT", now + int(left) / 1000, head.method,
-                    head.target, [(n, v) for n, v in head.headers if n in PASSED_ON], body)
+                    head.target, [field for field in end_to_end(head) if field[0] != LEFT], body)
 
 
 class Clients:
@@ -185,9 +185,7 @@
 
     async def _send(self, connection: Connection, reply: Reply, keep: bool = True) -> bool:
         keep = keep and not self.leaving
-        headers: list[tuple[bytes, bytes]] = [(b"Content-Length", str(len(reply.body)).encode())]
-        if reply.content_type:
-            headers.append((b"Content-Type", reply.content_type))
+        headers = [*reply.headers, (b"Content-Length", str(len(reply.body)).encode())]
         if reply.retry_after:
             headers.append((b"Retry-After", f"{reply.retry_after:.3f}".encode()))
         if not keep:
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -9,12 +9,24 @@
 LARGEST_BODY = 64 * 1024
 
 Head = h11.Request | h11.Response
+Fields = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset([b"connection", b"content-length", b"expect", b"keep-alive", b"proxy-authenticate",
+                        b"proxy-authorization", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                        b"upgrade"])
 
 
 class Oversize(Exception):
     """A body larger than a message may hold."""
 
 
+def end_to_end(head: Head) -> Fields:
+    """The fields that go on as they came, among them the mark by which a repeat is known."""
+    named = {name.strip().lower() for field, value in head.headers if field == b"connection"
+             for name in value.split(b",")}
+    return [(name, value) for name, value in head.headers if name not in HOP_BY_HOP and name not in named]
+
+
 class Connection:
     def __init__(self, sock: trio.socket.SocketType, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.sock = sock
--- a/rowanshift/net/exchange.py
+++ b/rowanshift/net/exchange.py
@@ -10,7 +10,7 @@
 
     status: int
     body: bytes = b""
-    content_type: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)  # those of a server's answer
     retry_after: float = 0.0
 
 
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -11,7 +11,7 @@
 from rowanshift.model import Verdict
 from rowanshift.net.budget import Budget
 from rowanshift.net.clock import Clock
-from rowanshift.net.connection import Connection, Oversize
+from rowanshift.net.connection import Connection, Oversize, end_to_end
 from rowanshift.net.exchange import HandOff, Reply
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -161,9 +161,8 @@
                 message = await connection.message()
                 if message is not None:
                     head, body = message
-                    fields = dict(head.headers)
-                    reply = Reply(head.status_code, body, fields.get(b"content-type", b""))
-                    return verdict_of(head), REMARKS.get(fields.get(b"x-found")), reply
+                    remark = REMARKS.get(dict(head.headers).get(b"x-found"))
+                    return verdict_of(head), remark, Reply(head.status_code, body, end_to_end(head))
             except Oversize:
                 return Verdict.ERROR, None, None
             except (OSError, h11.ProtocolError) as error:
