--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -30,15 +30,15 @@
 @app.command()
 def serve(config: ConfigPath, level: Annotated[str, typer.Option(help="What to log.")] = "INFO") -> None:
     """Run a router until SIGTERM."""
-    settings = loaded(config)
+    loaded_config = loaded(config)
     logger.remove()
     logger.add(sys.stderr, level=level.upper(), format="{time:HH:mm:ss.SSS} {level: <7} {message}",
                backtrace=False, diagnose=False)
     try:
-        trio.run(Service(settings).run)
-    except OSError as error:
-        typer.echo(f"rowanshift: {error}", err=True)
-        raise typer.Exit(1) from error
+        trio.run(Service(loaded_config).run)
+    except* OSError as group:
+        typer.echo(f"rowanshift: {group.exceptions[0]}", err=True)
+        raise typer.Exit(1) from group
 
 
 @app.command()
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -1,5 +1,6 @@
 """The client side: the listener, requests to exchanges, final answers, and clients that go away."""
 
+from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import unquote
 
@@ -20,6 +21,7 @@
 REPLY_WITHIN = 10.0
 OVERDUE = 0.03  # after the expiry
 LONGEST_LEFT_MS = 3_600_000
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 BACKLOG = 1024
 
 
@@ -64,7 +66,6 @@
         self.ready = False  # whether to say so to those who ask
         self.leaving = False  # answers close their connections
         self.idle: dict[Connection, trio.CancelScope] = {}  # the longest idle first
-        self.quiet = trio.Event()  # no connection is left
         budget.reclaim.append(self.drop_idle)
 
     # the listener -----------------------------------------
@@ -115,8 +116,6 @@
             sock.close()
             self.idle.pop(connection, None)
             self.budget.give_client()
-            if self.budget.clients <= 0:
-                self.quiet.set()
 
     async def _more(self, connection: Connection) -> bool:
         """Waits for the first bytes of a request, for as long as the connection may stand idle."""
@@ -191,5 +190,7 @@
         if not keep:
             headers.append((b"Connection", b"close"))
         with trio.move_on_after(REPLY_WITHIN) as scope:
-            await connection.send(h11.Response(status_code=reply.status, headers=headers), reply.body)
+            reason = REASONS.get(reply.status, b"")
+            await connection.send(h11.Response(status_code=reply.status, reason=reason, headers=headers),
+                                  reply.body)
         return not scope.cancelled_caught and connection.renew()
--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -1,6 +1,7 @@
 """The configuration that a router is started with."""
 
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
@@ -46,9 +47,13 @@
 
 def address_of(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"no address: {text!r}")
-    return host.strip("[]"), int(port)
+    try:
+        address = str(IPv4Address(host)), int(port)
+    except ValueError:
+        address = host, 0
+    if not 0 < address[1] < 65536:
+        raise ValueError(f"no IPv4 address with a port: {text!r}")
+    return address
 
 
 def positions(names: list[str]) -> dict[str, int]:
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -33,6 +33,7 @@
         self.generation = 0
         self.wanted = trio.Event()  # in ask mode the module says when to watch
         self.pause = FIRST_PAUSE
+        self.broken = False
         if not ask:
             self.wanted.set()
 
@@ -53,7 +54,10 @@
             try:
                 await self._watch()
             except (OSError, trio.TooSlowError, h11.ProtocolError, ValueError, TypeError, KeyError) as error:
-                logger.info("the watch of the list broke: {!r}", error)
+                if not self.broken:  # one line an outage
+                    logger.info("the watch of the list broke after generation {}: {}", self.generation,
+                                str(error) or type(error).__name__)
+                self.broken = True
             if self.ask:  # the module chooses when to ask again
                 self.wanted = trio.Event()
                 self.list_changed("failed", [])
@@ -73,6 +77,9 @@
                 head = await connection.event()
             if not isinstance(head, h11.Response) or head.status_code != 200:
                 raise ValueError(f"discovery answered {head!r}")
+            if self.broken:
+                logger.info("the list is watched again")
+            self.broken = False
             rest = b""
             while True:
                 with trio.fail_after(SILENCE):
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -91,7 +91,7 @@
             await clients.accept(listener, nursery)
         listener.close()
         clients.leave()
-        with trio.move_on_after(self.config.longest + 1.0):
+        with trio.move_on_after(self.config.longest + 0.1):  # SIGKILL may come soon after
             while clients.budget.clients > 0:
                 await trio.sleep(0.01)
 
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,391 @@
+"""The network side, piece by piece; sockets are pairs within the process."""
+
+import socket
+
+import h11
+import pytest
+import trio
+from helpers import entry, settings
+
+from rowanshift.model import Verdict
+from rowanshift.net.budget import CLIENTS, OWN, Budget
+from rowanshift.net.clients import BadRequest, Clients, exchange_of
+from rowanshift.net.clock import Clock
+from rowanshift.net.config import ConfigError, Names, config_of
+from rowanshift.net.connection import Connection, Oversize, end_to_end
+from rowanshift.net.discovery import entry_of
+from rowanshift.net.driver import Driver
+from rowanshift.net.exchange import Exchange, HandOff, Reply
+from rowanshift.net.peers import Peers
+from rowanshift.net.ring import Ring
+from rowanshift.net.servers import Servers, verdict_of
+
+NAMES = Names({b"read": 0, b"write": 1}, {b"demo": 0, b"other": 1}, {"here": 0, "there": 1},
+              {"cache": 0, "origin": 1})
+FIELDS = {"Host": "a", "X-Txn": "1", "X-Lane": "read", "X-Org": "other", "X-Remaining-Ms": "480"}
+
+
+def exchange(expiry: float, body: bytes = b"", method: bytes = b"GET") -> Exchange:
+    return Exchange(1, 0, 0, "k", method == b"PUT", expiry, method, b"/read/k", [(b"host", b"a")], body)
+
+
+def hand_off(clock: Clock, left: float, *request: bytes) -> HandOff:
+    until = clock.now() + left
+    return HandOff(exchange(until, *request), 0, "s", clock.now(), until)
+
+
+# ring -------------------------------------------------------
+
+
+@pytest.mark.parametrize("sizes", [[8], [3, 5], [7, 7, 7], [1] * 20])
+def test_a_ring_gives_back_what_it_took_in_order(sizes):
+    ring, sent, got = Ring(8), b"", b""
+    for n, size in enumerate(sizes):
+        data = bytes([n]) * size
+        assert ring.write(data) == size
+        sent, got = sent + data, got + bytes(ring.held()[:1])
+        ring.drop(1)
+        if len(ring) + 7 > 8:
+            got += ring.read()
+    assert got + ring.read() == sent
+
+
+def test_a_full_ring_takes_what_fits():
+    ring = Ring(8)
+    ring.write(b"abcdef")
+    ring.drop(4)
+    assert ring.write(b"0123456789") == 6 and not ring.space() and ring.read() == b"ef012345"
+
+
+# messages ---------------------------------------------------
+
+
+def pair() -> tuple[trio.socket.SocketType, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
+        return trio.socket.from_stdlib_socket(listener.accept()[0]), theirs
+
+
+@pytest.mark.parametrize(("sent", "body"), [
+    (b"Content-Length: 3\r\n\r\nabc", b"abc"),
+    (b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", b"abc"),
+    (b"Content-Length: 65536\r\n\r\n" + bytes(65536), bytes(65536)),
+    (b"Content-Length: 65537\r\n\r\n" + bytes(65537), Oversize),
+    (b"Content-Length: 9\r\n\r\nabc", h11.RemoteProtocolError),
+    (b"X: " + bytes(20000), h11.RemoteProtocolError),
+])
+def test_a_message_is_read_whole_or_not_at_all(sent, body):
+    async def main():
+        ours, theirs = pair()
+        with ours, theirs:
+            connection = Connection(ours, h11.SERVER)
+            theirs.sendall(b"PUT /write/k HTTP/1.1\r\nHost: a\r\n" + sent)
+            theirs.shutdown(socket.SHUT_WR)
+            return (await connection.message())[1]
+
+    if isinstance(body, bytes):
+        assert trio.run(main) == body
+    else:
+        with pytest.raises(body):
+            trio.run(main)
+
+
+def test_fields_of_one_hop_stay_there_and_marks_of_repeats_go_on():
+    # guards against ticketed writes sent on without their mark
+    head = h11.Request(method="PUT", target="/", headers=[
+        ("Host", "a"), ("Idempotency-Key", "m"), ("Connection", "close, X-Own"), ("X-Own", "1"), ("TE", "x")])
+    assert end_to_end(head) == [(b"host", b"a"), (b"idempotency-key", b"m")]
+
+
+@pytest.mark.parametrize(("change", "target", "method", "status"), [
+    ({}, "/read/k", "POST", 405),
+    ({"X-Txn": ""}, "/read/k", "GET", 400),
+    ({"X-Lane": "write"}, "/read/k", "GET", 400),
+    ({"X-Lane": "nope"}, "/nope/k", "GET", 400),
+    ({"X-Org": "nobody"}, "/read/k", "GET", 400),
+    ({"X-Remaining-Ms": "-5"}, "/read/k", "GET", 400),
+    ({"X-Remaining-Ms": "1e3"}, "/read/k", "GET", 400),
+    ({"X-Remaining-Ms": "9" * 400}, "/read/k", "GET", 400),
+])
+def test_bad_requests_are_told_so(change, target, method, status):
+    head = h11.Request(method=method, target=target, headers=list((FIELDS | change).items()))
+    with pytest.raises(BadRequest) as caught:
+        exchange_of(1, head, b"", NAMES, 100.0)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize(("target", "key"), [("/read/a%20b?x=1", "a b"), ("/read", None), ("/read/o/k", "k")])
+def test_a_request_is_a_work_item(target, key):
+    head = h11.Request(method="GET", target=target, headers=list(FIELDS.items()))
+    got = exchange_of(1, head, b"", NAMES, 100.0)
+    assert (got.category, got.customer, got.key, got.write, got.expiry) == (0, 1, key, False, 100.48)
+
+
+@pytest.mark.parametrize(("status", "fields", "verdict"), [
+    (200, [], Verdict.FINISHED), (404, [], Verdict.MISS), (500, [], Verdict.ERROR), (302, [], Verdict.ERROR),
+    (503, [], Verdict.ERROR), (503, [("X-Turned-Away", "1")], Verdict.FULL),
+    (504, [("X-Turned-Away", "1")], Verdict.FULL), (500, [("X-Turned-Away", "1")], Verdict.ERROR),
+])
+def test_an_answer_is_a_verdict(status, fields, verdict):
+    assert verdict_of(h11.Response(status_code=status, headers=fields)) is verdict
+
+
+# hand-offs --------------------------------------------------
+
+
+class Far:
+    """A server of one socket, and what the server side tells of hand-offs to it."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.told: list[Verdict] = []
+
+    def servers(self, nursery: trio.Nursery, clock: Clock) -> Servers:
+        servers = Servers(clock, 0.2, 60.0, Budget(100), nursery)
+        servers.locate("s", self.address)
+        servers.done = lambda ho, verdict, remark, reply: self.told.append(verdict)
+        return servers
+
+    async def until_told(self, n: int) -> list[Verdict]:
+        with trio.fail_after(2):
+            while len(self.told) < n:
+                await trio.sleep(0.005)
+        return self.told
+
+
+@pytest.mark.parametrize(("answer", "verdict"), [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Verdict.FINISHED),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", Verdict.RESET),
+    (b"nonsense\r\n\r\n", Verdict.RESET),
+    (b"", Verdict.RESET),
+    (None, Verdict.TIMED_OUT),
+])
+def test_what_comes_back_of_a_written_hand_off(answer, verdict):
+    async def main():
+        far, clock = Far(), Clock()
+        async with trio.open_nursery() as nursery:
+            servers = far.servers(nursery, clock)
+            servers.hand_off(hand_off(clock, 0.3))
+            await trio.sleep(0.05)
+            server, _ = far.listener.accept()
+            with server:
+                server.recv(4096)
+                if answer is not None:
+                    server.sendall(answer)
+                    server.shutdown(socket.SHUT_WR)
+                told = await far.until_told(1)
+            nursery.cancel_scope.cancel()
+            return told
+
+    assert trio.run(main) == [verdict]
+
+
+@pytest.mark.parametrize("body", [b"", bytes(60000)])
+def test_what_was_not_written_can_not_have_run(body):
+    # a connection refused, or broken before the last byte was written, must leave an exclusive one free to go
+    async def main():
+        far, clock = Far(), Clock()
+        if not body:
+            far.listener.close()
+        async with trio.open_nursery() as nursery:
+            servers = far.servers(nursery, clock)
+            servers.hand_off(hand_off(clock, 1.0, body * 1000, b"PUT"))
+            if body:
+                await trio.sleep(0.05)
+                far.listener.accept()[0].close()
+            told = await far.until_told(1)
+            nursery.cancel_scope.cancel()
+            return told
+
+    assert trio.run(main) == [Verdict.UNREACHABLE]
+
+
+@pytest.mark.parametrize(("ends", "connections"), [(False, 1), (True, 2)])
+def test_an_idle_connection_is_used_again_unless_the_server_ended_it(ends, connections):
+    async def main():
+        far, clock = Far(), Clock()
+        async with trio.open_nursery() as nursery:
+            servers, seen = far.servers(nursery, clock), []
+            for n in (1, 2):
+                servers.hand_off(hand_off(clock, 1.0))
+                await trio.sleep(0.05)
+                if n == 1 or ends:
+                    seen.append(far.listener.accept()[0])
+                seen[-1].recv(4096)
+                seen[-1].sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+                await far.until_told(n)
+                if ends:
+                    seen[-1].close()  # told to the loop only after the next hand-off
+            nursery.cancel_scope.cancel()
+            return far.told, len(seen)
+
+    assert trio.run(main) == ([Verdict.MISS] * 2, connections)
+
+
+def test_a_withdrawn_hand_off_ends_once_with_its_connection():
+    async def main():
+        far, clock = Far(), Clock()
+        async with trio.open_nursery() as nursery:
+            servers = far.servers(nursery, clock)
+            servers.hand_off(hand_off(clock, 1.0))
+            await trio.sleep(0.05)
+            servers.withdraw(1, 0)
+            servers.withdraw(1, 0)
+            await far.until_told(1)
+            server, _ = far.listener.accept()
+            server.recv(4096)
+            await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+            return far.told, server.recv(1), servers.budget.servers
+
+    assert trio.run(main) == ([Verdict.WITHDRAWN], b"", 0)
+
+
+def test_without_a_descriptor_a_hand_off_is_refused_and_the_work_item_answered():
+    async def main():
+        clock, budget = Clock(), Budget(OWN + 8)
+        budget.servers = 8
+        async with trio.open_nursery() as nursery:
+            servers = Servers(clock, 0.2, 60.0, budget, nursery)
+            driver = Driver(settings(), 7, clock, servers)
+            driver.list_changed("cached", [entry(0), entry("origin")])
+            wi = exchange(clock.now() + 1)
+            driver.take(wi)
+            return wi.reply.status, driver.exchanges
+
+    assert trio.run(main) == (503, {})
+
+
+# clients ----------------------------------------------------
+
+
+class Deciding:
+    """Answers every work item as it is told to."""
+
+    def __init__(self, reply: Reply | None) -> None:
+        self.reply, self.left = reply, []
+
+    def take(self, exchange: Exchange) -> None:
+        if self.reply is not None:
+            exchange.end(self.reply)
+
+    def gone(self, exchange: Exchange) -> None:
+        self.left.append(exchange.id)
+
+
+REQUEST = "\r\n".join(["GET /read/k HTTP/1.1", *map(": ".join, FIELDS.items()), "", ""]).encode()
+TOO_LONG = REQUEST.replace(b"GET", b"PUT")[:-2] + b"Content-Length: 70000\r\n\r\n" + bytes(70000)
+
+
+@pytest.mark.parametrize(("sent", "leaving", "starts", "has"), [
+    (REQUEST, False, [b"HTTP/1.1 503 "], b"Retry-After: 0.250"),
+    (REQUEST * 3, False, [b"HTTP/1.1 503 "] * 3, b"Content-Length: 0"),
+    (REQUEST * 2, True, [b"HTTP/1.1 503 "], b"Connection: close"),
+    (b"nonsense\r\n\r\n", False, [b"HTTP/1.1 400 "], b"Connection: close"),
+    (REQUEST.replace(b"480", b"x") + REQUEST, False, [b"HTTP/1.1 400 ", b"HTTP/1.1 503 "], b"-Ms is no"),
+    (TOO_LONG, False, [b"HTTP/1.1 413 "], b"Connection: close"),
+])
+def test_clients_get_one_answer_a_request(sent, leaving, starts, has):
+    async def main():
+        ours, theirs = pair()
+        clients = Clients(NAMES, Deciding(Reply(503, retry_after=0.25)), Clock(), Budget(100))
+        clients.leaving = leaving
+        clients.budget.clients = 1
+        theirs.sendall(sent)
+        theirs.shutdown(socket.SHUT_WR)
+        with trio.fail_after(2):
+            await clients.serve(ours)
+        return theirs.recv(9999)
+
+    got = trio.run(main)
+    assert got.count(b"HTTP/1.1 ") == len(starts) and has in got
+    assert all(start in got for start in starts)
+
+
+@pytest.mark.parametrize(("closes", "left"), [(True, [1]), (False, [1])])
+def test_a_client_that_goes_or_outwaits_its_expiry_is_told_of_once(closes, left):
+    async def main():
+        ours, theirs = pair()
+        deciding = Deciding(None)
+        clients = Clients(NAMES, deciding, Clock(), Budget(100))
+        theirs.sendall(REQUEST.replace(b"480", b"60"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients.serve, ours)
+            await trio.sleep(0.02)
+            if closes:
+                theirs.close()
+            await trio.sleep(0.15)
+            nursery.cancel_scope.cancel()
+        return deciding.left
+
+    assert trio.run(main) == left
+
+
+def test_idle_connections_of_servers_go_first_when_descriptors_are_short():
+    budget, closed = Budget(OWN + 10), []
+    for name, has in (("server", [1]), ("client", [1, 1])):
+        budget.reclaim.append(lambda name=name, has=has: bool(has) and (has.pop(), closed.append(name)) != ())
+    budget.servers = 10
+    assert [budget.take_server() for _ in range(4)] == [True, True, True, False]
+    assert closed == ["server", "client", "client"] and CLIENTS < 1
+
+
+# what a router is told --------------------------------------
+
+
+def test_a_list_entry_goes_by_positions():
+    row = {"instanceId": "s-1", "hostPort": "127.0.0.1:1", "zone": "there", "machineType": "origin",
+           "cell": 3, "lifecycle": "leaving", "weight": 1.5, "startedAtMs": 1500}
+    got = entry_of(row, NAMES)
+    assert (got.server, got.cell, got.heft, got.zone, got.health, got.kind, got.came_up) == (
+        "s-1", 3, 1.5, 1, "quiescing", 1, 1.5)
+
+
+@pytest.mark.parametrize(("payload", "sender", "heard"), [
+    (b"x" * 256, 0, True), (b"x" * 257, 0, False), (b"x", 1, False)])
+def test_peers_are_known_by_their_address(payload, sender, heard):
+    async def main():
+        socks = [trio.socket.socket(type=socket.SOCK_DGRAM) for _ in range(3)]
+        for sock in socks:
+            await sock.bind(("127.0.0.1", 0))
+        got = []
+        peers = Peers(socks[2], [socks[0].getsockname()], None, lambda n, data: got.append((n, data)))
+        with trio.move_on_after(0.05):
+            await socks[sender].sendto(payload, socks[2].getsockname())
+            await peers.listen()
+        return got
+
+    assert trio.run(main) == ([(0, payload)] if heard else [])
+
+
+RAW = {"categories": [{"name": "read", "semantics": "safe", "credit": 1, "due_time_us": 6, "expiry_us": 9}],
+       "registry_mode": "push", "replicas_of_me": 1, "ordinal": 0,
+       "limits": {"peers": False, "retry_after": False, "max_hand_offs": 6, "dial_timeout_us": 250000,
+                  "conn_idle_us": 60000000},
+       "guarantees": {"ask_within_us": 1, "overload_factor": 4.0, "overload_for_us": 1, "start_capacity": 0.1,
+                      "warm_within_us": 1}}
+GOOD = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5eed",
+        "limits": {"sockets": 64}, "settings": RAW}
+
+
+@pytest.mark.parametrize(("part", "name", "value", "says"), [
+    (GOOD, "settings", None, "can't be used"), (GOOD, "seed", "zz", "can't be used"),
+    (GOOD, "listen", "nowhere", "no IPv4 address"), (GOOD, "listen", "::1:80", "no IPv4 address"),
+    (GOOD, "discovery", "127.0.0.1:65536", "no IPv4 address"), (GOOD, "peers", ["a:1"], "no IPv4 address"),
+    (RAW, "limits", {"peers": False}, "lack 'retry_after'"), (RAW, "categories", [], "can't be used"),
+])
+def test_a_bad_configuration_is_one_message(part, name, value, says, monkeypatch):
+    assert config_of(GOOD).seed == 0x5eed
+    monkeypatch.setitem(part, name, value)
+    with pytest.raises(ConfigError, match=says):
+        config_of(GOOD)
+
+
+def test_the_clock_is_unix_time_and_keeps_deadlines():
+    async def main():
+        clock = Clock()
+        return clock.deadline(clock.now() + 1) - trio.current_time()
+
+    assert trio.run(main) == pytest.approx(1, abs=0.01)
