--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,31 +1,46 @@
 """The network side, piece by piece; sockets are pairs within the process."""
 
+import os
+import random
+import signal
 import socket
 import time
 
 import h11
+import orjson
 import pytest
 import trio
 from helpers import entry, settings
 
-from rowanshift.model import Verdict
+from rowanshift.model import Results, Verdict
 from rowanshift.net.budget import CLIENTS, OWN, Budget
 from rowanshift.net.clients import BadRequest, Clients, exchange_of
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import ConfigError, Names, config_of
 from rowanshift.net.connection import Connection, Oversize, end_to_end
-from rowanshift.net.discovery import entry_of
+from rowanshift.net.discovery import Discovery, entry_of
 from rowanshift.net.driver import Driver
 from rowanshift.net.exchange import Exchange, HandOff, Reply
 from rowanshift.net.peers import Peers
 from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers, verdict_of
+from rowanshift.net.service import Phase, Service
 
 NAMES = Names({b"read": 0, b"write": 1}, {b"demo": 0, b"other": 1}, {"here": 0, "there": 1},
               {"cache": 0, "origin": 1})
 FIELDS = {"Host": "a", "X-Txn": "1", "X-Lane": "read", "X-Org": "other", "X-Remaining-Ms": "480"}
 
 
+RAW = {"categories": [{"name": "read", "semantics": "safe", "credit": 1, "due_time_us": 6, "expiry_us": 9}],
+       "registry_mode": "push", "replicas_of_me": 1, "ordinal": 0,
+       "limits": {"peers": False, "retry_after": False, "max_hand_offs": 6, "dial_timeout_us": 250000,
+                  "conn_idle_us": 60000000},
+       "guarantees": {"ask_within_us": 1, "overload_factor": 4.0, "overload_for_us": 1, "start_capacity": 0.1,
+                      "warm_within_us": 1}}
+GOOD = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5eed",
+        "limits": {"sockets": 64}, "settings": RAW}
+
+
 def exchange(expiry: float, body: bytes = b"", method: bytes = b"GET") -> Exchange:
     return Exchange(1, 0, 0, "k", method == b"PUT", expiry, method, b"/read/k", [(b"host", b"a")], body)
 
@@ -432,6 +447,119 @@
         "s-1", 3, 1.5, 1, "quiescing", 1, 1.5)
 
 
+def line(generation: int, reset: bool, lifecycle: str) -> bytes:
+    row = {"instanceId": "s", "hostPort": "127.0.0.1:9", "zone": "here", "machineType": "cache", "cell": 0,
+           "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+    return orjson.dumps({"generation": generation, "reset": reset, "instances": [row]}) + b"\n"
+
+
+@pytest.mark.parametrize(("ask", "scopes"), [
+    (False, [("full", "live"), ("delta", "quiescing"), ("delta", "dead")]),
+    (True, [("full", "live"), ("delta", "quiescing"), ("failed", "")]),
+])
+def test_a_watch_goes_on_where_it_broke_and_in_ask_mode_tells_of_it(ask, scopes):
+    async def main():
+        got, asked = [], []
+        sock = trio.socket.socket()
+        await sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        whole = line(41, True, "active")
+        answers = [[b"\n" + whole[:30], whole[30:] + line(43, False, "leaving")], [line(44, False, "left")]]
+
+        async def agent():
+            for chunks in answers:
+                peer, _ = await sock.accept()
+                with peer:
+                    asked.append((await peer.recv(4096)).split()[1])
+                    await peer.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    for chunk in chunks:
+                        await peer.send(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+                        await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            servers = Servers(Clock(), 0.2, 60.0, Budget(100), nursery)
+            discovery = Discovery(sock.getsockname(), NAMES, ask, random.Random(1), servers,
+                                  lambda scope, rows: got.append((scope, rows[0].health if rows else "")))
+            nursery.start_soon(agent)
+            nursery.start_soon(discovery.run)
+            await trio.sleep(0.05)
+            before = list(asked)
+            discovery.subscribe()
+            with trio.move_on_after(1):
+                while len(got) < len(scopes):
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        return got, before, asked, servers.addresses
+
+    got, before, asked, addresses = trio.run(main)
+    assert got == scopes and addresses == {"s": ("127.0.0.1", 9)}
+    first, second = b"/api/targets?follow=1&since=0", b"/api/targets?follow=1&since=43"
+    assert (before, asked) == (([], [first]) if ask else ([first], [first, second]))
+
+
+class Waking:
+    """Stands for the module: wants to be woken, sooner the second time."""
+
+    def __init__(self) -> None:
+        self.waits, self.woken_at = [0.2, 0.03], []
+
+    def drain(self) -> Results:
+        return Results(wake=self.waits.pop(0) if self.waits else None)
+
+    def heard(self, *_) -> None:
+        pass
+
+    def woken(self, now: float) -> None:
+        self.woken_at.append(now)
+
+
+def test_the_module_is_woken_in_time_and_never_early():
+    # a wake that came early would find nothing due, and the module would not be woken again
+    async def main():
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            servers = Servers(clock, 0.2, 60.0, Budget(100), nursery)
+            driver = Driver(settings(), 7, clock, servers)
+            driver.router = Waking()
+            nursery.start_soon(driver.keep_waking)
+            await trio.sleep(0.01)
+            start = clock.now()
+            driver.heard(0, b"")
+            driver.heard(0, b"")
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return [at - start for at in driver.router.woken_at]
+
+    (woken,) = trio.run(main)
+    assert 0.03 <= woken < 0.06
+
+
+def test_after_sigterm_what_was_taken_is_answered_and_no_more_accepted():
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        config = config_of(GOOD | {"listen": "{}:{}".format(*address)})
+        service, start = Service(config), trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.run)
+            while service.phase is not Phase.SERVING:
+                await trio.sleep(0.01)
+            idle, asking = (trio.socket.socket() for _ in range(2))
+            await idle.connect(address)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.sleep(0.1)
+            await asking.connect(address)
+            await asking.send(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            answer = await asking.recv(999)
+            ended = await idle.recv(1)
+            with pytest.raises(ConnectionRefusedError):
+                await trio.socket.socket().connect(address)
+        return answer, ended, service.phase, trio.current_time() - start < 1.5
+
+    answer, *rest = trio.run(main)
+    assert b"Connection: close" in answer and rest == [b"", Phase.STOPPED, True]
+
+
 @pytest.mark.parametrize(("payload", "sender", "heard"), [
     (b"x" * 256, 0, True), (b"x" * 257, 0, False), (b"x", 1, False)])
 def test_peers_are_known_by_their_address(payload, sender, heard):
@@ -449,16 +577,6 @@
     assert trio.run(main) == ([(0, payload)] if heard else [])
 
 
-RAW = {"categories": [{"name": "read", "semantics": "safe", "credit": 1, "due_time_us": 6, "expiry_us": 9}],
-       "registry_mode": "push", "replicas_of_me": 1, "ordinal": 0,
-       "limits": {"peers": False, "retry_after": False, "max_hand_offs": 6, "dial_timeout_us": 250000,
-                  "conn_idle_us": 60000000},
-       "guarantees": {"ask_within_us": 1, "overload_factor": 4.0, "overload_for_us": 1, "start_capacity": 0.1,
-                      "warm_within_us": 1}}
-GOOD = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5eed",
-        "limits": {"sockets": 64}, "settings": RAW}
-
-
 @pytest.mark.parametrize(("part", "name", "value", "says"), [
     (GOOD, "settings", None, "can't be used"), (GOOD, "seed", "zz", "can't be used"),
     (GOOD, "listen", "nowhere", "no IPv4 address"), (GOOD, "listen", "::1:80", "no IPv4 address"),
