--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -7,10 +7,11 @@
 
 import orjson
 
-from rowanshift.model import Settings
+from rowanshift.model import Entry, Settings
 from rowanshift.settings import SettingsError, settings_of
 
 Address = tuple[str, int]
+HEALTH = {"active": "live", "leaving": "quiescing", "left": "dead"}
 
 
 class ConfigError(Exception):
@@ -56,6 +57,17 @@
     return address
 
 
+def entry_of(row: dict[str, Any], names: Names) -> Entry:
+    """One entry of a list. Zones and kinds that the settings lack get positions of their own: servers of
+    two zones must not pass for one group."""
+    if (health := HEALTH.get(row["lifecycle"])) is None:
+        raise ValueError(f"unknown lifecycle {row['lifecycle']!r}")
+    zone, kind = row.get("zone"), row.get("machineType")
+    return Entry(row["instanceId"], row.get("cell") or 0, float(row.get("weight", 1.0)),
+                 names.zones.setdefault(zone, len(names.zones)), health,
+                 names.kinds.setdefault(kind, len(names.kinds)), (row.get("startedAtMs") or 0) / 1e3)
+
+
 def positions(names: list[str]) -> dict[str, int]:
     return {name: n for n, name in enumerate(names)}
 
@@ -64,6 +76,12 @@
     try:
         raw, limits = data["settings"], data["limits"]
         categories, tenants = raw["categories"], raw.get("tenants") or ()
+        names = Names({c["name"].encode(): n for n, c in enumerate(categories)},
+                      {t["name"].encode(): n for n, t in enumerate(tenants)},
+                      positions(raw.get("zones") or []), positions(raw.get("kinds") or []))
+        known = data.get("known") or {"generation": 0, "instances": []}
+        for row in known["instances"]:
+            entry_of(row, names), address_of(row["hostPort"])
         return Config(
             name=str(data["name"]),
             listen=address_of(data["listen"]),
@@ -73,11 +91,9 @@
             peer_listen=address_of(data["peer_listen"]) if data.get("peer_listen") else None,
             peers=[address_of(text) for text in data.get("peers") or ()],
             peers_all=address_of(data["peers_all"]) if data.get("peers_all") else None,
-            known=data.get("known") or {"generation": 0, "instances": []},
+            known={"generation": int(known["generation"]), "instances": known["instances"]},
             settings=settings_of(raw),
-            names=Names({c["name"].encode(): n for n, c in enumerate(categories)},
-                        {t["name"].encode(): n for n, t in enumerate(tenants)},
-                        positions(raw.get("zones") or []), positions(raw.get("kinds") or [])),
+            names=names,
             dial_within=raw["limits"]["dial_timeout_us"] / 1e6,
             idle_for=raw["limits"]["conn_idle_us"] / 1e6,
             longest=max(c["expiry_us"] for c in categories) / 1e6,
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -10,21 +10,15 @@
 from loguru import logger
 
 from rowanshift.model import Entry
-from rowanshift.net.config import Address, Names, address_of
+from rowanshift.net.config import Address, Names, address_of, entry_of
 from rowanshift.net.connection import Connection
 from rowanshift.net.servers import Servers
 
-HEALTH = {"active": "live", "leaving": "quiescing", "left": "dead"}
 SILENCE = 5.0  # an empty line comes every 2 s
+LONGEST_LINE = 8 * 1024 * 1024
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 3.0
 
 
-def entry_of(data: dict[str, Any], names: Names) -> Entry:
-    return Entry(data["instanceId"], data.get("cell") or 0, float(data.get("weight", 1.0)),
-                 names.zones.get(data.get("zone"), 0), HEALTH[data["lifecycle"]],
-                 names.kinds.get(data.get("machineType"), -2), (data.get("startedAtMs") or 0) / 1e3)
-
-
 class Discovery:
     def __init__(self, address: Address, names: Names, ask: bool, random_: random.Random,
                  servers: Servers, list_changed: Callable[[str, list[Entry]], None]) -> None:
@@ -56,7 +50,7 @@
             await self.wanted.wait()
             try:
                 await self._watch()
-            except (OSError, trio.TooSlowError, h11.ProtocolError, ValueError, TypeError, KeyError) as error:
+            except Exception as error:  # whatever discovery sends, it ends the watch and not the router
                 if not self.broken:  # one line an outage
                     logger.info("the watch of the list broke after generation {}: {}", self.generation,
                                 str(error) or type(error).__name__)
@@ -90,6 +84,8 @@
                 if not isinstance(event, h11.Data):
                     raise ValueError("the watch ended")
                 *lines, rest = (rest + event.data).split(b"\n")
+                if len(rest) > LONGEST_LINE:
+                    raise ValueError("a line of the list has no end")
                 for line in filter(bytes.strip, lines):
                     self.learn(orjson.loads(line))
                     self.pause = FIRST_PAUSE
--- a/rowanshift/net/peers.py
+++ b/rowanshift/net/peers.py
@@ -17,6 +17,8 @@
 
     def tell(self, ordinal: int | None, payload: bytes) -> None:
         """Sends to one router, or to all; a message may be lost, so a full outbox loses it."""
+        if ordinal is not None and ordinal >= len(self.addresses):  # the settings count more than are here
+            return
         try:
             self.outbox.send_nowait((ordinal, payload))
         except trio.WouldBlock:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -94,6 +94,7 @@
             return False
         try:
             sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             logger.warning("no socket: {}", error)
             self.budget.give_server()
@@ -111,7 +112,6 @@
     async def _serve(self, link: Link) -> None:
         """Carries one hand-off after another, from dialling to the close."""
         try:
-            link.connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             fresh = True
             while link.job is not None:
                 ho, link.job = link.job, None
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -41,10 +41,9 @@
 
     async def run(self) -> None:
         config = self.config
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
-                clock, budget = Clock(), Budget(min(config.sockets, soft))
+                clock, budget = Clock(), Budget(descriptors(config.sockets))
                 servers = Servers(clock, config.dial_within, config.idle_for, budget, nursery)
                 driver = Driver(config.settings, config.seed, clock, servers)
                 clients = Clients(config.names, driver, clock, budget)
@@ -106,6 +105,12 @@
         nursery.start_soon(peers.listen)
 
 
+def descriptors(allowed: int) -> int:
+    """What this process may hold of the descriptors that it is allowed."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return allowed if soft == resource.RLIM_INFINITY else min(allowed, soft)
+
+
 async def bound(kind: int, address: tuple[str, int]) -> trio.socket.SocketType:
     sock = trio.socket.socket(socket.AF_INET, kind)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,9 +16,9 @@
 from rowanshift.net.budget import CLIENTS, OWN, Budget
 from rowanshift.net.clients import BadRequest, Clients, exchange_of
 from rowanshift.net.clock import Clock
-from rowanshift.net.config import ConfigError, Names, config_of
+from rowanshift.net.config import ConfigError, Names, config_of, entry_of
 from rowanshift.net.connection import Connection, Oversize, end_to_end
-from rowanshift.net.discovery import Discovery, entry_of
+from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.exchange import Exchange, HandOff, Reply
 from rowanshift.net.peers import Peers
@@ -151,26 +151,42 @@
 
 
 class Far:
-    """A server of one socket, and what the server side tells of hand-offs to it."""
+    """A server of one socket, a server side that knows it as "s", and what that tells of its hand-offs."""
 
-    def __init__(self, backlog: int = 8) -> None:
+    def __init__(self, nursery: trio.Nursery, backlog: int) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
-        self.address = self.listener.getsockname()
-        self.told: list[Verdict] = []
+        self.clock, self.told = Clock(), []
+        self.servers = Servers(self.clock, 0.2, 60.0, Budget(100), nursery)
+        self.servers.locate("s", self.listener.getsockname())
+        self.servers.done = lambda ho, verdict, remark, reply: self.told.append(verdict)
 
-    def servers(self, nursery: trio.Nursery, clock: Clock) -> Servers:
-        servers = Servers(clock, 0.2, 60.0, Budget(100), nursery)
-        servers.locate("s", self.address)
-        servers.done = lambda ho, verdict, remark, reply: self.told.append(verdict)
-        return servers
+    async def ask(self, left: float = 1.0, *request: bytes) -> None:
+        self.servers.hand_off(hand_off(self.clock, left, *request))
+        await trio.sleep(0.05)
 
-    async def until_told(self, n: int) -> list[Verdict]:
+    def accept(self) -> socket.socket:
+        return self.listener.accept()[0]
+
+    async def until_told(self, n: int = 1) -> list[Verdict]:
         with trio.fail_after(2):
             while len(self.told) < n:
                 await trio.sleep(0.005)
         return self.told
 
 
+def play(script, backlog: int = 8):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            got = await script(Far(nursery, backlog))
+            nursery.cancel_scope.cancel()
+        return got
+
+    return trio.run(main)
+
+
+MISS = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
 @pytest.mark.parametrize(("answer", "verdict"), [
     (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Verdict.FINISHED),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", Verdict.RESET),
@@ -179,171 +195,89 @@
     (None, Verdict.TIMED_OUT),
 ])
 def test_what_comes_back_of_a_written_hand_off(answer, verdict):
-    async def main():
-        far, clock = Far(), Clock()
-        async with trio.open_nursery() as nursery:
-            servers = far.servers(nursery, clock)
-            servers.hand_off(hand_off(clock, 0.3))
-            await trio.sleep(0.05)
-            server, _ = far.listener.accept()
-            with server:
-                server.recv(4096)
-                if answer is not None:
-                    server.sendall(answer)
-                    server.shutdown(socket.SHUT_WR)
-                told = await far.until_told(1)
-            nursery.cancel_scope.cancel()
-            return told
+    async def script(far):
+        await far.ask(0.3)
+        with far.accept() as server:
+            server.recv(4096)
+            if answer is not None:
+                server.sendall(answer)
+                server.shutdown(socket.SHUT_WR)
+            return await far.until_told()
 
-    assert trio.run(main) == [verdict]
+    assert play(script) == [verdict]
 
 
 @pytest.mark.parametrize("body", [b"", bytes(60000)])
 def test_what_was_not_written_can_not_have_run(body):
     # a connection refused, or broken before the last byte was written, must leave an exclusive one free to go
-    async def main():
-        far, clock = Far(), Clock()
+    async def script(far):
         if not body:
             far.listener.close()
-        async with trio.open_nursery() as nursery:
-            servers = far.servers(nursery, clock)
-            servers.hand_off(hand_off(clock, 1.0, body * 1000, b"PUT"))
-            if body:
-                await trio.sleep(0.05)
-                far.listener.accept()[0].close()
-            told = await far.until_told(1)
-            nursery.cancel_scope.cancel()
-            return told
+        await far.ask(1.0, body * 1000, b"PUT")
+        if body:
+            far.accept().close()
+        return await far.until_told()
 
-    assert trio.run(main) == [Verdict.UNREACHABLE]
+    assert play(script) == [Verdict.UNREACHABLE]
 
 
 @pytest.mark.parametrize(("ends", "connections"), [(False, 1), (True, 2)])
 def test_an_idle_connection_is_used_again_unless_the_server_ended_it(ends, connections):
-    async def main():
-        far, clock = Far(), Clock()
-        async with trio.open_nursery() as nursery:
-            servers, seen = far.servers(nursery, clock), []
-            for n in (1, 2):
-                servers.hand_off(hand_off(clock, 1.0))
-                await trio.sleep(0.05)
-                if n == 1 or ends:
-                    seen.append(far.listener.accept()[0])
-                seen[-1].recv(4096)
-                seen[-1].sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-                await far.until_told(n)
-                if ends:
-                    seen[-1].close()  # told to the loop only after the next hand-off
-            nursery.cancel_scope.cancel()
-            return far.told, len(seen)
-
-    assert trio.run(main) == ([Verdict.MISS] * 2, connections)
+    async def script(far):
+        seen = []
+        for n in (1, 2):
+            await far.ask()
+            if n == 1 or ends:
+                seen.append(far.accept())
+            seen[-1].recv(4096)
+            seen[-1].sendall(MISS)
+            await far.until_told(n)
+            if ends:
+                seen[-1].close()  # told to the loop only after the next hand-off
+        return far.told, len(seen)
+
+    assert play(script) == ([Verdict.MISS] * 2, connections)
 
 
 def test_a_withdrawn_hand_off_ends_once_with_its_connection():
-    async def main():
-        far, clock = Far(), Clock()
-        async with trio.open_nursery() as nursery:
-            servers = far.servers(nursery, clock)
-            servers.hand_off(hand_off(clock, 1.0))
-            await trio.sleep(0.05)
-            servers.withdraw(1, 0)
-            servers.withdraw(1, 0)
-            await far.until_told(1)
-            server, _ = far.listener.accept()
-            server.recv(4096)
-            await trio.sleep(0.05)
-            nursery.cancel_scope.cancel()
-            return far.told, server.recv(1), servers.budget.servers
+    async def script(far):
+        await far.ask()
+        far.servers.withdraw(1, 0)
+        far.servers.withdraw(1, 0)
+        await far.until_told()
+        server = far.accept()
+        server.recv(4096)
+        await trio.sleep(0.05)
+        return far.told, server.recv(1), far.servers.budget.servers
 
-    assert trio.run(main) == ([Verdict.WITHDRAWN], b"", 0)
+    assert play(script) == ([Verdict.WITHDRAWN], b"", 0)
 
 
 @pytest.mark.parametrize(("leaves", "within"), [(True, 0.1), (False, 0.4)])
 def test_a_connection_that_does_not_come_up_is_given_up(leaves, within):
     # guards against a first byte to a draining server after the grace, where dialling may take longer
-    async def main():
-        far, clock = Far(backlog=0), Clock()
-        full = [socket.create_connection(far.address)]
-        async with trio.open_nursery() as nursery:
-            servers, start = far.servers(nursery, clock), trio.current_time()
-            servers.hand_off(hand_off(clock, 1.0))
-            await trio.sleep(0.03)
+    async def script(far):
+        with socket.create_connection(far.listener.getsockname()):  # fills the backlog
+            start = far.clock.now()
+            await far.ask()
             if leaves:
-                servers.leave("s")
-            told = await far.until_told(1)
-        return told, trio.current_time() - start < within, len(full)
+                far.servers.leave("s")
+            return await far.until_told(), far.clock.now() - start < within
 
-    assert trio.run(main) == ([Verdict.UNREACHABLE], True, 1)
+    assert play(script, backlog=0) == ([Verdict.UNREACHABLE], True)
 
 
 def test_an_idle_connection_gives_back_its_descriptor_at_once():
     # guards against EMFILE when descriptors are short: the next socket may come in the same turn
-    async def main():
-        far, clock = Far(), Clock()
-        async with trio.open_nursery() as nursery:
-            servers = far.servers(nursery, clock)
-            servers.hand_off(hand_off(clock, 1.0))
-            await trio.sleep(0.05)
-            server, _ = far.listener.accept()
-            server.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-            await far.until_told(1)
-            connection = servers.idle["s"][0].connection
+    async def script(far):
+        await far.ask()
+        with far.accept() as server:
+            server.sendall(MISS)
+            await far.until_told()
+            servers, connection = far.servers, far.servers.idle["s"][0].connection
             return servers.drop_idle(), connection.closed(), servers.budget.servers, servers.drop_idle()
 
-    assert trio.run(main) == (True, True, 0, False)
-
-
-@pytest.mark.parametrize(("asked", "closed"), [(False, True), (True, False)])
-def test_an_idle_client_goes_at_once_unless_it_has_asked(asked, closed):
-    async def main():
-        ours, theirs = pair()
-        clients = Clients(NAMES, Deciding(Reply(200)), Clock(), Budget(100))
-        clients.budget.clients = 1
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(clients.serve, ours)
-            await trio.sleep(0.02)
-            if asked:
-                theirs.sendall(REQUEST)
-            got = clients.drop_idle(), ours.fileno() < 0, clients.budget.clients
-            await trio.sleep(0.02)
-            nursery.cancel_scope.cancel()
-        return got, theirs.recv(15)
-
-    assert trio.run(main) == ((closed, closed, 1 - closed), b"" if closed else b"HTTP/1.1 200 OK")
-
-
-@pytest.mark.parametrize(("finishing", "answer"), [(False, b"HTTP/1.1 200 OK"), (True, b"")])
-def test_a_new_connection_may_still_ask_while_the_router_leaves(finishing, answer):
-    # guards against closing, after SIGTERM, a connection whose first request is just on its way
-    async def main():
-        ours, theirs = pair()
-        clients = Clients(NAMES, Deciding(Reply(200)), Clock(), Budget(100))
-        clients.leaving, clients.finishing = True, finishing
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(clients.serve, ours)
-            await trio.sleep(0.05)
-            if not finishing:
-                theirs.sendall(REQUEST)
-        return theirs.recv(15)
-
-    assert trio.run(main) == answer
-
-
-def test_a_request_that_was_read_late_has_less_time_left():
-    # guards against answers after the expiry from a router that stood still
-    async def main():
-        ours, theirs = pair()
-        deciding = Deciding(Reply(200))
-        clients = Clients(NAMES, deciding, Clock(), Budget(100))
-        theirs.sendall(REQUEST)
-        theirs.shutdown(socket.SHUT_WR)
-        time.sleep(0.1)
-        now = clients.clock.now()
-        await clients.serve(ours)
-        return deciding.taken[0].expiry - now
-
-    assert trio.run(main) == pytest.approx(0.38, abs=0.03)
+    assert play(script) == (True, True, 0, False)
 
 
 def test_without_a_descriptor_a_hand_off_is_refused_and_the_work_item_answered():
@@ -427,6 +361,58 @@
     assert trio.run(main) == left
 
 
+@pytest.mark.parametrize(("asked", "closed"), [(False, True), (True, False)])
+def test_an_idle_client_goes_at_once_unless_it_has_asked(asked, closed):
+    async def main():
+        ours, theirs = pair()
+        clients = Clients(NAMES, Deciding(Reply(200)), Clock(), Budget(100))
+        clients.budget.clients = 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients.serve, ours)
+            await trio.sleep(0.02)
+            if asked:
+                theirs.sendall(REQUEST)
+            got = clients.drop_idle(), ours.fileno() < 0, clients.budget.clients
+            await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        return got, theirs.recv(15)
+
+    assert trio.run(main) == ((closed, closed, 1 - closed), b"" if closed else b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.parametrize(("finishing", "answer"), [(False, b"HTTP/1.1 200 OK"), (True, b"")])
+def test_a_new_connection_may_still_ask_while_the_router_leaves(finishing, answer):
+    # guards against closing, after SIGTERM, a connection whose first request is just on its way
+    async def main():
+        ours, theirs = pair()
+        clients = Clients(NAMES, Deciding(Reply(200)), Clock(), Budget(100))
+        clients.leaving, clients.finishing = True, finishing
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients.serve, ours)
+            await trio.sleep(0.05)
+            if not finishing:
+                theirs.sendall(REQUEST)
+        return theirs.recv(15)
+
+    assert trio.run(main) == answer
+
+
+def test_a_request_that_was_read_late_has_less_time_left():
+    # guards against answers after the expiry from a router that stood still
+    async def main():
+        ours, theirs = pair()
+        deciding = Deciding(Reply(200))
+        clients = Clients(NAMES, deciding, Clock(), Budget(100))
+        theirs.sendall(REQUEST)
+        theirs.shutdown(socket.SHUT_WR)
+        time.sleep(0.1)
+        now = clients.clock.now()
+        await clients.serve(ours)
+        return deciding.taken[0].expiry - now
+
+    assert trio.run(main) == pytest.approx(0.38, abs=0.03)
+
+
 def test_idle_connections_of_servers_go_first_when_descriptors_are_short():
     budget, closed = Budget(OWN + 10), []
     for name, has in (("server", [1]), ("client", [1, 1])):
@@ -447,6 +433,13 @@
         "s-1", 3, 1.5, 1, "quiescing", 1, 1.5)
 
 
+def test_zones_that_the_settings_lack_are_not_one_group():
+    # guards against a ticketed work item sent again outside the servers that drop its repeats
+    row = orjson.loads(line(1, True, "active"))["instances"][0]
+    names = Names({}, {}, {"here": 0}, {})
+    assert [entry_of(row | {"zone": zone}, names).zone for zone in ("here", "x", "y", "x")] == [0, 1, 2, 1]
+
+
 def line(generation: int, reset: bool, lifecycle: str) -> bytes:
     row = {"instanceId": "s", "hostPort": "127.0.0.1:9", "zone": "here", "machineType": "cache", "cell": 0,
            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
@@ -464,7 +457,8 @@
         await sock.bind(("127.0.0.1", 0))
         sock.listen()
         whole = line(41, True, "active")
-        answers = [[b"\n" + whole[:30], whole[30:] + line(43, False, "leaving")], [line(44, False, "left")]]
+        answers = [[b"\n" + whole[:30], whole[30:] + line(43, False, "leaving")], [b"[1]\n"],
+                   [line(44, False, "left")]]
 
         async def agent():
             for chunks in answers:
@@ -494,7 +488,7 @@
     got, before, asked, addresses = trio.run(main)
     assert got == scopes and addresses == {"s": ("127.0.0.1", 9)}
     first, second = b"/api/targets?follow=1&since=0", b"/api/targets?follow=1&since=43"
-    assert (before, asked) == (([], [first]) if ask else ([first], [first, second]))
+    assert (before, asked) == (([], [first]) if ask else ([first], [first, second, second]))
 
 
 class Waking:
@@ -581,6 +575,7 @@
     (GOOD, "settings", None, "can't be used"), (GOOD, "seed", "zz", "can't be used"),
     (GOOD, "listen", "nowhere", "no IPv4 address"), (GOOD, "listen", "::1:80", "no IPv4 address"),
     (GOOD, "discovery", "127.0.0.1:65536", "no IPv4 address"), (GOOD, "peers", ["a:1"], "no IPv4 address"),
+    (GOOD, "known", {"generation": 1, "instances": [{"lifecycle": "odd"}]}, "unknown lifecycle 'odd'"),
     (RAW, "limits", {"peers": False}, "lack 'retry_after'"), (RAW, "categories", [], "can't be used"),
 ])
 def test_a_bad_configuration_is_one_message(part, name, value, says, monkeypatch):
