--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -78,7 +78,7 @@
 
 def pair() -> tuple[trio.socket.SocketType, socket.socket]:
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        theirs = socket.create_connection(listener.getsockname())
+        theirs = socket.create_connection(listener.getsockname(), timeout=2)
         theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
         return trio.socket.from_stdlib_socket(listener.accept()[0]), theirs
 
@@ -155,6 +155,7 @@
 
     def __init__(self, nursery: trio.Nursery, backlog: int) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.listener.settimeout(2)
         self.clock, self.told = Clock(), []
         self.servers = Servers(self.clock, 0.2, 60.0, Budget(100), nursery)
         self.servers.locate("s", self.listener.getsockname())
@@ -165,7 +166,9 @@
         await trio.sleep(0.05)
 
     def accept(self) -> socket.socket:
-        return self.listener.accept()[0]
+        server = self.listener.accept()[0]
+        server.settimeout(2)
+        return server
 
     async def until_told(self, n: int = 1) -> list[Verdict]:
         with trio.fail_after(2):
@@ -520,6 +523,7 @@
             start = clock.now()
             driver.heard(0, b"")
             driver.heard(0, b"")
+            driver.waking.cancel()  # early
             await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
         return [at - start for at in driver.router.woken_at]
