--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -56,9 +56,9 @@
     if not left.isdigit() or len(left) > 9 or int(left) > LONGEST_LEFT_MS:
         raise BadRequest(400, "X-Remaining-Ms is no whole number of milliseconds")
     key = unquote(rest[-1].decode("ascii")) if rest and rest[-1] else None
+    passed_on = [field for field in end_to_end(head) if field[0] != LEFT]
     return Exchange(id, position, customer, key, head.method == b"PUT", came_at + int(left) / 1000,
-                    head.method,
-                    head.target, [field for field in end_to_end(head) if field[0] != LEFT], body)
+                    head.method, head.target, passed_on, body)
 
 
 class Clients:
@@ -147,7 +147,8 @@
                 return False
             head, body = message
             if head.target == READY:
-                return await self._send(connection, Reply(200 if self.ready else 503, b"ready\n"))
+                ready = Reply(200, b"ready\n") if self.ready else Reply(503, b"not ready\n")
+                return await self._send(connection, ready)
             self.ids += 1
             exchange = exchange_of(self.ids, head, body, self.names, self.clock.now() - connection.age())
         except BadRequest as error:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -170,12 +170,17 @@
                 logger.exception("a hand-off to {} failed", ho.server)
             finally:
                 del self.out[mark]
-        if mark in self.withdrawn:
-            self.withdrawn.discard(mark)
-            return Verdict.WITHDRAWN, None, None
-        if not written:  # by the bytes, it can't have run
-            return Verdict.UNREACHABLE, None, None
-        return Verdict.TIMED_OUT if scope.cancelled_caught else Verdict.RESET, None, None
+                withdrawn = mark in self.withdrawn
+                self.withdrawn.discard(mark)
+        if withdrawn:
+            verdict = Verdict.WITHDRAWN
+        elif written:
+            verdict = Verdict.TIMED_OUT if scope.cancelled_caught else Verdict.RESET
+        elif scope.cancelled_caught and ho.until >= ho.exchange.expiry:
+            verdict = Verdict.MOOT  # the work item's time ran out first, which tells nothing of the server
+        else:
+            verdict = Verdict.UNREACHABLE  # by the bytes, it can't have run
+        return verdict, None, None
 
     async def _dial(self, ho: HandOff, connection: Connection) -> bool:
         with trio.move_on_after(self.dial_within) as scope:
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -66,7 +66,7 @@
                 await anext(signals)
 
                 self.enter(Phase.LEAVING)
-                clients.leaving = True
+                clients.ready, clients.leaving = False, True
                 await trio.sleep(ACCEPT_FOR)
 
                 self.enter(Phase.FINISHING)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -256,18 +256,22 @@
     assert play(script) == ([Verdict.WITHDRAWN], b"", 0)
 
 
-@pytest.mark.parametrize(("leaves", "within"), [(True, 0.1), (False, 0.4)])
-def test_a_connection_that_does_not_come_up_is_given_up(leaves, within):
-    # guards against a first byte to a draining server after the grace, where dialling may take longer
+@pytest.mark.parametrize(("left", "leaves", "within", "verdict"), [
+    (1.0, True, 0.1, Verdict.UNREACHABLE), (1.0, False, 0.4, Verdict.UNREACHABLE),
+    (0.1, False, 0.2, Verdict.MOOT),
+])
+def test_a_connection_that_does_not_come_up_is_given_up(left, leaves, within, verdict):
+    # guards against a first byte to a draining server after the grace, where dialling may take longer, and
+    # against a strike for a server that was given no time
     async def script(far):
         with socket.create_connection(far.listener.getsockname()):  # fills the backlog
             start = far.clock.now()
-            await far.ask()
+            await far.ask(left)
             if leaves:
                 far.servers.leave("s")
             return await far.until_told(), far.clock.now() - start < within
 
-    assert play(script, backlog=0) == ([Verdict.UNREACHABLE], True)
+    assert play(script, backlog=0) == ([verdict], True)
 
 
 def test_an_idle_connection_gives_back_its_descriptor_at_once():
@@ -555,7 +559,8 @@
         return answer, ended, service.phase, trio.current_time() - start < 1.5
 
     answer, *rest = trio.run(main)
-    assert b"Connection: close" in answer and rest == [b"", Phase.STOPPED, True]
+    assert answer.startswith(b"HTTP/1.1 503") and b"Connection: close" in answer
+    assert rest == [b"", Phase.STOPPED, True]
 
 
 @pytest.mark.parametrize(("payload", "sender", "heard"), [
