Read the configuration again on SIGHUP and move the watch of the list at once

At fault: net/service.py opened its signal receiver for SIGTERM and SIGINT alone, and took one signal. Checked: signals that trio has not delivered when the receiver closes are raised again, so one that came while leaving would end the process as well; they are now taken until the end, and ignored outside it. The watch kept its generation, and an agent may count in its own way: after a move the whole list is asked for first.

--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -1,5 +1,6 @@
 """The command line."""
 
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -29,13 +30,14 @@
 
 @app.command()
 def serve(config: ConfigPath, level: Annotated[str, typer.Option(help="What to log.")] = "INFO") -> None:
-    """Run a router until SIGTERM."""
+    """Run a router until SIGTERM; SIGHUP has it read its configuration again."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the service heeds it, and while it ends
     loaded_config = loaded(config)
     logger.remove()
     logger.add(sys.stderr, level=level.upper(), format="{time:HH:mm:ss.SSS} {level: <7} {message}",
                backtrace=False, diagnose=False)
     try:
-        trio.run(Service(loaded_config).run)
+        trio.run(Service(loaded_config, config).run)
     except* OSError as group:
         typer.echo(f"rowanshift: {group.exceptions[0]}", err=True)
         raise typer.Exit(1) from group
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -1,7 +1,7 @@
 """The list of cache servers: as it was known, then a watch of its changes."""
 
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -14,9 +14,9 @@
 from rowanshift.net.connection import Connection
 from rowanshift.net.servers import Servers
 
-SILENCE = 5.0  # an empty line comes every 2 s
+SILENCE = 3.0  # an empty line comes every 2 s
 LONGEST_LINE = 8 * 1024 * 1024
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 3.0
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0
 
 
 class Discovery:
@@ -26,6 +26,8 @@
         self.servers, self.list_changed = servers, list_changed
         self.generation = 0
         self.wanted = trio.Event()  # in ask mode the module says when to watch
+        self.numbered = True  # whether the agent that is asked counts generations as this list does
+        self.watching = trio.CancelScope()
         self.pause = FIRST_PAUSE
         self.broken = False
         if not ask:
@@ -34,6 +36,12 @@
     def subscribe(self) -> None:
         self.wanted.set()
 
+    def move(self, address: Address) -> None:
+        """Follows another agent from now on, which may count generations in its own way."""
+        self.address, self.numbered, self.pause = address, False, FIRST_PAUSE
+        self.wanted.set()
+        self.watching.cancel()
+
     def learn(self, data: dict[str, Any], scope: str = "") -> None:
         """Takes in one object of discovery's."""
         entries = [entry_of(row, self.names) for row in data["instances"]]
@@ -48,19 +56,23 @@
     async def run(self) -> None:
         while True:
             await self.wanted.wait()
-            try:
-                await self._watch()
-            except Exception as error:  # whatever discovery sends, it ends the watch and not the router
-                if not self.broken:  # one line an outage
-                    logger.info("the watch of the list broke after generation {}: {}", self.generation,
-                                str(error) or type(error).__name__)
-                self.broken = True
-            if self.ask:  # the module chooses when to ask again
-                self.wanted = trio.Event()
-                self.list_changed("failed", [])
-            else:
-                await trio.sleep(self.pause * (0.5 + self.random.random()))
-                self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+            with trio.CancelScope() as self.watching:
+                await self._watch_once()
+                if self.ask:  # the module chooses when to ask again
+                    self.wanted = trio.Event()
+                    self.list_changed("failed", [])
+                else:
+                    await trio.sleep(self.pause * (0.5 + self.random.random()))
+                    self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+
+    async def _watch_once(self) -> None:
+        try:
+            await self._watch()
+        except Exception as error:  # whatever discovery sends, it ends the watch and not the router
+            if not self.broken:  # one line an outage
+                logger.info("the watch of the list broke after generation {}: {}", self.generation,
+                            str(error) or type(error).__name__)
+            self.broken = True
 
     async def _watch(self) -> None:
         """Follows one watch to its end, which is always an error."""
@@ -68,24 +80,39 @@
             connection = Connection(sock, h11.CLIENT)
             with trio.fail_after(SILENCE):
                 await sock.connect(self.address)
-                target = f"/api/targets?follow=1&since={self.generation}"
-                host = "{}:{}".format(*self.address)
-                await connection.send(h11.Request(method="GET", target=target, headers=[("Host", host)]), b"")
-                head = await connection.event()
-            if not isinstance(head, h11.Response) or head.status_code != 200:
-                raise ValueError(f"discovery answered {head!r}")
+                if not self.numbered:  # changes since another's generation would leave out what is gone
+                    await self._ask(connection, "/api/targets")
+                    whole = b"".join([data async for data in self._data(connection)])
+                    self.learn(orjson.loads(whole), "full")
+                    connection.renew()
+                    self.numbered = True
+                await self._ask(connection, f"/api/targets?follow=1&since={self.generation}")
             if self.broken:
                 logger.info("the list is watched again")
             self.broken = False
             rest = b""
-            while True:
-                with trio.fail_after(SILENCE):
-                    event = await connection.event()
-                if not isinstance(event, h11.Data):
-                    raise ValueError("the watch ended")
-                *lines, rest = (rest + event.data).split(b"\n")
+            async for data in self._data(connection):
+                *lines, rest = (rest + data).split(b"\n")
                 if len(rest) > LONGEST_LINE:
                     raise ValueError("a line of the list has no end")
                 for line in filter(bytes.strip, lines):
                     self.learn(orjson.loads(line))
                     self.pause = FIRST_PAUSE
+            raise ValueError("the watch ended")
+
+    async def _ask(self, connection: Connection, target: str) -> None:
+        host = "{}:{}".format(*self.address)
+        await connection.send(h11.Request(method="GET", target=target, headers=[("Host", host)]), b"")
+        head = await connection.event()
+        if not isinstance(head, h11.Response) or head.status_code != 200:
+            raise ValueError(f"discovery answered {head!r}")
+
+    @staticmethod
+    async def _data(connection: Connection) -> AsyncIterator[bytes]:
+        """The pieces of an answer's body, each within the time that an agent may be silent for."""
+        while True:
+            with trio.fail_after(SILENCE):
+                event = await connection.event()
+            if not isinstance(event, h11.Data):
+                return
+            yield bytes(event.data)
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -5,7 +5,10 @@
 import resource
 import signal
 import socket
+from collections.abc import AsyncIterator
+from dataclasses import fields
 from enum import Enum
+from pathlib import Path
 
 import trio
 from loguru import logger
@@ -13,7 +16,7 @@
 from rowanshift.net.budget import Budget
 from rowanshift.net.clients import BACKLOG, Clients
 from rowanshift.net.clock import Clock
-from rowanshift.net.config import Config
+from rowanshift.net.config import Config, ConfigError, load
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.peers import Peers
@@ -25,23 +28,51 @@
 class Phase(Enum):
     STARTING = "starting"
     SERVING = "serving"
+    RELOADING = "reloading"  # serves on, while the file of the configuration is read again
     LEAVING = "leaving"  # accepts, but closes each connection with its answer
     FINISHING = "finishing"  # accepts no more, and ends what it has taken
     STOPPED = "stopped"
 
 
 class Service:
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, path: Path | None = None) -> None:
+        self.config, self.path = config, path  # where it was read from
         self.phase = Phase.STARTING
+        self.told_to_stop = trio.Event()
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
         logger.info("{} {}", self.config.name, phase.value)
 
+    async def _heed(self, signals: AsyncIterator[int], discovery: Discovery) -> None:
+        """Takes signals for as long as the process lives, so that one that comes late ends nothing."""
+        async for number in signals:
+            if number != signal.SIGHUP:
+                self.told_to_stop.set()
+            elif self.phase is Phase.SERVING:
+                self.enter(Phase.RELOADING)
+                self._reload(discovery)
+                self.enter(Phase.SERVING)
+
+    def _reload(self, discovery: Discovery) -> None:
+        """Moves the watch of the list to where the file says; what else changed waits for a restart."""
+        if self.path is None:
+            return
+        try:
+            config = load(self.path)
+        except ConfigError as error:
+            logger.warning("the configuration stays as it was: {}", error)
+            return
+        waiting = [f.name for f in fields(config) if f.name not in ("discovery", "known", "seed")
+                   and getattr(config, f.name) != getattr(self.config, f.name)]
+        if waiting:
+            logger.warning("changed, but taken up only by a restart: {}", ", ".join(waiting))
+        logger.info("the list is watched at {}:{} from now on", *config.discovery)
+        discovery.move(config.discovery)
+
     async def run(self) -> None:
         config = self.config
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 clock, budget = Clock(), Budget(descriptors(config.sockets))
                 servers = Servers(clock, config.dial_within, config.idle_for, budget, nursery)
@@ -51,6 +82,7 @@
                                       random.Random(config.seed), servers, driver.list_changed)
                 driver.subscribe = discovery.subscribe
                 discovery.learn(config.known, "cached")
+                nursery.start_soon(self._heed, signals, discovery)
                 nursery.start_soon(driver.keep_waking)
                 nursery.start_soon(discovery.run)
                 await self._meet_peers(nursery, driver)
@@ -63,7 +95,7 @@
 
                 clients.ready = True
                 self.enter(Phase.SERVING)
-                await anext(signals)
+                await self.told_to_stop.wait()
 
                 self.enter(Phase.LEAVING)
                 clients.ready, clients.leaving = False, True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -525,6 +525,47 @@
     assert (before, asked) == (([], [first]) if ask else ([first], [first, second, second]))
 
 
+def test_a_watch_that_is_moved_starts_at_once_with_the_whole_list():
+    # guards against serving from a list that nobody keeps any more, and against changes counted in another's
+    # generations: what is gone there would stay here
+    async def main():
+        got, asked, agents = [], [], []
+        for _ in range(2):
+            agents.append(trio.socket.socket())
+            await agents[-1].bind(("127.0.0.1", 0))
+            agents[-1].listen()
+
+        async def agent(n: int):
+            peer, _ = await agents[n].accept()
+            with peer:
+                while head := await peer.recv(4096):
+                    asked.append((n, head.split()[1]))
+                    if b"follow" in head:
+                        await peer.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+                    else:
+                        body = line(5, False, "active")
+                        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                        await peer.send(head + body)
+
+        async with trio.open_nursery() as nursery:
+            servers = Servers(Clock(), 0.2, 60.0, Budget(100), nursery)
+            discovery = Discovery(agents[0].getsockname(), NAMES, False, random.Random(1), servers,
+                                  lambda scope, rows: got.append(scope))
+            discovery.generation = 41
+            for run in ((agent, 0), (agent, 1), (discovery.run,)):
+                nursery.start_soon(*run)
+            await trio.sleep(0.05)
+            discovery.move(agents[1].getsockname())
+            with trio.fail_after(0.5):
+                while len(asked) < 3:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        return got, asked
+
+    assert trio.run(main) == (["full"], [(0, b"/api/targets?follow=1&since=41"), (1, b"/api/targets"),
+                                         (1, b"/api/targets?follow=1&since=5")])
+
+
 class Waking:
     """Stands for the module: wants to be woken, sooner the second time."""
 
@@ -563,6 +604,38 @@
     assert 0.03 <= woken < 0.06
 
 
+@pytest.mark.parametrize(("text", "moved_to"), [
+    (orjson.dumps(GOOD | {"discovery": "127.0.0.1:3", "seed": "1", "name": "m"}), ("127.0.0.1", 3)),
+    (b"{", ("127.0.0.1", 2)), (None, ("127.0.0.1", 2)),
+])
+def test_sighup_moves_the_watch_and_ends_nothing(text, moved_to, tmp_path):
+    # guards against a process that ends on SIGHUP, also on two of them, on a file that can't be used, and
+    # while it leaves: an unheeded one would be raised again at the very end
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        path, moves, phases = tmp_path / "config.json", [], []
+        if text is not None:
+            path.write_bytes(text)
+        service = Service(config_of(GOOD | {"listen": "{}:{}".format(*address)}), path)
+        enter, service.enter = service.enter, lambda phase: (phases.append(phase), enter(phase))
+        monkey.setattr(Discovery, "move", lambda self, to: moves.append(to))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.run)
+            while service.phase is not Phase.SERVING:
+                await trio.sleep(0.01)
+            for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                os.kill(os.getpid(), number)
+                await trio.sleep(0.05)
+        return moves, phases
+
+    with pytest.MonkeyPatch.context() as monkey:
+        moves, phases = trio.run(main)
+    assert moves == ([] if moved_to[1] == 2 else [moved_to] * 2)
+    assert phases == [Phase.SERVING, *[Phase.RELOADING, Phase.SERVING] * 2, Phase.LEAVING, Phase.FINISHING,
+                      Phase.STOPPED]
+
+
 def test_after_sigterm_what_was_taken_is_answered_and_no_more_accepted():
     async def main():
         with socket.create_server(("127.0.0.1", 0)) as free:
