--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -171,8 +171,11 @@
         self._lay_ring()
         if scope == "cached":
             self.fleet.limit = max(1.0, 24 * len(self.ready) / self.s.routers)
-        for cache in (c for c in self.caches.values() if c.entry.health != "live"):
-            self._turn_out(cache)
+        for server, cache in [*self.caches.items()]:
+            if cache.entry.health != "live":
+                self._turn_out(cache)
+            if cache.entry.health == "dead" and not cache.inflight:
+                del self.caches[server]  # its name may never come again
 
     def woken(self, now: float) -> None:
         self.now = now
--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -1,4 +1,4 @@
-"""The descriptors of this process: one budget over both sides."""
+"""What this process may hold: descriptors, one budget over both sides, and bytes of bodies."""
 
 from collections.abc import Callable
 
@@ -6,20 +6,47 @@
 
 OWN = 24  # standard streams, the event loop, the listener, discovery, peers, and some to spare
 CLIENTS = 0.7  # the part that clients may hold: without servers nothing could be answered
+PROCESS = 48 * 2**20  # bytes of the program itself, with as many connections as it may have
+LEAST = 4 * 2**20
+
+
+class Memory:
+    """Bytes of bodies that are on their way, over all connections."""
+
+    def __init__(self, megabytes: float) -> None:
+        self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
+
+    def take(self, size: int) -> bool:
+        if size > self.left:
+            return False
+        self.left -= size
+        return True
+
+    def give(self, size: int) -> None:
+        self.left += size
 
 
 class Budget:
     def __init__(self, descriptors: int) -> None:
         self.limit = max(8, descriptors - OWN)
         self.clients = self.servers = 0
-        self.reclaim: list[Callable[[], bool]] = []  # each closes one idle connection, if it has one
+        # each closes a connection that nothing is open on, if it has one; the least wanted come first
+        self.silent_clients: Callable[[], bool] = lambda: False
+        self.idle_servers: Callable[[], bool] = lambda: False
+        self.idle_clients: Callable[[], bool] = lambda: False
         self.freed = trio.Event()
 
     def _short(self) -> bool:
-        """Whether nothing is left, even after idle connections, those of servers first, were closed."""
+        """Whether nothing is left, even after a connection that can be spared was closed."""
         if self.clients + self.servers < self.limit:
             return False
-        return not any(close() for close in self.reclaim)
+        return not (self.silent_clients() or self.idle_servers() or self.idle_clients())
+
+    def _crowded(self) -> bool:
+        """Whether clients hold their part, and none of them can be spared."""
+        if self.clients < CLIENTS * self.limit:
+            return False
+        return not (self.silent_clients() or self.idle_clients())
 
     def take_server(self) -> bool:
         if self._short():
@@ -29,9 +56,7 @@
 
     async def take_client(self) -> None:
         """Waits until a client's connection may be accepted."""
-        while self.clients >= CLIENTS * self.limit or self._short():
-            if self.clients >= CLIENTS * self.limit:
-                self.reclaim[-1]()
+        while self._crowded() or self._short():
             self.freed = trio.Event()
             with trio.move_on_after(0.1):
                 await self.freed.wait()
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -1,35 +1,39 @@
 """The client side: the listener, requests to exchanges, final answers, and clients that go away."""
 
+import socket
+from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
+from itertools import chain
 from typing import Protocol
 from urllib.parse import unquote
 
-import h11
+import httptools
 import trio
 from loguru import logger
 
-from rowanshift.net.budget import Budget
+from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import Names
-from rowanshift.net.connection import Connection, Oversize, end_to_end
+from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.exchange import Exchange, Reply
 
 READY = b"/-/ready"
 LEFT = b"x-remaining-ms"
-IDLE_FOR = 120.0  # seconds that a client's connection may stand idle
+ONCE = frozenset([b"x-txn", b"x-lane", b"x-org", LEFT])
+SILENT_FOR = 2.0  # seconds from a connection to its first whole request
+REQUEST_WITHIN = 2.0  # a request's first byte to its last
+IDLE_FOR = 30.0  # that a client's connection may stand idle once it has asked
 LAST_LOOK = 0.02  # of a connection that was accepted at the very end
-REQUEST_WITHIN = 5.0  # a request's first byte to its last
 REPLY_WITHIN = 10.0
+LINGER_FOR, LINGER_BYTES = 0.5, 256 * 1024  # read on after an error, so that it arrives
 OVERDUE = 0.03  # after the expiry
 LONGEST_LEFT_MS = 3_600_000
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 BACKLOG = 1024
+AT_ONCE = 16  # connections accepted in one turn
 
-
-class BadRequest(Exception):
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
+scratch = bytearray(64 * 1024)  # for what nobody will look at
 
 
 class Decider(Protocol):
@@ -38,168 +42,261 @@
     def gone(self, exchange: Exchange) -> None: ...
 
 
-def exchange_of(id: int, head: h11.Request, body: bytes, names: Names, came_at: float) -> Exchange:
+def exchange_of(id: int, message: Message, names: Names, came_at: float) -> Exchange:
     """The work item that a request stands for; its time counts from when its last byte came."""
-    if head.method not in (b"GET", b"PUT"):
-        raise BadRequest(405, "GET reads and PUT writes")
-    fields = dict(head.headers)
+    if message.method not in (b"GET", b"PUT"):
+        raise BadMessage(405, "GET reads and PUT writes")
+    fields = dict(message.fields)
+    if sum(name in ONCE for name, _ in message.fields) != len(ONCE & fields.keys()):
+        raise BadMessage(400, "a field that says what to do stands there twice")
     if not fields.get(b"x-txn"):
-        raise BadRequest(400, "X-Txn is missing")
-    first, *rest = head.target.split(b"?", 1)[0].strip(b"/").split(b"/")
+        raise BadMessage(400, "X-Txn is missing")
+    first, *rest = message.target.split(b"?", 1)[0].strip(b"/").split(b"/")
     category = fields.get(b"x-lane", first)
     if category != first or (position := names.categories.get(category)) is None:
-        raise BadRequest(400, "unknown category, or X-Lane and the path differ")
+        raise BadMessage(400, "unknown category, or X-Lane and the path differ")
     customer = names.tenants.get(fields.get(b"x-org")) if names.tenants else 0
     if customer is None:
-        raise BadRequest(400, "unknown tenant")
+        raise BadMessage(400, "unknown tenant")
     left = fields.get(LEFT, b"")
     if not left.isdigit() or len(left) > 9 or int(left) > LONGEST_LEFT_MS:
-        raise BadRequest(400, "X-Remaining-Ms is no whole number of milliseconds")
-    key = unquote(rest[-1].decode("ascii")) if rest and rest[-1] else None
-    passed_on = [field for field in end_to_end(head) if field[0] != LEFT]
-    return Exchange(id, position, customer, key, head.method == b"PUT", came_at + int(left) / 1000,
-                    head.method, head.target, passed_on, body)
+        raise BadMessage(400, "X-Remaining-Ms is no whole number of milliseconds")
+    key = unquote(rest[-1].decode("latin-1")) if rest and rest[-1] else None
+    passed_on = [field for field in message.end_to_end() if field[0] != LEFT]
+    return Exchange(id, position, customer, key, message.method == b"PUT", came_at + int(left) / 1000,
+                    message.method, message.target, passed_on, message.body)
+
+
+def written(reply: Reply, keep: bool) -> bytes:
+    """A final answer as it goes out."""
+    lines = [b"HTTP/1.1 %d %s" % (reply.status, REASONS.get(reply.status, b""))]
+    lines += [b"%s: %s" % field for field in reply.headers]
+    lines.append(b"Content-Length: %d" % len(reply.body))
+    if reply.retry_after:
+        lines.append(b"Retry-After: %.3f" % reply.retry_after)
+    if not keep:
+        lines.append(b"Connection: close")
+    return b"\r\n".join([*lines, b"", reply.body])
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """A client's connection, and the work item that is open on it."""
+
+    connection: Connection
+    until: float  # trio's time by which the next thing must happen
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    exchange: Exchange | None = None
+    txn: bytes = b""
+    reading: bool = False  # part of a request has come
+    keep: bool = True  # the connection, after the answer
+    refused: bool = False  # what it sent could not be followed
+    over: bool = False
 
 
 class Clients:
-    def __init__(self, names: Names, driver: Decider, clock: Clock, budget: Budget) -> None:
-        self.names, self.driver, self.clock, self.budget = names, driver, clock, budget
+    def __init__(self, names: Names, driver: Decider, clock: Clock, budget: Budget, memory: Memory) -> None:
+        self.names, self.driver, self.clock = names, driver, clock
+        self.budget, self.memory = budget, memory
         self.ids = 0
         self.ready = False  # whether to say so to those who ask
         self.leaving = False  # answers close their connections
         self.finishing = False  # and nothing is waited for
-        self.idle: dict[Connection, trio.CancelScope] = {}  # the longest idle first
-        budget.reclaim.append(self.drop_idle)
+        self.open: set[bytes] = set()  # X-Txn of work items that are open
+        self.silent: dict[Client, None] = {}  # never asked, or were refused; the oldest first
+        self.idle: dict[Client, None] = {}  # have asked; the longest idle first
+        budget.silent_clients = partial(self.drop_one, self.silent)
+        budget.idle_clients = partial(self.drop_one, self.idle)
 
     # the listener -----------------------------------------
 
-    async def accept(self, listener: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+    async def accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
         """Accepts for good; an error of one ``accept`` ends nothing."""
         while True:
-            await self.budget.take_client()
-            try:
-                sock, _ = await listener.accept()
-            except OSError as error:
-                self.budget.give_client()
-                logger.warning("accept: {}", error)
-                await trio.sleep(0.02)
-            except BaseException:
-                self.budget.give_client()
-                raise
-            else:
+            await trio.lowlevel.wait_readable(listener)
+            for _ in range(AT_ONCE):
+                await self.budget.take_client()
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:
+                    self.budget.give_client()
+                    break
+                except OSError as error:
+                    self.budget.give_client()
+                    logger.warning("accept: {}", error)
+                    await trio.sleep(0.02)
+                    break
                 nursery.start_soon(self.serve, sock)
 
-    def drop_idle(self) -> bool:
-        """Closes the connection that has stood idle longest and has no request under way, if there is one."""
-        for connection, scope in self.idle.items():
-            if not connection.readable():
-                del self.idle[connection]
-                scope.cancel()
-                self._end(connection)
+    def drop_one(self, clients: dict[Client, None]) -> bool:
+        """Closes the first of these connections that nothing has come in on, if there is one."""
+        for client in clients:
+            if client.refused or not (client.connection.readable() or client.connection.pending()):
+                self._end(client)
                 return True
         return False
 
     def leave(self) -> None:
         """Closes what is idle, after a last look; what else is open closes with its answer."""
         self.leaving = self.finishing = True
-        for scope in self.idle.values():
-            scope.cancel()
+        for client in chain(self.silent, self.idle):
+            client.until = client.scope.deadline = trio.current_time() + LAST_LOOK
 
-    def _end(self, connection: Connection) -> None:
+    def _end(self, client: Client) -> None:
         """Closes a connection now: its descriptor may be wanted in the same turn of the loop."""
-        if not connection.closed():
-            connection.close()
+        client.over = True
+        self.silent.pop(client, None)
+        self.idle.pop(client, None)
+        if not client.connection.closed():
+            client.connection.close()
             self.budget.give_client()
 
     # one connection ---------------------------------------
 
-    async def serve(self, sock: trio.socket.SocketType) -> None:
-        connection = Connection(sock, h11.SERVER)
+    async def serve(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        wait = LAST_LOOK if self.finishing else SILENT_FOR
+        client = Client(Connection(sock, httptools.HttpRequestParser, self.memory),
+                        trio.current_time() + wait)
+        self.silent[client] = None
         try:
-            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-            while await self._more(connection) and await self._one(connection):
-                pass
-        except (OSError, h11.LocalProtocolError):
-            pass  # the client broke off
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while not client.over:
+                await self._turn(client)
+            if client.refused and not client.connection.closed():
+                await self._linger(client)
+        except (OSError, trio.ClosedResourceError):
+            pass  # the client broke off, or was closed to make room
         except Exception:
             logger.exception("a client's connection failed")
         finally:
-            self.idle.pop(connection, None)
-            self._end(connection)
-
-    async def _more(self, connection: Connection) -> bool:
-        """Waits for the first bytes of a request, for as long as the connection may stand idle."""
-        if connection.has_input():
-            return True
-        with trio.move_on_after(LAST_LOOK if self.finishing else IDLE_FOR) as self.idle[connection]:
-            await trio.lowlevel.wait_readable(connection.sock)
-        self.idle.pop(connection, None)  # before anything is read: what was read must be answered
-        return not connection.closed() and connection.readable() and await connection.fill()
-
-    async def _one(self, connection: Connection) -> bool:
-        """Reads one request and answers it; False once the connection must close."""
+            if client.exchange is not None:
+                self.driver.gone(client.exchange)
+            self._end(client)
+
+    async def _turn(self, client: Client) -> None:
+        """Waits for the next thing to happen on a connection, and takes it in."""
+        connection, waits = client.connection, client.exchange is not None
+        with trio.CancelScope(deadline=client.until) as client.scope:
+            if connection.sending():
+                await trio.lowlevel.wait_writable(connection.sock)
+            elif waits and connection.inbound.full():
+                await trio.sleep_forever()
+            elif not waits and connection.pending():
+                await trio.lowlevel.checkpoint()
+            else:
+                await trio.lowlevel.wait_readable(connection.sock)
+        late = client.scope.cancelled_caught and trio.current_time() >= client.until
+        if client.over:
+            return
+        if connection.sending():
+            if connection.pump():
+                self._sent(client)
+            client.over = client.over or late
+        elif client.exchange is not None:
+            if late:
+                await self._last_resort(client)
+            elif not client.scope.cancelled_caught and not connection.receive():
+                client.over = True  # it has gone away
+        elif client.scope.cancelled_caught:
+            if late and client.reading:
+                self._refuse(client, BadMessage(408, "the request took too long"))
+            else:
+                client.over = late
+        elif connection.receive() or connection.pending():
+            self._read(client)
+        else:
+            client.over = True
+
+    def _read(self, client: Client) -> None:
+        """Takes up the next request, if it has come whole."""
+        self.idle.pop(client, None)  # what was read must be answered
+        if not client.reading:
+            client.reading = True
+            client.until = min(client.until, trio.current_time() + REQUEST_WITHIN)
         try:
-            with trio.move_on_after(REQUEST_WITHIN) as scope:
-                message = await connection.message()
-            if scope.cancelled_caught:
-                raise BadRequest(408, "the request took too long")
-            if message is None:
-                return False
-            head, body = message
-            if head.target == READY:
-                ready = Reply(200, b"ready\n") if self.ready else Reply(503, b"not ready\n")
-                return await self._send(connection, ready)
-            self.ids += 1
-            exchange = exchange_of(self.ids, head, body, self.names, self.clock.now() - connection.age())
-        except BadRequest as error:
-            keep = error.status in (400, 405)
-            return await self._send(connection, Reply(error.status, f"{error}\n".encode()), keep)
-        except Oversize:
-            return await self._send(connection, Reply(413, b"64 KiB at most\n"), False)
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint or 400
-            return await self._send(connection, Reply(status, b"malformed request\n"), False)
-        reply = await self._reply(connection, exchange)
-        return reply is not None and await self._send(connection, reply)
-
-    async def _reply(self, connection: Connection, exchange: Exchange) -> Reply | None:
-        """Waits for the end of the work item, with an eye on the client; None if it has gone away."""
+            message = client.connection.next()
+            if message is not None:
+                client.reading = False
+                self._take(client, message)
+        except BadMessage as error:
+            self._refuse(client, error)
+
+    def _take(self, client: Client, message: Message) -> None:
+        client.keep = message.keep
+        if message.target == READY:
+            ready = Reply(200, b"ready\n") if self.ready else Reply(503, b"not ready\n")
+            return self._answer(client, ready)
+        self.ids += 1
+        came_at = self.clock.now() - client.connection.age()
+        exchange = exchange_of(self.ids, message, self.names, came_at)
+        txn = next(value for name, value in exchange.headers if name == b"x-txn")
+        if txn in self.open:
+            raise BadMessage(409, "X-Txn is that of a request that is open")
+        self.open.add(txn)
+        self.silent.pop(client, None)
+        client.exchange, client.txn = exchange, txn
+        exchange.wake = partial(self._ended, client, exchange)
         self.driver.take(exchange)
-        overdue = self.clock.deadline(exchange.expiry + OVERDUE)
-        while not exchange.ended:
-            with trio.CancelScope(deadline=overdue) as scope:
-                exchange.wake = scope.cancel
-                if not connection.inbound.space():
-                    await trio.sleep_forever()
-                elif not await self._stays(connection):
-                    self.driver.gone(exchange)
-                    return None
-            if (late := trio.current_time() - overdue) >= 0 and not exchange.ended:
-                # after a standstill the hand-off's time is up in the same turn: its outcome goes first
-                await trio.sleep(0.005)
-                if not exchange.ended:
-                    logger.error("work item {} was left without an answer: {:.3f} s late, {} hand-offs",
-                                 exchange.id, late, exchange.hand_offs)
-                    self.driver.gone(exchange)
-                    return Reply(504)
-        return exchange.reply
-
-    @staticmethod
-    async def _stays(connection: Connection) -> bool:
+        if client.exchange is not None:
+            client.until = self.clock.deadline(exchange.expiry + OVERDUE)
+
+    def _ended(self, client: Client, exchange: Exchange) -> None:
+        """The end of a work item: its answer goes out in the same turn."""
+        client.exchange = None
+        self.open.discard(client.txn)
+        if exchange.reply is not None:
+            self._answer(client, exchange.reply)
+
+    async def _last_resort(self, client: Client) -> None:
+        """After a standstill the hand-off's time is up in the same turn: its outcome goes first."""
+        late = trio.current_time() - client.until
+        await trio.sleep(0.005)
+        if (exchange := client.exchange) is not None:
+            logger.error("work item {} was left without an answer: {:.3f} s late, {} hand-offs",
+                         exchange.id, late, exchange.hand_offs)
+            self.driver.gone(exchange)
+            self._answer(client, Reply(504))
+
+    # answers ----------------------------------------------
+
+    def _refuse(self, client: Client, error: BadMessage) -> None:
+        """What can't be followed gets its error and the close: no more of it is read."""
+        client.refused, client.keep = True, False
+        self.silent[client] = None
+        self._answer(client, Reply(error.status, f"{error}\n".encode()))
+
+    def _answer(self, client: Client, reply: Reply) -> None:
+        client.keep = client.keep and not self.leaving
+        client.until = trio.current_time() + REPLY_WITHIN
+        connection = client.connection
         try:
-            return await connection.fill()
+            if connection.push(written(reply, client.keep)):
+                self._sent(client)
+            elif not connection.hold(len(connection.unsent)):
+                client.over = True  # the client can tell that it is not whole
         except OSError:
-            return False
-
-    async def _send(self, connection: Connection, reply: Reply, keep: bool = True) -> bool:
-        keep = keep and not self.leaving
-        headers = [*reply.headers, (b"Content-Length", str(len(reply.body)).encode())]
-        if reply.retry_after:
-            headers.append((b"Retry-After", f"{reply.retry_after:.3f}".encode()))
-        if not keep:
-            headers.append((b"Connection", b"close"))
-        with trio.move_on_after(REPLY_WITHIN) as scope:
-            reason = REASONS.get(reply.status, b"")
-            await connection.send(h11.Response(status_code=reply.status, reason=reason, headers=headers),
-                                  reply.body)
-        return not scope.cancelled_caught and connection.renew()
+            client.over = True
+        if client.over or connection.sending() or connection.pending():
+            client.scope.cancel()
+        else:
+            client.scope.deadline = client.until
+
+    def _sent(self, client: Client) -> None:
+        client.connection.release()
+        if client.keep:
+            client.until = trio.current_time() + (LAST_LOOK if self.finishing else IDLE_FOR)
+            self.idle[client] = None
+            self.silent.pop(client, None)
+        else:
+            client.over = True
+
+    async def _linger(self, client: Client) -> None:
+        """Reads on a little, so that the error is not lost with what the client is still sending."""
+        sock, left = client.connection.sock, LINGER_BYTES
+        sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(LINGER_FOR):
+            while left > 0:
+                await trio.lowlevel.wait_readable(sock)
+                n = sock.recv_into(scratch)
+                left -= n or left
--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -35,6 +35,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     peer_listen: Address | None
     peers: list[Address]
     peers_all: Address | None
@@ -88,6 +89,7 @@
             discovery=address_of(data["discovery"]),
             seed=int(data["seed"], 16),
             sockets=int(limits["sockets"]),
+            memory_mb=float(limits["memory_mb"]),
             peer_listen=address_of(data["peer_listen"]) if data.get("peer_listen") else None,
             peers=[address_of(text) for text in data.get("peers") or ()],
             peers_all=address_of(data["peers_all"]) if data.get("peers_all") else None,
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -1,19 +1,24 @@
-"""HTTP/1.1 messages over one socket: h11 between two ring buffers."""
+"""HTTP/1.1 messages over one socket: a strict parser behind one ring buffer, another before the way out."""
 
 import select
 import socket
+from collections import deque
+from dataclasses import dataclass, field
 from struct import Struct
 
-import h11
+import httptools
 import trio
 
+from rowanshift.net.budget import Memory
 from rowanshift.net.ring import Ring
 
 LAST_DATA_RECEIVED = Struct("52xI")  # in Linux's tcp_info, milliseconds
 LARGEST_HEAD = 16 * 1024
 LARGEST_BODY = 64 * 1024
+MOST_HINTS = 8  # 1xx answers ahead of one
+GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_BODY = (204, 304)
 
-Head = h11.Request | h11.Response
 Fields = list[tuple[bytes, bytes]]
 
 HOP_BY_HOP = frozenset([b"connection", b"content-length", b"expect", b"keep-alive", b"proxy-authenticate",
@@ -21,25 +26,58 @@
                         b"upgrade"])
 
 
-class Oversize(Exception):
-    """A body larger than a message may hold."""
+class BadMessage(Exception):
+    """A message that can't be followed; the text says why, and the status tells a client."""
 
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
 
-def end_to_end(head: Head) -> Fields:
-    """The fields that go on as they came, among them the mark by which a repeat is known."""
-    named = {name.strip().lower() for field, value in head.headers if field == b"connection"
-             for name in value.split(b",")}
-    return [(name, value) for name, value in head.headers if name not in HOP_BY_HOP and name not in named]
+
+@dataclass(slots=True)
+class Message:
+    """A request or an answer, read whole."""
+
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+    fields: Fields = field(default_factory=list)  # names in lower case
+    body: bytes = b""
+    keep: bool = True  # whether its sender keeps the connection
+
+    def end_to_end(self) -> Fields:
+        """The fields that go on as they came, among them the mark by which a repeat is known."""
+        named = {name.strip().lower() for field, value in self.fields if field == b"connection"
+                 for name in value.split(b",")}
+        return [(name, value) for name, value in self.fields if name not in HOP_BY_HOP and name not in named]
 
 
 class Connection:
-    def __init__(self, sock: trio.socket.SocketType, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
-        self.sock = sock
-        self.h11 = h11.Connection(role, max_incomplete_event_size=LARGEST_HEAD)
+    """The socket must not block. What is sent goes out at once as far as the system takes it."""
+
+    def __init__(self, sock: socket.socket, parser: type, memory: Memory) -> None:
+        self.sock, self.memory, self.requests = sock, memory, parser is httptools.HttpRequestParser
+        self.parser = parser(self)
         self.inbound, self.outbound = Ring(), Ring()
+        self.unsent = memoryview(b"")  # what the outbound ring did not take
+        self.whole: deque[Message] = deque()
+        self.error: BadMessage | None = None  # in what came after those
+        self.partial = False  # a message has begun and is not whole
+        self.held = 0  # bytes of bodies
+        self._start()
+
+    def _start(self) -> None:
+        self.message, self.pieces, self.size = Message(), [], 0
+        self.in_head, self.head, self.hints = True, 0, 0
+
+    # the socket -------------------------------------------
 
     def close(self) -> None:
-        self.sock.close()
+        if not self.closed():
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
+            self.parser = None  # each holds the other
+            self.release()
 
     def closed(self) -> bool:
         return self.sock.fileno() < 0
@@ -50,12 +88,6 @@
         poll.register(self.sock, select.POLLIN)
         return bool(poll.poll(0))
 
-    async def fill(self) -> bool:
-        """Waits for bytes; False once the other side has ended its sending."""
-        n = await self.sock.recv_into(self.inbound.space())
-        self.inbound.filled(n)
-        return n > 0
-
     def age(self) -> float:
         """Seconds since the last bytes came in, which a router that stood still reads late."""
         if not hasattr(socket, "TCP_INFO"):
@@ -63,51 +95,141 @@
         info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
         return LAST_DATA_RECEIVED.unpack(info)[0] / 1000
 
-    def has_input(self) -> bool:
-        return bool(self.inbound or self.h11.trailing_data[0])
-
-    async def event(self) -> h11.Event | type[h11.PAUSED]:
-        """The next event of the other side's messages."""
-        while (event := self.h11.next_event()) is h11.NEED_DATA:
-            if self.h11.they_are_waiting_for_100_continue:
-                await self._flush(self.h11.send(h11.InformationalResponse(status_code=100, headers=[])))
-            if self.inbound or await self.fill():
-                self.h11.receive_data(self.inbound.read())
-            else:
-                self.h11.receive_data(b"")
-        return event
-
-    async def message(self) -> tuple[Head, bytes] | None:
-        """A whole message; None if the other side ended before its first byte."""
-        head, body, size = None, [], 0
-        while not isinstance(event := await self.event(), h11.EndOfMessage):
-            if isinstance(event, h11.Request | h11.Response):
-                head = event
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > LARGEST_BODY:
-                    raise Oversize
-                body.append(bytes(event.data))
-            elif not isinstance(event, h11.InformationalResponse):
-                return None  # closed, or paused after a message that ended the connection
-        return head, b"".join(body)
-
-    async def send(self, head: Head, body: bytes) -> None:
-        """Sends a whole message and returns once its last byte is written."""
-        data = self.h11.send(head)
-        if body:
-            data += self.h11.send(h11.Data(data=body))
-        await self._flush(data + self.h11.send(h11.EndOfMessage()))
-
-    async def _flush(self, data: bytes) -> None:
-        rest = memoryview(data)
-        while rest or self.outbound:
-            rest = rest[self.outbound.write(rest):]
-            self.outbound.drop(await self.sock.send(self.outbound.held()))
-
-    def renew(self) -> bool:
-        """Makes ready for the next message; False if the connection must close."""
-        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-            self.h11.start_next_cycle()
+    # in ---------------------------------------------------
+
+    def receive(self) -> bool:
+        """Reads once what has come in; False if the other side has ended its sending."""
+        try:
+            n = self.sock.recv_into(self.inbound.space())
+        except BlockingIOError:
+            self.inbound.filled(0)
             return True
-        return False
+        self.inbound.filled(n)
+        return n > 0
+
+    def next(self) -> Message | None:
+        """The next message, once what was received holds it whole."""
+        while self.inbound and not self.whole and self.error is None:
+            self._parse(self.inbound.read())
+        if self.whole:
+            return self.whole.popleft()
+        if self.error is not None:
+            raise self.error
+        return None
+
+    def pending(self) -> bool:
+        """Whether there is more of what was received to look at."""
+        return bool(self.whole or self.inbound or self.error)
+
+    def clean(self) -> bool:
+        """Whether nothing is left over: what is would be taken for a part of the next message."""
+        return not (self.partial or self.pending())
+
+    def _parse(self, data: bytes) -> None:
+        if not self.partial and not b"HTTP/".startswith(data[:5]) and not self.requests:
+            self.error = BadMessage(400, "no HTTP")  # the parser knows other protocols of its kind
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(400, "no upgrades here")
+        except httptools.HttpParserError as error:
+            self._fail(400, str(error))
+        if self.in_head and self.partial:
+            self.head += len(data)
+            if self.head > LARGEST_HEAD:
+                self._fail(431, "a head of 16 KiB at most")
+
+    def _fail(self, status: int, why: str) -> None:
+        """The first failure stands. The parser ends at one that a call below raises."""
+        self.error = self.error or BadMessage(status, why)
+
+    def on_message_begin(self) -> None:
+        hints = self.hints
+        self._start()
+        self.partial, self.hints = True, hints
+
+    def on_url(self, url: bytes) -> None:
+        self.message.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_head:  # else it is a trailer, which nobody needs
+            self.message.fields.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        message, self.in_head = self.message, False
+        version = self.parser.get_http_version()
+        given = {name: value for name, value in message.fields
+                 if name in (b"content-length", b"transfer-encoding", b"expect")}
+        length = given.get(b"content-length")
+        if version not in ("1.0", "1.1"):
+            self._fail(505, "HTTP/1.1 is spoken here")
+        elif length is not None and int(length) > LARGEST_BODY:
+            self._fail(413, "64 KiB at most")
+        elif self.requests:
+            message.method = self.parser.get_method()
+            if sum(name == b"host" for name, _ in message.fields) != 1 and version == "1.1":
+                self._fail(400, "one Host is wanted")
+            elif given.get(b"expect", b"").lower() == b"100-continue" and not self.unsent:
+                self.push(GO_AHEAD)
+        else:
+            message.status = self.parser.get_status_code()
+            if not given and message.status >= 200 and message.status not in NO_BODY:
+                self._fail(502, "an answer of no length")
+        if self.error is not None:
+            raise self.error
+
+    def on_body(self, piece: bytes) -> None:
+        self.size += len(piece)
+        if self.size > LARGEST_BODY:
+            self._fail(413, "64 KiB at most")
+            raise self.error
+        if not self.hold(len(piece)):
+            self._fail(503, "no memory is left for bodies")
+            raise self.error
+        self.pieces.append(piece)
+
+    def on_message_complete(self) -> None:
+        self.partial = False
+        message = self.message
+        if not self.requests and message.status < 200:
+            self.hints += 1
+            if self.hints > MOST_HINTS:
+                self._fail(502, "too many answers ahead")
+                raise self.error
+            return
+        message.keep, message.body = self.parser.should_keep_alive(), b"".join(self.pieces)
+        self.whole.append(message)
+        self._start()
+
+    # out --------------------------------------------------
+
+    def push(self, data: bytes) -> bool:
+        """Sends what the system takes at once; whether that was all. What is left is for ``pump``."""
+        self.unsent = memoryview(data)
+        return self.pump()
+
+    def pump(self) -> bool:
+        while self.unsent or self.outbound:
+            self.unsent = self.unsent[self.outbound.write(self.unsent):]
+            try:
+                self.outbound.drop(self.sock.send(self.outbound.held()))
+            except BlockingIOError:
+                return False
+        return True
+
+    def sending(self) -> bool:
+        return bool(self.unsent or self.outbound)
+
+    # memory -----------------------------------------------
+
+    def hold(self, size: int) -> bool:
+        """Counts bytes that are kept for this connection; False if there is no room for them."""
+        if not self.memory.take(size):
+            return False
+        self.held += size
+        return True
+
+    def release(self) -> None:
+        self.memory.give(self.held)
+        self.held = 0
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -11,7 +11,7 @@
 
 from rowanshift.model import Entry
 from rowanshift.net.config import Address, Names, address_of, entry_of
-from rowanshift.net.connection import Connection
+from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers
 
 SILENCE = 3.0  # an empty line comes every 2 s
@@ -45,13 +45,19 @@
     def learn(self, data: dict[str, Any], scope: str = "") -> None:
         """Takes in one object of discovery's."""
         entries = [entry_of(row, self.names) for row in data["instances"]]
+        scope = scope or ("full" if data.get("reset") else "delta")
+        if scope != "delta":
+            self.servers.forget_others(entry.server for entry in entries)
         for entry, row in zip(entries, data["instances"], strict=True):
-            if entry.health != "live":
-                self.servers.leave(entry.server)
+            if entry.health == "dead":
+                self.servers.forget(entry.server)
+                continue
             if row.get("hostPort"):
                 self.servers.locate(entry.server, address_of(row["hostPort"]))
+            if entry.health != "live":
+                self.servers.leave(entry.server)
         self.generation = data["generation"]
-        self.list_changed(scope or ("full" if data.get("reset") else "delta"), entries)
+        self.list_changed(scope, entries)
 
     async def run(self) -> None:
         while True:
@@ -77,21 +83,21 @@
     async def _watch(self) -> None:
         """Follows one watch to its end, which is always an error."""
         with trio.socket.socket() as sock:
-            connection = Connection(sock, h11.CLIENT)
+            agent = Agent(sock)
             with trio.fail_after(SILENCE):
                 await sock.connect(self.address)
                 if not self.numbered:  # changes since another's generation would leave out what is gone
-                    await self._ask(connection, "/api/targets")
-                    whole = b"".join([data async for data in self._data(connection)])
+                    await agent.ask("/api/targets", self.address)
+                    whole = b"".join([data async for data in agent.data()])
                     self.learn(orjson.loads(whole), "full")
-                    connection.renew()
+                    agent.h11.start_next_cycle()
                     self.numbered = True
-                await self._ask(connection, f"/api/targets?follow=1&since={self.generation}")
+                await agent.ask(f"/api/targets?follow=1&since={self.generation}", self.address)
             if self.broken:
                 logger.info("the list is watched again")
             self.broken = False
             rest = b""
-            async for data in self._data(connection):
+            async for data in agent.data():
                 *lines, rest = (rest + data).split(b"\n")
                 if len(rest) > LONGEST_LINE:
                     raise ValueError("a line of the list has no end")
@@ -100,19 +106,32 @@
                     self.pause = FIRST_PAUSE
             raise ValueError("the watch ended")
 
-    async def _ask(self, connection: Connection, target: str) -> None:
-        host = "{}:{}".format(*self.address)
-        await connection.send(h11.Request(method="GET", target=target, headers=[("Host", host)]), b"")
-        head = await connection.event()
+
+class Agent:
+    """A connection to discovery, whose answers are read as they come: one may have no end."""
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self.sock, self.inbound, self.h11 = sock, Ring(), h11.Connection(h11.CLIENT)
+
+    async def ask(self, target: str, address: Address) -> None:
+        host = "{}:{}".format(*address)
+        request = self.h11.send(h11.Request(method="GET", target=target, headers=[("Host", host)]))
+        await trio.SocketStream(self.sock).send_all(request + self.h11.send(h11.EndOfMessage()))
+        head = await self._event()
         if not isinstance(head, h11.Response) or head.status_code != 200:
             raise ValueError(f"discovery answered {head!r}")
 
-    @staticmethod
-    async def _data(connection: Connection) -> AsyncIterator[bytes]:
+    async def data(self) -> AsyncIterator[bytes]:
         """The pieces of an answer's body, each within the time that an agent may be silent for."""
         while True:
             with trio.fail_after(SILENCE):
-                event = await connection.event()
+                event = await self._event()
             if not isinstance(event, h11.Data):
                 return
             yield bytes(event.data)
+
+    async def _event(self) -> h11.Event | type[h11.PAUSED]:
+        while (event := self.h11.next_event()) is h11.NEED_DATA:
+            self.inbound.filled(await self.sock.recv_into(self.inbound.space()))
+            self.h11.receive_data(self.inbound.read())
+        return event
--- a/rowanshift/net/driver.py
+++ b/rowanshift/net/driver.py
@@ -1,6 +1,7 @@
 """Owns the ``Router``: calls in as things happen, its ``Results`` out to both sides, and the wake timer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import trio
@@ -65,28 +66,30 @@
     # results ----------------------------------------------
 
     def _call(self, call: Callable[..., None], now: float, *args: Any) -> None:
-        """Makes a call; its failure must not end what the router holds besides."""
-        try:
-            call(now, *args)
+        """Makes a call and carries out what it wants."""
+        self._each(call, [(now, *args)])
+        unsent = self._carry_out(now)
+        while unsent:  # for want of a descriptor
+            self._each(self.router.answered, [(now, ho.exchange.id, ho.number, ho.server, Verdict.MOOT, 0.0,
+                                               ho.exchange.ended, None) for ho in unsent])
             unsent = self._carry_out(now)
-            while unsent:  # for want of a descriptor
-                for ho in unsent:
-                    self.router.answered(now, ho.exchange.id, ho.number, ho.server, Verdict.MOOT, 0.0,
-                                         ho.exchange.ended, None)
-                unsent = self._carry_out(now)
-        except Exception:
-            logger.exception("a call of the router failed")
+
+    @staticmethod
+    def _each(call: Callable[..., None], rows: Iterable[tuple[Any, ...]]) -> None:
+        """Makes calls, of which a failure must not end what the router holds besides."""
+        for row in rows:
+            try:
+                call(*row)
+            except Exception:
+                logger.exception("a call of the router failed")
 
     def _carry_out(self, now: float) -> list[HandOff]:
         """Carries out what has gathered; returns the hand-offs that could not be sent."""
-        results = self.router.drain()
-        unsent = [ho for ho in map(self._hand_off, results.hand_offs) if ho is not None]
-        for id, number in results.withdrawals:
-            self.servers.withdraw(id, number)
-        for id, answer, back in results.answers:
-            self._end(id, Reply(STATUS[answer], retry_after=back if answer is Answer.DEFERRED else 0.0))
-        for ordinal, payload in results.messages:
-            self.tell(ordinal, payload)
+        results, unsent = self.router.drain(), []
+        self._each(partial(self._hand_off, unsent), results.hand_offs)
+        self._each(self.servers.withdraw, results.withdrawals)
+        self._each(self._answer, results.answers)
+        self._each(self.tell, results.messages)
         for line in results.log:
             logger.info("{}", line)
         if results.subscribe:
@@ -96,14 +99,17 @@
             self.waking.deadline = self.clock.deadline(self.wake_at)
         return unsent
 
-    def _hand_off(self, wanted: tuple[int, float, str]) -> HandOff | None:
-        """Starts a hand-off; returns it if it could not be."""
-        id, until, server = wanted
+    def _hand_off(self, unsent: list[HandOff], id: int, until: float, server: str) -> None:
+        """Starts a hand-off, or adds it to those that could not be."""
         exchange = self.exchanges[id]
         number, exchange.hand_offs = exchange.hand_offs, exchange.hand_offs + 1
         until = min(until or exchange.expiry, exchange.expiry)
         ho = HandOff(exchange, number, server, self.clock.now(), until)
-        return None if self.servers.hand_off(ho) else ho
+        if not self.servers.hand_off(ho):
+            unsent.append(ho)
+
+    def _answer(self, id: int, answer: Answer, back: float) -> None:
+        self._end(id, Reply(STATUS[answer], retry_after=back if answer is Answer.DEFERRED else 0.0))
 
     def _end(self, id: int, reply: Reply | None) -> None:
         if (exchange := self.exchanges.pop(id, None)) is not None:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -1,17 +1,18 @@
 """The server side: connection pools, dialling, and each hand-off to one ``Verdict``."""
 
+import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-import h11
+import httptools
 import trio
 from loguru import logger
 
 from rowanshift.model import Verdict
-from rowanshift.net.budget import Budget
+from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.clock import Clock
-from rowanshift.net.connection import Connection, Oversize, end_to_end
+from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.exchange import HandOff, Reply
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -20,183 +21,267 @@
 Done = Callable[[HandOff, Verdict, int | None, Reply | None], None]
 
 
+@dataclass(slots=True, eq=False)
+class Target:
+    """A server at an address. One that moves is another target: what is open to the old one is not kept."""
+
+    address: tuple[str, int]
+    idle: list["Link"] = field(default_factory=list)  # the newest last
+    dialling: list["Link"] = field(default_factory=list)
+    kept: bool = True  # whether connections to it may be used again
+
+
 @dataclass(slots=True, eq=False)
 class Link:
-    """A connection to a server, and what it is to carry next."""
+    """A connection to a server, and what it carries."""
 
-    server: str
+    target: Target
     connection: Connection
+    job: HandOff | None
+    until: float = 0.0  # trio's time by which the next thing must happen
     since: float = 0.0  # idle
-    job: HandOff | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    written: bool = False  # the job's last byte
+    broken: bool = False  # before that
+    withdrawn: bool = False
+    begun: bool = False  # an answer
     ended: bool = False
 
 
-def verdict_of(head: h11.Response) -> Verdict:
-    match head.status_code:
+def verdict_of(message: Message) -> Verdict:
+    match message.status:
         case 200:
             return Verdict.FINISHED
         case 404:
             return Verdict.MISS
-        case 503 | 504 if (b"x-turned-away", b"1") in head.headers:
+        case 503 | 504 if (b"x-turned-away", b"1") in message.fields:
             return Verdict.FULL
     return Verdict.ERROR
 
 
 class Servers:
-    def __init__(self, clock: Clock, dial_within: float, idle_for: float, budget: Budget,
+    def __init__(self, clock: Clock, dial_within: float, idle_for: float, budget: Budget, memory: Memory,
                  nursery: trio.Nursery) -> None:
-        self.clock, self.budget, self.nursery = clock, budget, nursery
+        self.clock, self.budget, self.memory, self.nursery = clock, budget, memory, nursery
         self.dial_within, self.idle_for = dial_within, SPARE * idle_for
-        self.addresses: dict[str, tuple[str, int]] = {}
-        self.idle: dict[str, list[Link]] = {}  # the newest last
-        self.dialling: dict[str, set[trio.CancelScope]] = {}
-        self.out: dict[tuple[int, int], trio.CancelScope] = {}  # of hand-offs without an outcome
-        self.withdrawn: set[tuple[int, int]] = set()
+        self.targets: dict[str, Target] = {}
+        self.out: dict[tuple[int, int], Link] = {}  # of hand-offs without an outcome
         self.done: Done = lambda *_: None
-        budget.reclaim.insert(0, self.drop_idle)
+        budget.idle_servers = self.drop_idle
 
-    # calls ------------------------------------------------
+    # the list ---------------------------------------------
 
     def locate(self, server: str, address: tuple[str, int]) -> None:
-        if self.addresses.get(server) != address:
-            self.leave(server)
-            self.addresses[server] = address
+        """Where a live server is."""
+        target = self.targets.get(server)
+        if target is None or target.address != address:
+            self.forget(server)
+            target = self.targets[server] = Target(address)
+        target.kept = True
 
     def leave(self, server: str) -> None:
         """Closes idle connections to a server, and those that are not up yet: where the time for dialling
-        is longer than the grace of a drain, their hand-offs would come too late."""
-        for link in self.idle.pop(server, ()):
-            self._end(link)
-        for scope in self.dialling.pop(server, ()):
-            scope.cancel()
+        is longer than the grace of a drain, their hand-offs would come too late. Busy ones close once they
+        have their answer."""
+        if (target := self.targets.get(server)) is not None:
+            target.kept = False
+            for link in [*target.idle]:
+                self._end(link)
+            for link in target.dialling:
+                link.scope.cancel()
+
+    def forget(self, server: str) -> None:
+        self.leave(server)
+        self.targets.pop(server, None)
+
+    def forget_others(self, servers: Iterable[str]) -> None:
+        for server in self.targets.keys() - set(servers):
+            self.forget(server)
+
+    # calls ------------------------------------------------
 
     def drop_idle(self) -> bool:
         """Closes the connection that has stood idle longest, if there is one."""
-        oldest = min((links[0] for links in self.idle.values() if links), key=lambda k: k.since, default=None)
+        links = (target.idle[0] for target in self.targets.values() if target.idle)
+        oldest = min(links, key=lambda link: link.since, default=None)
         if oldest is None:
             return False
-        self.idle[oldest.server].remove(oldest)
         self._end(oldest)
         return True
 
     def hand_off(self, ho: HandOff) -> bool:
-        """Starts a hand-off, of which ``done`` will tell; False if no descriptor is left for it."""
-        links = self.idle.get(ho.server, [])
-        while links:
-            link = links.pop()
-            if not link.connection.readable():  # else the server has ended it
-                link.job = ho
-                link.scope.cancel()
-                return True
-            self._end(link)
+        """Starts a hand-off, of which ``done`` will tell; False if it can't even be tried."""
+        if (target := self.targets.get(ho.server)) is None:
+            return False
+        while target.idle:
+            link = target.idle[-1]
+            if link.connection.readable():  # it was ended, or would answer what was not asked
+                self._end(link)
+                continue
+            target.idle.pop()
+            link.job = ho
+            self._send(link)
+            return True
         if not self.budget.take_server():
             return False
         try:
-            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             logger.warning("no socket: {}", error)
             self.budget.give_server()
             return False
-        self.nursery.start_soon(self._serve, Link(ho.server, Connection(sock, h11.CLIENT), job=ho))
+        link = Link(target, Connection(sock, httptools.HttpResponseParser, self.memory), ho)
+        self.out[ho.exchange.id, ho.number] = link
+        target.dialling.append(link)
+        self.nursery.start_soon(self._serve, link)
         return True
 
     def withdraw(self, id: int, number: int) -> None:
-        if (scope := self.out.get((id, number))) is not None:
-            self.withdrawn.add((id, number))
-            scope.cancel()
+        if (link := self.out.get((id, number))) is not None:
+            link.withdrawn = True
+            link.scope.cancel()
 
     # one connection ---------------------------------------
 
     async def _serve(self, link: Link) -> None:
         """Carries one hand-off after another, from dialling to the close."""
         try:
-            fresh = True
-            while link.job is not None:
-                ho, link.job = link.job, None
-                verdict, remark, reply = await self._carry(ho, link.connection, fresh)
-                fresh, keep = False, link.connection.renew()
-                if keep:  # first back to the pool: what ``done`` sets off may use it
-                    link.since, link.scope = self.clock.now(), trio.CancelScope()
-                    self.idle.setdefault(ho.server, []).append(link)
-                self.done(ho, verdict, remark, reply)
-                if keep and link.job is None and not link.ended:
-                    await self._rest(link)
+            if await self._dial(link):
+                self._send(link)
+                while not link.ended:
+                    await self._turn(link)
+        except trio.ClosedResourceError:
+            pass  # ended from outside, while idle
+        except Exception:
+            logger.exception("a connection to a server failed")
+            if link.job is not None:
+                self._finish(link, Verdict.RESET if link.written else Verdict.UNREACHABLE)
         finally:
             self._end(link)
 
+    async def _dial(self, link: Link) -> bool:
+        ho, sock = link.job, link.connection.sock
+        link.until = min(trio.current_time() + self.dial_within, self.clock.deadline(ho.until))
+        up = False
+        with trio.CancelScope(deadline=link.until) as link.scope:
+            try:
+                if not link.target.kept:  # it left before this task began
+                    raise ConnectionAbortedError
+                failed = sock.connect_ex(link.target.address)
+                if failed == errno.EINPROGRESS:
+                    await trio.lowlevel.wait_writable(sock)
+                    failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                up = not failed and not link.withdrawn
+            except OSError as error:
+                logger.debug("{}: {!r}", ho.server, error)
+        link.target.dialling.remove(link)
+        if not up:
+            self._finish(link, self._unwritten(link))
+        return up
+
+    def _unwritten(self, link: Link) -> Verdict:
+        """Of a hand-off whose last byte was not written: by the bytes, it can't have run."""
+        ho = link.job
+        if link.withdrawn:
+            return Verdict.WITHDRAWN
+        if self.clock.now() >= ho.until >= ho.exchange.expiry:
+            return Verdict.MOOT  # the work item's time ran out first, which tells nothing of the server
+        return Verdict.UNREACHABLE
+
+    def _send(self, link: Link) -> None:
+        """Writes the job, as far as the system takes it at once; the link's task does the rest."""
+        ho = link.job
+        self.out[ho.exchange.id, ho.number] = link
+        link.until = self.clock.deadline(ho.until)
+        link.written = link.begun = False
+        try:
+            link.written = link.connection.push(self._request(ho))
+        except OSError:
+            link.broken = True
+        if link.written:
+            link.scope.deadline = link.until
+        else:
+            link.scope.cancel()
+
+    async def _turn(self, link: Link) -> None:
+        """Waits for the next thing to happen on a connection that is up, and takes it in."""
+        sock, writes = link.connection.sock, link.job is not None and not link.written
+        with trio.CancelScope(deadline=link.until) as link.scope:
+            if not link.broken and not link.withdrawn:
+                await (trio.lowlevel.wait_writable if writes else trio.lowlevel.wait_readable)(sock)
+        if link.job is None:  # the server ended it, sent what nobody asked for, or it stood idle long enough
+            if not link.ended and not (link.scope.cancelled_caught and trio.current_time() < link.until):
+                self._end(link)
+        elif link.withdrawn:
+            self._finish(link, Verdict.WITHDRAWN)
+        elif not link.written:
+            self._write_on(link)
+        elif link.scope.cancelled_caught and not link.connection.readable():
+            if trio.current_time() >= link.until:  # an answer that stops halfway is spoilt
+                self._finish(link, Verdict.ERROR if link.begun else Verdict.TIMED_OUT)
+        else:
+            self._read_on(link)
+
+    def _write_on(self, link: Link) -> None:
+        try:
+            link.written = not link.broken and link.connection.pump()
+        except OSError:
+            link.broken = True
+        if link.broken or (not link.written and trio.current_time() >= link.until):
+            self._finish(link, self._unwritten(link))
+
+    def _read_on(self, link: Link) -> None:
+        try:
+            going = link.connection.receive()
+            message = link.connection.next()
+        except OSError:
+            self._finish(link, Verdict.RESET)
+        except BadMessage as error:  # it ran, and the server is there
+            logger.debug("{} spoilt an answer: {}", link.job.server, error)
+            self._finish(link, Verdict.ERROR)
+        else:
+            if message is not None:
+                self._finish(link, verdict_of(message), message)
+            elif not going:
+                self._finish(link, Verdict.RESET)
+            elif not link.begun:
+                link.begun = True
+                link.until = min(link.until, trio.current_time() + self.dial_within)
+
+    def _finish(self, link: Link, verdict: Verdict, message: Message | None = None) -> None:
+        """Tells the outcome. The connection carries another only after a whole answer with nothing behind."""
+        ho, link.job = link.job, None
+        del self.out[ho.exchange.id, ho.number]
+        remark = reply = None
+        if message is not None and message.keep and link.connection.clean() and link.target.kept:
+            link.since = trio.current_time()
+            link.until = link.since + self.idle_for
+            link.target.idle.append(link)  # first back to the pool: what ``done`` sets off may use it
+            link.connection.release()
+        else:
+            self._end(link)
+        if message is not None:
+            remark = REMARKS.get(dict(message.fields).get(b"x-found"))
+            reply = Reply(message.status, message.body, message.end_to_end())
+        self.done(ho, verdict, remark, reply)
+
     def _end(self, link: Link) -> None:
         """Closes a connection now: its descriptor may be wanted in the same turn of the loop."""
         if not link.ended:
             link.ended = True
-            link.scope.cancel()
+            if link in link.target.idle:
+                link.target.idle.remove(link)
             link.connection.close()
             self.budget.give_server()
 
-    async def _rest(self, link: Link) -> None:
-        """Stands idle until there is a job, the server ends the connection, or time is up."""
-        link.scope.deadline = trio.current_time() + self.idle_for
-        with link.scope:
-            try:
-                await link.connection.fill()
-            except (OSError, trio.ClosedResourceError) as error:
-                logger.debug("idle connection to {}: {!r}", link.server, error)
-        if link.job is None and link in (links := self.idle.get(link.server, [])):
-            links.remove(link)
-
-    async def _carry(self, ho: HandOff, connection: Connection,
-                     fresh: bool) -> tuple[Verdict, int | None, Reply | None]:
-        """One hand-off to its verdict; the connection can carry another only after a whole answer."""
-        mark = ho.exchange.id, ho.number
-        written = False
-        with trio.CancelScope(deadline=self.clock.deadline(ho.until)) as scope:
-            self.out[mark] = scope
-            try:
-                if fresh and not await self._dial(ho, connection):
-                    return Verdict.UNREACHABLE, None, None
-                await connection.send(self._request(ho), ho.exchange.body)
-                written = True
-                message = await connection.message()
-                if message is not None:
-                    head, body = message
-                    remark = REMARKS.get(dict(head.headers).get(b"x-found"))
-                    return verdict_of(head), remark, Reply(head.status_code, body, end_to_end(head))
-            except Oversize:
-                return Verdict.ERROR, None, None
-            except (OSError, h11.ProtocolError) as error:
-                logger.debug("{}: {!r}", ho.server, error)
-            except Exception:
-                logger.exception("a hand-off to {} failed", ho.server)
-            finally:
-                del self.out[mark]
-                withdrawn = mark in self.withdrawn
-                self.withdrawn.discard(mark)
-        if withdrawn:
-            verdict = Verdict.WITHDRAWN
-        elif written:
-            verdict = Verdict.TIMED_OUT if scope.cancelled_caught else Verdict.RESET
-        elif scope.cancelled_caught and ho.until >= ho.exchange.expiry:
-            verdict = Verdict.MOOT  # the work item's time ran out first, which tells nothing of the server
-        else:
-            verdict = Verdict.UNREACHABLE  # by the bytes, it can't have run
-        return verdict, None, None
-
-    async def _dial(self, ho: HandOff, connection: Connection) -> bool:
-        with trio.move_on_after(self.dial_within) as scope:
-            dialling = self.dialling.setdefault(ho.server, set())
-            dialling.add(scope)
-            try:
-                await connection.sock.connect(self.addresses[ho.server])
-                return True
-            finally:
-                dialling.discard(scope)
-        return False
-
-    def _request(self, ho: HandOff) -> h11.Request:
+    def _request(self, ho: HandOff) -> bytes:
         exchange = ho.exchange
         left = max(1, int((ho.until - self.clock.now()) * 1000))
-        headers = [*exchange.headers, (b"X-Remaining-Ms", str(left).encode())]
+        lines = [b"%s %s HTTP/1.1" % (exchange.method, exchange.target)]
+        lines += [b"%s: %s" % field for field in exchange.headers]
+        lines.append(b"x-remaining-ms: %d" % left)
         if exchange.body or exchange.write:
-            headers.append((b"Content-Length", str(len(exchange.body)).encode()))
-        return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
+            lines.append(b"content-length: %d" % len(exchange.body))
+        return b"\r\n".join([*lines, b"", exchange.body])
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -13,7 +13,7 @@
 import trio
 from loguru import logger
 
-from rowanshift.net.budget import Budget
+from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.clients import BACKLOG, Clients
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import Config, ConfigError, load
@@ -74,10 +74,11 @@
         config = self.config
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                clock, budget = Clock(), Budget(descriptors(config.sockets))
-                servers = Servers(clock, config.dial_within, config.idle_for, budget, nursery)
+                clock, memory = Clock(), Memory(config.memory_mb)
+                budget = Budget(descriptors(config.sockets))
+                servers = Servers(clock, config.dial_within, config.idle_for, budget, memory, nursery)
                 driver = Driver(config.settings, config.seed, clock, servers)
-                clients = Clients(config.names, driver, clock, budget)
+                clients = Clients(config.names, driver, clock, budget, memory)
                 discovery = Discovery(config.discovery, config.names, config.settings.ask,
                                       random.Random(config.seed), servers, driver.list_changed)
                 driver.subscribe = discovery.subscribe
@@ -86,7 +87,7 @@
                 nursery.start_soon(driver.keep_waking)
                 nursery.start_soon(discovery.run)
                 await self._meet_peers(nursery, driver)
-                listener = await bound(socket.SOCK_STREAM, config.listen)
+                listener = bound(socket.SOCK_STREAM, config.listen)
                 listener.listen(BACKLOG)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting, clients, listener)
@@ -110,12 +111,12 @@
                 nursery.cancel_scope.cancel()
 
     async def _accept(self, accepting: trio.CancelScope, clients: Clients,
-                      listener: trio.socket.SocketType) -> None:
+                      listener: socket.socket) -> None:
         async with trio.open_nursery() as nursery:
             with accepting:
                 await clients.accept(listener, nursery)
 
-    async def _finish(self, clients: Clients, listener: trio.socket.SocketType,
+    async def _finish(self, clients: Clients, listener: socket.socket,
                       nursery: trio.Nursery) -> None:
         """Takes what the kernel has accepted, closes the listener and what is idle, and ends the rest."""
         with trio.move_on_after(0.02):
@@ -130,8 +131,8 @@
         config = self.config
         if config.peer_listen is None:
             return
-        sock = await bound(socket.SOCK_DGRAM, config.peer_listen)
-        peers = Peers(sock, config.peers, config.peers_all, driver.heard)
+        sock = bound(socket.SOCK_DGRAM, config.peer_listen)
+        peers = Peers(trio.socket.from_stdlib_socket(sock), config.peers, config.peers_all, driver.heard)
         driver.tell = peers.tell
         nursery.start_soon(peers.send)
         nursery.start_soon(peers.listen)
@@ -143,8 +144,9 @@
     return allowed if soft == resource.RLIM_INFINITY else min(allowed, soft)
 
 
-async def bound(kind: int, address: tuple[str, int]) -> trio.socket.SocketType:
-    sock = trio.socket.socket(socket.AF_INET, kind)
+def bound(kind: int, address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    await sock.bind(address)
+    sock.bind(address)
     return sock
