--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -11,6 +11,7 @@
 
 from rowanshift import __version__
 from rowanshift.net.config import Config, ConfigError, load
+from rowanshift.net.lines import Lines
 from rowanshift.net.service import Service
 
 app = typer.Typer(help="Spreads keys over cache servers before a slow origin.", no_args_is_help=True,
@@ -35,7 +36,7 @@
     loaded_config = loaded(config)
     logger.remove()
     logger.add(sys.stderr, level=level.upper(), format="{time:HH:mm:ss.SSS} {level: <7} {message}",
-               backtrace=False, diagnose=False)
+               backtrace=False, diagnose=False, filter=Lines())
     try:
         trio.run(Service(loaded_config, config).run)
     except* OSError as group:
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -262,6 +262,7 @@
 
     def _refuse(self, client: Client, error: BadMessage) -> None:
         """What can't be followed gets its error and the close: no more of it is read."""
+        logger.info("refused a request: {} {}", error.status, error)
         client.refused, client.keep = True, False
         self.silent[client] = None
         self._answer(client, Reply(error.status, f"{error}\n".encode()))
--- a/rowanshift/net/exchange.py
+++ b/rowanshift/net/exchange.py
@@ -4,6 +4,10 @@
 from dataclasses import dataclass, field
 
 
+def nothing() -> None:
+    pass
+
+
 @dataclass(slots=True, frozen=True)
 class Reply:
     """A final answer."""
@@ -29,14 +33,15 @@
     hand_offs: int = 0
     ended: bool = False
     reply: Reply | None = None  # none if the client has gone away
-    wake: Callable[[], None] = field(default=lambda: None)  # set by the side that waits for the end
+    wake: Callable[[], None] = nothing  # set by the side that waits for the end
 
     def end(self, reply: Reply | None) -> bool:
         """Ends the work item once; what comes later changes nothing."""
         if self.ended:
             return False
         self.ended, self.reply = True, reply
-        self.wake()
+        wake, self.wake = self.wake, nothing  # what it is bound to holds this exchange
+        wake()
         return True
 
 
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -220,6 +220,8 @@
             self._write_on(link)
         elif link.scope.cancelled_caught and not link.connection.readable():
             if trio.current_time() >= link.until:  # an answer that stops halfway is spoilt
+                if link.begun:
+                    logger.info("{} spoilt an answer: it stopped halfway", link.job.server)
                 self._finish(link, Verdict.ERROR if link.begun else Verdict.TIMED_OUT)
         else:
             self._read_on(link)
@@ -239,7 +241,7 @@
         except OSError:
             self._finish(link, Verdict.RESET)
         except BadMessage as error:  # it ran, and the server is there
-            logger.debug("{} spoilt an answer: {}", link.job.server, error)
+            logger.info("{} spoilt an answer: {}", link.job.server, error)
             self._finish(link, Verdict.ERROR)
         else:
             if message is not None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -310,3 +310,15 @@
         results = take(r, n, KEYS[n])
         r.now += 0.1
         assert len(results.hand_offs) + len(results.answers) + len(r.held) >= 1
+
+
+def test_what_is_known_of_a_gone_cache_goes_once_nothing_is_out_there():
+    # guards against memory and a list that grow for as long as caches are replaced by new ones
+    r = router()
+    (_, _, server), = take(r, 1).hand_offs
+    for n in range(5):
+        r.list_changed(r.now, "delta", [entry(n, "dead"), entry(5 + n)])
+    assert {c for c in r.caches if c in {f"cache:{n}" for n in range(5)}} == {server}
+    come_back(r, 1, server, Verdict.FINISHED)
+    r.list_changed(r.now, "delta", [])
+    assert len(r.caches) == 6 and server not in r.caches
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 import trio
 from helpers import entry, settings
 
-from rowanshift.model import Results, Verdict
+from rowanshift.model import Answer, Results, Verdict
 from rowanshift.net.budget import CLIENTS, OWN, Budget, Memory
 from rowanshift.net.clients import Clients, exchange_of
 from rowanshift.net.clock import Clock
@@ -21,6 +21,7 @@
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.exchange import Exchange, HandOff, Reply
+from rowanshift.net.lines import Lines
 from rowanshift.net.peers import Peers
 from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers, verdict_of
@@ -307,6 +308,44 @@
     assert play(script) == ([Verdict.MISS] * 2, connections)
 
 
+@pytest.mark.parametrize(("behind", "change", "connections"), [
+    (b"", lambda servers: None, 1),
+    (MISS, lambda servers: None, 2), (b"\x83noise\r\n\r\n", lambda servers: None, 2),
+    (b"", lambda servers: servers.leave("s"), 2),
+    (b"", lambda servers: servers.locate("s", ("127.0.0.2", 1)), 2),
+    (b"", lambda servers: servers.forget_others([]), 2),
+])
+def test_a_connection_is_kept_only_with_nothing_behind_the_answer_and_its_server_where_it_was(
+        behind, change, connections):
+    # guards against a second answer read as that of the next work item, and against connections to the old
+    # address of a server that moved while they were busy
+    async def script(far):
+        await far.ask()
+        first = far.accept()
+        first.recv(4096)
+        change(far.servers)
+        first.sendall(MISS + behind)
+        await far.until_told()
+        far.servers.locate("s", far.listener.getsockname())
+        await far.ask()
+        if connections == 1:
+            return first.recv(4096)[:3], len(far.servers.targets)
+        return far.accept().recv(4096)[:3], len(far.servers.targets)
+
+    assert play(script) == (b"GET", 1)
+
+
+def test_an_answer_that_stops_halfway_is_spoilt_long_before_the_expiry():
+    async def script(far):
+        await far.ask(5.0)
+        with far.accept() as server:
+            server.recv(4096)
+            server.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+            return await far.until_told(), far.servers.budget.servers
+
+    assert play(script) == ([Verdict.ERROR], 0)
+
+
 def test_a_withdrawn_hand_off_ends_once_with_its_connection():
     async def script(far):
         await far.ask()
@@ -435,6 +474,66 @@
     assert trio.run(main) == left
 
 
+def test_an_open_request_of_another_is_refused_and_never_decided_on():
+    # guards against an answer made for one client's request that goes to another
+    async def main():
+        (ours, theirs), (others, stranger) = pair(), pair()
+        deciding = Deciding(None)
+        clients = clients_of(deciding)
+        async with trio.open_nursery() as nursery:
+            for sock, client in ((ours, theirs), (others, stranger)):
+                client.sendall(REQUEST)
+                nursery.start_soon(clients.serve, sock)
+                await trio.sleep(0.02)
+            deciding.taken[0].end(Reply(200))
+            await trio.sleep(0.02)
+            theirs.sendall(REQUEST)
+            await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        return len(deciding.taken), stranger.recv(12), theirs.recv(12)
+
+    assert trio.run(main) == (2, b"HTTP/1.1 409", b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize(("sent", "got"), [(b"", b""), (b"GET /read/k HTT", b"HTTP/1.1 408")])
+def test_a_client_that_says_nothing_or_half_a_request_goes_soon(sent, got, monkeypatch):
+    # guards against descriptors held by those who connect by hundreds, and against one more byte now and then
+    monkeypatch.setattr("rowanshift.net.clients.SILENT_FOR", 0.1)
+
+    async def main():
+        ours, theirs = pair()
+        theirs.sendall(sent)
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients_of(Deciding(Reply(200))).serve, ours)
+            if sent:
+                await trio.sleep(0.06)
+                theirs.sendall(b"P")
+            await trio.sleep(0.08)
+            theirs.shutdown(socket.SHUT_WR)
+        return theirs.recv(12), trio.current_time() - start < 0.3
+
+    assert trio.run(main) == (got, True)
+
+
+def test_an_error_arrives_while_the_client_still_sends():
+    # guards against a reset that takes the error away: what was not read when a connection closes resets it
+    async def main():
+        ours, theirs = pair()
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients_of(Deciding(None)).serve, ours)
+            await stream.send_all(TOO_LONG[:-70000])
+            await trio.sleep(0.02)
+            await stream.send_all(bytes(60000))
+            await trio.sleep(0.02)
+            answer = await stream.receive_some(12)
+            await stream.aclose()
+        return answer
+
+    assert trio.run(main) == b"HTTP/1.1 413"
+
+
 def test_after_a_standstill_the_decision_goes_before_the_last_resort():
     # guards against 504 where the loop stood still and a hand-off's time was up in the same turn
     async def main():
@@ -703,6 +802,47 @@
                       Phase.STOPPED]
 
 
+class Failing(Waking):
+    """Wants a hand-off of a work item that there is none of, and an answer to one that there is."""
+
+    def __init__(self) -> None:
+        self.results = [Results(hand_offs=[(9, 0.0, "s")], answers=[(1, Answer.DEFERRED, 0.0)])]
+
+    def drain(self) -> Results:
+        return self.results.pop() if self.results else Results()
+
+    def heard(self, *_) -> None:
+        raise ValueError("a call that fails")
+
+
+def test_a_failed_call_leaves_the_other_results():
+    # guards against work items that nobody answers, since an earlier call or result of the same turn failed
+    async def main():
+        async with trio.open_nursery() as nursery:
+            servers = Servers(Clock(), 0.2, 60.0, Budget(100), Memory(64), nursery)
+            driver = Driver(settings(), 7, servers.clock, servers)
+            driver.router, driver.exchanges[1] = Failing(), exchange(servers.clock.now() + 1)
+            wi = driver.exchanges[1]
+            driver.heard(0, b"")
+            return wi.reply.status
+
+    assert trio.run(main) == 503
+
+
+@pytest.mark.parametrize(("after", "passes", "told"), [(0.0, 20, ""), (1.0, 25, "a line (10 more like it")])
+def test_a_flood_leaves_few_lines(after, passes, told):
+    now, last = [0.0], {}
+    lines = Lines(lambda: now[0])
+    got = 0
+    for n in range(35):
+        if n == 30:
+            now[0] = after
+        record = {"name": "place", "line": 1, "message": "a line"}
+        got += (passed := lines(record))
+        last = record if passed and n == 30 else last
+    assert got == passes and last.get("message", "").startswith(told)
+
+
 def test_after_sigterm_what_was_taken_is_answered_and_no_more_accepted():
     async def main():
         with socket.create_server(("127.0.0.1", 0)) as free:
