Take answers as large as the memory allows, and move large ones in few calls

At fault: connection.py held answers to the 64 KiB that a request's body may have. Now an answer may have an eighth of the memory for bodies (3 GB is still refused by its head). Ruled out: strikes (no line of the log but spoilt answers and shares), descriptors (121 of 1024).

--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -8,6 +8,7 @@
 CLIENTS = 0.7  # the part that clients may hold: without servers nothing could be answered
 PROCESS = 48 * 2**20  # bytes of the program itself, with as many connections as it may have
 LEAST = 4 * 2**20
+ANSWER = 8  # so many of the largest answers have room at once
 
 
 class Memory:
@@ -15,6 +16,7 @@
 
     def __init__(self, megabytes: float) -> None:
         self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
+        self.largest_answer = self.left // ANSWER
 
     def take(self, size: int) -> bool:
         if size > self.left:
--- a/rowanshift/net/ring.py
+++ b/rowanshift/net/ring.py
@@ -1,7 +1,7 @@
 """A ring buffer of bytes: one a direction a connection."""
 
-CAPACITY = 8192
-SPARE = 64
+CAPACITY = 32 * 1024
+SPARE = 16
 
 
 class Ring:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -236,8 +236,7 @@
 
     def _read_on(self, link: Link) -> None:
         try:
-            going = link.connection.receive()
-            message = link.connection.next()
+            message, going = link.connection.read_on()
         except OSError:
             self._finish(link, Verdict.RESET)
         except BadMessage as error:  # it ran, and the server is there
