Use the longest idle connection to a server first

At fault: servers.py, hand_off took the last of the idle ones. Kept for what may not run twice: a reset there is written off.

--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -26,7 +26,7 @@
     """A server at an address. One that moves is another target: what is open to the old one is not kept."""
 
     address: tuple[str, int]
-    idle: list["Link"] = field(default_factory=list)  # the newest last
+    idle: list["Link"] = field(default_factory=list)  # the longest idle first, which is used first
     dialling: list["Link"] = field(default_factory=list)
     kept: bool = True  # whether connections to it may be used again
 
@@ -115,11 +115,11 @@
         if (target := self.targets.get(ho.server)) is None:
             return False
         while target.idle:
-            link = target.idle[-1]
+            link = target.idle[0]
             if link.connection.readable():  # it was ended, or would answer what was not asked
                 self._end(link)
                 continue
-            target.idle.pop()
+            del target.idle[0]
             link.job = ho
             self._send(link)
             return True
