--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -71,8 +71,7 @@
         self.held: OrderedDict[int, float] = OrderedDict()  # held wis, the oldest first
         self.due = min(c.due for c in settings.categories)
         self.scores: dict[int, Hot] = {}
-        self.samples = 0.0
-        self.extra = 1.0  # part of the work beyond shares that is admitted
+        self.samples, self.extra = 0.0, 1.0  # the last: part of the work beyond shares that is admitted
         self.tally = Tally([0] * len(settings.quotas))  # since it was last sent on or learned from
         self.tally_at, self.told_at, self.telling = now, now, 0  # the last: second that this router told of
         self.asked = [0.0] * len(settings.quotas)  # work items a second of each customer, at all routers
@@ -171,11 +170,11 @@
         self._lay_ring()
         if scope == "cached":
             self.fleet.limit = max(1.0, 24 * len(self.ready) / self.s.routers)
-        for server, cache in [*self.caches.items()]:
-            if cache.entry.health != "live":
-                self._turn_out(cache)
-            if cache.entry.health == "dead" and not cache.inflight:
-                del self.caches[server]  # its name may never come again
+        for cache in (c for c in self.caches.values() if c.entry.health != "live"):
+            self._turn_out(cache)
+        gone = [c for c in self.caches.values() if c.entry.health == "dead" and not c.inflight]
+        for cache in gone[: max(0, len(gone) - len(self.caches) // 2)]:  # some come back, most never
+            del self.caches[cache.entry.server]
 
     def woken(self, now: float) -> None:
         self.now = now
@@ -433,9 +432,10 @@
                     timed.median = timed.spent.quantile(0.5)
                     timed.base = min(timed.median, 1.02 * timed.base or timed.median)
                     timed.spent.halve()
-        elif verdict in (Verdict.RESET, Verdict.UNREACHABLE) and self.now - cache.answered_at > self.due / 5:
-            cache.strikes += 1  # beside answers, a break tells of one connection and not of the cache
-            cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
+        elif verdict in (Verdict.RESET, Verdict.UNREACHABLE):
+            cache.strikes += 1  # a reset beside answers may tell of one connection: the next answer decides
+            if verdict == Verdict.UNREACHABLE or self.now - cache.answered_at > 2 * self.fleet.base:
+                cache.silent_until = self.now + min(4.0, 0.25 * 2**cache.strikes)
             if cache.strikes == 1:
                 name = Verdict(verdict).name.lower()
                 self.results.log.append(f"{cache.entry.server} silent: {name} after {spent:.3f} s")
