Close clients' connections with their answers while many stand idle, and idle ones after 2 s

Its cause: clients that ask once and keep their connection. A trace showed two to six work items open at a router and 126 idle clients' connections, which is a third of the descriptors, all that clients may hold there; the router itself deferred ten work items in half a second, so most refusals were no answers of its own: others found no connection left. Ruled out: hand-offs without a descriptor (none), limits (12 a cache, none felt), memory (no refusal), shares. At fault: clients.py, an idle connection stayed for 30 s. Now an answer also says close while an eighth of the descriptors stands idle.

--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -23,7 +23,8 @@
 ONCE = frozenset([b"x-txn", b"x-lane", b"x-org", LEFT])
 SILENT_FOR = 2.0  # seconds from a connection to its first whole request
 REQUEST_WITHIN = 2.0  # a request's first byte to its last
-IDLE_FOR = 30.0  # that a client's connection may stand idle once it has asked
+IDLE_FOR = 2.0  # that a client's connection may stand idle
+IDLE_PART = 0.125  # of the descriptors, that idle ones may hold: some clients ask once and never let go
 LAST_LOOK = 0.02  # of a connection that was accepted at the very end
 REPLY_WITHIN = 10.0
 LINGER_FOR, LINGER_BYTES = 0.5, 256 * 1024  # read on after an error, so that it arrives
@@ -99,6 +100,7 @@
         self.names, self.driver, self.clock = names, driver, clock
         self.budget, self.memory = budget, memory
         self.ids = 0
+        self.most_idle = max(1, int(IDLE_PART * budget.limit))
         self.ready = False  # whether to say so to those who ask
         self.leaving = False  # answers close their connections
         self.finishing = False  # and nothing is waited for
@@ -268,7 +270,7 @@
         self._answer(client, Reply(error.status, f"{error}\n".encode()))
 
     def _answer(self, client: Client, reply: Reply) -> None:
-        client.keep = client.keep and not self.leaving
+        client.keep = client.keep and not self.leaving and len(self.idle) < self.most_idle
         client.until = trio.current_time() + REPLY_WITHIN
         connection = client.connection
         try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -521,6 +521,35 @@
     assert trio.run(main) == (got, True)
 
 
+def test_a_client_that_has_asked_may_not_stand_idle_for_long(monkeypatch):
+    # guards against clients that ask once and keep their connection: others then find none left
+    monkeypatch.setattr("rowanshift.net.clients.IDLE_FOR", 0.1)
+
+    async def main():
+        ours, theirs = pair()
+        theirs.sendall(REQUEST)
+        with trio.fail_after(0.5):
+            await clients_of(Deciding(Reply(200))).serve(ours)
+        return theirs.recv(12), theirs.recv(999)[-4:], theirs.recv(1)
+
+    assert trio.run(main) == (b"HTTP/1.1 200", b"\r\n\r\n", b"")
+
+
+@pytest.mark.parametrize(("idle", "said"), [(0, False), (9, True)])
+def test_answers_close_their_connections_while_many_stand_idle(idle, said):
+    # guards against the same, where so many come that two seconds are too long
+    async def main():
+        ours, theirs = pair()
+        clients = clients_of(Deciding(Reply(200)))
+        clients.idle = dict.fromkeys(range(idle))
+        theirs.sendall(REQUEST)
+        theirs.shutdown(socket.SHUT_WR)
+        await clients.serve(ours)
+        return b"Connection: close" in theirs.recv(999)
+
+    assert trio.run(main) == said
+
+
 def test_an_error_arrives_while_the_client_still_sends():
     # guards against a reset that takes the error away: what was not read when a connection closes resets it
     async def main():
