--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -1,6 +1,5 @@
-"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls ``take``,
-``answered``, ``list_changed``, ``streaming``, ``abandoned``, ``heard`` and ``woken`` as things happen, with
-the time, and carries out what ``drain`` returns. The interface is laid down in ``rowanshift/model.py``.
+"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls its methods as
+things happen, with the time, and carries out what ``drain`` returns. ``model.py`` lays the interface down.
 
 A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a
 hand-off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
@@ -32,11 +31,6 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
-def points_of(server: str, n: int) -> tuple[int, ...]:
-    """A cache's points on the ring, hashed once in its life."""
-    return tuple(stable(f"{server}#{i}") for i in range(n))
-
-
 def group_of(cache: Cache, item: Item) -> int | None:
     """Which caches drop repeats of the wi together with this one."""
     return {"all": 0, "zone": cache.entry.zone, "cell": cache.entry.cell}.get(item.category.group)
@@ -135,6 +129,12 @@
         if (item := self.items.get(id)) is not None:
             self._end(item, False)
 
+    def overtaken(self, now: float, id: int, number: int) -> None:
+        """Takes back a ho that many later ones at its cache overtook: its connection fell silent."""
+        self.now = now
+        if id in self.items and self.items[id].category.semantics is Semantics.RERUNNABLE:
+            self.results.withdrawals.append((id, number))
+
     def heard(self, now: float, author: int, payload: bytes) -> None:
         self.now = now
         tally = Tally.unpack(payload, len(self.asked))
@@ -244,9 +244,8 @@
         self.tally = Tally([0] * len(self.asked))
 
     def _count_out(self, tally: Tally) -> None:
-        for cache in self.ready:
-            if cache.inflight:
-                tally.out[cache.mark] = tally.out.get(cache.mark, 0) + cache.inflight
+        for cache in (c for c in self.ready if c.inflight):
+            tally.out[cache.mark] = tally.out.get(cache.mark, 0) + cache.inflight
 
     def _over(self, tally: Tally) -> dict[int, int]:
         """Caches that hold well over the mean in flight of all routers, by heft: what to keep, in 255ths."""
@@ -328,7 +327,7 @@
                 del self.owner[point], self.ring[bisect_left(self.ring, point)]
             c.points = ()
         for c in (c for c in self.ready if not c.points):
-            c.points = points_of(c.entry.server, wanted[c])
+            c.points = tuple(stable(f"{c.entry.server}#{i}") for i in range(wanted[c]))
             self.owner.update(dict.fromkeys(c.points, c))
             self.ring += c.points
         self.ring.sort()
--- a/rowanshift/net/driver.py
+++ b/rowanshift/net/driver.py
@@ -26,7 +26,7 @@
         self.subscribe: Callable[[], None] = lambda: None
         self.waking = trio.CancelScope()
         self.wake_at = float("inf")
-        servers.done = self.done
+        servers.done, servers.silent = self.done, self.silent
 
     # calls ------------------------------------------------
 
@@ -49,6 +49,9 @@
         self._call(self.router.answered, now, exchange.id, ho.number, ho.server, verdict, now - ho.at,
                    exchange.ended, remark)
 
+    def silent(self, ho: HandOff) -> None:
+        self._call(self.router.overtaken, self.clock.now(), ho.exchange.id, ho.number)
+
     def list_changed(self, scope: str, entries: list[Entry]) -> None:
         self._call(self.router.list_changed, self.clock.now(), scope, entries)
 
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -16,6 +16,7 @@
 from rowanshift.net.exchange import HandOff, Reply
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
+OVERTAKEN = 8  # later hand-offs to a server that came back tell that a connection fell silent
 SPARE = 0.8  # part of the idle time that a connection is kept for: the server may close at the latest then
 
 Done = Callable[[HandOff, Verdict, int | None, Reply | None], None]
@@ -28,6 +29,7 @@
     address: tuple[str, int]
     idle: list["Link"] = field(default_factory=list)  # the longest idle first, which is used first
     dialling: list["Link"] = field(default_factory=list)
+    busy: set["Link"] = field(default_factory=set)  # written, with no outcome
     kept: bool = True  # whether connections to it may be used again
 
 
@@ -45,6 +47,8 @@
     broken: bool = False  # before that
     withdrawn: bool = False
     begun: bool = False  # an answer
+    overtaken: int = 0  # later hand-offs to the server that came back since
+    told: bool = False  # that it was overtaken often
     ended: bool = False
 
 
@@ -68,6 +72,7 @@
         self.targets: dict[str, Target] = {}
         self.out: dict[tuple[int, int], Link] = {}  # of hand-offs without an outcome
         self.done: Done = lambda *_: None
+        self.silent: Callable[[HandOff], None] = lambda *_: None  # a hand-off that was overtaken often
         budget.idle_servers = self.drop_idle
 
     # the list ---------------------------------------------
@@ -201,6 +206,8 @@
             link.written = link.connection.push(self._request(ho))
         except OSError:
             link.broken = True
+        link.overtaken, link.told = 0, False
+        link.target.busy.add(link)
         if link.written:
             link.scope.deadline = link.until
         else:
@@ -257,6 +264,7 @@
         """Tells the outcome. The connection carries another only after a whole answer with nothing behind."""
         ho, link.job = link.job, None
         del self.out[ho.exchange.id, ho.number]
+        link.target.busy.discard(link)
         remark = reply = None
         if message is not None and message.keep and link.connection.clean() and link.target.kept:
             link.since = trio.current_time()
@@ -269,6 +277,18 @@
             remark = REMARKS.get(dict(message.fields).get(b"x-found"))
             reply = Reply(message.status, message.body, message.end_to_end())
         self.done(ho, verdict, remark, reply)
+        if message is not None:
+            self._overtake(link.target, ho)
+
+    def _overtake(self, target: Target, ho: HandOff) -> None:
+        """Tells of hand-offs that many later ones have overtaken, and that have waited long."""
+        long_ago = self.clock.now() - 2 * self.stall_for
+        for link in [*target.busy]:
+            if link.job.at < ho.at and not link.begun:
+                link.overtaken += 1
+                if link.overtaken >= OVERTAKEN and link.job.at < long_ago and not link.told:
+                    link.told = True
+                    self.silent(link.job)
 
     def _end(self, link: Link) -> None:
         """Closes a connection now: its descriptor may be wanted in the same turn of the loop."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -342,3 +342,13 @@
     assert not r._open(cache, Item(9, CATEGORIES[0], "k", r.now + 1, False))
     come_back(r, 3, server, Verdict.FINISHED)
     assert not cache.strikes and not cache.silent_until
+
+
+@pytest.mark.parametrize(("category", "taken_back"), [
+    (RERUNNABLE, [(1, 0)]), (TICKETED, []), (EXCLUSIVE, [])])
+def test_a_hand_off_on_a_silent_connection_is_taken_back_where_it_may_go_again(category, taken_back):
+    r = router()
+    take(r, 1, category=category)
+    r.overtaken(r.now + 0.3, 1, 0)
+    r.overtaken(r.now, 2, 0)
+    assert r.drain().withdrawals == taken_back
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -351,6 +351,30 @@
     assert play(script) == ([Verdict.ERROR], 0)
 
 
+def test_a_connection_that_falls_silent_while_the_server_answers_others_is_told_of():
+    # guards against work items that wait out their expiry on a dead connection to a server that is well
+    async def script(far):
+        silent, links = [], []
+        far.servers.silent = lambda ho: silent.append(ho.number)
+        for number in range(10):  # the first is never answered
+            ho = hand_off(far.clock, 5.0)
+            ho.number = number
+            far.servers.hand_off(ho)
+            await trio.sleep(0.02)
+            if len(links) < 2:
+                links.append(far.accept())
+            links[-1].recv(4096)
+            if number:
+                links[-1].sendall(MISS)
+            await far.until_told(number)
+            if number == 5:
+                await trio.sleep(0.25)
+            told = list(silent)
+        return told
+
+    assert play(script) == [0]
+
+
 def test_a_withdrawn_hand_off_ends_once_with_its_connection():
     async def script(far):
         await far.ask()
