--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -17,6 +17,7 @@
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
 OVERTAKEN = 8  # later hand-offs to a server that came back tell that a connection fell silent
+GAIN, LONG = 0.05, 5.0  # of the usual time of an answer: its moving average, and how much is long
 SPARE = 0.8  # part of the idle time that a connection is kept for: the server may close at the latest then
 
 Done = Callable[[HandOff, Verdict, int | None, Reply | None], None]
@@ -29,6 +30,7 @@
     address: tuple[str, int]
     idle: list["Link"] = field(default_factory=list)  # the longest idle first, which is used first
     dialling: list["Link"] = field(default_factory=list)
+    usual: float = 0.0  # seconds that an answer takes, on a moving average
     busy: set["Link"] = field(default_factory=set)  # written, with no outcome
     kept: bool = True  # whether connections to it may be used again
 
@@ -281,8 +283,10 @@
             self._overtake(link.target, ho)
 
     def _overtake(self, target: Target, ho: HandOff) -> None:
-        """Tells of hand-offs that many later ones have overtaken, and that have waited long."""
-        long_ago = self.clock.now() - 2 * self.stall_for
+        """Tells of hand-offs that many later ones have overtaken, after what is long for that server."""
+        now = self.clock.now()
+        target.usual += GAIN * (now - ho.at - target.usual)
+        long_ago = now - max(2 * self.stall_for, LONG * target.usual)
         for link in [*target.busy]:
             if link.job.at < ho.at and not link.begun:
                 link.overtaken += 1
