--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -17,7 +17,7 @@
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
 OVERTAKEN = 8  # later hand-offs to a server that came back tell that a connection fell silent
-GAIN, LONG = 0.05, 5.0  # of the usual time of an answer: its moving average, and how much is long
+GAIN, LONG = 0.05, 3.5  # of the usual time of an answer: its moving average, and how much is long
 SPARE = 0.8  # part of the idle time that a connection is kept for: the server may close at the latest then
 
 Done = Callable[[HandOff, Verdict, int | None, Reply | None], None]
