Tell at a reload only what was changed in the file, not zones that a list brought

Seen by reading: Names takes up zones and kinds as servers come, so a reload compared what the file says with what lists had added and named it as changed. Now categories and tenants alone are compared there.

--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -1,6 +1,6 @@
 """The configuration that a router is started with."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
@@ -108,6 +108,15 @@
         raise ConfigError(f"the configuration can't be used: {error}") from error
 
 
+def changed(old: Config, new: Config) -> list[str]:
+    """What differs but for what a reload takes up, and for what every list may differ in."""
+    rest = [f.name for f in fields(old) if f.name not in ("discovery", "known", "seed", "names")]
+    differing = [name for name in rest if getattr(old, name) != getattr(new, name)]
+    if (old.names.categories, old.names.tenants) != (new.names.categories, new.names.tenants):
+        differing.append("names")  # positions of zones and kinds go on as servers come
+    return differing
+
+
 def load(path: Path) -> Config:
     try:
         return config_of(orjson.loads(path.read_bytes()))
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 from collections.abc import AsyncIterator
-from dataclasses import fields
 from enum import Enum
 from pathlib import Path
 
@@ -16,7 +15,7 @@
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.clients import BACKLOG, Clients
 from rowanshift.net.clock import Clock
-from rowanshift.net.config import Config, ConfigError, load
+from rowanshift.net.config import Config, ConfigError, changed, load
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.peers import Peers
@@ -64,9 +63,7 @@
         except ConfigError as error:
             logger.warning("the configuration stays as it was: {}", error)
             return
-        waiting = [f.name for f in fields(config) if f.name not in ("discovery", "known", "seed")
-                   and getattr(config, f.name) != getattr(self.config, f.name)]
-        if waiting:
+        if waiting := changed(self.config, config):
             logger.warning("changed, but taken up only by a restart: {}", ", ".join(waiting))
         logger.info("the list is watched at {}:{} from now on", *config.discovery)
         discovery.move(config.discovery)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from rowanshift.net.budget import CLIENTS, OWN, Budget, Memory
 from rowanshift.net.clients import Clients, exchange_of
 from rowanshift.net.clock import Clock
-from rowanshift.net.config import ConfigError, Names, config_of, entry_of
+from rowanshift.net.config import ConfigError, Names, changed, config_of, entry_of
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
@@ -959,6 +959,22 @@
         config_of(GOOD)
 
 
+KNOWN = {"generation": 1, "instances": orjson.loads(line(1, True, "active"))["instances"]}
+
+
+@pytest.mark.parametrize(("part", "name", "value", "says"), [
+    (GOOD, "discovery", "127.0.0.1:9", []), (GOOD, "known", KNOWN, []), (GOOD, "seed", "1", []),
+    (GOOD, "limits", {"sockets": 65, "memory_mb": 64}, ["sockets"]), (RAW, "tenants", [], []),
+    (RAW, "tenants", [{"name": "t", "quota_rps": 1}], ["settings", "names"]),
+    (RAW, "ordinal", 1, ["settings"]),
+])
+def test_a_reload_tells_what_waits_for_a_restart(part, name, value, says, monkeypatch):
+    # guards against a line for zones that only a list brought, and against a change that nobody is told of
+    before = config_of(GOOD)
+    monkeypatch.setitem(part, name, value)
+    assert changed(before, config_of(GOOD)) == says
+
+
 def test_the_clock_is_unix_time_and_keeps_deadlines():
     async def main():
         clock = Clock()
