Put all sockets behind one transport seam, net/transport.py

Need: the network code is to run on a virtual clock and network, so nothing but one module may touch sockets.

Change: streams, listeners, datagram ports and the host (clock, descriptors, signals, nurseries) behind a small interface; on real sockets a stream is the socket itself. Discovery and peers go through it too. Two places whose order came from a set (busy links, servers that a list no longer names) now keep the order of insertion.

--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -1,6 +1,5 @@
 """The client side: the listener, requests to exchanges, final answers, and clients that go away."""
 
-import socket
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -17,6 +16,7 @@
 from rowanshift.net.config import Names
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.exchange import Exchange, Reply
+from rowanshift.net.transport import Listener, Nursery, Stream
 
 READY = b"/-/ready"
 LEFT = b"x-remaining-ms"
@@ -112,14 +112,14 @@
 
     # the listener -----------------------------------------
 
-    async def accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
+    async def accept(self, listener: Listener, nursery: Nursery) -> None:
         """Accepts for good; an error of one ``accept`` ends nothing."""
         while True:
-            await trio.lowlevel.wait_readable(listener)
+            await listener.wait()
             for _ in range(AT_ONCE):
                 await self.budget.take_client()
                 try:
-                    sock, _ = listener.accept()
+                    stream = listener.accept()
                 except BlockingIOError:
                     self.budget.give_client()
                     break
@@ -128,12 +128,12 @@
                     logger.warning("accept: {}", error)
                     await trio.sleep(0.02)
                     break
-                nursery.start_soon(self.serve, sock)
+                nursery.start_soon(self.serve, stream)
 
     def drop_one(self, clients: dict[Client, None]) -> bool:
         """Closes the first of these connections that nothing has come in on, if there is one."""
         for client in clients:
-            if client.refused or not (client.connection.readable() or client.connection.pending()):
+            if client.refused or not (client.connection.stream.readable() or client.connection.pending()):
                 self._end(client)
                 return True
         return False
@@ -155,14 +155,12 @@
 
     # one connection ---------------------------------------
 
-    async def serve(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
+    async def serve(self, stream: Stream) -> None:
         wait = LAST_LOOK if self.finishing else SILENT_FOR
-        client = Client(Connection(sock, httptools.HttpRequestParser, self.memory),
+        client = Client(Connection(stream, httptools.HttpRequestParser, self.memory),
                         trio.current_time() + wait)
         self.silent[client] = None
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while not client.over:
                 await self._turn(client)
             if client.refused and not client.connection.closed():
@@ -181,13 +179,13 @@
         connection, waits = client.connection, client.exchange is not None
         with trio.CancelScope(deadline=client.until) as client.scope:
             if connection.sending():
-                await trio.lowlevel.wait_writable(connection.sock)
+                await connection.stream.wait_writable()
             elif waits and connection.inbound.full():
                 await trio.sleep_forever()
             elif not waits and connection.pending():
                 await trio.lowlevel.checkpoint()
             else:
-                await trio.lowlevel.wait_readable(connection.sock)
+                await connection.stream.wait_readable()
         late = client.scope.cancelled_caught and trio.current_time() >= client.until
         if client.over:
             return
@@ -230,7 +228,7 @@
             ready = Reply(200, b"ready\n") if self.ready else Reply(503, b"not ready\n")
             return self._answer(client, ready)
         self.ids += 1
-        came_at = self.clock.now() - client.connection.age()
+        came_at = self.clock.now() - client.connection.stream.age()
         exchange = exchange_of(self.ids, message, self.names, came_at)
         txn = next(value for name, value in exchange.headers if name == b"x-txn")
         if txn in self.open:
@@ -296,10 +294,10 @@
 
     async def _linger(self, client: Client) -> None:
         """Reads on a little, so that the error is not lost with what the client is still sending."""
-        sock, left = client.connection.sock, LINGER_BYTES
-        sock.shutdown(socket.SHUT_WR)
+        stream, left = client.connection.stream, LINGER_BYTES
+        stream.end()
         with trio.move_on_after(LINGER_FOR):
             while left > 0:
-                await trio.lowlevel.wait_readable(sock)
-                n = sock.recv_into(scratch)
+                await stream.wait_readable()
+                n = stream.recv_into(scratch)
                 left -= n or left
--- a/rowanshift/net/clock.py
+++ b/rowanshift/net/clock.py
@@ -1,9 +1,9 @@
 """Unix seconds that never step back, and trio's deadlines for them."""
 
-import time
-
 import trio
 
+from rowanshift.net.transport import SYSTEM, Host
+
 
 class Clock:
     """The system's clock as it stood at the start, carried on by the monotonic one.
@@ -11,8 +11,8 @@
     Lists tell when a cache server came up by the same clock, and routers agree on the second by it.
     """
 
-    def __init__(self) -> None:
-        self.offset = time.time() - trio.current_time()
+    def __init__(self, host: Host = SYSTEM) -> None:
+        self.offset = host.wall() - trio.current_time()
 
     def now(self) -> float:
         return self.offset + trio.current_time()
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -1,18 +1,14 @@
-"""HTTP/1.1 messages over one socket: a strict parser behind one ring buffer, another before the way out."""
+"""HTTP/1.1 messages over one stream: a strict parser behind one ring buffer, another before the way out."""
 
-import select
-import socket
 from collections import deque
 from dataclasses import dataclass, field
-from struct import Struct
 
 import httptools
-import trio
 
 from rowanshift.net.budget import Memory
 from rowanshift.net.ring import Ring
+from rowanshift.net.transport import Stream
 
-LAST_DATA_RECEIVED = Struct("52xI")  # in Linux's tcp_info, milliseconds
 LARGEST_HEAD = 16 * 1024
 LARGEST_BODY = 64 * 1024  # of a request; what an answer may bring follows from the memory limit
 ROUNDS = 16  # reads in one turn
@@ -54,10 +50,10 @@
 
 
 class Connection:
-    """The socket must not block. What is sent goes out at once as far as the system takes it."""
+    """What is sent goes out at once as far as the system takes it."""
 
-    def __init__(self, sock: socket.socket, parser: type, memory: Memory) -> None:
-        self.sock, self.memory, self.requests = sock, memory, parser is httptools.HttpRequestParser
+    def __init__(self, stream: Stream, parser: type, memory: Memory) -> None:
+        self.stream, self.memory, self.requests = stream, memory, parser is httptools.HttpRequestParser
         self.largest = LARGEST_BODY if self.requests else memory.largest_answer
         self.parser = parser(self)
         self.inbound, self.outbound = Ring(), Ring()
@@ -73,30 +69,16 @@
         self.message, self.pieces, self.size = Message(), [], 0
         self.in_head, self.head, self.hints = True, 0, 0
 
-    # the socket -------------------------------------------
+    # the stream -------------------------------------------
 
     def close(self) -> None:
         if not self.closed():
-            trio.lowlevel.notify_closing(self.sock)
-            self.sock.close()
+            self.stream.close()
             self.parser = None  # each holds the other
             self.release()
 
     def closed(self) -> bool:
-        return self.sock.fileno() < 0
-
-    def readable(self) -> bool:
-        """Whether bytes, or the other side's end, have come in and were not read yet."""
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        return bool(poll.poll(0))
-
-    def age(self) -> float:
-        """Seconds since the last bytes came in, which a router that stood still reads late."""
-        if not hasattr(socket, "TCP_INFO"):
-            return 0.0
-        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
-        return LAST_DATA_RECEIVED.unpack(info)[0] / 1000
+        return self.stream.closed()
 
     # in ---------------------------------------------------
 
@@ -104,7 +86,7 @@
         """Reads once what has come in; False if the other side has ended its sending."""
         space, n = self.inbound.space(), 0
         try:
-            n = self.sock.recv_into(space)
+            n = self.stream.recv_into(space)
         except BlockingIOError:
             return True
         finally:
@@ -227,10 +209,10 @@
         while self.unsent or self.outbound:
             try:
                 if not self.outbound and len(self.unsent) > self.outbound.capacity:  # it would pass in pieces
-                    self.unsent = self.unsent[self.sock.send(self.unsent):]
+                    self.unsent = self.unsent[self.stream.send(self.unsent):]
                     continue
                 self.unsent = self.unsent[self.outbound.write(self.unsent):]
-                self.outbound.drop(self.sock.send(self.outbound.held()))
+                self.outbound.drop(self.stream.send(self.outbound.held()))
             except BlockingIOError:
                 return False
         return True
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator, Callable
+from contextlib import closing
 from typing import Any
 
 import h11
@@ -13,6 +14,7 @@
 from rowanshift.net.config import Address, Names, address_of, entry_of
 from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers
+from rowanshift.net.transport import SYSTEM, Host, Stream, connect, receive, send_all
 
 SILENCE = 3.0  # an empty line comes every 2 s
 LONGEST_LINE = 8 * 1024 * 1024
@@ -21,9 +23,10 @@
 
 class Discovery:
     def __init__(self, address: Address, names: Names, ask: bool, random_: random.Random,
-                 servers: Servers, list_changed: Callable[[str, list[Entry]], None]) -> None:
+                 servers: Servers, list_changed: Callable[[str, list[Entry]], None],
+                 host: Host = SYSTEM) -> None:
         self.address, self.names, self.ask, self.random = address, names, ask, random_
-        self.servers, self.list_changed = servers, list_changed
+        self.servers, self.list_changed, self.host = servers, list_changed, host
         self.generation = 0
         self.wanted = trio.Event()  # in ask mode the module says when to watch
         self.numbered = True  # whether the agent that is asked counts generations as this list does
@@ -82,10 +85,10 @@
 
     async def _watch(self) -> None:
         """Follows one watch to its end, which is always an error."""
-        with trio.socket.socket() as sock:
-            agent = Agent(sock)
+        with closing(self.host.stream()) as stream:
+            agent = Agent(stream)
             with trio.fail_after(SILENCE):
-                await sock.connect(self.address)
+                await connect(stream, self.address)
                 if not self.numbered:  # changes since another's generation would leave out what is gone
                     await agent.ask("/api/targets", self.address)
                     whole = b"".join([data async for data in agent.data()])
@@ -110,13 +113,13 @@
 class Agent:
     """A connection to discovery, whose answers are read as they come: one may have no end."""
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
-        self.sock, self.inbound, self.h11 = sock, Ring(), h11.Connection(h11.CLIENT)
+    def __init__(self, stream: Stream) -> None:
+        self.stream, self.inbound, self.h11 = stream, Ring(), h11.Connection(h11.CLIENT)
 
     async def ask(self, target: str, address: Address) -> None:
         host = "{}:{}".format(*address)
         request = self.h11.send(h11.Request(method="GET", target=target, headers=[("Host", host)]))
-        await trio.SocketStream(self.sock).send_all(request + self.h11.send(h11.EndOfMessage()))
+        await send_all(self.stream, request + self.h11.send(h11.EndOfMessage()))
         head = await self._event()
         if not isinstance(head, h11.Response) or head.status_code != 200:
             raise ValueError(f"discovery answered {head!r}")
@@ -132,6 +135,6 @@
 
     async def _event(self) -> h11.Event | type[h11.PAUSED]:
         while (event := self.h11.next_event()) is h11.NEED_DATA:
-            self.inbound.filled(await self.sock.recv_into(self.inbound.space()))
+            await receive(self.stream, self.inbound)
             self.h11.receive_data(self.inbound.read())
         return event
--- a/rowanshift/net/peers.py
+++ b/rowanshift/net/peers.py
@@ -5,13 +5,15 @@
 import trio
 from loguru import logger
 
+from rowanshift.net.transport import Address, Port
+
 LARGEST = 256
 
 
 class Peers:
-    def __init__(self, sock: trio.socket.SocketType, addresses: list[tuple[str, int]],
-                 everyone: tuple[str, int] | None, heard: Callable[[int, bytes], None]) -> None:
-        self.sock, self.addresses, self.everyone, self.heard = sock, addresses, everyone, heard
+    def __init__(self, port: Port, addresses: list[Address], everyone: Address | None,
+                 heard: Callable[[int, bytes], None]) -> None:
+        self.port, self.addresses, self.everyone, self.heard = port, addresses, everyone, heard
         self.ordinals = {address: n for n, address in enumerate(addresses)}
         self.outbox, self.inbox = trio.open_memory_channel[tuple[int | None, bytes]](16)
 
@@ -30,14 +32,14 @@
             if address is None or len(payload) > LARGEST:
                 continue
             try:
-                await self.sock.sendto(payload, address)
+                await self.port.send(payload, address)
             except OSError as error:
                 logger.debug("to peer {}: {}", ordinal, error)
 
     async def listen(self) -> None:
         while True:
             try:
-                payload, sender = await self.sock.recvfrom(LARGEST + 1)
+                payload, sender = await self.port.receive(LARGEST + 1)
             except OSError as error:  # an earlier datagram came back undelivered
                 logger.debug("from peers: {}", error)
                 await trio.sleep(0.01)
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -1,7 +1,6 @@
 """The server side: connection pools, dialling, and each hand-off to one ``Verdict``."""
 
 import errno
-import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -14,6 +13,7 @@
 from rowanshift.net.clock import Clock
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.exchange import HandOff, Reply
+from rowanshift.net.transport import SYSTEM, Host, Nursery
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
 OVERTAKEN = 8  # later hand-offs to a server that came back tell that a connection fell silent
@@ -31,7 +31,7 @@
     idle: list["Link"] = field(default_factory=list)  # the longest idle first, which is used first
     dialling: list["Link"] = field(default_factory=list)
     usual: float = 0.0  # seconds that an answer takes, on a moving average
-    busy: set["Link"] = field(default_factory=set)  # written, with no outcome
+    busy: dict["Link", None] = field(default_factory=dict)  # written, with no outcome; in that order
     kept: bool = True  # whether connections to it may be used again
 
 
@@ -67,8 +67,8 @@
 
 class Servers:
     def __init__(self, clock: Clock, dial_within: float, idle_for: float, stall_for: float, budget: Budget,
-                 memory: Memory, nursery: trio.Nursery) -> None:
-        self.clock, self.budget, self.memory, self.nursery = clock, budget, memory, nursery
+                 memory: Memory, nursery: Nursery, host: Host = SYSTEM) -> None:
+        self.clock, self.budget, self.memory, self.nursery, self.host = clock, budget, memory, nursery, host
         self.dial_within, self.idle_for = dial_within, SPARE * idle_for
         self.stall_for = stall_for  # seconds that an answer may stand still halfway
         self.targets: dict[str, Target] = {}
@@ -103,7 +103,8 @@
         self.targets.pop(server, None)
 
     def forget_others(self, servers: Iterable[str]) -> None:
-        for server in self.targets.keys() - set(servers):
+        named = set(servers)
+        for server in [server for server in self.targets if server not in named]:
             self.forget(server)
 
     # calls ------------------------------------------------
@@ -123,7 +124,7 @@
             return False
         while target.idle:
             link = target.idle[0]
-            if link.connection.readable():  # it was ended, or would answer what was not asked
+            if link.connection.stream.readable():  # it was ended, or would answer what was not asked
                 self._end(link)
                 continue
             del target.idle[0]
@@ -133,14 +134,12 @@
         if not self.budget.take_server():
             return False
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = self.host.stream()
         except OSError as error:
             logger.warning("no socket: {}", error)
             self.budget.give_server()
             return False
-        link = Link(target, Connection(sock, httptools.HttpResponseParser, self.memory), ho)
+        link = Link(target, Connection(stream, httptools.HttpResponseParser, self.memory), ho)
         self.out[ho.exchange.id, ho.number] = link
         target.dialling.append(link)
         self.nursery.start_soon(self._serve, link)
@@ -170,17 +169,17 @@
             self._end(link)
 
     async def _dial(self, link: Link) -> bool:
-        ho, sock = link.job, link.connection.sock
+        ho, stream = link.job, link.connection.stream
         link.until = min(trio.current_time() + self.dial_within, self.clock.deadline(ho.until))
         up = False
         with trio.CancelScope(deadline=link.until) as link.scope:
             try:
                 if not link.target.kept:  # it left before this task began
                     raise ConnectionAbortedError
-                failed = sock.connect_ex(link.target.address)
+                failed = stream.connect_ex(link.target.address)
                 if failed == errno.EINPROGRESS:
-                    await trio.lowlevel.wait_writable(sock)
-                    failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                    await stream.wait_writable()
+                    failed = stream.dialled()
                 up = not failed and not link.withdrawn
             except OSError as error:
                 logger.debug("{}: {!r}", ho.server, error)
@@ -209,7 +208,7 @@
         except OSError:
             link.broken = True
         link.overtaken, link.told = 0, False
-        link.target.busy.add(link)
+        link.target.busy[link] = None
         if link.written:
             link.scope.deadline = link.until
         else:
@@ -217,10 +216,10 @@
 
     async def _turn(self, link: Link) -> None:
         """Waits for the next thing to happen on a connection that is up, and takes it in."""
-        sock, writes = link.connection.sock, link.job is not None and not link.written
+        stream, writes = link.connection.stream, link.job is not None and not link.written
         with trio.CancelScope(deadline=link.until) as link.scope:
             if not link.broken and not link.withdrawn:
-                await (trio.lowlevel.wait_writable if writes else trio.lowlevel.wait_readable)(sock)
+                await (stream.wait_writable() if writes else stream.wait_readable())
         if link.job is None:  # the server ended it, sent what nobody asked for, or it stood idle long enough
             if not link.ended and not (link.scope.cancelled_caught and trio.current_time() < link.until):
                 self._end(link)
@@ -228,7 +227,7 @@
             self._finish(link, Verdict.WITHDRAWN)
         elif not link.written:
             self._write_on(link)
-        elif link.scope.cancelled_caught and not link.connection.readable():
+        elif link.scope.cancelled_caught and not link.connection.stream.readable():
             if trio.current_time() >= link.until:  # an answer that stops halfway is spoilt
                 if link.begun:
                     logger.info("{} spoilt an answer: it stopped halfway", link.job.server)
@@ -266,7 +265,7 @@
         """Tells the outcome. The connection carries another only after a whole answer with nothing behind."""
         ho, link.job = link.job, None
         del self.out[ho.exchange.id, ho.number]
-        link.target.busy.discard(link)
+        link.target.busy.pop(link, None)
         remark = reply = None
         if message is not None and message.keep and link.connection.clean() and link.target.kept:
             link.since = trio.current_time()
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -1,10 +1,7 @@
 """The router as a service: its phases from start to exit."""
 
-import gc
 import random
-import resource
 import signal
-import socket
 from collections.abc import AsyncIterator
 from enum import Enum
 from pathlib import Path
@@ -20,6 +17,7 @@
 from rowanshift.net.driver import Driver
 from rowanshift.net.peers import Peers
 from rowanshift.net.servers import Servers
+from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery
 
 STALL = 0.25  # of the due time, that an answer may stand still halfway
 ACCEPT_FOR = 0.5  # after SIGTERM: connections go on coming for a while
@@ -35,8 +33,9 @@
 
 
 class Service:
-    def __init__(self, config: Config, path: Path | None = None) -> None:
+    def __init__(self, config: Config, path: Path | None = None, host: Host = SYSTEM) -> None:
         self.config, self.path = config, path  # where it was read from
+        self.host = host
         self.phase = Phase.STARTING
         self.told_to_stop = trio.Event()
 
@@ -69,30 +68,28 @@
         discovery.move(config.discovery)
 
     async def run(self) -> None:
-        config = self.config
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async with trio.open_nursery() as nursery:
-                clock, memory = Clock(), Memory(config.memory_mb)
-                budget = Budget(descriptors(config.sockets))
+        config, host = self.config, self.host
+        with host.signals() as signals:
+            async with host.nursery() as nursery:
+                clock, memory = Clock(host), Memory(config.memory_mb)
+                budget = Budget(host.descriptors(config.sockets))
                 stall_for = min(config.dial_within, STALL * min(c.due for c in config.settings.categories))
                 servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory,
-                                  nursery)
+                                  nursery, host)
                 driver = Driver(config.settings, config.seed, clock, servers)
                 clients = Clients(config.names, driver, clock, budget, memory)
                 discovery = Discovery(config.discovery, config.names, config.settings.ask,
-                                      random.Random(config.seed), servers, driver.list_changed)
+                                      random.Random(config.seed), servers, driver.list_changed, host)
                 driver.subscribe = discovery.subscribe
                 discovery.learn(config.known, "cached")
                 nursery.start_soon(self._heed, signals, discovery)
                 nursery.start_soon(driver.keep_waking)
                 nursery.start_soon(discovery.run)
                 await self._meet_peers(nursery, driver)
-                listener = bound(socket.SOCK_STREAM, config.listen)
-                listener.listen(BACKLOG)
+                listener = host.listen(config.listen, BACKLOG)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting, clients, listener)
-                gc.collect()
-                gc.freeze()  # what has been loaded stays
+                host.settled()
 
                 clients.ready = True
                 self.enter(Phase.SERVING)
@@ -111,13 +108,13 @@
                 nursery.cancel_scope.cancel()
 
     async def _accept(self, accepting: trio.CancelScope, clients: Clients,
-                      listener: socket.socket) -> None:
-        async with trio.open_nursery() as nursery:
+                      listener: Listener) -> None:
+        async with self.host.nursery() as nursery:
             with accepting:
                 await clients.accept(listener, nursery)
 
-    async def _finish(self, clients: Clients, listener: socket.socket,
-                      nursery: trio.Nursery) -> None:
+    async def _finish(self, clients: Clients, listener: Listener,
+                      nursery: Nursery) -> None:
         """Takes what the kernel has accepted, closes the listener and what is idle, and ends the rest."""
         with trio.move_on_after(0.02):
             await clients.accept(listener, nursery)
@@ -127,26 +124,11 @@
             while clients.budget.clients > 0:
                 await trio.sleep(0.01)
 
-    async def _meet_peers(self, nursery: trio.Nursery, driver: Driver) -> None:
+    async def _meet_peers(self, nursery: Nursery, driver: Driver) -> None:
         config = self.config
         if config.peer_listen is None:
             return
-        sock = bound(socket.SOCK_DGRAM, config.peer_listen)
-        peers = Peers(trio.socket.from_stdlib_socket(sock), config.peers, config.peers_all, driver.heard)
+        peers = Peers(self.host.port(config.peer_listen), config.peers, config.peers_all, driver.heard)
         driver.tell = peers.tell
         nursery.start_soon(peers.send)
         nursery.start_soon(peers.listen)
-
-
-def descriptors(allowed: int) -> int:
-    """What this process may hold of the descriptors that it is allowed."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return allowed if soft == resource.RLIM_INFINITY else min(allowed, soft)
-
-
-def bound(kind: int, address: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    return sock
--- /dev/null
+++ b/rowanshift/net/transport.py
@@ -0,0 +1,267 @@
+"""Streams, listeners, datagram ports, and the machine that a router runs on: nothing else touches sockets.
+
+Everything above asks a ``Host`` for what the system gives, so that the same code runs on real sockets
+(``System``) and in the virtual network (``rowanshift.virtual``). A ``Stream`` never blocks: ``send`` and
+``recv_into`` do what can be done in the turn that decides it and raise ``BlockingIOError`` otherwise, and the
+waits tell when to try again. On real sockets a stream is the socket itself, with a few methods more: the seam
+costs nothing where bytes move.
+"""
+
+import errno
+import gc
+import resource
+import select
+import signal
+import socket
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractContextManager
+from struct import Struct
+from typing import Any, Protocol
+
+import trio
+
+from rowanshift.net.ring import Ring
+
+Address = tuple[str, int]
+
+LAST_DATA_RECEIVED = Struct("52xI")  # in Linux's tcp_info, milliseconds
+
+
+class Stream(Protocol):
+    """One end of a connection. It does not block; every call may raise ``OSError``."""
+
+    def connect_ex(self, address: Address, /) -> int: ...  # 0, EINPROGRESS or the error
+
+    def dialled(self) -> int: ...  # 0 or the error, once a dial in progress became writable
+
+    def send(self, data: bytes | memoryview, /) -> int: ...
+
+    def recv_into(self, space: memoryview, /) -> int: ...  # 0: the other side has ended its sending
+
+    def wait_readable(self) -> Awaitable[None]: ...
+
+    def wait_writable(self) -> Awaitable[None]: ...
+
+    def readable(self) -> bool: ...
+
+    def age(self) -> float: ...
+
+    def end(self) -> None: ...  # sends no more
+
+    def close(self) -> None: ...
+
+    def closed(self) -> bool: ...
+
+
+class Listener(Protocol):
+    """Where connections come in. ``accept`` raises ``BlockingIOError`` when none waits."""
+
+    def accept(self) -> Stream: ...
+
+    def wait(self) -> Awaitable[None]: ...
+
+    def close(self) -> None: ...
+
+
+class Port(Protocol):
+    """Datagrams out and in, whole or not at all."""
+
+    def send(self, payload: bytes, address: Address) -> Awaitable[Any]: ...
+
+    def receive(self, most: int) -> Awaitable[tuple[bytes, Address]]: ...
+
+
+class Nursery(Protocol):
+    """What is used of ``trio.Nursery``."""
+
+    cancel_scope: trio.CancelScope
+
+    def start_soon(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None: ...
+
+
+class Host(Protocol):
+    """The machine that a process runs on."""
+
+    def wall(self) -> float: ...  # Unix seconds, by its own clock
+
+    def stream(self) -> Stream: ...  # not connected yet; OSError if no descriptor is left
+
+    def listen(self, address: Address, backlog: int) -> Listener: ...
+
+    def port(self, address: Address) -> Port: ...
+
+    def signals(self) -> AbstractContextManager[AsyncIterator[int]]: ...
+
+    def nursery(self) -> Any: ...  # an async context manager that gives a Nursery
+
+    def descriptors(self, allowed: int) -> int: ...  # what a process may hold of those that it is allowed
+
+    def settled(self) -> None: ...  # the start is over
+
+
+# real sockets -------------------------------------------------
+
+
+class Socket(socket.socket):
+    """A stream on a real socket."""
+
+    __slots__ = ()
+
+    @classmethod
+    def of(cls, sock: socket.socket) -> "Socket":
+        """Takes a socket over; the one given is left without a descriptor."""
+        made = cls(sock.family, sock.type, sock.proto, sock.detach())
+        made.setblocking(False)
+        return made
+
+    def dialled(self) -> int:
+        return self.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def wait_readable(self) -> Awaitable[None]:
+        return trio.lowlevel.wait_readable(self)
+
+    def wait_writable(self) -> Awaitable[None]:
+        return trio.lowlevel.wait_writable(self)
+
+    def readable(self) -> bool:
+        """Whether bytes, or the other side's end, have come in and were not read yet."""
+        poll = select.poll()
+        poll.register(self, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def age(self) -> float:
+        """Seconds since the last bytes came in, which a router that stood still reads late."""
+        if not hasattr(socket, "TCP_INFO"):
+            return 0.0
+        info = self.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+        return LAST_DATA_RECEIVED.unpack(info)[0] / 1000
+
+    def end(self) -> None:
+        self.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        if self.fileno() >= 0:
+            if trio.lowlevel.in_trio_run():
+                trio.lowlevel.notify_closing(self)
+            super().close()
+
+    def closed(self) -> bool:
+        return self.fileno() < 0
+
+
+class SocketListener:
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    def accept(self) -> Stream:
+        stream = Socket.of(self.sock.accept()[0])
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # it broke off before it was looked at: nothing else must be lost for it
+            stream.close()
+            raise
+        return stream
+
+    def wait(self) -> Awaitable[None]:
+        return trio.lowlevel.wait_readable(self.sock)
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
+
+
+class SocketPort:
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = trio.socket.from_stdlib_socket(sock)
+
+    def send(self, payload: bytes, address: Address) -> Awaitable[int]:
+        return self.sock.sendto(payload, address)
+
+    def receive(self, most: int) -> Awaitable[tuple[bytes, Address]]:
+        return self.sock.recvfrom(most)
+
+
+class System:
+    """The machine as it is."""
+
+    def wall(self) -> float:
+        return time.time()
+
+    def stream(self) -> Stream:
+        stream = Socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.setblocking(False)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return stream
+
+    def listen(self, address: Address, backlog: int) -> Listener:
+        sock = bound(socket.SOCK_STREAM, address)
+        sock.listen(backlog)
+        return SocketListener(sock)
+
+    def port(self, address: Address) -> Port:
+        return SocketPort(bound(socket.SOCK_DGRAM, address))
+
+    def signals(self) -> AbstractContextManager[AsyncIterator[int]]:
+        return trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def nursery(self) -> Any:
+        return trio.open_nursery()
+
+    def descriptors(self, allowed: int) -> int:
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return allowed if soft == resource.RLIM_INFINITY else min(allowed, soft)
+
+    def settled(self) -> None:
+        gc.collect()
+        gc.freeze()  # what has been loaded stays
+
+
+SYSTEM = System()
+
+
+def bound(kind: int, address: Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, kind)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+# for those who may wait ---------------------------------------
+
+
+async def connect(stream: Stream, address: Address) -> None:
+    """Dials; an ``OSError`` if it fails. The caller limits the time."""
+    failed = stream.connect_ex(address)
+    if failed == errno.EINPROGRESS:
+        await stream.wait_writable()
+        failed = stream.dialled()
+    if failed:
+        raise OSError(failed, errno.errorcode.get(failed, str(failed)))
+
+
+async def send_all(stream: Stream, data: bytes) -> None:
+    left = memoryview(data)
+    while left:
+        try:
+            left = left[stream.send(left):]
+        except BlockingIOError:
+            await stream.wait_writable()
+
+
+async def receive(stream: Stream, ring: Ring) -> int:
+    """Waits for bytes and takes them into the ring; how many came, 0 at the other side's end."""
+    while True:
+        await stream.wait_readable()
+        try:
+            n = stream.recv_into(ring.space())
+        except BlockingIOError:
+            continue
+        ring.filled(n)
+        return n
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,6 +26,7 @@
 from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers, verdict_of
 from rowanshift.net.service import Phase, Service
+from rowanshift.net.transport import SYSTEM, Socket
 
 NAMES = Names({b"read": 0, b"write": 1}, {b"demo": 0, b"other": 1}, {"here": 0, "there": 1},
               {"cache": 0, "origin": 1})
@@ -81,9 +82,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname(), timeout=2)
         theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
-        ours = listener.accept()[0]
-        ours.setblocking(False)
-        return ours, theirs
+        return Socket.of(listener.accept()[0]), theirs
 
 
 def clients_of(deciding) -> Clients:
@@ -932,13 +931,11 @@
     (b"x" * 256, 0, True), (b"x" * 257, 0, False), (b"x", 1, False)])
 def test_peers_are_known_by_their_address(payload, sender, heard):
     async def main():
-        socks = [trio.socket.socket(type=socket.SOCK_DGRAM) for _ in range(3)]
-        for sock in socks:
-            await sock.bind(("127.0.0.1", 0))
-        got = []
-        peers = Peers(socks[2], [socks[0].getsockname()], None, lambda n, data: got.append((n, data)))
+        ports = [SYSTEM.port(("127.0.0.1", 0)) for _ in range(3)]
+        got, addresses = [], [port.sock.getsockname() for port in ports]
+        peers = Peers(ports[2], [addresses[0]], None, lambda n, data: got.append((n, data)))
         with trio.move_on_after(0.05):
-            await socks[sender].sendto(payload, socks[2].getsockname())
+            await ports[sender].send(payload, addresses[2])
             await peers.listen()
         return got
 
