--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -1,8 +1,9 @@
-"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls its methods as
-things happen, with the time, and carries out what ``drain`` returns. ``model.py`` lays the interface down.
+"""Every decision of rowanshift. A front makes one ``Router`` for each life of a router, calls its methods
+as things happen, with the time, and carries out what ``drain`` returns. ``model.py`` lays the interface
+down.
 
-A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a
-hand-off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
+A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a hand-
+off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
 """
 
 from bisect import bisect_left, bisect_right
--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -60,4 +60,8 @@
 
 
 def main() -> None:
+    if sys.argv[1:2] != ["serve"]:  # a router alone needs none of it
+        from rowanshift.virtual.command import simulate
+
+        app.command()(simulate)
     app()
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -1,4 +1,5 @@
-"""The interface of the decision module: what goes in and what comes out, and what it remembers; types only.
+"""The interface of the decision module: what goes in and what comes out, and what it remembers; types
+only.
 
 A front builds a ``Settings``, makes one ``choice.Router`` with it for each life of a router, calls the
 router's methods as things happen and carries out what has gathered in its ``Results``. Times are seconds.
--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -15,7 +15,7 @@
     """Bytes of bodies that are on their way, over all connections."""
 
     def __init__(self, megabytes: float) -> None:
-        self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
+        self.whole = self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
         self.largest_answer = self.left // ANSWER
 
     def take(self, size: int) -> bool:
--- a/rowanshift/net/peers.py
+++ b/rowanshift/net/peers.py
@@ -37,6 +37,12 @@
                 logger.debug("to peer {}: {}", ordinal, error)
 
     async def listen(self) -> None:
+        try:
+            await self._listen()
+        finally:
+            self.port.close()
+
+    async def _listen(self) -> None:
         while True:
             try:
                 payload, sender = await self.port.receive(LARGEST + 1)
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -73,6 +73,7 @@
             async with host.nursery() as nursery:
                 clock, memory = Clock(host), Memory(config.memory_mb)
                 budget = Budget(host.descriptors(config.sockets))
+                self.memory, self.budget = memory, budget
                 stall_for = min(config.dial_within, STALL * min(c.due for c in config.settings.categories))
                 servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory,
                                   nursery, host)
@@ -80,6 +81,7 @@
                 clients = Clients(config.names, driver, clock, budget, memory)
                 discovery = Discovery(config.discovery, config.names, config.settings.ask,
                                       random.Random(config.seed), servers, driver.list_changed, host)
+                self.servers, self.driver, self.clients, self.discovery = servers, driver, clients, discovery
                 driver.subscribe = discovery.subscribe
                 discovery.learn(config.known, "cached")
                 nursery.start_soon(self._heed, signals, discovery)
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -2,9 +2,9 @@
 
 Everything above asks a ``Host`` for what the system gives, so that the same code runs on real sockets
 (``System``) and in the virtual network (``rowanshift.virtual``). A ``Stream`` never blocks: ``send`` and
-``recv_into`` do what can be done in the turn that decides it and raise ``BlockingIOError`` otherwise, and the
-waits tell when to try again. On real sockets a stream is the socket itself, with a few methods more: the seam
-costs nothing where bytes move.
+``recv_into`` do what can be done in the turn that decides it and raise ``BlockingIOError`` otherwise, and
+the waits tell when to try again. On real sockets a stream is the socket itself, with a few methods more:
+the seam costs nothing where bytes move.
 """
 
 import errno
@@ -71,6 +71,8 @@
 
     def receive(self, most: int) -> Awaitable[tuple[bytes, Address]]: ...
 
+    def close(self) -> None: ...
+
 
 class Nursery(Protocol):
     """What is used of ``trio.Nursery``."""
@@ -95,6 +97,8 @@
 
     def nursery(self) -> Any: ...  # an async context manager that gives a Nursery
 
+    def pause(self, seconds: float) -> Awaitable[None]: ...  # sleeps
+
     def descriptors(self, allowed: int) -> int: ...  # what a process may hold of those that it is allowed
 
     def settled(self) -> None: ...  # the start is over
@@ -182,6 +186,9 @@
     def receive(self, most: int) -> Awaitable[tuple[bytes, Address]]:
         return self.sock.recvfrom(most)
 
+    def close(self) -> None:
+        self.sock.close()
+
 
 class System:
     """The machine as it is."""
@@ -209,6 +216,9 @@
     def nursery(self) -> Any:
         return trio.open_nursery()
 
+    def pause(self, seconds: float) -> Awaitable[None]:
+        return trio.sleep(seconds)
+
     def descriptors(self, allowed: int) -> int:
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         return allowed if soft == resource.RLIM_INFINITY else min(allowed, soft)
--- /dev/null
+++ b/rowanshift/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The four rules as checks over a stream of facts."""
--- /dev/null
+++ b/rowanshift/standins/__init__.py
@@ -0,0 +1,2 @@
+"""Stand-ins of what a router meets: one implementation each, on real loopback sockets and the virtual
+network."""
--- /dev/null
+++ b/rowanshift/virtual/machine.py
@@ -0,0 +1,246 @@
+"""A machine of the virtual network: what ``net/transport.py`` asks of a host, and what can befall one.
+
+A process on it is driven through ``driven``, which sees each wait of each of its tasks. While the machine
+stands still, nothing that ends a wait reaches a task: what the network brings stays in buffers, as a kernel
+holds it, and deadlines that pass are kept. When it goes on, what came in is seen first and then the
+deadlines, as trio's own loop does after a standstill.
+"""
+
+import errno
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from types import coroutine
+from typing import TYPE_CHECKING, Any
+
+import outcome
+import trio
+from trio.lowlevel import Abort
+
+from rowanshift.net.transport import Address, Listener, Port, Stream
+
+if TYPE_CHECKING:
+    from rowanshift.virtual.network import Network
+
+Trap = Any  # what a coroutine of trio's yields
+
+
+class Slot:
+    """Where one task of a machine waits for the network."""
+
+    __slots__ = ("machine", "task")
+
+    def __init__(self, machine: "Machine") -> None:
+        self.machine, self.task = machine, None
+
+    async def wait(self) -> None:
+        if self.task is not None:
+            raise trio.BusyResourceError("another task waits here")
+        self.task = trio.lowlevel.current_task()
+
+        def abort(_: object) -> Abort:
+            if self.task is None:  # it was woken in the same turn
+                return Abort.FAILED
+            self.task = None
+            return Abort.SUCCEEDED
+
+        await trio.lowlevel.wait_task_rescheduled(abort)
+
+    def wake(self, result: outcome.Outcome[None] | None = None) -> None:
+        if self.task is None:
+            return
+        if self.machine.frozen:
+            self.machine.late_wakes.append((self, result))
+            return
+        task, self.task = self.task, None
+        self.machine.network.clock.woken = True
+        trio.lowlevel.reschedule(task, result or outcome.Value(None))
+
+
+@coroutine
+def _drive(machine: "Machine", coro: Any) -> Iterator[Trap]:
+    """Runs a coroutine of trio's and keeps deadlines from it while the machine stands still."""
+    task, result = trio.lowlevel.current_task(), None
+    try:
+        while True:
+            try:
+                trap = coro.send(result)
+            except StopIteration as stop:
+                return stop.value
+            if (abort := getattr(trap, "abort_func", None)) is not None:
+                trap = type(trap)(machine.guard(task, abort))
+            result = yield trap
+    finally:
+        coro.close()
+
+
+async def driven(machine: "Machine", function: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+    return await _drive(machine, function(*args))
+
+
+class MachineNursery:
+    """Starts its children as tasks of the machine."""
+
+    def __init__(self, machine: "Machine", nursery: trio.Nursery) -> None:
+        self.machine, self.nursery = machine, nursery
+
+    @property
+    def cancel_scope(self) -> trio.CancelScope:
+        return self.nursery.cancel_scope
+
+    def start_soon(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        self.nursery.start_soon(driven, self.machine, function, *args)
+
+
+class Signals:
+    """Signals as they come, in order."""
+
+    def __init__(self, machine: "Machine") -> None:
+        self.queue: deque[int] = deque()
+        self.slot = Slot(machine)
+
+    def put(self, number: int) -> None:
+        self.queue.append(number)
+        self.slot.wake()
+
+    def __aiter__(self) -> "Signals":
+        return self
+
+    async def __anext__(self) -> int:
+        if not self.queue:
+            await self.slot.wait()
+        return self.queue.popleft()
+
+
+class Machine:
+    """One process at a time, at one address."""
+
+    def __init__(self, network: "Network", name: str, address: str, site: int, allowed: int = 1024,
+                 skew: float = 0.0) -> None:
+        self.network, self.name, self.address, self.site = network, name, address, site
+        self.allowed, self.skew = allowed, skew  # descriptors; seconds that its clock is ahead
+        self.held: dict[Any, None] = {}  # streams, listeners and ports that are open, a descriptor each
+        self.running = False
+        self.away = False  # without a word: what is sent to it is lost, and it sends nothing
+        self.frozen = False
+        self.life = 0
+        self.scope = trio.CancelScope()
+        self.inbox: Signals | None = None
+        self.late_wakes: list[tuple[Slot, outcome.Outcome[None] | None]] = []
+        self.late_cancels: list[tuple[trio.lowlevel.Task, Any, Any]] = []
+        self.most_held = 0
+
+    # a process --------------------------------------------
+
+    async def run(self, main: Callable[..., Awaitable[Any]], *args: Any) -> int | None:
+        """Runs a process to its end: how many descriptors it left open, or none if it was killed."""
+        self.life += 1
+        self.running, self.away = True, False
+        try:
+            with trio.CancelScope() as self.scope:
+                await driven(self, main, *args)
+            return None if self.scope.cancelled_caught else len(self.held)
+        finally:
+            self._stop(reset=True)
+
+    def kill(self) -> None:
+        """Ends the process at once. Nothing that its tasks do on their way out reaches the network."""
+        self._stop(reset=True)
+
+    def vanish(self) -> None:
+        """The machine is gone: no reset, no refusal, until it is started again."""
+        self.away = True
+        self._stop(reset=False)
+
+    def _stop(self, reset: bool) -> None:
+        if not self.running:
+            return
+        self.running = False
+        for thing in [*self.held]:
+            thing.drop(reset)
+        self.held.clear()
+        self.network.clock.woken = True
+        if self.frozen:
+            self.go_on()
+        self.scope.cancel()
+
+    def signal(self, number: int) -> None:
+        if self.inbox is not None and self.running:
+            self.inbox.put(number)
+
+    # standing still ---------------------------------------
+
+    def guard(self, task: trio.lowlevel.Task, abort: Any) -> Any:
+        def guarded(raise_cancel: Any) -> Abort:
+            if self.frozen:
+                self.late_cancels.append((task, abort, raise_cancel))
+                return Abort.FAILED
+            return abort(raise_cancel)
+
+        return guarded
+
+    def stand_still(self) -> None:
+        self.frozen = True
+
+    def go_on(self) -> None:
+        if not self.frozen:
+            return
+        self.frozen = False
+        self.network.clock.woken = True
+        wakes, self.late_wakes = self.late_wakes, []
+        for slot, result in wakes:
+            slot.wake(result)
+        cancels, self.late_cancels = self.late_cancels, []
+        for task, abort, raise_cancel in cancels:
+            if abort(raise_cancel) is Abort.SUCCEEDED:
+                trio.lowlevel.reschedule(task, outcome.capture(raise_cancel))
+
+    # what a host gives ------------------------------------
+
+    def wall(self) -> float:
+        return self.network.wall() + self.skew
+
+    def hold(self, thing: Any) -> None:
+        """Takes a descriptor."""
+        if not self.running:
+            raise OSError(errno.ESHUTDOWN, "the process is over")
+        if len(self.held) >= self.allowed:
+            raise OSError(errno.EMFILE, "no descriptor is left")
+        self.held[thing] = None
+        self.most_held = max(self.most_held, len(self.held))
+
+    def stream(self) -> Stream:
+        return self.network.stream(self)
+
+    def listen(self, address: Address, backlog: int) -> Listener:
+        return self.network.listen(self, address, backlog)
+
+    def port(self, address: Address) -> Port:
+        return self.network.port(self, address)
+
+    @contextmanager
+    def signals(self) -> Iterator[AsyncIterator[int]]:
+        self.inbox = Signals(self)
+        try:
+            yield self.inbox
+        finally:
+            self.inbox = None
+
+    @asynccontextmanager
+    async def nursery(self) -> AsyncIterator[MachineNursery]:
+        async with trio.open_nursery() as nursery:
+            yield MachineNursery(self, nursery)
+
+    async def pause(self, seconds: float) -> None:
+        """As ``trio.sleep``, without the cost of a cancel scope."""
+        if seconds <= 0:
+            return await trio.lowlevel.checkpoint()
+        slot = Slot(self)
+        self.network.clock.at(self.network.clock.time + seconds, slot.wake)
+        await slot.wait()
+
+    def descriptors(self, allowed: int) -> int:
+        return min(allowed, self.allowed)
+
+    def settled(self) -> None:
+        pass
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,171 @@
+"""Faults that tests plant in the router, to see that the rules find them. Each takes a ``MonkeyPatch``."""
+
+from rowanshift import choice
+from rowanshift.choice import Router
+from rowanshift.model import Answer, Semantics, Verdict
+from rowanshift.net import clients, config, discovery, driver, servers, service
+from rowanshift.net.connection import Connection
+from rowanshift.net.exchange import HandOff, Reply
+
+
+def answers_twice(patch):
+    def written(reply, keep, once=clients.written):
+        return once(reply, keep) * 2
+
+    patch.setattr(clients, "written", written)
+
+
+def sends_after_the_grace(patch):
+    patch.setitem(config.HEALTH, "leaving", "live")
+
+
+def resends_an_exclusive_one(patch):
+    def came_back(self, item, cache, verdict, remark, plain=Router._came_back):
+        exclusive = item.category.semantics is Semantics.EXCLUSIVE
+        if exclusive and verdict in (Verdict.RESET, Verdict.TIMED_OUT, Verdict.ERROR):
+            return self._forward(item)
+        return plain(self, item, cache, verdict, remark)
+
+    patch.setattr(Router, "_came_back", came_back)
+
+
+def resends_a_ticketed_one_anywhere(patch):
+    patch.setattr(choice, "group_of", lambda cache, item: 0)
+
+
+def defers_what_may_have_run(patch):
+    def give_up(self, item):
+        self.results.answers.append((item.id, Answer.DEFERRED, 0.0))
+        self._end(item, False)
+
+    patch.setattr(Router, "give_up", give_up)
+
+
+def holds_to_the_expiry(patch):
+    def answer(self, id, answer, back, at_once=driver.Driver._answer):
+        async def later():
+            wait = self.exchanges[id].expiry - self.clock.now() - 0.02 if id in self.exchanges else 0
+            await self.servers.host.pause(max(0.0, wait))
+            at_once(self, id, answer, back)
+
+        self.servers.nursery.start_soon(later)
+
+    patch.setattr(driver.Driver, "_answer", answer)
+
+
+def ignores_cold_room(patch):
+    patch.setattr(Router, "_cold_room", lambda self, cache: True)
+    patch.setattr(Router, "warmth", lambda self, cache: 1.0)
+
+
+def has_no_origin_gate(patch):
+    def room(self, cache, part=1.0, plain=Router._room):
+        return True if cache is self.origin else plain(self, cache, part)
+
+    patch.setattr(Router, "_room", room)
+    ignores_cold_room(patch)
+
+
+def loses_what_it_held_at_a_reload(patch):
+    def reload(self, discovery_, plain=service.Service._reload):
+        for exchange in [*self.driver.exchanges.values()]:
+            exchange.ended = True
+        self.driver.exchanges.clear()
+        plain(self, discovery_)
+
+    patch.setattr(service.Service, "_reload", reload)
+
+
+def keeps_a_connection_with_bytes_left_over(patch):
+    patch.setattr(Connection, "clean", lambda self: True)
+
+    def readable_ignored(self, ho, plain=servers.Servers.hand_off):
+        target = self.targets.get(ho.server)
+        for link in target.idle if target else ():
+            link.connection.stream.readable = None
+        return plain(self, ho)
+
+    assert readable_ignored
+
+
+def leaks_a_descriptor(patch):
+    def close(self, plain=Connection.close):
+        if not self.requests and self.error is not None:
+            self.release()
+        else:
+            plain(self)
+
+    patch.setattr(Connection, "close", close)
+
+
+def trusts_an_old_generation(patch):
+    def learn(self, data, scope="", plain=discovery.Discovery.learn):
+        if scope or data["generation"] > self.generation:
+            plain(self, data, scope)
+
+    patch.setattr(discovery.Discovery, "learn", learn)
+
+
+def answers_and_goes_on(patch):
+    def done(self, ho, verdict, remark, reply, plain=driver.Driver.done):
+        if verdict is Verdict.MISS and ho.exchange.end(Reply(502)):
+            ho.exchange.ended = False
+        plain(self, ho, verdict, remark, reply)
+
+    patch.setattr(driver.Driver, "done", done)
+
+
+def sends_a_second_copy(patch):
+    def hand_off(self, unsent, id, until, server, plain=driver.Driver._hand_off):
+        plain(self, unsent, id, until, server)
+        exchange = self.exchanges[id]
+        if exchange.hand_offs == 2:
+            self.servers.hand_off(HandOff(exchange, 77, server, self.clock.now(), exchange.expiry))
+
+    patch.setattr(driver.Driver, "_hand_off", hand_off)
+
+
+def forgets_to_give_memory_back(patch):
+    def release(self, plain=Connection.release):
+        if self.error is None:
+            plain(self)
+
+    patch.setattr(Connection, "release", release)
+
+
+def keeps_exchanges_of_gone_clients(patch):
+    def gone(self, exchange):
+        exchange.end(None)
+
+    patch.setattr(driver.Driver, "gone", gone)
+
+
+def dials_on_after_a_drain(patch):
+    def leave(self, server):
+        if (target := self.targets.get(server)) is not None:
+            for link in [*target.idle]:
+                self._end(link)
+
+    patch.setattr(servers.Servers, "leave", leave)
+
+
+def passes_on_spoilt_answers(patch):
+    def read_on(self, link, plain=servers.Servers._read_on):
+        def verdict_of(message, plain=servers.verdict_of):
+            return Verdict.FINISHED if message.status == 500 else plain(message)
+
+        before, servers.verdict_of = servers.verdict_of, verdict_of
+        try:
+            plain(self, link)
+        finally:
+            servers.verdict_of = before
+
+    patch.setattr(servers.Servers, "_read_on", read_on)
+
+
+FAULTS = {fault.__name__: fault for fault in (
+    answers_twice, sends_after_the_grace, resends_an_exclusive_one, resends_a_ticketed_one_anywhere,
+    defers_what_may_have_run, holds_to_the_expiry, ignores_cold_room, has_no_origin_gate,
+    loses_what_it_held_at_a_reload, keeps_a_connection_with_bytes_left_over, leaks_a_descriptor,
+    trusts_an_old_generation, answers_and_goes_on, sends_a_second_copy, forgets_to_give_memory_back,
+    keeps_exchanges_of_gone_clients, dials_on_after_a_drain)}
