Do not close a client's connection to make room in its first 0.1 s

A router short of descriptors accepted a connection and closed it at once to make room, as one that had never asked, while its request was on the way; the next try fared alike.

Change: a connection is spared for its first 0.1 s; meanwhile the budget looks for idle ones to servers and of clients, or waits. Test: an idle client goes at once unless it has asked or is fresh.

--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -21,6 +21,7 @@
 READY = b"/-/ready"
 LEFT = b"x-remaining-ms"
 ONCE = frozenset([b"x-txn", b"x-lane", b"x-org", LEFT])
+FRESH_FOR = 0.1  # seconds from the accept, in which no connection is closed to make room
 SILENT_FOR = 2.0  # seconds from a connection to its first whole request
 REQUEST_WITHIN = 2.0  # a request's first byte to its last
 IDLE_FOR = 2.0  # that a client's connection may stand idle
@@ -86,6 +87,7 @@
 
     connection: Connection
     until: float  # trio's time by which the next thing must happen
+    since: float  # trio's time at which it was accepted
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     exchange: Exchange | None = None
     txn: bytes = b""
@@ -131,8 +133,12 @@
                 nursery.start_soon(self.serve, stream)
 
     def drop_one(self, clients: dict[Client, None]) -> bool:
-        """Closes the first of these connections that nothing has come in on, if there is one."""
+        """Closes the first of these connections that nothing has come in on, if there is one. The request of
+        a fresh one may be on its way: to close it would lose what was taken, and the next try as well."""
+        fresh = trio.current_time() - FRESH_FOR
         for client in clients:
+            if client.since > fresh and not client.refused:
+                continue
             if client.refused or not (client.connection.stream.readable() or client.connection.pending()):
                 self._end(client)
                 return True
@@ -157,8 +163,8 @@
 
     async def serve(self, stream: Stream) -> None:
         wait = LAST_LOOK if self.finishing else SILENT_FOR
-        client = Client(Connection(stream, httptools.HttpRequestParser, self.memory),
-                        trio.current_time() + wait)
+        now = trio.current_time()
+        client = Client(Connection(stream, httptools.HttpRequestParser, self.memory), now + wait, now)
         self.silent[client] = None
         try:
             while not client.over:
--- a/rowanshift/rules/checks.py
+++ b/rowanshift/rules/checks.py
@@ -76,6 +76,7 @@
         self.told: dict[str, dict[str, float]] = {}  # by router: servers that it may not use, and since when
         self.still: dict[str, float] = {}  # machines that stand still, and since when
         self.went_on: dict[str, float] = {}
+        self.no_way: dict[str, float] = {}  # by router: when a dial of it last failed
         self.dead: set[str] = set()
         self.counts: dict[str, int] = {}
         self.now = 0.0
@@ -129,9 +130,13 @@
         self._break(1, txn, f"no answer before its expiry at {seen.expiry:.3f} s")
         self._over(txn, seen)
 
-    def _stood_still(self, seen: Seen) -> bool:
-        """Whether its router stood still at some time since it was asked."""
-        return seen.router in self.still or self.went_on.get(seen.router, -1.0) >= seen.since
+    def _excused(self, seen: Seen) -> bool:
+        """Whether its router stood still since it was asked, or dialled in vain, which is not seen."""
+        last = max(self.went_on.get(seen.router, -1.0), self.no_way.get(seen.router, -1.0))
+        return seen.router in self.still or last >= seen.since
+
+    def _no_way(self, router: str, address: str) -> None:
+        self.no_way[router] = self.now
 
     def _answered(self, txn: str, status: int, sent_at: float, made: bool) -> None:
         if (seen := self._item(txn)) is None:
@@ -140,7 +145,7 @@
             self._break(1, txn, f"a second answer, {status}, after it had ended")
             return
         seen.final_at = sent_at
-        if status != 200 and not seen.sendings and self.now > seen.half and not self._stood_still(seen):
+        if status != 200 and not seen.sendings and self.now > seen.half and not self._excused(seen):
             self._break(1, txn, f"given up, but held for {self.now - seen.since:.3f} s with no hand-off")
         if status == 200 and not made:
             self._break(1, txn, "finished with what no server made for it")
--- a/rowanshift/virtual/network.py
+++ b/rowanshift/virtual/network.py
@@ -9,6 +9,7 @@
 import errno
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import outcome
@@ -44,8 +45,8 @@
 class End:
     """One end of a connection: a ``Stream``."""
 
-    __slots__ = ("arrived_at", "eof", "failed", "inbox", "machine", "network", "open", "out_at",
-                 "peer", "queued", "reader", "room", "sent_at", "sent_end", "state", "stuck", "took",
+    __slots__ = ("address", "arrived_at", "eof", "failed", "inbox", "machine", "network", "open",
+                 "out_at", "peer", "queued", "reader", "room", "sent_at", "sent_end", "state", "stuck", "took",
                  "writer", "wrote")
 
     def __init__(self, network: "Network", machine: Machine) -> None:
@@ -69,7 +70,7 @@
     def connect_ex(self, address: Address) -> int:
         if self.state != "new":
             return errno.EISCONN
-        self.state = "dialling"
+        self.state, self.address = "dialling", address
         self.network.dial(self, address)
         return errno.EINPROGRESS
 
@@ -179,6 +180,8 @@
         self._leave("reset" if reset else "")
 
     def _leave(self, how: str) -> None:
+        if self.state == "dialling":
+            self.network.no_way(self.machine.name, self.address[0])
         if how and self.peer is not None and not (how == "end" and self.sent_end):
             self.network.carry(self, how, b"")
         self.state, self.open = "closed", False
@@ -281,6 +284,7 @@
         self.listeners: dict[Address, VirtualListener] = {}
         self.ports: dict[Address, VirtualPort] = {}
         self.cuts: set[frozenset[int]] = set()  # pairs of sites with no way between them
+        self.no_way: Callable[[str, str], None] = lambda machine, address: None  # hears of vain dials
         self.lose_all_until: dict[str, float] = {}  # by machine: its datagrams are lost
 
     def wall(self) -> float:
--- a/rowanshift/virtual/world.py
+++ b/rowanshift/virtual/world.py
@@ -116,6 +116,7 @@
         self.rules = Rules(Terms(dict(zip((c.name for c in scenario.category), self.categories, strict=True)),
                                  fleet.grace_s))
         self.events.readers = [self.rules.see, *(readers or [])]
+        self.network.no_way = self._no_way
         self.ledger = Ledger()
         self.caches: dict[str, CachePlace] = {}
         self.routers: list[RouterPlace] = []
@@ -306,6 +307,10 @@
     def _doors(self, place: RouterPlace) -> list[Door]:
         return [door for crowd in self.crowds for door in crowd.doors if door.name == place.door.name]
 
+    def _no_way(self, machine: str, address: str) -> None:
+        if machine.startswith("r"):
+            self.events.tell("no_way", machine, address)
+
     def _close_doors(self, place: RouterPlace) -> None:
         for door in self._doors(place):
             door.up = False
@@ -382,7 +387,11 @@
         for router in self.routers:
             late = self.scenario.fleet.list_late_s * self.chance.uniform(0.1, 1.0) + router.delay
             router.list_at = max(router.list_at + 1e-6, self.clock.time + late)
-            self.at(router.list_at, router.agent.change, row)
+            self.at(router.list_at, self._tell_agent, router, row)
+
+    @staticmethod
+    def _tell_agent(router: RouterPlace, row: dict[str, Any]) -> None:
+        router.agent.change(row)
 
     # troubles ---------------------------------------------
 
