--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -15,7 +15,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, suppress
 from struct import Struct
 from typing import Any, Protocol
 
@@ -160,11 +160,8 @@
 
     def accept(self) -> Stream:
         stream = Socket.of(self.sock.accept()[0])
-        try:
+        with suppress(OSError):  # it broke off already, which its first read tells
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:  # it broke off before it was looked at: nothing else must be lost for it
-            stream.close()
-            raise
         return stream
 
     def wait(self) -> Awaitable[None]:
--- a/rowanshift/virtual/draw.py
+++ b/rowanshift/virtual/draw.py
@@ -7,6 +7,7 @@
 from rowanshift.scenario import CATEGORIES, CategoryRow, Fleet, Links, Scenario, Trouble, Work
 
 SIZES = {"small": (3, 10, 100.0, 30.0), "grown": (60, 40, 1500.0, 30.0)}  # routers, caches, rate, seconds
+FETCHES = 0.3  # of the work, with writes, that goes to the origin while all is well
 FIRST, LAST = 3.0, 0.8  # seconds until the first trouble; part of the time in which the last begins
 
 # kind: weight, shortest and longest seconds, least and largest value
@@ -22,10 +23,10 @@
     "deploy": (2, 8, 20, 0.4, 0.9),
     "shrink": (1, 4, 10, 0.4, 0.8),
     "grow": (1, 1, 5, 1, 5),
-    "drain": (2, 0, 0, 0, 0),
+    "drain": (3, 0, 0, 0, 0),
     "drain_lost": (1, 1, 3, 0, 0),
     "weights": (1, 3, 10, 0.3, 2),
-    "cut": (2, 1, 6, 0, 0),
+    "cut": (3, 1, 6, 0, 0),
     "lean": (1, 3, 10, 0, 0),
     "rate": (1, 2, 8, 1.5, 4),
     "hot": (1, 4, 12, 0.1, 0.5),
@@ -60,7 +61,7 @@
         ask=pick([True, False, False]), list_late_s=between(0.2, 3), skew_s=pick([0, 0, 0.02, 0.4]),
         dial_s=pick([0.25, 0.25, 1.5]), max_hand_offs=pick([2, 4, 5, 6]),
         retry_after_s=pick([0.0, 1.0, 2.0]), idle_s=pick([1.0, 5.0, 20.0]),
-        origin_cores=max(2, int(0.06 * rate * between(0.8, 1.6))))
+        origin_cores=max(2, round(FETCHES * Work().origin_fetch_s * rate * between(1.5, 3))))
     work = Work(rate=rate * between(0.9, 1.2), keys=pick([50, 400, 2000]), zipf=between(0.6, 1.2),
                 retries=pick([0, 1, 2, 3]), wait_s=pick([0.0, 0.2, 0.5]), patience=between(0.5, 1),
                 one_off=pick([0.0, 0.05, 0.3]), halves=pick([0.0, 0.0, 0.01]), warm=pick([True, True, False]))
