Answer calls on a second address, report figures, and drain and come back

Cause: nothing listened where control says, so a drained router still said yes 4 s after the call (lost). Ruled out first: the front's view of READY (it asks the clients' address), and the listener (it may stay open). A bind that fails names its address. A request half read is no longer cut by a drain.

--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -181,6 +181,11 @@
         for cache in gone[: max(0, len(gone) - len(self.caches) // 2)]:  # some come back, most never
             del self.caches[cache.entry.server]
 
+    def seen(self, now: float) -> tuple[int, int]:
+        """How many caches the list names, and how many of them are left out now, by hand or by choice."""
+        listed = [c for c in self.caches.values() if c.entry.health != "dead"]
+        return len(listed), sum(c.entry.health != "live" or c.silent_until > now for c in listed)
+
     def woken(self, now: float) -> None:
         self.now = now
         while self.timers and self.timers[0][0] <= now:
--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -50,7 +50,8 @@
     c = loaded(config)
     typer.echo(f"{c.name}: listens on {c.listen[0]}:{c.listen[1]}; {len(c.names.categories)} categories, "
                f"{len(c.names.tenants)} tenants, {len(c.known.get('instances', ()))} servers known, "
-               f"{c.settings.routers} routers")
+               f"{c.settings.routers} routers"
+               + (f"; calls on {c.control[0]}:{c.control[1]}" if c.control else ""))
 
 
 @app.command()
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -16,6 +16,7 @@
 from rowanshift.net.config import Names
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.exchange import Exchange, Reply
+from rowanshift.net.figures import Figures
 from rowanshift.net.transport import Listener, Nursery, Stream
 
 READY = b"/-/ready"
@@ -26,6 +27,7 @@
 REQUEST_WITHIN = 2.0  # a request's first byte to its last
 IDLE_FOR = 2.0  # that a client's connection may stand idle
 IDLE_PART = 0.125  # of the descriptors, that idle ones may hold: some clients ask once and never let go
+DRAINED_FOR = 1.0  # after which a drained router closes what is idle: a request may be on its way
 LAST_LOOK = 0.02  # of a connection that was accepted at the very end
 REPLY_WITHIN = 10.0
 LINGER_FOR, LINGER_BYTES = 0.5, 256 * 1024  # read on after an error, so that it arrives
@@ -91,6 +93,8 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     exchange: Exchange | None = None
     txn: bytes = b""
+    category: int | None = None  # of the request that was taken and has not ended
+    status: int = 0  # of its answer
     reading: bool = False  # part of a request has come
     keep: bool = True  # the connection, after the answer
     refused: bool = False  # what it sent could not be followed
@@ -98,8 +102,10 @@
 
 
 class Clients:
-    def __init__(self, names: Names, driver: Decider, clock: Clock, budget: Budget, memory: Memory) -> None:
+    def __init__(self, names: Names, driver: Decider, clock: Clock, budget: Budget, memory: Memory,
+                 figures: Figures | None = None) -> None:
         self.names, self.driver, self.clock = names, driver, clock
+        self.figures = figures or Figures([name.decode("latin-1") for name in names.categories])
         self.budget, self.memory = budget, memory
         self.ids = 0
         self.most_idle = max(1, int(IDLE_PART * budget.limit))
@@ -144,6 +150,17 @@
                 return True
         return False
 
+    def drain(self) -> None:
+        """Until ``undrain``: not ready, answers close their connections, and soon nothing is held idle."""
+        self.ready, self.leaving = False, True
+        until = trio.current_time() + DRAINED_FOR
+        for client in chain(self.silent, self.idle):
+            if not client.reading:
+                client.until = client.scope.deadline = min(client.until, until)
+
+    def undrain(self) -> None:
+        self.ready, self.leaving = True, False
+
     def leave(self) -> None:
         """Closes what is idle, after a last look; what else is open closes with its answer."""
         self.leaving = self.finishing = True
@@ -155,14 +172,25 @@
         client.over = True
         self.silent.pop(client, None)
         self.idle.pop(client, None)
+        if client.category is not None:  # the client went away, or could not be sent the whole answer
+            self._count(client, 0)
         if not client.connection.closed():
             client.connection.close()
             self.budget.give_client()
 
+    def _count(self, client: Client, status: int) -> None:
+        """Counts a work item at its end, once."""
+        category, client.category = client.category, None
+        self.figures.end(category, status)
+
+    def _taken(self, client: Client, category: int) -> None:
+        client.category = category
+        self.figures.in_flight += 1
+
     # one connection ---------------------------------------
 
     async def serve(self, stream: Stream) -> None:
-        wait = LAST_LOOK if self.finishing else SILENT_FOR
+        wait = LAST_LOOK if self.finishing else DRAINED_FOR if self.leaving else SILENT_FOR
         now = trio.current_time()
         client = Client(Connection(stream, httptools.HttpRequestParser, self.memory), now + wait, now)
         self.silent[client] = None
@@ -220,12 +248,16 @@
         if not client.reading:
             client.reading = True
             client.until = min(client.until, trio.current_time() + REQUEST_WITHIN)
+        message = None
         try:
             message = client.connection.next()
             if message is not None:
                 client.reading = False
                 self._take(client, message)
         except BadMessage as error:
+            first = (message or client.connection.message).target.strip(b"/").split(b"/", 1)[0]
+            if (category := self.names.categories.get(first)) is not None:
+                self._taken(client, category)
             self._refuse(client, error)
 
     def _take(self, client: Client, message: Message) -> None:
@@ -241,6 +273,7 @@
             raise BadMessage(409, "X-Txn is that of a request that is open")
         self.open.add(txn)
         self.silent.pop(client, None)
+        self._taken(client, exchange.category)
         client.exchange, client.txn = exchange, txn
         exchange.wake = partial(self._ended, client, exchange)
         self.driver.take(exchange)
@@ -275,7 +308,7 @@
 
     def _answer(self, client: Client, reply: Reply) -> None:
         client.keep = client.keep and not self.leaving and len(self.idle) < self.most_idle
-        client.until = trio.current_time() + REPLY_WITHIN
+        client.until, client.status = trio.current_time() + REPLY_WITHIN, reply.status
         connection = client.connection
         try:
             if connection.push(written(reply, client.keep)):
@@ -291,6 +324,8 @@
 
     def _sent(self, client: Client) -> None:
         client.connection.release()
+        if client.category is not None:
+            self._count(client, client.status)
         if client.keep:
             client.until = trio.current_time() + (LAST_LOOK if self.finishing else IDLE_FOR)
             self.idle[client] = None
--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -1,6 +1,7 @@
 """The configuration that a router is started with."""
 
-from dataclasses import dataclass, fields
+import os
+from dataclasses import dataclass, fields, replace
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
@@ -45,6 +46,7 @@
     dial_within: float
     idle_for: float
     longest: float  # the longest expiry of a category
+    control: Address | None = None  # the second address
 
 
 def address_of(text: str) -> Address:
@@ -69,6 +71,14 @@
                  names.kinds.setdefault(kind, len(names.kinds)), (row.get("startedAtMs") or 0) / 1e3)
 
 
+def control_of(text: Any, where: str) -> Address | None:
+    """The second address, if there is one; ``where`` says where it was given."""
+    try:
+        return address_of(text) if text else None
+    except (ValueError, AttributeError) as error:
+        raise ConfigError(f"{where}: no IPv4 address with a port: {text!r}") from error
+
+
 def positions(names: list[str]) -> dict[str, int]:
     return {name: n for n, name in enumerate(names)}
 
@@ -99,6 +109,7 @@
             dial_within=raw["limits"]["dial_timeout_us"] / 1e6,
             idle_for=raw["limits"]["conn_idle_us"] / 1e6,
             longest=max(c["expiry_us"] for c in categories) / 1e6,
+            control=control_of(data.get("control"), "control"),
         )
     except SettingsError as error:
         raise ConfigError(str(error)) from error
@@ -118,8 +129,12 @@
 
 
 def load(path: Path) -> Config:
+    """Reads a configuration. ``$BALANCER_CONTROL`` goes before its ``control``: two processes may share a
+    file while one replaces the other, and each has a second address of its own."""
     try:
-        return config_of(orjson.loads(path.read_bytes()))
+        config = config_of(orjson.loads(path.read_bytes()))
+        control = control_of(os.environ.get("BALANCER_CONTROL"), "$BALANCER_CONTROL")
+        return replace(config, control=control or config.control)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
     except orjson.JSONDecodeError as error:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -74,6 +74,7 @@
         self.targets: dict[str, Target] = {}
         self.out: dict[tuple[int, int], Link] = {}  # of hand-offs without an outcome
         self.done: Done = lambda *_: None
+        self.written: Callable[[HandOff], None] = lambda ho: None  # a hand-off whose last byte has gone out
         self.silent: Callable[[HandOff], None] = lambda *_: None  # a hand-off that was overtaken often
         budget.idle_servers = self.drop_idle
 
@@ -210,6 +211,7 @@
         link.overtaken, link.told = 0, False
         link.target.busy[link] = None
         if link.written:
+            self.written(ho)
             link.scope.deadline = link.until
         else:
             link.scope.cancel()
@@ -240,6 +242,8 @@
             link.written = not link.broken and link.connection.pump()
         except OSError:
             link.broken = True
+        if link.written:
+            self.written(link.job)
         if link.broken or (not link.written and trio.current_time() >= link.until):
             self._finish(link, self._unwritten(link))
 
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -13,8 +13,11 @@
 from rowanshift.net.clients import BACKLOG, Clients
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import Config, ConfigError, changed, load
+from rowanshift.net.control import BACKLOG as CALLS
+from rowanshift.net.control import CALLERS, Control, Refused
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
+from rowanshift.net.figures import Figures
 from rowanshift.net.peers import Peers
 from rowanshift.net.servers import Servers
 from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery
@@ -27,6 +30,7 @@
     STARTING = "starting"
     SERVING = "serving"
     RELOADING = "reloading"  # serves on, while the file of the configuration is read again
+    DRAINED = "drained"  # not ready, and empty soon; serves what still comes, until it is called back
     LEAVING = "leaving"  # accepts, but closes each connection with its answer
     FINISHING = "finishing"  # accepts no more, and ends what it has taken
     STOPPED = "stopped"
@@ -48,10 +52,40 @@
         async for number in signals:
             if number != signal.SIGHUP:
                 self.told_to_stop.set()
-            elif self.phase is Phase.SERVING:
+            elif self.phase in (Phase.SERVING, Phase.DRAINED):
+                phase = self.phase
                 self.enter(Phase.RELOADING)
                 self._reload(discovery)
-                self.enter(Phase.SERVING)
+                self.enter(phase)
+
+    # calls on the second address --------------------------
+
+    def _ready(self) -> str:
+        if self.phase is not Phase.SERVING:
+            raise Refused(self.phase.value)
+        return "SUCCESS\n"
+
+    def _drain(self) -> str:
+        if self.phase not in (Phase.SERVING, Phase.DRAINED):
+            raise Refused(self.phase.value)
+        if self.phase is Phase.SERVING:
+            self.clients.drain()
+            self.enter(Phase.DRAINED)
+        return "SUCCESS\n"
+
+    def _undrain(self) -> str:
+        if self.phase not in (Phase.SERVING, Phase.DRAINED):
+            raise Refused(self.phase.value)
+        if self.phase is Phase.DRAINED:
+            self.clients.undrain()
+            self.enter(Phase.SERVING)
+        return "SUCCESS\n"
+
+    def _control(self) -> Control:
+        return Control({"READY": ((), self._ready), "STATS": ((), lambda: self.figures.text() + "EOT\n"),
+                        "DRAIN": ((), self._drain), "UNDRAIN": ((), self._undrain)})
+
+    # ------------------------------------------------------
 
     def _reload(self, discovery: Discovery) -> None:
         """Moves the watch of the list to where the file says; what else changed waits for a restart."""
@@ -72,17 +106,23 @@
         with host.signals() as signals:
             async with host.nursery() as nursery:
                 clock, memory = Clock(host), Memory(config.memory_mb)
-                budget = Budget(host.descriptors(config.sockets))
-                self.memory, self.budget = memory, budget
+                budget = Budget(host.descriptors(config.sockets) - (CALLERS if config.control else 0))
+                figures = Figures([name.decode("latin-1") for name in config.names.categories])
+                self.memory, self.budget, self.figures = memory, budget, figures
+                if config.control:  # opened first, closed last
+                    calls = host.listen(config.control, CALLS)
+                    nursery.start_soon(self._control().serve, calls, nursery)
                 stall_for = min(config.dial_within, STALL * min(c.due for c in config.settings.categories))
                 servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory,
                                   nursery, host)
                 driver = Driver(config.settings, config.seed, clock, servers)
-                clients = Clients(config.names, driver, clock, budget, memory)
+                clients = Clients(config.names, driver, clock, budget, memory, figures)
                 discovery = Discovery(config.discovery, config.names, config.settings.ask,
                                       random.Random(config.seed), servers, driver.list_changed, host)
                 self.servers, self.driver, self.clients, self.discovery = servers, driver, clients, discovery
                 driver.subscribe = discovery.subscribe
+                figures.servers = lambda: driver.router.seen(clock.now())
+                servers.written = figures.handed_off
                 discovery.learn(config.known, "cached")
                 nursery.start_soon(self._heed, signals, discovery)
                 nursery.start_soon(driver.keep_waking)
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -234,9 +234,9 @@
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-    except OSError:
+    except OSError as error:
         sock.close()
-        raise
+        raise OSError(error.errno, "{}: {}:{}".format(error.strerror, *address)) from error
     return sock
 
 
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,105 @@
+"""A router on loopback between stand-ins, for tests of what staff do with it."""
+
+import random
+import socket
+import time
+
+import trio
+from helpers import ORIGIN
+
+from rowanshift.net.config import config_of
+from rowanshift.net.service import Phase, Service
+from rowanshift.net.transport import SYSTEM
+from rowanshift.rules.events import Events
+from rowanshift.standins.demo import ask
+from rowanshift.standins.discovery import Agent, row_of
+from rowanshift.standins.http import Ledger
+from rowanshift.standins.servers import Cache, Kind, Origin
+
+RAW = {"categories": [{"name": name, "semantics": "safe", "credit": 1, "due_time_us": 500_000,
+                       "expiry_us": 1_000_000} for name in ("read", "write")],
+       "tenants": [{"name": "demo", "quota_rps": 1000}], "zones": ["here"], "kinds": ["cache", "origin"],
+       "domain": {"mode": "aside", "origin_kind": 1}, "registry_mode": "push", "replicas_of_me": 1,
+       "ordinal": 0,
+       "limits": {"peers": False, "retry_after": True, "max_hand_offs": 4, "dial_timeout_us": 250_000,
+                  "conn_idle_us": 60_000_000, "max_retry_after_us": 1_000_000},
+       "guarantees": {"ask_within_us": 1, "overload_factor": 4.0, "overload_for_us": 1,
+                      "start_capacity": 0.2, "warm_within_us": 2_000_000}}
+
+
+def free(count: int = 1, kind: int = socket.SOCK_STREAM) -> list[tuple[str, int]]:
+    """Addresses that nothing listens on."""
+    socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    addresses = [sock.getsockname() for sock in socks]
+    for sock in socks:
+        sock.close()
+    return addresses
+
+
+class Rig:
+    """Three caches, an origin, discovery and a router with a second address, all in one process."""
+
+    def __init__(self, nursery: trio.Nursery, **changes) -> None:
+        self.nursery = nursery
+        listen, control, agent, *at = free(7)
+        common = time.monotonic, Events(time.monotonic)
+        ledger, works = Ledger(), {"read": 0.001, "write": 0.001}
+        self.rows = [row_of(f"cache:{n}", at[n], "here", "cache") for n in range(3)]
+        self.rows.append(row_of(ORIGIN, at[3], "here", "origin"))
+        self.caches = {f"cache:{n}": Cache(SYSTEM, at[n], *common, f"cache:{n}", Kind(dict(works)), ledger,
+                                           random.Random(n)) for n in range(3)}
+        self.origin = Origin(SYSTEM, at[3], *common, ORIGIN, Kind(dict(works)), ledger, random.Random(9))
+        self.agent = Agent(SYSTEM, agent, *common, "n", self.rows)
+        self.data = {"name": "n", "listen": "{}:{}".format(*listen), "discovery": "{}:{}".format(*agent),
+                     "control": "{}:{}".format(*control), "seed": "5eed",
+                     "limits": {"sockets": 256, "memory_mb": 96}, "settings": RAW} | changes
+        self.asked = 0
+
+    async def start(self) -> None:
+        for server in (*self.caches.values(), self.origin, self.agent):
+            self.nursery.start_soon(server.run)
+        await trio.sleep(0.01)
+        self.service = await self.router()
+
+    async def router(self, **changes) -> Service:
+        """Starts a router, and waits until it serves with the whole list."""
+        service = Service(config_of(self.data | changes))
+        self.nursery.start_soon(service.run)
+        with trio.fail_after(5):
+            while service.phase is not Phase.SERVING or len(service.driver.router.ready) < 3:
+                await trio.sleep(0.005)
+        return service
+
+    async def get(self, key: str, service: Service | None = None):
+        self.asked += 1
+        at = (service or self.service).config.listen
+        return await ask(at, "GET", f"/read/{key}", f"t{self.asked}")
+
+    async def call(self, line: str | bytes, service: Service | None = None) -> str:
+        """What the second address answers."""
+        stream = await trio.open_tcp_stream(*(service or self.service).config.control)
+        async with stream:
+            await stream.send_all(line if isinstance(line, bytes) else line.encode() + b"\n")
+            return (b"".join([piece async for piece in stream])).decode()
+
+    async def figures(self) -> dict[str, int]:
+        text = await self.call("STATS")
+        assert text.endswith("\nEOT\n")
+        return {name: int(n) for name, n in (line.rsplit(" ", 1) for line in text.splitlines()[:-1])}
+
+
+def played(script, **changes):
+    """Runs ``script(rig)`` beside a started rig, and ends all of it."""
+
+    async def main():
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                rig = Rig(nursery, **changes)
+                await rig.start()
+                got = await script(rig)
+                nursery.cancel_scope.cancel()
+        return got
+
+    return trio.run(main)
