Let staff call cache servers out and back by hand

Need: DISABLE and ENABLE were unknown calls. Change: net/membership.py merges the list with what is out by hand; discovery gives it rows, pools and module get merged entries, so dials, retries and held work follow.

--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -12,8 +12,8 @@
 
 from rowanshift.model import Entry
 from rowanshift.net.config import Address, Names, address_of, entry_of
+from rowanshift.net.membership import Membership
 from rowanshift.net.ring import Ring
-from rowanshift.net.servers import Servers
 from rowanshift.net.transport import SYSTEM, Host, Stream, connect, receive, send_all
 
 SILENCE = 3.0  # an empty line comes every 2 s
@@ -23,10 +23,10 @@
 
 class Discovery:
     def __init__(self, address: Address, names: Names, ask: bool, random_: random.Random,
-                 servers: Servers, list_changed: Callable[[str, list[Entry]], None],
+                 members: Membership, list_changed: Callable[[str, list[Entry]], None],
                  host: Host = SYSTEM) -> None:
         self.address, self.names, self.ask, self.random = address, names, ask, random_
-        self.servers, self.list_changed, self.host = servers, list_changed, host
+        self.members, self.list_changed, self.host = members, list_changed, host
         self.generation = 0
         self.wanted = trio.Event()  # in ask mode the module says when to watch
         self.numbered = True  # whether the agent that is asked counts generations as this list does
@@ -47,20 +47,10 @@
 
     def learn(self, data: dict[str, Any], scope: str = "") -> None:
         """Takes in one object of discovery's."""
-        entries = [entry_of(row, self.names) for row in data["instances"]]
-        scope = scope or ("full" if data.get("reset") else "delta")
-        if scope != "delta":
-            self.servers.forget_others(entry.server for entry in entries)
-        for entry, row in zip(entries, data["instances"], strict=True):
-            if entry.health == "dead":
-                self.servers.forget(entry.server)
-                continue
-            if row.get("hostPort"):
-                self.servers.locate(entry.server, address_of(row["hostPort"]))
-            if entry.health != "live":
-                self.servers.leave(entry.server)
+        rows = [(entry_of(row, self.names), address_of(row["hostPort"]) if row.get("hostPort") else None)
+                for row in data["instances"]]
         self.generation = data["generation"]
-        self.list_changed(scope, entries)
+        self.members.learn(scope or ("full" if data.get("reset") else "delta"), rows)
 
     async def run(self) -> None:
         while True:
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -99,6 +99,11 @@
             for link in target.dialling:
                 link.scope.cancel()
 
+    def join(self, server: str) -> None:
+        """A server that had left serves again, where it was."""
+        if (target := self.targets.get(server)) is not None:
+            target.kept = True
+
     def forget(self, server: str) -> None:
         self.leave(server)
         self.targets.pop(server, None)
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -18,6 +18,7 @@
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.figures import Figures
+from rowanshift.net.membership import MOST_OUT, Membership
 from rowanshift.net.peers import Peers
 from rowanshift.net.servers import Servers
 from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery
@@ -81,8 +82,25 @@
             self.enter(Phase.SERVING)
         return "SUCCESS\n"
 
+    def _call_out(self, server: str) -> str:
+        if not self.members.known(server):
+            raise Refused(f"unknown cache server {server[:64]!r}")
+        if self.members.call_out(server):
+            logger.info("{} is out by hand, {} in all", server, len(self.members.out))
+        elif server not in self.members.out:
+            raise Refused(f"{MOST_OUT} cache servers are out already")
+        return "SUCCESS\n"
+
+    def _call_back(self, server: str) -> str:
+        if not self.members.known(server):
+            raise Refused(f"unknown cache server {server[:64]!r}")
+        if self.members.call_back(server, self.driver.clock.now()):
+            logger.info("{} is back by hand, taken for just started", server)
+        return "SUCCESS\n"
+
     def _control(self) -> Control:
         return Control({"READY": ((), self._ready), "STATS": ((), lambda: self.figures.text() + "EOT\n"),
+                        "DISABLE": (("ID",), self._call_out), "ENABLE": (("ID",), self._call_back),
                         "DRAIN": ((), self._drain), "UNDRAIN": ((), self._undrain)})
 
     # ------------------------------------------------------
@@ -117,8 +135,9 @@
                                   nursery, host)
                 driver = Driver(config.settings, config.seed, clock, servers)
                 clients = Clients(config.names, driver, clock, budget, memory, figures)
+                members = self.members = Membership(servers, driver.list_changed)
                 discovery = Discovery(config.discovery, config.names, config.settings.ask,
-                                      random.Random(config.seed), servers, driver.list_changed, host)
+                                      random.Random(config.seed), members, driver.list_changed, host)
                 self.servers, self.driver, self.clients, self.discovery = servers, driver, clients, discovery
                 driver.subscribe = discovery.subscribe
                 figures.servers = lambda: driver.router.seen(clock.now())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,6 +22,7 @@
 from rowanshift.net.driver import Driver
 from rowanshift.net.exchange import Exchange, HandOff, Reply
 from rowanshift.net.lines import Lines
+from rowanshift.net.membership import Membership
 from rowanshift.net.peers import Peers
 from rowanshift.net.ring import Ring
 from rowanshift.net.servers import Servers, verdict_of
@@ -737,8 +738,11 @@
 
         async with trio.open_nursery() as nursery:
             servers = Servers(Clock(), 0.2, 60.0, 0.1, Budget(100), Memory(64), nursery)
-            discovery = Discovery(sock.getsockname(), NAMES, ask, random.Random(1), servers,
-                                  lambda scope, rows: got.append((scope, rows[0].health if rows else "")))
+            def tell(scope, rows):
+                got.append((scope, rows[0].health if rows else ""))
+
+            discovery = Discovery(sock.getsockname(), NAMES, ask, random.Random(1),
+                                  Membership(servers, tell), tell)
             nursery.start_soon(agent)
             nursery.start_soon(discovery.run)
             await trio.sleep(0.05)
@@ -780,8 +784,11 @@
 
         async with trio.open_nursery() as nursery:
             servers = Servers(Clock(), 0.2, 60.0, 0.1, Budget(100), Memory(64), nursery)
-            discovery = Discovery(agents[0].getsockname(), NAMES, False, random.Random(1), servers,
-                                  lambda scope, rows: got.append(scope))
+            def tell(scope, rows):
+                got.append(scope)
+
+            discovery = Discovery(agents[0].getsockname(), NAMES, False, random.Random(1),
+                                  Membership(servers, tell), tell)
             discovery.generation = 41
             for run in ((agent, 0), (agent, 1), (discovery.run,)):
                 nursery.start_soon(*run)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -2,12 +2,15 @@
 
 import pytest
 import trio
+from helpers import RERUNNABLE, come_back, entry, router, take
 from rig import played
 from test_net import GOOD
 
+from rowanshift.model import Verdict
 from rowanshift.net.config import ConfigError, config_of, control_of
 from rowanshift.net.control import CALLERS, LONGEST_LINE, Control
 from rowanshift.net.figures import Figures
+from rowanshift.net.membership import Membership
 from rowanshift.net.service import Phase
 
 # the second address -----------------------------------------
@@ -183,3 +186,129 @@
 def test_the_control_of_a_configuration_is_optional():
     assert config_of(GOOD).control is None
     assert config_of(GOOD | {"control": "127.0.0.1:7"}).control == ("127.0.0.1", 7)
+
+
+# cache servers by hand --------------------------------------
+
+
+class Told:
+    """Stands for pools and module: what they were told last of each server."""
+
+    def __init__(self) -> None:
+        self.pools, self.module = {}, {}
+        self.members = Membership(self, self.list_changed)
+
+    def locate(self, server, address):
+        self.pools[server] = address
+
+    def leave(self, server):
+        self.pools[server] = "left"
+
+    def join(self, server):
+        self.pools[server] = "back"
+
+    def forget(self, server):
+        self.pools.pop(server, None)
+
+    def forget_others(self, servers):
+        named = set(servers)
+        for server in [s for s in self.pools if s not in named]:
+            self.forget(server)
+
+    def list_changed(self, scope, entries):
+        self.module.update({e.server: e for e in entries})
+
+
+A, B = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+@pytest.mark.parametrize("told", [
+    [("full", [(entry(1), A), (entry(2), A)])], [("delta", [(entry(1), A)])], [("delta", [(entry(1), B)])],
+    [("delta", [(entry(1, "dead"), None)]), ("delta", [(entry(1, came_up=50.0), A)])],
+    [("full", [(entry(2), A)]), ("full", [(entry(1), A), (entry(2), A)])],
+    [("delta", [(entry(1, "quiescing"), A)]), ("delta", [(entry(1), A)])],
+])
+def test_a_call_out_outlives_whatever_the_list_says(told):
+    # guards against sending a server something new after its ban, since the list calls it active
+    t = Told()
+    t.members.learn("cached", [(entry(1), A), (entry(2), A)])
+    assert t.members.call_out("cache:1") and not t.members.call_out("cache:1")
+    assert t.pools["cache:1"] == "left" and t.module["cache:1"].health == "quiescing"
+    for scope, rows in told:
+        t.members.learn(scope, rows)
+    assert t.pools["cache:1"] == "left" and t.module["cache:1"].health == "quiescing"
+    assert t.module["cache:2"].health == "live"
+    assert t.members.call_back("cache:1", 70.0) and not t.members.call_back("cache:1", 80.0)
+    assert t.module["cache:1"]._replace(zone=0) == entry(1, came_up=70.0) and t.pools["cache:1"] == "back"
+
+
+@pytest.mark.parametrize(("came_up", "believed"), [(0.0, 70.0), (60.0, 70.0), (75.0, 75.0)])
+def test_a_server_that_is_back_counts_as_just_started_until_the_list_tells_a_later_start(came_up, believed):
+    # guards against a full load on a cache that is cold, while the list still tells of its old life
+    t = Told()
+    t.members.learn("cached", [(entry(1), A)])
+    t.members.call_out("cache:1")
+    t.members.call_back("cache:1", 70.0)
+    t.members.learn("full", [(entry(1, came_up=came_up), A)])
+    assert t.module["cache:1"].came_up == believed
+
+
+def test_a_leaving_server_that_is_called_back_stays_left():
+    t = Told()
+    t.members.learn("cached", [(entry(1, "quiescing"), A)])
+    t.members.call_out("cache:1")
+    t.members.call_back("cache:1", 70.0)
+    assert t.pools["cache:1"] == "left" and t.module["cache:1"].health == "quiescing"
+
+
+def test_a_server_out_by_hand_gets_nothing_new_and_is_used_again_after_the_call_back():
+    async def script(rig):
+        keys = [f"k{n}" for n in range(60)]
+
+        async def handed() -> dict[str, int]:
+            before = {name: cache.seen for name, cache in counts.items()}
+            for key in keys:
+                assert (await rig.get(key)).status == 200
+            return {name: cache.seen - before[name] for name, cache in counts.items()}
+
+        counts = {name: Counting(cache) for name, cache in rig.caches.items()}
+        first = await handed()
+        no = await rig.call("DISABLE nobody"), await rig.call("ENABLE nobody"), await rig.call("DISABLE")
+        yes = [await rig.call(f"DISABLE cache:{n}") for n in (1, 1, 2)]
+        during = await handed()
+        excluded = (await rig.figures())["router_cache_servers_excluded"]
+        rig.agent.change(rig.rows[1])  # the list calls it active once more
+        await trio.sleep(0.05)
+        still = await handed()
+        yes += [await rig.call(f"ENABLE cache:{n}") for n in (0, 1, 1, 2)]
+        await trio.sleep(2)  # warm_within
+        return first, no, yes, during, excluded, still, await handed()
+
+    first, no, yes, during, excluded, still, after = played(script)
+    assert min(first.values()) > 0 and min(after.values()) > 0
+    assert all(text.startswith("FAILURE ") for text in no) and yes == ["SUCCESS\n"] * 7
+    assert during["cache:1"] == during["cache:2"] == still["cache:1"] == 0 and excluded == 2
+
+
+class Counting:
+    """Counts what a stand-in is asked."""
+
+    def __init__(self, cache) -> None:
+        self.seen, self.handle = 0, cache.handle
+        cache.handle = self
+
+    async def __call__(self, *args):
+        self.seen += 1
+        return await self.handle(*args)
+
+
+def test_work_that_failed_elsewhere_goes_not_to_a_server_that_is_out():
+    # guards against retries that look past the ban
+    r = router(2)
+    t = Membership(Told(), lambda scope, entries: r.list_changed(r.now, scope, entries))
+    t.learn("full", [(entry(0), A), (entry(1), A), (entry("origin"), A)])
+    ((_, _, first),) = take(r, 1, "k", RERUNNABLE).hand_offs
+    other = "cache:0" if first == "cache:1" else "cache:1"
+    t.call_out(other)
+    assert other not in [server for *_, server in come_back(r, 1, first, Verdict.RESET).hand_offs]
+    assert r.seen(r.now)[1] == 2  # the one out by hand, and the one that fell silent
