Replace the process over one listening socket that is passed on, with a link while both live

Change: net/handover.py; listener and peers' port go over a Unix socket in $TMPDIR, calls out and back too; limits are halved meanwhile; a file keeps what is out by hand.

--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -15,9 +15,16 @@
     """Bytes of bodies that are on their way, over all connections."""
 
     def __init__(self, megabytes: float) -> None:
+        self.megabytes = megabytes
         self.whole = self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
         self.largest_answer = self.left // ANSWER
 
+    def share(self, processes: int) -> None:
+        """So many processes hold the limit together. What is held already is worked off first."""
+        whole = max(LEAST, int(self.megabytes * 2**20 - processes * PROCESS) // 2 // processes)
+        self.left += whole - self.whole
+        self.whole, self.largest_answer = whole, whole // ANSWER
+
     def take(self, size: int) -> bool:
         if size > self.left:
             return False
@@ -29,8 +36,9 @@
 
 
 class Budget:
-    def __init__(self, descriptors: int) -> None:
-        self.limit = max(8, descriptors - OWN)
+    def __init__(self, descriptors: int, aside: int = 0) -> None:
+        self.descriptors, self.aside = descriptors, aside  # the latter for each process, beside ``OWN``
+        self.limit = max(8, descriptors - OWN - aside)
         self.clients = self.servers = 0
         # each closes a connection that nothing is open on, if it has one; the least wanted come first
         self.silent_clients: Callable[[], bool] = lambda: False
@@ -38,6 +46,14 @@
         self.idle_clients: Callable[[], bool] = lambda: False
         self.freed = trio.Event()
 
+    def share(self, processes: int) -> None:
+        """So many processes hold the limit together: closes what can be spared beyond this one's part."""
+        self.limit = max(8, self.descriptors // processes - OWN - self.aside)
+        while self.clients + self.servers > self.limit and (
+                self.silent_clients() or self.idle_servers() or self.idle_clients()):
+            pass
+        self.freed.set()
+
     def _short(self) -> bool:
         """Whether nothing is left, even after a connection that can be spared was closed."""
         if self.clients + self.servers < self.limit:
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -108,7 +108,6 @@
         self.figures = figures or Figures([name.decode("latin-1") for name in names.categories])
         self.budget, self.memory = budget, memory
         self.ids = 0
-        self.most_idle = max(1, int(IDLE_PART * budget.limit))
         self.ready = False  # whether to say so to those who ask
         self.leaving = False  # answers close their connections
         self.finishing = False  # and nothing is waited for
@@ -307,7 +306,8 @@
         self._answer(client, Reply(error.status, f"{error}\n".encode()))
 
     def _answer(self, client: Client, reply: Reply) -> None:
-        client.keep = client.keep and not self.leaving and len(self.idle) < self.most_idle
+        most_idle = max(1, int(IDLE_PART * self.budget.limit))
+        client.keep = client.keep and not self.leaving and len(self.idle) < most_idle
         client.until, client.status = trio.current_time() + REPLY_WITHIN, reply.status
         connection = client.connection
         try:
--- a/rowanshift/net/peers.py
+++ b/rowanshift/net/peers.py
@@ -15,6 +15,8 @@
                  heard: Callable[[int, bytes], None]) -> None:
         self.port, self.addresses, self.everyone, self.heard = port, addresses, everyone, heard
         self.ordinals = {address: n for n, address in enumerate(addresses)}
+        self.ours, self.hearing = trio.Event(), trio.CancelScope()
+        self.ours.set()
         self.outbox, self.inbox = trio.open_memory_channel[tuple[int | None, bytes]](16)
 
     def tell(self, ordinal: int | None, payload: bytes) -> None:
@@ -38,10 +40,21 @@
 
     async def listen(self) -> None:
         try:
-            await self._listen()
+            while True:
+                await self.ours.wait()
+                with trio.CancelScope() as self.hearing:
+                    await self._listen()
         finally:
             self.port.close()
 
+    def hear(self, ours: bool) -> None:
+        """Whether what comes in is for this process, and not for a newer one at the same port."""
+        if ours:
+            self.ours.set()
+        elif self.ours.is_set():
+            self.ours = trio.Event()
+            self.hearing.cancel()
+
     async def _listen(self) -> None:
         while True:
             try:
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -18,12 +18,14 @@
 from rowanshift.net.discovery import Discovery
 from rowanshift.net.driver import Driver
 from rowanshift.net.figures import Figures
+from rowanshift.net.handover import Handover, Inherited
 from rowanshift.net.membership import MOST_OUT, Membership
 from rowanshift.net.peers import Peers
 from rowanshift.net.servers import Servers
-from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery
+from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery, Port
 
 STALL = 0.25  # of the due time, that an answer may stand still halfway
+BEAT, STOOD_STILL = 0.5, 0.4  # seconds; the latter is told of
 ACCEPT_FOR = 0.5  # after SIGTERM: connections go on coming for a while
 
 
@@ -43,6 +45,9 @@
         self.host = host
         self.phase = Phase.STARTING
         self.told_to_stop = trio.Event()
+        self.handover = Handover(host, config.listen)
+        self.listener: Listener | None = None
+        self.peers: Peers | None = None
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
@@ -87,6 +92,7 @@
             raise Refused(f"unknown cache server {server[:64]!r}")
         if self.members.call_out(server):
             logger.info("{} is out by hand, {} in all", server, len(self.members.out))
+            self.handover.call(server, True)
         elif server not in self.members.out:
             raise Refused(f"{MOST_OUT} cache servers are out already")
         return "SUCCESS\n"
@@ -96,6 +102,7 @@
             raise Refused(f"unknown cache server {server[:64]!r}")
         if self.members.call_back(server, self.driver.clock.now()):
             logger.info("{} is back by hand, taken for just started", server)
+            self.handover.call(server, False)
         return "SUCCESS\n"
 
     def _control(self) -> Control:
@@ -124,12 +131,9 @@
         with host.signals() as signals:
             async with host.nursery() as nursery:
                 clock, memory = Clock(host), Memory(config.memory_mb)
-                budget = Budget(host.descriptors(config.sockets) - (CALLERS if config.control else 0))
+                budget = Budget(host.descriptors(config.sockets), CALLERS if config.control else 0)
                 figures = Figures([name.decode("latin-1") for name in config.names.categories])
                 self.memory, self.budget, self.figures = memory, budget, figures
-                if config.control:  # opened first, closed last
-                    calls = host.listen(config.control, CALLS)
-                    nursery.start_soon(self._control().serve, calls, nursery)
                 stall_for = min(config.dial_within, STALL * min(c.due for c in config.settings.categories))
                 servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory,
                                   nursery, host)
@@ -143,53 +147,104 @@
                 figures.servers = lambda: driver.router.seen(clock.now())
                 servers.written = figures.handed_off
                 discovery.learn(config.known, "cached")
+                if config.control:  # opened first, closed last
+                    calls = host.listen(config.control, CALLS)
+                    nursery.start_soon(self._control().serve, calls, nursery)
                 nursery.start_soon(self._heed, signals, discovery)
                 nursery.start_soon(driver.keep_waking)
+                nursery.start_soon(self._watch_the_loop)
                 nursery.start_soon(discovery.run)
-                await self._meet_peers(nursery, driver)
-                listener = host.listen(config.listen, BACKLOG)
+                inherited = await self._take_over()
+                self._meet_peers(nursery, driver, inherited.port)
+                self.listener = inherited.listener or host.listen(config.listen, BACKLOG, shared=True)
                 accepting = trio.CancelScope()
-                nursery.start_soon(self._accept, accepting, clients, listener)
+                nursery.start_soon(self._accept, accepting, clients, self.listener)
                 host.settled()
 
                 clients.ready = True
                 self.enter(Phase.SERVING)
+                self.handover.start(nursery)
                 await self.told_to_stop.wait()
 
                 self.enter(Phase.LEAVING)
                 clients.ready, clients.leaving = False, True
+                if self.handover.replaced():  # it takes what comes, from the same queue
+                    accepting.cancel()
                 await trio.sleep(ACCEPT_FOR)
 
                 self.enter(Phase.FINISHING)
                 accepting.cancel()
                 await trio.lowlevel.checkpoint()
-                await self._finish(clients, listener, nursery)
+                await self._finish(clients, nursery)
 
                 self.enter(Phase.STOPPED)
                 nursery.cancel_scope.cancel()
 
+    async def _watch_the_loop(self) -> None:
+        """Says when the whole process stood still, and how much of that time it was computing: little tells
+        of a machine that did not let it run."""
+        while True:
+            at, cpu = trio.current_time(), self.host.cpu()
+            await self.host.pause(BEAT)
+            if (late := trio.current_time() - at - BEAT) > STOOD_STILL:
+                spent = self.host.cpu() - cpu
+                logger.warning("stood still for {:.2f} s, of which {:.2f} s computing", late, spent)
+
     async def _accept(self, accepting: trio.CancelScope, clients: Clients,
                       listener: Listener) -> None:
         async with self.host.nursery() as nursery:
             with accepting:
                 await clients.accept(listener, nursery)
 
-    async def _finish(self, clients: Clients, listener: Listener,
-                      nursery: Nursery) -> None:
-        """Takes what the kernel has accepted, closes the listener and what is idle, and ends the rest."""
-        with trio.move_on_after(0.02):
-            await clients.accept(listener, nursery)
+    async def _finish(self, clients: Clients, nursery: Nursery) -> None:
+        """Takes what the kernel has accepted, unless another process will, closes the listener and what is
+        idle, and ends the rest."""
+        if not self.handover.replaced():
+            with trio.move_on_after(0.02):
+                await clients.accept(self.listener, nursery)
+        self.listener, listener = None, self.listener
         listener.close()
         clients.leave()
         with trio.move_on_after(self.config.longest + 0.1):  # SIGKILL may come soon after
             while clients.budget.clients > 0:
                 await trio.sleep(0.01)
 
-    async def _meet_peers(self, nursery: Nursery, driver: Driver) -> None:
+    async def _take_over(self) -> Inherited:
+        """Meets the process that serves, if there is one, and takes up what is out by hand."""
+        handover, members = self.handover, self.members
+        handover.passed_on = lambda: {name: thing for name, thing in (
+            ("listener", self.listener), ("port", self.peers and self.peers.port)) if thing is not None}
+        handover.out = lambda: members.out
+        handover.called, handover.changed = self._called_elsewhere, self._fellows_changed
+        inherited = await handover.meet()
+        early = sorted(members.out)
+        for server in inherited.out if inherited.out is not None else handover.written():
+            members.call_out(server)
+        for server in early:  # called here before the fellow was met
+            handover.call(server, True)
+        return inherited
+
+    def _called_elsewhere(self, server: str, out: bool) -> None:
+        """A call that came to a fellow binds here as well."""
+        if out:
+            self.members.call_out(server)
+        else:
+            self.members.call_back(server, self.driver.clock.now())
+        self.handover.write()
+
+    def _fellows_changed(self) -> None:
+        """Processes that live share the limits; the newest that serves hears the peers."""
+        self.budget.share(self.handover.processes())
+        self.memory.share(self.handover.processes())
+        if self.peers is not None:
+            self.peers.hear(not self.handover.replaced())
+
+    def _meet_peers(self, nursery: Nursery, driver: Driver, port: Port | None) -> None:
         config = self.config
         if config.peer_listen is None:
             return
-        peers = Peers(self.host.port(config.peer_listen), config.peers, config.peers_all, driver.heard)
+        port = port or self.host.port(config.peer_listen)
+        peers = self.peers = Peers(port, config.peers, config.peers_all, driver.heard)
         driver.tell = peers.tell
         nursery.start_soon(peers.send)
         nursery.start_soon(peers.listen)
--- a/rowanshift/virtual/machine.py
+++ b/rowanshift/virtual/machine.py
@@ -8,7 +8,7 @@
 
 import errno
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from types import coroutine
 from typing import TYPE_CHECKING, Any
@@ -129,6 +129,7 @@
         self.late_wakes: list[tuple[Slot, outcome.Outcome[None] | None]] = []
         self.late_cancels: list[tuple[trio.lowlevel.Task, Any, Any]] = []
         self.most_held = 0
+        self.files: dict[str, bytes] = {}  # outlive a process
 
     # a process --------------------------------------------
 
@@ -200,6 +201,9 @@
     def wall(self) -> float:
         return self.network.wall() + self.skew
 
+    def cpu(self) -> float:
+        return 0.0
+
     def hold(self, thing: Any) -> None:
         """Takes a descriptor."""
         if not self.running:
@@ -212,7 +216,7 @@
     def stream(self) -> Stream:
         return self.network.stream(self)
 
-    def listen(self, address: Address, backlog: int) -> Listener:
+    def listen(self, address: Address, backlog: int, shared: bool = False) -> Listener:
         return self.network.listen(self, address, backlog)
 
     def port(self, address: Address) -> Port:
@@ -244,3 +248,21 @@
 
     def settled(self) -> None:
         pass
+
+    def kept(self, name: str) -> bytes | None:
+        return self.files.get(name)
+
+    def keep(self, name: str, data: bytes) -> None:
+        self.files[name] = data
+
+    def dial_fellow(self, name: str) -> Stream | None:
+        return None  # one process at a time
+
+    def await_fellows(self, name: str) -> Listener | None:
+        return None
+
+    def pass_on(self, stream: Stream, data: bytes, things: Sequence[Listener | Port]) -> None:
+        raise OSError(errno.ENOTSUP, "sockets are not passed on here")
+
+    def take_over(self, stream: Stream) -> tuple[bytes, list[Listener | Port]]:
+        raise OSError(errno.ENOTSUP, "sockets are not passed on here")
--- a/rowanshift/virtual/world.py
+++ b/rowanshift/virtual/world.py
@@ -677,7 +677,7 @@
     """What a router still has when nothing is open on it, by name; all of it should be nothing."""
     driver, clients = service.driver, service.clients
     router = driver.router
-    listed = len(service.discovery.servers.targets)
+    listed = len(service.servers.targets)
     return {
         "exchanges": len(driver.exchanges), "open ids": len(clients.open),
         "hand-offs out": len(service.servers.out),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -41,8 +41,8 @@
 class Rig:
     """Three caches, an origin, discovery and a router with a second address, all in one process."""
 
-    def __init__(self, nursery: trio.Nursery, **changes) -> None:
-        self.nursery = nursery
+    def __init__(self, nursery: trio.Nursery, ready: int = 3, **changes) -> None:
+        self.nursery, self.least = nursery, ready  # the latter: caches that a started router must have
         listen, control, agent, *at = free(7)
         common = time.monotonic, Events(time.monotonic)
         ledger, works = Ledger(), {"read": 0.001, "write": 0.001}
@@ -65,13 +65,18 @@
 
     async def router(self, **changes) -> Service:
         """Starts a router, and waits until it serves with the whole list."""
-        service = Service(config_of(self.data | changes))
+        service = Service(config_of(self.data | {"known": self.known()} | changes))
         self.nursery.start_soon(service.run)
         with trio.fail_after(5):
-            while service.phase is not Phase.SERVING or len(service.driver.router.ready) < 3:
+            while service.phase is not Phase.SERVING:
+                await trio.sleep(0.005)
+            while len(service.driver.router.ready) < self.least:
                 await trio.sleep(0.005)
         return service
 
+    def known(self) -> dict:
+        return {"generation": 1, "reset": True, "instances": self.rows}
+
     async def get(self, key: str, service: Service | None = None):
         self.asked += 1
         at = (service or self.service).config.listen
