Do not count work held at a cache slow by itself as overload of all

Ruled out: the origin (under 50 in 2 s), cold homes (under 10), room of the fleet (none). Change: held work counts as overload unless its cache is under one out and under 0.2 of its fellows' part.

--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -26,6 +26,7 @@
 TICK = 0.1
 HOLD = 0.2  # of the due time, that a wi is held for at most; less where few may miss it
 LATE = 0.5  # of the due time, after which a read goes to the origin if that has room
+SLOW = 0.2  # of an equal part of what all caches may have out: one that may have less is slow by itself
 REGAIN = 1.2  # growth a second of a limit under one
 
 
@@ -485,7 +486,12 @@
     def _hold(self, item: Item, cache: Cache) -> None:
         """Holds a wi until the cache answers; where nothing is out there, for a drawn while."""
         item.stage += 1
-        since = self.held.setdefault(item.id, self.now)
+        since = item.held_at = item.held_at or self.now
+        slow = cache.limit < min(1.0, SLOW * self.fleet.limit / max(1, len(self.ready)))
+        if slow and cache is not self.origin:  # by itself: less work for all would not help it
+            self.held.pop(item.id, None)
+        else:
+            self.held.setdefault(item.id, since)
         if cache.inflight:
             heappush(cache.held, ((item.over, -item.category.credit), next(self.order), item, item.stage))
         else:
@@ -530,6 +536,7 @@
 
     def _hand_off(self, item: Item, cache: Cache) -> None:
         item.stage += 1
+        item.held_at = 0.0
         self.held.pop(item.id, None)
         item.hos.append((cache, self.now))
         item.out += 1
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -169,6 +169,7 @@
     streams: bool = False
     taken: bool = False  # back from a cache, for the origin
     refused: bool = False  # a hand-off found no connection
+    held_at: float = 0.0  # since when it waits for room
 
 
 HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -432,3 +432,20 @@
     for n in range(16 + 16 * 20):
         r._observe(r.origin, Verdict.FINISHED, 0.05 if n < 16 else 0.4)
     assert r.origin.median > 5 * 0.05 and r.origin.base < 1.6 * 0.064  # 2.1 with 2%
+
+
+@pytest.mark.parametrize(("slow_limit", "fellows", "eased"), [
+    (0.05, 10.0, False),  # one cache is slow by itself
+    (0.05, 0.1, True),  # low limits are the rule where hundreds of routers share the caches
+    (1.0, 10.0, True),
+])
+def test_work_that_waits_for_one_slow_cache_is_no_overload_of_all(slow_limit, fellows, eased):
+    # guards against turning work beyond shares away at every cache, because one of them hardly answers
+    r = router(1)
+    slow = r.ready[0]
+    r.fleet.limit, slow.limit, slow.limit_at, r.extra = fellows, slow_limit, r.now, 1.0
+    r.take(r.now, 1, RERUNNABLE, 0, "k", 2.0, False)
+    r._hold(r.items[1], slow)
+    r.now += 0.09
+    r._ease(1.0)
+    assert (r.extra < 1) == eased
