--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -13,6 +13,7 @@
 from itertools import chain, count
 from math import log, log2
 
+from rowanshift import model
 from rowanshift.model import Answer, Cache, Entry, Hot, Item, Results, Semantics, Settings, Tally, Verdict
 
 POINTS = 64  # ring points of a cache of mean heft
@@ -187,6 +188,33 @@
         listed = [c for c in self.caches.values() if c.entry.health != "dead"]
         return len(listed), sum(c.entry.health != "live" or c.silent_until > now for c in listed)
 
+    def learned(self) -> model.Learned:
+        """What another process of this router may start from."""
+        def times(cache: Cache) -> tuple[float, float, float]:
+            return cache.limit, cache.median, cache.base
+
+        return model.Learned(
+            {c.entry.server: times(c) for c in self.caches.values() if c.entry.health == "live"},
+            times(self.fleet), self.asked, self.warm_rate, self.extra, self.samples,
+            {mark: (hot.score, hot.streak, hot.lease, hot.shadows) for mark, hot in self.scores.items()})
+
+    def take_up(self, now: float, learned: model.Learned) -> None:
+        """Starts from what another process learned. While both live, they keep to one router's limits: each
+        to half, which grows by answers."""
+        self.now = now
+        for cache in (self.fleet, *self.caches.values()):
+            limit, median, base = learned.servers.get(cache.entry.server, (cache.limit, 0.0, 0.0))
+            if cache is self.fleet:
+                limit, median, base = learned.fleet
+            cache.limit = min(1024.0, max(0.02, limit / 2 if limit >= 2 else limit))
+            cache.median, cache.base, cache.limit_at = max(0.0, median), max(0.0, base), now
+        if len(learned.asked) == len(self.asked):
+            self.asked = [max(0.0, rate) for rate in learned.asked]
+        self.warm_rate, self.samples = max(0.0, learned.warm_rate), max(0.0, learned.samples)
+        self.extra = min(1.0, max(0.01, learned.extra))
+        for mark, (score, streak, lease, shadows) in list(learned.keys.items())[:TABLE]:
+            self.scores[mark] = Hot(score, streak, min(lease, now + LEASE), max(0, shadows))
+
     def woken(self, now: float) -> None:
         self.now = now
         while self.timers and self.timers[0][0] <= now:
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -172,6 +172,19 @@
     held_at: float = 0.0  # since when it waits for room
 
 
+@dataclass(slots=True, frozen=True)
+class Learned:
+    """What one process of a router passes on to the next, as plain numbers; times are Unix seconds."""
+
+    servers: dict[str, tuple[float, float, float]]  # limit, median answer time and the lowest such median
+    fleet: tuple[float, float, float]  # the same of all caches taken as one
+    asked: list[float]  # work items a second of each customer
+    warm_rate: float
+    extra: float
+    samples: float
+    keys: dict[int, tuple[float, int, float, int]]  # by hash: score, streak, lease and shadows
+
+
 HEAD = Struct(">BBffI")  # version and kind, keys, span, waited, samples
 READ = Struct(">IH")  # key, reads less writes
 CACHE = Struct(">BH")  # hand-offs out there, or 255ths to keep of what goes there, and the server
--- a/rowanshift/net/driver.py
+++ b/rowanshift/net/driver.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from rowanshift.choice import Router
-from rowanshift.model import Answer, Entry, Settings, Verdict
+from rowanshift.model import Answer, Entry, Learned, Settings, Verdict
 from rowanshift.net.clock import Clock
 from rowanshift.net.exchange import Exchange, HandOff, Reply
 from rowanshift.net.servers import Servers
@@ -55,6 +55,9 @@
     def list_changed(self, scope: str, entries: list[Entry]) -> None:
         self._call(self.router.list_changed, self.clock.now(), scope, entries)
 
+    def take_up(self, learned: Learned) -> None:
+        self._call(self.router.take_up, self.clock.now(), learned)
+
     def heard(self, ordinal: int, payload: bytes) -> None:
         self._call(self.router.heard, self.clock.now(), ordinal, payload)
 
--- a/rowanshift/net/handover.py
+++ b/rowanshift/net/handover.py
@@ -3,7 +3,8 @@
 
 A new process dials the socket of the one that serves, which passes its listener and its peers' port and tells
 what is out by hand. The link stays open while both live; its end, at whatever death, tells that one is alone.
-Lines on it: ``rowanshift 1 NAME...`` with the sockets so named, then ``out ID`` for each and ``end``; later
+Lines on it: ``rowanshift 1 NAME...`` with the sockets so named, then ``out ID`` for each, ``learned JSON`` of
+``model.Learned`` and ``end``; later
 ``out ID`` and ``back ID`` for calls, and ``serving`` from the new process.
 """
 
@@ -11,16 +12,18 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from loguru import logger
 
+from rowanshift.model import Learned
 from rowanshift.net.transport import Address, Host, Listener, Nursery, Port, Stream, send_all
 
 HEAD = "rowanshift 1"
 FILE = b"rowanshift out 1"
 MEET_WITHIN = 1.0  # seconds for a fellow to pass on what it has
 MOST_FELLOWS = 4  # links at once
-LONGEST_LINE = 1024  # bytes on a link
+LONGEST_LINE = 256 * 1024  # bytes on a link; the longest is what was learned
 MOST_UNSENT = 256  # lines that a link holds for a fellow that does not read; more end it
 
 
@@ -35,6 +38,7 @@
     listener: Listener | None = None
     port: Port | None = None
     out: set[str] | None = None  # by hand; none: nobody told
+    learned: Learned | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -57,6 +61,7 @@
         self.links: list[Link] = []
         self.passed_on: Callable[[], dict[str, Listener | Port]] = dict  # by name, while they are open
         self.out: Callable[[], Iterable[str]] = tuple  # by hand, now
+        self.learned: Callable[[], Learned | None] = lambda: None
         self.called: Callable[[str, bool], None] = lambda server, out: None  # at a fellow
         self.changed: Callable[[], None] = lambda: None  # who lives
         self.lasts = True  # what is written down
@@ -148,6 +153,11 @@
                     out: set[str] = set()
                 elif line.startswith("out "):
                     out.add(line[4:])
+                elif line.startswith("learned "):
+                    try:
+                        inherited.learned = msgspec.json.decode(line[8:], type=Learned)
+                    except msgspec.MsgspecError as error:
+                        logger.warning("what a fellow learned can't be read: {}", error)
                 elif line == "end":
                     inherited.out = out
                 else:
@@ -205,6 +215,8 @@
             logger.warning("a fellow broke off: {}", error)
             return stream.close()
         rows = [f"out {server}\n" for server in sorted(self.out())]
+        if (learned := self.learned()) is not None:
+            rows.append(f"learned {msgspec.json.encode(learned).decode()}\n")
         link.outbox.send_nowait("".join([*rows, "end\n"]))
         self.links.append(link)
         logger.info("a new process is here: {} share the limits", self.processes())
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -215,8 +215,11 @@
         handover.passed_on = lambda: {name: thing for name, thing in (
             ("listener", self.listener), ("port", self.peers and self.peers.port)) if thing is not None}
         handover.out = lambda: members.out
+        handover.learned = self.driver.router.learned
         handover.called, handover.changed = self._called_elsewhere, self._fellows_changed
         inherited = await handover.meet()
+        if inherited.learned is not None:
+            self.driver.take_up(inherited.learned)
         early = sorted(members.out)
         for server in inherited.out if inherited.out is not None else handover.written():
             members.call_out(server)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from rig import Rig, free, played
 
+from rowanshift.model import Hot
 from rowanshift.net.budget import LEAST, OWN, Budget, Memory
 from rowanshift.net.control import CALLERS
 from rowanshift.net.handover import MEET_WITHIN, Handover
@@ -151,6 +152,43 @@
     assert played(after, listen=at, ready=2) == ({"cache:1"}, 2)
 
 
+def test_a_new_process_starts_from_what_the_one_before_it_learned():
+    # guards against a new process that takes an origin's slowness of the moment for its usual time
+    async def script(rig):
+        router = rig.service.driver.router
+        router.origin.base, router.origin.median, router.origin.limit = 0.05, 0.3, 3.0
+        router.asked, router.warm_rate, router.extra = [70.0], 9.0, 0.4
+        router.scores[7] = Hot(5.0, 6, router.now + 4.0, 2)
+        new = (await second(rig)).driver.router
+        origin = new.origin
+        return (origin.base, origin.median, origin.limit, new.asked, new.warm_rate, new.extra,
+                new.scores[7].shadows, new.scores[7].streak)
+
+    assert played(script) == (0.05, 0.3, 1.5, [70.0], 9.0, 0.4, 2, 6)
+
+
+@pytest.mark.parametrize("line", [b"{}", b"[1", b'{"servers": 3}', b"null"])
+def test_what_was_learned_and_can_not_be_read_is_left_out(line, folder, lines):
+    with socket.socket(socket.AF_UNIX) as listener:
+        listener.bind(str(folder / "rowanshift-127.0.0.1-1.sock"))
+        listener.listen(1)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                async def answer():
+                    peer = await trio.to_thread.run_sync(listener.accept)
+                    peer[0].sendall(b"rowanshift 1\nout a\nlearned " + line + b"\nend\n")
+                    kept.append(peer)
+
+                kept = []
+                nursery.start_soon(answer)
+                return await Handover(SYSTEM, ("127.0.0.1", 1)).meet()
+
+        inherited = trio.run(main)
+    assert inherited.learned is None and inherited.out == {"a"}
+    assert sum("can't be read" in text for text in lines) == 1
+
+
 WHOLE = b"rowanshift out 1\na\nb\nend\n"
 
 
