Pass long bodies on as they come, both ways, with back-pressure and bounded memory

Cause: answers over 2 MiB and answers ended by the close were errors, requests over 64 KiB got a 413, and whole bodies took the router to its memory limit.

--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -130,6 +130,12 @@
         if (item := self.items.get(id)) is not None:
             item.streams, item.stage = True, item.stage + 1
 
+    def spent(self, now: float, id: int) -> None:
+        """The wi's body can't be sent again in full: the ho that is out is its last."""
+        self.now = now
+        if (item := self.items.get(id)) is not None:
+            item.last = True
+
     def abandoned(self, now: float, id: int) -> None:
         self.now = now
         if (item := self.items.get(id)) is not None:
@@ -579,7 +585,7 @@
 
     def _take_back(self, item: Item) -> None:
         """Takes a late ho back while the origin has room, which then has the wi."""
-        if len(item.hos) < self.s.max_hand_offs and self._spills():
+        if len(item.hos) < self.s.max_hand_offs and not item.last and self._spills():
             item.taken = True
             self.results.withdrawals.append((item.id, len(item.hos) - 1))
 
@@ -595,9 +601,9 @@
             item.refused = True
         if item.streams:
             return
-        if verdict == Verdict.MISS:
+        if verdict == Verdict.MISS and not item.last:
             self._gate(item)
-        elif (item.expiry < self.now + 0.005 or verdict == Verdict.MOOT
+        elif (item.expiry < self.now + 0.005 or verdict == Verdict.MOOT or item.last
               or len(item.hos) >= self.s.max_hand_offs or (
                   item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
             self.give_up(item)
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -169,6 +169,7 @@
     streams: bool = False
     taken: bool = False  # back from a cache, for the origin
     refused: bool = False  # a hand-off found no connection
+    last: bool = False  # its hand-off that is out: it can't be sent again
     held_at: float = 0.0  # since when it waits for room
 
 
--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -18,6 +18,7 @@
         self.megabytes = megabytes
         self.whole = self.left = max(LEAST, int(megabytes * 2**20 - PROCESS) // 2)
         self.largest_answer = self.left // ANSWER
+        self.least = self.left  # that was ever left
 
     def share(self, processes: int) -> None:
         """So many processes hold the limit together. What is held already is worked off first."""
@@ -29,8 +30,14 @@
         if size > self.left:
             return False
         self.left -= size
+        self.least = min(self.least, self.left)
         return True
 
+    def owe(self, size: int) -> None:
+        """Takes what is here already, though none may be left; whoever reads then reads no more."""
+        self.left -= size
+        self.least = min(self.least, self.left)
+
     def give(self, size: int) -> None:
         self.left += size
 
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -16,8 +16,10 @@
 from rowanshift.net.clock import Clock
 from rowanshift.net.config import Names
 from rowanshift.net.connection import BadMessage, Connection, Message
+from rowanshift.net.driver import WAY_BACK
 from rowanshift.net.exchange import Exchange, Reply
 from rowanshift.net.figures import Figures
+from rowanshift.net.flow import LAST_CHUNK, Flow, framed
 from rowanshift.net.transport import Listener, Nursery, Stream
 
 READY = b"/-/ready"
@@ -26,13 +28,16 @@
 ONCE = frozenset([b"x-txn", b"x-lane", b"x-org", LEFT])
 FRESH_FOR = 0.1  # seconds from the accept, in which no connection is closed to make room
 SILENT_FOR = 2.0  # seconds from a connection to its first whole request
-REQUEST_WITHIN = 2.0  # a request's first byte to its last
+HEAD_WITHIN = 2.5  # seconds from a request's first byte to the end of its head
+BODY_RATE, BODY_SLACK = 64_000, 2.5  # bytes a second that a body comes at, at least, but for so many seconds
+LONGEST_UPLOAD = 600.0  # seconds: the largest body at that rate; its time counts from the last byte
 IDLE_FOR = 2.0  # that a client's connection may stand idle
 IDLE_PART = 0.125  # of the descriptors, that idle ones may hold: some clients ask once and never let go
 DRAINED_FOR = 1.0  # after which a drained router closes what is idle: a request may be on its way
 LAST_LOOK = 0.02  # of a connection that was accepted at the very end
-REPLY_WITHIN = 10.0
+REPLY_WITHIN = 10.0  # seconds in which a client takes some of its answer
 LINGER_FOR, LINGER_BYTES = 0.5, 256 * 1024  # read on after an error, so that it arrives
+UPLOAD_FOR, UPLOAD_BYTES = 2.0, 8 * 1024 * 1024  # the same after an answer to a request that is still coming
 OVERDUE = 0.03  # after the expiry
 LONGEST_LEFT_MS = 3_600_000
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -72,14 +77,19 @@
     key = unquote(rest[-1].decode("latin-1")) if rest and rest[-1] else None
     passed_on = [field for field in message.end_to_end() if field[0] != LEFT]
     return Exchange(id, position, customer, key, message.method == b"PUT", came_at + int(left) / 1000,
-                    message.method, message.target, passed_on, message.body)
+                    message.method, message.target, passed_on, message.body, message.flow, message.length)
 
 
-def written(reply: Reply, keep: bool) -> bytes:
-    """A final answer as it goes out."""
+def written(reply: Reply, keep: bool, chunked: bool = False) -> bytes:
+    """A final answer as it goes out; of a long one, what comes before its flow."""
     lines = [b"HTTP/1.1 %d %s" % (reply.status, REASONS.get(reply.status, b""))]
     lines += [b"%s: %s" % field for field in reply.headers]
-    lines.append(b"Content-Length: %d" % len(reply.body))
+    if reply.flow is None:
+        lines.append(b"Content-Length: %d" % len(reply.body))
+    elif reply.length is not None:
+        lines.append(b"Content-Length: %d" % reply.length)
+    elif chunked:
+        lines.append(b"Transfer-Encoding: chunked")
     if reply.retry_after:
         lines.append(b"Retry-After: %.3f" % reply.retry_after)
     if not keep:
@@ -103,6 +113,12 @@
     keep: bool = True  # the connection, after the answer
     refused: bool = False  # what it sent could not be followed
     over: bool = False
+    old: bool = False  # it speaks HTTP/1.0
+    body_at: float = 0.0  # trio's time at which the body began, later by while this router did not read
+    upload: Flow | None = None  # of a long request that is still coming
+    left: float = 0.0  # seconds that it has, from its last byte
+    flow: Flow | None = None  # of a long answer
+    chunked: bool = False
 
 
 class Clients:
@@ -195,11 +211,17 @@
     async def serve(self, stream: Stream) -> None:
         wait = LAST_LOOK if self.finishing else DRAINED_FOR if self.leaving else SILENT_FOR
         now = trio.current_time()
-        client = Client(Connection(stream, httptools.HttpRequestParser, self.memory), now + wait, now)
+        connection = Connection(stream, httptools.HttpRequestParser, self.memory, flows=True)
+        client = Client(connection, now + wait, now)
         self.silent[client] = None
         try:
             while not client.over:
-                await self._turn(client)
+                if client.flow is not None:
+                    await self._pass_on(client)
+                elif client.upload is not None and not client.connection.sending():
+                    await self._take_in(client)
+                else:
+                    await self._turn(client)
             if client.refused and not client.connection.closed():
                 await self._linger(client)
         except (OSError, trio.ClosedResourceError):
@@ -207,6 +229,10 @@
         except Exception:
             logger.exception("a client's connection failed")
         finally:
+            for flow in (client.upload, client.flow):
+                if flow is not None:
+                    flow.cut_off()
+                    flow.give_up()
             if client.exchange is not None:
                 self.driver.gone(client.exchange)
             self._end(client)
@@ -227,9 +253,13 @@
         if client.over:
             return
         if connection.sending():
+            left = len(connection.unsent) + len(connection.outbound)
             if connection.pump():
                 self._sent(client)
-            client.over = client.over or late
+            elif len(connection.unsent) + len(connection.outbound) < left:  # slow, and it goes on
+                client.until = trio.current_time() + REPLY_WITHIN
+            else:
+                client.over = client.over or late
         elif client.exchange is not None:
             if late:
                 await self._last_resort(client)
@@ -249,14 +279,17 @@
         """Takes up the next request, if it has come whole."""
         self.idle.pop(client, None)  # what was read must be answered
         if not client.reading:
-            client.reading = True
-            client.until = min(client.until, trio.current_time() + REQUEST_WITHIN)
+            client.reading, client.body_at = True, 0.0
+            client.until = trio.current_time() + HEAD_WITHIN
         message = None
         try:
             message = client.connection.next()
             if message is not None:
                 client.reading = False
                 self._take(client, message)
+            elif client.connection.partial and not client.connection.in_head:
+                client.body_at = client.body_at or trio.current_time()
+                client.until = client.body_at + BODY_SLACK + client.connection.size / BODY_RATE
         except BadMessage as error:
             first = (message or client.connection.message).target.strip(b"/").split(b"/", 1)[0]
             if (category := self.names.categories.get(first)) is not None:
@@ -264,7 +297,7 @@
             self._refuse(client, error)
 
     def _take(self, client: Client, message: Message) -> None:
-        client.keep = message.keep
+        client.keep, client.old = message.keep, message.old
         if message.target == READY:
             ready = Reply(200, b"ready\n") if self.ready else Reply(503, b"not ready\n")
             return self._answer(client, ready)
@@ -279,9 +312,79 @@
         self._taken(client, exchange.category)
         client.exchange, client.txn = exchange, txn
         exchange.wake = partial(self._ended, client, exchange)
+        client.left = 0.0
+        if message.flow is not None and not message.flow.ended:
+            client.left = exchange.expiry - came_at
+            client.upload = message.flow
+            client.body_at = client.body_at or trio.current_time()
+            exchange.expiry += LONGEST_UPLOAD
         self.driver.take(exchange)
-        if client.exchange is not None:
+        if client.exchange is not None and client.upload is not None:
+            client.until = client.body_at + BODY_SLACK + client.connection.size / BODY_RATE
+        elif client.exchange is not None:
+            client.until = self.clock.deadline(exchange.expiry + OVERDUE)
+
+    async def _take_in(self, client: Client) -> None:
+        """Reads on in a long request, as far as it is passed on."""
+        connection, flow, at = client.connection, client.upload, trio.current_time()
+        with trio.CancelScope() as client.scope:
+            if flow.full():
+                await flow.room()
+                client.body_at += trio.current_time() - at
+            else:
+                client.scope.deadline = client.until
+                await connection.stream.wait_readable()
+        if client.over or client.upload is None:
+            return
+        if client.scope.cancelled_caught:
+            if trio.current_time() >= client.until:
+                self._spoilt(client, BadMessage(408, f"a body comes at {BODY_RATE} bytes a second at least"))
+            return
+        going = connection.read_body() if not flow.full() else True
+        if flow.ended:
+            client.upload = None
+            client.keep = connection.kept
+            exchange = client.exchange
+            exchange.expiry = self.clock.now() - connection.stream.age() + client.left - WAY_BACK
+            exchange.timed()
             client.until = self.clock.deadline(exchange.expiry + OVERDUE)
+        elif connection.error is not None:
+            self._spoilt(client, connection.error)
+        elif not going:
+            client.over = True  # it has gone away
+        else:
+            client.until = client.body_at + BODY_SLACK + connection.size / BODY_RATE
+
+    def _spoilt(self, client: Client, error: BadMessage) -> None:
+        """A long request that can't be followed to its end, and has not run."""
+        client.upload, flow = None, client.upload
+        flow.cut_off()
+        self.driver.gone(client.exchange)
+        self._refuse(client, error)
+
+    async def _pass_on(self, client: Client) -> None:
+        """Sends a long answer as it comes, to its end, or until the client takes nothing of it for long."""
+        connection, flow, ends = client.connection, client.flow, False
+        while True:
+            if connection.sending():
+                with trio.move_on_after(REPLY_WITHIN) as scope:
+                    await connection.stream.wait_writable()
+                if scope.cancelled_caught:
+                    break
+                connection.pump()
+            elif flow.pieces:
+                connection.push(framed(flow.take(), client.chunked))
+            elif not flow.over():
+                await flow.more()
+            elif not flow.ended:
+                break
+            elif client.chunked and not ends:
+                ends = True
+                connection.push(LAST_CHUNK)
+            else:
+                client.flow = None
+                return self._sent(client)
+        client.over = True  # the client can tell that it is not whole
 
     def _ended(self, client: Client, exchange: Exchange) -> None:
         """The end of a work item: its answer goes out in the same turn."""
@@ -314,14 +417,22 @@
         client.keep = client.keep and not self.leaving and len(self.idle) < most_idle
         client.until, client.status = trio.current_time() + REPLY_WITHIN, reply.status
         connection = client.connection
+        if client.upload is not None:  # answered before it came whole: what is still coming is not looked at
+            client.upload.give_up()
+            client.upload, client.keep, client.refused = None, False, True
+        client.flow = reply.flow
+        client.chunked = reply.flow is not None and reply.length is None and not client.old
+        if reply.flow is not None and reply.length is None and client.old:
+            client.keep = False
         try:
-            if connection.push(written(reply, client.keep)):
-                self._sent(client)
+            if connection.push(written(reply, client.keep, client.chunked)):
+                if client.flow is None:
+                    self._sent(client)
             elif not connection.hold(len(connection.unsent)):
                 client.over = True  # the client can tell that it is not whole
         except OSError:
             client.over = True
-        if client.over or connection.sending() or connection.pending():
+        if client.over or client.flow is not None or connection.sending() or connection.pending():
             client.scope.cancel()
         else:
             client.scope.deadline = client.until
@@ -339,9 +450,11 @@
 
     async def _linger(self, client: Client) -> None:
         """Reads on a little, so that the error is not lost with what the client is still sending."""
-        stream, left = client.connection.stream, LINGER_BYTES
+        stream, left, within = client.connection.stream, LINGER_BYTES, LINGER_FOR
+        if client.left:
+            left, within = UPLOAD_BYTES, UPLOAD_FOR
         stream.end()
-        with trio.move_on_after(LINGER_FOR):
+        with trio.move_on_after(within):
             while left > 0:
                 await stream.wait_readable()
                 n = stream.recv_into(scratch)
--- a/rowanshift/net/driver.py
+++ b/rowanshift/net/driver.py
@@ -26,7 +26,7 @@
         self.subscribe: Callable[[], None] = lambda: None
         self.waking = trio.CancelScope()
         self.wake_at = float("inf")
-        servers.done, servers.silent = self.done, self.silent
+        servers.done, servers.silent, servers.spent = self.done, self.silent, self.spent
 
     # calls ------------------------------------------------
 
@@ -55,6 +55,10 @@
     def list_changed(self, scope: str, entries: list[Entry]) -> None:
         self._call(self.router.list_changed, self.clock.now(), scope, entries)
 
+    def spent(self, ho: HandOff) -> None:
+        """Part of the work item's body is gone: it can't be sent again in full."""
+        self._call(self.router.spent, self.clock.now(), ho.exchange.id)
+
     def take_up(self, learned: Learned) -> None:
         self._call(self.router.take_up, self.clock.now(), learned)
 
--- a/rowanshift/net/exchange.py
+++ b/rowanshift/net/exchange.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from rowanshift.net.flow import Flow
+
 
 def nothing() -> None:
     pass
@@ -16,6 +18,8 @@
     body: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)  # those of a server's answer
     retry_after: float = 0.0
+    flow: Flow | None = None  # what follows the body, while it comes
+    length: int | None = None  # of all of it, where that is known
 
 
 @dataclass(slots=True, eq=False)
@@ -30,6 +34,9 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]  # those that go on to a server as they came
     body: bytes
+    flow: Flow | None = None  # what follows the body of a long request
+    length: int | None = None  # of all of it, where that is known
+    timed: Callable[[], None] = nothing  # called when the last byte has come and ``expiry`` is set anew
     hand_offs: int = 0
     ended: bool = False
     reply: Reply | None = None  # none if the client has gone away
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -3,6 +3,7 @@
 import errno
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 import httptools
 import trio
@@ -12,12 +13,15 @@
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.clock import Clock
 from rowanshift.net.connection import BadMessage, Connection, Message
-from rowanshift.net.exchange import HandOff, Reply
+from rowanshift.net.exchange import HandOff, Reply, nothing
+from rowanshift.net.flow import LAST_CHUNK, Flow, framed
 from rowanshift.net.transport import SYSTEM, Host, Nursery
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}
 OVERTAKEN = 8  # later hand-offs to a server that came back tell that a connection fell silent
 GAIN, LONG = 0.05, 3.5  # of the usual time of an answer: its moving average, and how much is long
+SILENT_BODY = 10.0  # seconds that a long answer may stand still, or a server may take no byte of a request
+EARLY = 0.1  # seconds between looks for an answer that comes before the request is whole
 SPARE = 0.8  # part of the idle time that a connection is kept for: the server may close at the latest then
 
 Done = Callable[[HandOff, Verdict, int | None, Reply | None], None]
@@ -52,6 +56,8 @@
     overtaken: int = 0  # later hand-offs to the server that came back since
     told: bool = False  # that it was overtaken often
     ended: bool = False
+    flow: Flow | None = None  # of a long answer that is passed on
+    message: Message | None = None  # its head
 
 
 def verdict_of(message: Message) -> Verdict:
@@ -74,6 +80,7 @@
         self.targets: dict[str, Target] = {}
         self.out: dict[tuple[int, int], Link] = {}  # of hand-offs without an outcome
         self.done: Done = lambda *_: None
+        self.spent: Callable[[HandOff], None] = lambda ho: None  # part of its body is gone
         self.written: Callable[[HandOff], None] = lambda ho: None  # a hand-off whose last byte has gone out
         self.silent: Callable[[HandOff], None] = lambda *_: None  # a hand-off that was overtaken often
         budget.idle_servers = self.drop_idle
@@ -145,7 +152,7 @@
             logger.warning("no socket: {}", error)
             self.budget.give_server()
             return False
-        link = Link(target, Connection(stream, httptools.HttpResponseParser, self.memory), ho)
+        link = Link(target, Connection(stream, httptools.HttpResponseParser, self.memory, flows=True), ho)
         self.out[ho.exchange.id, ho.number] = link
         target.dialling.append(link)
         self.nursery.start_soon(self._serve, link)
@@ -164,7 +171,12 @@
             if await self._dial(link):
                 self._send(link)
                 while not link.ended:
-                    await self._turn(link)
+                    if link.flow is not None:
+                        await self._pass_on(link)
+                    elif link.job is not None and link.job.exchange.flow is not None and not link.written:
+                        await self._upload(link)
+                    else:
+                        await self._turn(link)
         except trio.ClosedResourceError:
             pass  # ended from outside, while idle
         except Exception:
@@ -209,10 +221,13 @@
         self.out[ho.exchange.id, ho.number] = link
         link.until = self.clock.deadline(ho.until)
         link.written = link.begun = False
+        flow = ho.exchange.flow
         try:
-            link.written = link.connection.push(self._request(ho))
+            link.written = link.connection.push(self._request(ho)) and flow is None
         except OSError:
             link.broken = True
+        if flow is not None:
+            ho.exchange.timed = partial(self._timed, link, ho)
         link.overtaken, link.told = 0, False
         link.target.busy[link] = None
         if link.written:
@@ -221,6 +236,81 @@
         else:
             link.scope.cancel()
 
+    def _timed(self, link: Link, ho: HandOff) -> None:
+        """The last byte of a long request has come, which starts its time."""
+        if link.job is ho:
+            ho.until = ho.exchange.expiry
+            link.until = link.scope.deadline = self.clock.deadline(ho.until)
+
+    async def _upload(self, link: Link) -> None:
+        """Writes a long request as it comes, until it is written whole or its outcome is known."""
+        ho, connection = link.job, link.connection
+        flow, spent, early = ho.exchange.flow, False, False
+        chunked, stalled = ho.exchange.length is None, trio.current_time() + SILENT_BODY
+        with trio.CancelScope(deadline=link.until) as link.scope:
+            try:
+                while not (link.broken or link.withdrawn or link.written or early or flow.cut
+                           or flow.given_up):
+                    if connection.sending():
+                        with trio.move_on_at(stalled):
+                            await connection.stream.wait_writable()
+                        link.broken = trio.current_time() >= stalled
+                        connection.pump()
+                    elif flow.pieces:
+                        if not spent:
+                            spent = True
+                            self.spent(ho)
+                        connection.push(framed(flow.take(), chunked))
+                        stalled = trio.current_time() + SILENT_BODY
+                    elif not flow.ended:
+                        with trio.move_on_after(EARLY):
+                            await flow.more()
+                        early = connection.stream.readable()
+                    elif chunked:
+                        chunked = False
+                        connection.push(LAST_CHUNK)
+                    else:
+                        link.written = True
+            except OSError:
+                link.broken = True
+        if link.withdrawn:
+            self._finish(link, Verdict.WITHDRAWN)
+        elif link.written:
+            self.written(ho)
+            link.until = self.clock.deadline(ho.until)
+        elif flow.cut or flow.given_up:  # nobody waits for it, which tells nothing of the server
+            self._finish(link, Verdict.MOOT)
+        elif early:
+            self._read_on(link)
+        elif link.broken or link.scope.cancelled_caught:
+            self._finish(link, self._unwritten(link))
+
+    async def _pass_on(self, link: Link) -> None:
+        """Reads a long answer as fast as it is passed on, to its end."""
+        connection, flow = link.connection, link.flow
+        try:
+            while connection.flow is flow and connection.error is None and not flow.given_up:
+                if flow.full():
+                    await flow.room()
+                    continue
+                with trio.move_on_after(SILENT_BODY) as scope:
+                    await connection.stream.wait_readable()
+                if scope.cancelled_caught or not connection.read_body():
+                    break
+        except OSError:
+            pass
+        finally:
+            link.flow = None
+            if not flow.ended:
+                if not flow.given_up:
+                    at = "{}:{}".format(*link.target.address)
+                    logger.info("{} broke off a long answer after {} bytes", at, flow.size)
+                flow.cut_off()
+        if flow.ended and not flow.given_up and self._reusable(link, link.message):
+            self._keep(link)
+        else:
+            self._end(link)
+
     async def _turn(self, link: Link) -> None:
         """Waits for the next thing to happen on a connection that is up, and takes it in."""
         stream, writes = link.connection.stream, link.job is not None and not link.written
@@ -261,7 +351,9 @@
             logger.info("{} spoilt an answer: {}", link.job.server, error)
             self._finish(link, Verdict.ERROR)
         else:
-            if message is not None:
+            if message is not None and message.flow is not None:
+                self._begin(link, message)
+            elif message is not None:
                 self._finish(link, verdict_of(message), message)
             elif not going:
                 self._finish(link, Verdict.RESET)
@@ -270,17 +362,40 @@
                 stalled = trio.current_time() + self.stall_for
                 link.until = min(self.clock.deadline(link.job.until), stalled)
 
+    def _begin(self, link: Link, message: Message) -> None:
+        """A long answer has begun: with its first bytes it counts as given, and the choice is over."""
+        ho, link.job = link.job, None
+        link.flow, link.message = message.flow, message
+        del self.out[ho.exchange.id, ho.number]
+        link.target.busy.pop(link, None)
+        remark = REMARKS.get(dict(message.fields).get(b"x-found"))
+        if ho.exchange.ended:
+            message.flow.give_up()
+        reply = Reply(message.status, message.body, message.end_to_end(), flow=message.flow,
+                      length=message.length)
+        self.done(ho, verdict_of(message), remark, reply)
+        self._overtake(link.target, ho)
+
+    def _reusable(self, link: Link, message: Message | None) -> bool:
+        """Whether a connection may carry another hand-off: only after a whole answer with nothing behind."""
+        return (message is not None and message.keep and link.written and link.connection.clean()
+                and link.target.kept)
+
+    def _keep(self, link: Link) -> None:
+        link.since = trio.current_time()
+        link.until = link.since + self.idle_for
+        link.target.idle.append(link)
+        link.connection.release()
+
     def _finish(self, link: Link, verdict: Verdict, message: Message | None = None) -> None:
-        """Tells the outcome. The connection carries another only after a whole answer with nothing behind."""
+        """Tells the outcome."""
         ho, link.job = link.job, None
         del self.out[ho.exchange.id, ho.number]
         link.target.busy.pop(link, None)
+        ho.exchange.timed = nothing
         remark = reply = None
-        if message is not None and message.keep and link.connection.clean() and link.target.kept:
-            link.since = trio.current_time()
-            link.until = link.since + self.idle_for
-            link.target.idle.append(link)  # first back to the pool: what ``done`` sets off may use it
-            link.connection.release()
+        if self._reusable(link, message):
+            self._keep(link)  # first back to the pool: what ``done`` sets off may use it
         else:
             self._end(link)
         if message is not None:
@@ -318,5 +433,11 @@
         lines += [b"%s: %s" % field for field in exchange.headers]
         lines.append(b"x-remaining-ms: %d" % left)
         if exchange.body or exchange.write:
-            lines.append(b"content-length: %d" % len(exchange.body))
-        return b"\r\n".join([*lines, b"", exchange.body])
+            if exchange.flow is None:
+                lines.append(b"content-length: %d" % len(exchange.body))
+            elif exchange.length is not None:
+                lines.append(b"content-length: %d" % exchange.length)
+            else:
+                lines.append(b"transfer-encoding: chunked")
+        chunked = exchange.flow is not None and exchange.length is None
+        return b"\r\n".join([*lines, b"", framed(exchange.body, chunked)])
