--- a/tests/faults.py
+++ b/tests/faults.py
@@ -9,8 +9,8 @@
 
 
 def answers_twice(patch):
-    def written(reply, keep, once=clients.written):
-        return once(reply, keep) * 2
+    def written(reply, keep, chunked=False, once=clients.written):
+        return once(reply, keep, chunked) * 2
 
     patch.setattr(clients, "written", written)
 
