Spread the first watches of routers that start together; cut no request half read at the end

Change: a router with a list opens its watch after a drawn part of 0.3 s; waits for discovery grow to 2 s.

--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -62,7 +62,7 @@
         raise BadMessage(400, "a field that says what to do stands there twice")
     if not fields.get(b"x-txn"):
         raise BadMessage(400, "X-Txn is missing")
-    if (form := ABSOLUTE.match(message.target)) is not None:
+    if message.target[:1] != b"/" and (form := ABSOLUTE.match(message.target)) is not None:
         message.target = message.target[form.end():] or b"/"
     first, *rest = message.target.split(b"?", 1)[0].strip(b"/").split(b"/")
     category = fields.get(b"x-lane", first)
@@ -184,7 +184,8 @@
         """Closes what is idle, after a last look; what else is open closes with its answer."""
         self.leaving = self.finishing = True
         for client in chain(self.silent, self.idle):
-            client.until = client.scope.deadline = trio.current_time() + LAST_LOOK
+            if not client.reading:
+                client.until = client.scope.deadline = trio.current_time() + LAST_LOOK
 
     def _end(self, client: Client) -> None:
         """Closes a connection now: its descriptor may be wanted in the same turn of the loop."""
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -17,6 +17,7 @@
 MOST_HINTS = 8  # 1xx answers ahead of one
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_BODY = (204, 304)
+BLANKS = (b" ", b"\t")
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -182,21 +183,23 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:  # else it is a trailer, which nobody needs
             # where a value and the line's end come in two pieces, the blanks between them are left on it
-            self.message.fields.append((name.lower(), value.strip(b" \t")))
+            value = value.strip(b" \t") if value[-1:] in BLANKS else value
+            self.message.fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         message, self.in_head = self.message, False
         version = self.parser.get_http_version()
         given = {name: value for name, value in message.fields
                  if name in (b"content-length", b"transfer-encoding", b"expect")}
-        length = given.get(b"content-length")
+        length = None
+        if (text := given.get(b"content-length")) is not None:
+            length = message.length = int(text)
         message.old = version == "1.0"
         if not self.requests:
             message.status = self.parser.get_status_code()
-        message.length = None if length is None else int(length)
         if version not in ("1.0", "1.1"):
             self._fail(505, "HTTP/1.1 is spoken here")
-        elif length is not None and int(length) > self.largest and (self.requests or not self._may_flow()):
+        elif length is not None and length > self.largest and (self.requests or not self._may_flow()):
             self._fail(413, f"{self.largest >> 10} KiB at most")
         elif self.requests:
             message.method = self.parser.get_method()
@@ -207,7 +210,7 @@
         else:
             if not given and message.status >= 200 and message.status not in NO_BODY:
                 self.to_the_end = True
-            if self._may_flow() and (message.length or 0) > WHOLE:
+            if length is not None and length > WHOLE and self._may_flow():
                 self._begin_flow()
         if self.error is not None:
             raise self.error
@@ -231,7 +234,7 @@
 
     def on_body(self, piece: bytes) -> None:
         self.size += len(piece)
-        if self.flow is None and self.size > WHOLE and self._may_flow():
+        if self.size > WHOLE and self.flow is None and self._may_flow():
             self._begin_flow()
         if self.flow is not None and (self.size <= self.largest or not self.requests):
             return self.flow.put(piece)
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -18,7 +18,8 @@
 
 SILENCE = 3.0  # an empty line comes every 2 s
 LONGEST_LINE = 8 * 1024 * 1024
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 2.0  # seconds between watches, times a drawn 0.5 to 1.5
+FIRST_WAIT = 0.3  # seconds, of which a drawn part passes before a router with a list opens its first watch
 
 
 class Discovery:
@@ -53,6 +54,8 @@
         self.members.learn(scope or ("full" if data.get("reset") else "delta"), rows)
 
     async def run(self) -> None:
+        if self.generation and not self.ask:  # many may start at one moment
+            await trio.sleep(FIRST_WAIT * self.random.random())
         while True:
             await self.wanted.wait()
             with trio.CancelScope() as self.watching:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """The network side, piece by piece; sockets are pairs within the process."""
 
+import itertools
 import os
 import random
 import signal
@@ -10,6 +11,7 @@
 import orjson
 import pytest
 import trio
+import trio.testing
 from helpers import entry, settings
 
 from rowanshift.model import Answer, Results, Verdict
@@ -1012,3 +1014,54 @@
         return clock.deadline(clock.now() + 1) - trio.current_time()
 
     assert trio.run(main) == pytest.approx(1, abs=0.01)
+
+
+@pytest.mark.parametrize(("generation", "ask", "spread"),
+                         [(5, False, True), (0, False, False), (5, True, False)])
+def test_routers_that_start_together_with_a_list_do_not_watch_it_at_one_moment(generation, ask, spread):
+    # guards against a rush on discovery when most routers are restarted at one moment
+    async def main():
+        starts = []
+
+        async def watch(self):
+            starts.append(trio.current_time() - begun)
+            await trio.sleep_forever()
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Discovery, "_watch", watch)
+            begun = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for seed in range(40):
+                    discovery = Discovery(("127.0.0.1", 9), NAMES, ask, random.Random(seed), None, None)
+                    discovery.generation = generation
+                    discovery.subscribe()
+                    nursery.start_soon(discovery.run)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+        return starts
+
+    starts = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    parts = [sum(part / 10 <= start < (part + 1) / 10 for start in starts) for part in range(3)]
+    assert len(starts) == 40 and (max(parts) < 25 and max(starts) < 0.3 if spread else parts[0] == 40)
+
+
+def test_waits_for_discovery_grow_with_chance_and_stay_well_inside_the_time_that_it_counts_as_told():
+    # guards against hundreds of routers that dial an agent short of room every second
+    async def main():
+        at = []
+
+        async def watch(self):
+            at.append(trio.current_time())
+            raise OSError("refused")
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Discovery, "_watch", watch)
+            async with trio.open_nursery() as nursery:
+                discovery = Discovery(("127.0.0.1", 9), NAMES, False, random.Random(3), None, None)
+                nursery.start_soon(discovery.run)
+                await trio.sleep(60)
+                nursery.cancel_scope.cancel()
+        return [b - a for a, b in itertools.pairwise(at)]
+
+    waits = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert waits[0] < 0.2 and 1.0 <= min(waits[6:]) < 1.6 and 2.4 < max(waits) <= 3.0 and len(waits) < 45
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -175,6 +175,22 @@
     assert played(script) == ("FAILURE leaving\n", "FAILURE leaving\n")
 
 
+@pytest.mark.parametrize("call", ["drain", "leave"])
+def test_a_request_half_read_is_not_cut_by_a_drain_or_the_end(call):
+    # guards against a 408 for a client that takes its time, only since the router is about to end
+    async def script(rig):
+        client = await trio.open_tcp_stream(*rig.service.config.listen)
+        await client.send_all(b"GET /read/k HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Org: demo\r\n")
+        await trio.sleep(0.05)
+        getattr(rig.service.clients, call)()
+        await trio.sleep(0.1)
+        await client.send_all(b"X-Remaining-Ms: 900\r\n\r\n")
+        return b"".join([piece async for piece in client])
+
+    answer = played(script)
+    assert answer.startswith(b"HTTP/1.1 200") and b"Connection: close" in answer
+
+
 def test_without_control_nothing_more_listens():
     async def script(rig):
         return rig.service.budget.limit, rig.service.config.control
