--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,13 +1,20 @@
 """What staff do with a router in service: calls on the second address, figures, drained and back."""
 
+import socket
+import subprocess
+import sys
+
+import orjson
 import pytest
 import trio
 from helpers import RERUNNABLE, come_back, entry, router, take
-from rig import played
+from rig import free, played
 from test_net import GOOD
+from typer.testing import CliRunner
 
+from rowanshift.cli import app
 from rowanshift.model import Verdict
-from rowanshift.net.config import ConfigError, config_of, control_of
+from rowanshift.net.config import ConfigError, config_of, control_of, load
 from rowanshift.net.control import CALLERS, LONGEST_LINE, Control
 from rowanshift.net.figures import Figures
 from rowanshift.net.membership import Membership
@@ -199,6 +206,32 @@
     assert control is None and limit > 256 - 24 - CALLERS
 
 
+def test_check_says_where_calls_are_taken_and_an_address_that_is_taken_is_named(tmp_path):
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        text = "{}:{}".format(*taken.getsockname())
+        path.write_bytes(orjson.dumps(GOOD | {"control": text, "listen": f"127.0.0.1:{free()[0][1]}"}))
+        checked = CliRunner().invoke(app, ["check", "-c", str(path)])
+        assert checked.exit_code == 0 and f"calls on {text}" in checked.output
+        served = subprocess.run([sys.executable, "-m", "rowanshift", "serve", "-c", str(path)],
+                                capture_output=True, text=True, timeout=20)
+        assert served.returncode == 1 and text in served.stderr and "Traceback" not in served.stderr
+    path.write_bytes(orjson.dumps(GOOD | {"control": "nowhere"}))
+    checked = CliRunner().invoke(app, ["check", "-c", str(path)])
+    assert checked.exit_code == 2 and "control" in checked.output
+
+
+def test_the_environment_goes_before_the_files_control(tmp_path, monkeypatch):
+    # guards against a new process that takes the second address of the old one from their common file
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(GOOD | {"control": "127.0.0.1:7"}))
+    monkeypatch.setenv("BALANCER_CONTROL", "127.0.0.1:8")
+    assert load(path).control == ("127.0.0.1", 8)
+    monkeypatch.setenv("BALANCER_CONTROL", "x")
+    with pytest.raises(ConfigError, match=r"^\$BALANCER_CONTROL: "):
+        load(path)
+
+
 def test_the_control_of_a_configuration_is_optional():
     assert config_of(GOOD).control is None
     assert config_of(GOOD | {"control": "127.0.0.1:7"}).control == ("127.0.0.1", 7)
