--- a/rowanshift/standins/demo.py
+++ b/rowanshift/standins/demo.py
@@ -80,6 +80,14 @@
     typer.echo(f"GET /read/hello    {message.status}  {message.body.decode().strip()}")
 
 
+async def stand_by(config_path: Path) -> None:
+    """The stand-ins alone, for routers that are started beside them."""
+    config = load(config_path)
+    typer.echo("Stand-ins of three caches, an origin and discovery; Ctrl-C ends them. A router for them:\n"
+               f"  rowanshift serve -c {config_path}")
+    await Fleet(config.discovery, {name.decode(): 0.002 for name in config.names.categories}).run()
+
+
 async def play(config_path: Path, stay: bool) -> None:
     config = load(config_path)
     fleet = Fleet(config.discovery, {name.decode(): 0.002 for name in config.names.categories})
@@ -103,6 +111,7 @@
 def demo(
     config: Annotated[Path, typer.Option("--config", "-c", help="The router's configuration.")] = EXAMPLE,
     stay: Annotated[bool, typer.Option(help="Go on until Ctrl-C.")] = True,
+    router: Annotated[bool, typer.Option(help="Run a router too, not the stand-ins alone.")] = True,
 ) -> None:
     """Run a router between stand-ins on loopback and show some reads."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -112,7 +121,12 @@
         typer.echo(f"rowanshift: {error}", err=True)
         raise typer.Exit(2) from error
     try:
-        trio.run(play, config, stay)
+        if router:
+            trio.run(play, config, stay)
+        else:
+            trio.run(stand_by, config)
+    except* KeyboardInterrupt:
+        pass
     except* OSError as group:
         typer.echo(f"rowanshift: {group.exceptions[0]}", err=True)
         raise typer.Exit(1) from group
