--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -4,8 +4,11 @@
 import json
 import os
 import random
+import signal
+import socket
 import subprocess
 import sys
+import time
 from multiprocessing import get_context
 from pathlib import Path
 
@@ -486,3 +489,23 @@
     lines = done.stdout.splitlines()
     assert done.returncode == 0 and len(lines) == 8 and all(" 200 " in line for line in lines)
     assert "from the origin" in lines[0] and "hit" in lines[1] and lines[7].endswith("hello v1")
+
+
+def test_the_demo_without_a_router_leaves_the_stand_ins_to_routers_beside_it():
+    # guards against a trial of a replaced process whose servers end with the first router
+    with subprocess.Popen([sys.executable, "-m", "rowanshift", "demo", "--no-router"], stdout=subprocess.PIPE,
+                          text=True) as demo:
+        try:
+            first = demo.stdout.readline()
+            for _ in range(200):
+                try:
+                    socket.create_connection(("127.0.0.1", 9500), timeout=1).close()
+                    break
+                except OSError:
+                    time.sleep(0.02)
+            with pytest.raises(OSError):
+                socket.create_connection(("127.0.0.1", 8080), timeout=1)
+            demo.send_signal(signal.SIGINT)
+            assert demo.wait(timeout=5) == 0 and "Stand-ins" in first
+        finally:
+            demo.kill()
