--- a/rowanshift/net/control.py
+++ b/rowanshift/net/control.py
@@ -5,7 +5,7 @@
 import trio
 from loguru import logger
 
-from rowanshift.net.transport import Listener, Nursery, Stream, send_all
+from rowanshift.net.transport import Listener, Nursery, Stream, accepted, send_all
 
 CALLERS = 16  # at once; beyond these the longest silent one is closed. Their descriptors are set aside
 BACKLOG = 64
@@ -57,15 +57,7 @@
         """Accepts callers for good, and closes the listener at the end."""
         try:
             while True:
-                await listener.wait()
-                try:
-                    stream = listener.accept()
-                except BlockingIOError:
-                    continue
-                except OSError as error:
-                    logger.warning("accept on the second address: {}", error)
-                    await trio.sleep(0.02)
-                    continue
+                stream = await accepted(listener)
                 if len(self.callers) >= CALLERS:
                     oldest = next(iter(self.callers))
                     del self.callers[oldest]
--- a/rowanshift/net/handover.py
+++ b/rowanshift/net/handover.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from rowanshift.model import Learned
-from rowanshift.net.transport import Address, Host, Listener, Nursery, Port, Stream, send_all
+from rowanshift.net.transport import Address, Host, Listener, Nursery, Port, Stream, accepted, send_all
 
 HEAD = "rowanshift 1"
 FILE = b"rowanshift out 1"
@@ -190,15 +190,7 @@
     async def _accept(self, listener: Listener) -> None:
         try:
             while True:
-                await listener.wait()
-                try:
-                    stream = listener.accept()
-                except BlockingIOError:
-                    continue
-                except OSError as error:
-                    logger.warning("accept of a fellow: {}", error)
-                    await trio.sleep(0.02)
-                    continue
+                stream = await accepted(listener)
                 if len(self.links) < MOST_FELLOWS:
                     self._pass_on(stream)
                 else:
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -355,6 +355,18 @@
         raise OSError(failed, errno.errorcode.get(failed, str(failed)))
 
 
+async def accepted(listener: Listener, pause: Callable[[float], Awaitable[None]] = trio.sleep) -> Stream:
+    """Waits for the next connection; an error of one ``accept`` ends nothing."""
+    while True:
+        await listener.wait()
+        try:
+            return listener.accept()
+        except BlockingIOError:
+            continue
+        except OSError:
+            await pause(0.02)
+
+
 async def send_all(stream: Stream, data: bytes) -> None:
     left = memoryview(data)
     while left:
--- a/rowanshift/standins/http.py
+++ b/rowanshift/standins/http.py
@@ -9,7 +9,7 @@
 
 from rowanshift.net.budget import Memory
 from rowanshift.net.connection import BadMessage, Connection, Message
-from rowanshift.net.transport import Address, Host, Stream
+from rowanshift.net.transport import Address, Host, Stream, accepted
 from rowanshift.rules.events import Events
 
 BACKLOG = 512
@@ -87,15 +87,7 @@
             async with self.host.nursery() as nursery:
                 nursery.start_soon(self._sweep)
                 while True:
-                    await listener.wait()
-                    try:
-                        stream = listener.accept()
-                    except BlockingIOError:
-                        continue
-                    except OSError:
-                        await self.host.pause(0.02)
-                        continue
-                    nursery.start_soon(self._serve, stream)
+                    nursery.start_soon(self._serve, await accepted(listener, self.host.pause))
         finally:
             listener.close()
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -409,3 +409,18 @@
 
     assert body_of(trio.run(main)) == (b"x" * WHOLE, True)
     assert deciding.taken[0].flow is None and len(deciding.taken[0].body) == WHOLE
+
+
+def test_a_long_answer_that_stands_still_is_cut_off(monkeypatch):
+    monkeypatch.setattr("rowanshift.net.servers.SILENT_BODY", 0.2)
+
+    async def script(p):
+        client, accept = await p.connect()
+        await client.send_all(request())
+        server = await accept()
+        await until(server, b"\r\n\r\n")
+        await server.send_all(OK + b"Content-Length: 900000\r\n\r\n" + LONG)
+        with trio.fail_after(2):
+            return body_of(await until(client))[1], await server.receive_some(1)
+
+    assert passing(script) == (False, b"")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -232,6 +232,7 @@
 def test_a_fellow_that_does_not_answer_as_it_should_holds_up_nobody(says, folder, monkeypatch):
     # guards against a new process that waits for good on one that stands still, or speaks another language
     monkeypatch.setattr("rowanshift.net.handover.MEET_WITHIN", 0.2)
+    monkeypatch.setattr("rowanshift.net.handover.LONGEST_LINE", 1024)
     with socket.socket(socket.AF_UNIX) as listener:
         listener.bind(str(folder / "rowanshift-127.0.0.1-1.sock"))
         listener.listen(1)
@@ -289,3 +290,13 @@
     own, other = free(2, socket.SOCK_DGRAM)
     texts = ["{}:{}".format(*address) for address in (own, other)]
     assert played(script, peer_listen=texts[0], peers=texts) == (["new"] * 4, ["old"])
+
+
+def test_so_many_fellows_may_be_linked_and_no_more(monkeypatch):
+    monkeypatch.setattr("rowanshift.net.handover.MOST_FELLOWS", 0)
+
+    async def script(rig):
+        new = await second(rig)
+        return new.handover.processes(), rig.service.handover.processes(), (await rig.get("k")).status
+
+    assert played(script) == (1, 1, 200)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -3,6 +3,7 @@
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 
 import orjson
 import pytest
@@ -361,3 +362,45 @@
     t.call_out(other)
     assert other not in [server for *_, server in come_back(r, 1, first, Verdict.RESET).hand_offs]
     assert r.seen(r.now)[1] == 2  # the one out by hand, and the one that fell silent
+
+
+# limits -----------------------------------------------------
+
+
+def test_a_byte_at_a_time_is_a_call_and_a_line_that_takes_too_long_ends(monkeypatch):
+    monkeypatch.setattr("rowanshift.net.control.LINE_WITHIN", 0.3)
+
+    async def script(rig):
+        got = []
+        for pause in (0.0, 0.1):
+            stream = await trio.open_tcp_stream(*rig.service.config.control)
+            async with stream:
+                with suppress(trio.BrokenResourceError):
+                    for byte in b"READY\n":
+                        await stream.send_all(bytes([byte]))
+                        await trio.sleep(pause)
+                with suppress(trio.BrokenResourceError):
+                    got.append(await stream.receive_some(100))
+        return got
+
+    got = played(script)
+    assert got[0] == b"SUCCESS\n" and b"SUCCESS" not in b"".join(got[1:])
+
+
+def test_a_call_out_outlives_a_reload():
+    async def script(rig):
+        await rig.call("DISABLE cache:1")
+        rig.service.discovery.move(rig.service.config.discovery)  # as SIGHUP does: the whole list
+        await trio.sleep(0.1)
+        return [c.entry.server for c in rig.service.driver.router.ready]
+
+    assert sorted(played(script)) == ["cache:0", "cache:2"]
+
+
+def test_so_many_may_be_out_by_hand_and_no_more(monkeypatch):
+    monkeypatch.setattr("rowanshift.net.membership.MOST_OUT", 1)
+
+    async def script(rig):
+        return [await rig.call(f"DISABLE cache:{n}") for n in (0, 1, 0)]
+
+    assert [text.split()[0] for text in played(script)] == ["SUCCESS", "FAILURE", "SUCCESS"]
