Read the whole list from the agent before a started router serves

Lists changed at 11.91 and 12.90 s, 132 routers were killed at 11.46 s and served again from 13.4 s on, 0.6 to 1.0 s after their start: log "14.778 20:52:18.707 INFO n0 serving" (the log's clock is 1.3 s ahead). Every break is at a router within its first moments; no log has a line of a broken watch or of a standstill, so neither discovery nor the loop is at fault. Cause: Discovery.run slept a drawn part of 0.3 s (FIRST_WAIT) before its first watch while the service already answered with the list of before the start; what the agent has counts as told. Change: a start in push mode asks for the whole list first and serves once it is there, or after 0.3 s.

--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -19,7 +19,7 @@
 SILENCE = 3.0  # an empty line comes every 2 s
 LONGEST_LINE = 8 * 1024 * 1024
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 2.0  # seconds between watches, times a drawn 0.5 to 1.5
-FIRST_WAIT = 0.3  # seconds, of which a drawn part passes before a router with a list opens its first watch
+FIRST_LIST = 0.3  # seconds that a start waits for the list at most; discovery may be down
 
 
 class Discovery:
@@ -30,7 +30,10 @@
         self.members, self.list_changed, self.host = members, list_changed, host
         self.generation = 0
         self.wanted = trio.Event()  # in ask mode the module says when to watch
-        self.numbered = True  # whether the agent that is asked counts generations as this list does
+        # whether the agent that is asked counts generations as this list does; the list that a router starts
+        # with may be old, and a watch that has nothing new to tell would not say so for 2 s
+        self.numbered = ask
+        self.current = trio.Event()  # the agent has told what it has
         self.watching = trio.CancelScope()
         self.pause = FIRST_PAUSE
         self.broken = False
@@ -53,9 +56,14 @@
         self.generation = data["generation"]
         self.members.learn(scope or ("full" if data.get("reset") else "delta"), rows)
 
+    async def first_list(self) -> None:
+        """Waits until the agent has told the list as it is, which counts as told from when it could be asked:
+        a start that takes long must not end with the list from before it. Not in ask mode, nor for long."""
+        if not self.ask:
+            with trio.move_on_after(FIRST_LIST):
+                await self.current.wait()
+
     async def run(self) -> None:
-        if self.generation and not self.ask:  # many may start at one moment
-            await trio.sleep(FIRST_WAIT * self.random.random())
         while True:
             await self.wanted.wait()
             with trio.CancelScope() as self.watching:
@@ -88,6 +96,7 @@
                     self.learn(orjson.loads(whole), "full")
                     agent.h11.start_next_cycle()
                     self.numbered = True
+                    self.current.set()
                 await agent.ask(f"/api/targets?follow=1&since={self.generation}", self.address)
             if self.broken:
                 logger.info("the list is watched again")
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -154,6 +154,7 @@
                 nursery.start_soon(driver.keep_waking)
                 nursery.start_soon(self._watch_the_loop)
                 nursery.start_soon(discovery.run)
+                await discovery.first_list()
                 inherited = await self._take_over()
                 self._meet_peers(nursery, driver, inherited.port)
                 self.listener = inherited.listener or host.listen(config.listen, BACKLOG, shared=True)
