Let deep limits grow back where the sum over all routers names no crowd

Ruled out: the fleet's limit (held 9 of 14229), silence (none), cold homes (all warm), the origin (8%). Cause: _regain gives back half a second's growth a look; one of 206 routers looks at each of 114 caches every few seconds, so a limit that a burst left at 0.03 doubles in half a minute, and too few answers come to learn from. Change: a total of the peers that does not name a cache as crowded counts as an answer in time (growth by half), up to a quarter, which is what two slow answers leave; from there own answers tell. GOOD is the growth of _settle, named.

--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -29,6 +29,8 @@
 LATE = 0.5  # of the due time, after which a read goes to the origin if that has room
 SLOW = 0.2  # of an equal part of what all caches may have out: one that may have less is slow by itself
 REGAIN = 1.2  # growth a second of a limit under one
+DEEP = 0.25  # a limit that two slow answers leave; under it own answers are too rare to learn from
+GOOD = 1.5  # growth of a limit under one by an answer in time, or by peers who see no crowd
 
 
 def stable(text: str) -> int:
@@ -315,7 +317,10 @@
         self.told_at, self.waited = self.now, tally.waited / span
         for cache in self.ready:
             part = tally.keep.get(cache.mark, 255)
-            if part < 255 and cache.heard_at < self.now - TELL:  # own answers, where any came, tell as much
+            if part == 255:  # no crowd there, over all routers: as good as an answer in time of its own
+                if cache.limit < DEEP:
+                    cache.limit = min(DEEP, GOOD * cache.limit)
+            elif cache.heard_at < self.now - TELL:  # own answers, where any came, tell as much
                 self._regain(cache)
                 cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
         self.samples += tally.samples
@@ -501,7 +506,7 @@
         if slow:
             cache.limit = max(0.02, least, cache.limit - min(6 / cache.limit, 0.5 * cache.limit))
         elif cache.inflight + 1 >= 0.7 * cache.limit:
-            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, 0.5 * cache.limit))
+            cache.limit = min(1024.0, cache.limit + min(1 / cache.limit, (GOOD - 1) * cache.limit))
 
     # pace -------------------------------------------------
 
