--- a/rowanshift/ledger/api.py
+++ b/rowanshift/ledger/api.py
@@ -6,6 +6,7 @@
 
 from rowanshift.ledger.node import Node, NotConfirmed, NotPrimary, OutcomeUnknown
 from rowanshift.ledger.operator import InvalidConfiguration, StaleMatch
+from rowanshift.ledger.protocol import SHEET_LIMIT, SheetTooLarge
 from rowanshift.ledger.sheet import InvalidVersion, Sheet, put_config, put_version, unpack
 from rowanshift.net.calls import Answer, said
 from rowanshift.net.connection import Message
@@ -35,6 +36,8 @@
         except OutcomeUnknown:
             return Answer(503, said("not on enough disks in time: it may or may not be in force"),
                           [(b"Retry-After", b"0.3")])
+        except SheetTooLarge:
+            return Answer(413, said(f"with it the control state would be over {SHEET_LIMIT} bytes"))
 
     async def served(self, message: Message) -> Answer:
         raise NotImplementedError
--- a/rowanshift/ledger/explorer.py
+++ b/rowanshift/ledger/explorer.py
@@ -7,7 +7,7 @@
 A walk draws every choice from its seed: which message in flight comes next, is lost or comes twice, which
 save lands, who is killed, loses power or its disk, stands still, is cut off or has a clock that runs fast.
 Sheets are lists of ids, four bytes each, that only grow, so "holds what was committed" is "begins with it".
-Walks with an odd seed run under `CONTENDED` constants, so that several candidates are often under way at once.
+Walks with an odd seed run under `CONTENDED` constants: several candidates are often under way at once.
 """
 
 from __future__ import annotations
@@ -325,8 +325,10 @@
             world.crash(me, landed=draw.random() < 0.5)
             host.down_until = world.now + span
         elif kind == "stand":  # its timer fires now, and nobody minds
-            ledger = host.ledger
-            if not (ledger.is_primary or ledger.is_forgotten or ledger._candidacy):
+            me = draw.choice(world.highest().in_sync or [me])
+            ledger = world.hosts[me].ledger
+            up = ledger is not None and world.now >= world.hosts[me].paused_until
+            if up and not (ledger.is_primary or ledger.is_forgotten or ledger._candidacy):
                 ledger._stand()
                 ledger._enter("prepare")
                 world.tick(me)
@@ -744,35 +746,48 @@
             self._send(member, p.Nominate(self._epoch.number))
 
 
-# fault -> where its walks go: machines, f, spares
-FAULTS: dict[type[p.Ledger], tuple[int, int, int]] = {
-    AcknowledgesAlone: (3, 1, 0),
-    EmptyDiskVotes: (3, 1, 0),
-    AcceptsBeforeSave: (5, 1, 0),
-    PromiseNotDurable: (5, 1, 0),
-    CommitsBeforeOwnSave: (3, 1, 0),
-    OutOfSyncGoesOn: (3, 1, 0),
-    LostSheetGoesOn: (3, 1, 0),
-    ReadsUnconfirmed: (3, 1, 0),
-    ReadsProposed: (3, 1, 0),
-    AcceptsLowerNumber: (5, 1, 0),
-    IgnoresRecordsRead: (3, 1, 0),
-    NewSetAlone: (3, 1, 2),
-    LeaseNotAwaited: (3, 1, 0),
-    RestartedDoesNotWait: (3, 1, 0),
-    StoresBelowPromise: (3, 1, 0),
-    RecallsFromOne: (3, 1, 0),
-    CountsAnyStored: (3, 1, 0),
-    CountsAnyConfirmed: (3, 1, 0),
-    KeepsLeaseHandingOver: (3, 1, 0),
+@dataclass(frozen=True)
+class Hunt:
+    """Where a planted fault is looked for, and the first seed that finds it within 8000 steps."""
+
+    seed: int
+    machines: int = 3
+    f: int = 1
+    spares: int = 0
+    kinds: tuple[str, ...] = ()  # of trouble; drawn by the seed if none are given
+
+
+FAULTS: dict[type[p.Ledger], Hunt] = {
+    AcknowledgesAlone: Hunt(2),
+    EmptyDiskVotes: Hunt(7),
+    AcceptsBeforeSave: Hunt(0, 5, 1, 0, ("stand", "power", "power", "deaf")),
+    PromiseNotDurable: Hunt(0, 5, 1, 0, ("stand", "power", "power", "deaf")),
+    CommitsBeforeOwnSave: Hunt(0),
+    OutOfSyncGoesOn: Hunt(0),
+    LostSheetGoesOn: Hunt(9),
+    ReadsUnconfirmed: Hunt(63),
+    ReadsProposed: Hunt(2),
+    AcceptsLowerNumber: Hunt(8, 5),
+    IgnoresRecordsRead: Hunt(5, 3),
+    NewSetAlone: Hunt(0, 3, 1, 1, ("split", "split", "deaf", "stand")),
+    OldSetAlone: Hunt(0, 3, 1, 1, ("split", "split", "deaf", "stand")),
+    LeaseNotAwaited: Hunt(0, 3, 1, 0, ("stand", "stand", "pause", "cut")),
+    RestartedDoesNotWait: Hunt(0, 3, 1, 0, ("quake", "quake", "cut")),
+    StoresBelowPromise: Hunt(0, 3, 1, 0, ("pause", "stand", "deaf")),
+    RecallsFromOne: Hunt(0, 3, 1, 0, ("empty", "cut", "stand")),
+    CountsAnyStored: Hunt(0),
+    CountsAnyConfirmed: Hunt(0, 3, 1, 0, ("pause", "pause", "stand", "deaf")),
+    KeepsLeaseHandingOver: Hunt(0, 3, 1, 0, ("slow", "fail", "pause")),
 }
 
 
 def find(fault: type[p.Ledger], seeds, steps: int = 8000) -> Outcome | None:
     """The first walk that finds the planted fault."""
-    machines, f, spares = FAULTS.get(fault, (3, 1, 2))
+    hunt = FAULTS[fault]
     for seed in seeds:
-        outcome = Walk(seed, machines, f, spares, fault).run(steps, calm=False)
+        walk = Walk(seed, hunt.machines, hunt.f, hunt.spares, fault)
+        walk.kinds = list(hunt.kinds) or walk.kinds
+        outcome = walk.run(steps, calm=False)
         if outcome.broken:
             return outcome
     return None
@@ -788,6 +803,7 @@
     parser.add_argument("--machines", type=int, default=3)
     parser.add_argument("--f", type=int, default=1)
     parser.add_argument("--spares", type=int, default=0)
+    parser.add_argument("--fault", default="", help="one planted fault's name")
     parser.add_argument("--states", type=int, default=20_000)
     given = parser.parse_args()
     seeds = range(given.first, given.first + given.seeds)
@@ -798,6 +814,8 @@
     if given.what == "faults":
         missed = 0
         for fault in FAULTS:
+            if given.fault not in ("", fault.__name__):
+                continue
             found = find(fault, seeds, given.steps)
             missed += found is None
             at = f"seed {found.seed} step {found.steps} {found.broken}" if found else "-"
--- a/rowanshift/ledger/protocol.py
+++ b/rowanshift/ledger/protocol.py
@@ -596,6 +596,7 @@
         self._seen = max(self._seen, message.number)
         if sender == self._holder and message.number == d.accepted.number:
             self._held = float("-inf")  # its lease is given up
+            self._slow[sender] = self._now + REST
         if self._epoch is not None or self._candidacy is not None or self._blocked(self.me):
             return
         if self._has_sheet(d.accepted):
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -41,7 +41,11 @@
 
 
 class NoAnswer(StaffError):
-    """No machine gave a clear answer."""
+    """No machine gave a clear answer; ``sent`` tells whether one may have taken the call."""
+
+    def __init__(self, why: str, sent: bool = False) -> None:
+        super().__init__(why)
+        self.sent = sent
 
 
 class Refused(StaffError):
@@ -101,21 +105,22 @@
     async def settled(self, method: bytes, target: bytes, body: bytes = b"",
                       fields: Fields | None = None) -> Message:
         """The answer to a call that may be sent again as it was: tries all addresses, some rounds long."""
-        why = ""
+        why, sent = "", False
         for n in range(ROUNDS):
             for address in self.addresses:
                 try:
                     answer = await self.ask(address, method, target, body, fields)
                 except CallFailed as error:
-                    why = str(error)
+                    why, sent = str(error), sent or error.sent
                 else:
                     if answer.status < 500 and answer.status not in (408, 429):
                         return answer
+                    sent = True
                     why = f"{answer.status}: {reason_of(answer)}"
                 why = "{}:{}: {}".format(*address, why)
             if n + 1 < ROUNDS:
                 await self.host.pause(AGAIN)
-        raise NoAnswer(why)
+        raise NoAnswer(why, sent)
 
     async def config(self) -> tuple[int, bytes]:
         """The revision in force, 0 if there is none, and the configuration."""
@@ -291,6 +296,8 @@
         try:
             return await control.settled(b"PUT", b"/config", body, fields)
         except NoAnswer as error:
+            if not error.sent:
+                raise
             raise NoAnswer(f"{error}; it may or may not be in force: put it again as it is") from error
 
     answer = asked(at, put)
--- a/rowanshift/standins/whole.py
+++ b/rowanshift/standins/whole.py
@@ -111,7 +111,7 @@
                   else {"frontend": f"{ip}:{FRONT}", "readiness": f"{ip}:{READINESS}"})
         made = {"nodeName": f"{kind}-{number}", "machineClass": kind, "ip": ip, "zone": "z1", "region": "r1",
                 "listenAddresses": listen, "internalPorts": INNER, "bootstrap": kind == "core",
-                "seedNodes": [f"{self.net}{n}:{INNER[0]}" for n in CORE], "faultTolerance": {"machines": 1},
+                "seedNodes": [f"{self.net}{n}:{CONTROL}" for n in CORE], "faultTolerance": {"machines": 1},
                 "cloudApi": {"address": f"{self.net}{PLATFORM}:{LIST}", "ratePerS": LIST_RATE,
                              "maxLagMs": LIST_LAG_MS}}
         if kind == "core":
@@ -160,8 +160,8 @@
         super()._event(event)
         piece = self.attempt.pieces[-1]
         took = 1000 * (piece.at - self.attempt.asked_at)
-        say(f"  {took:7.1f} ms  id {piece.last:3}  tokens {piece.first + 1} to {piece.last} of run {piece.run}"
-            + ("  (the last)" if piece.final else ""))
+        made = f"tokens {piece.first + 1} to {piece.last} of run {piece.run}"
+        say(f"  {took:7.1f} ms  id {piece.last:3}  {made}" + ("  (the last)" if piece.final else ""))
 
 
 async def stream(system: SmallSystem, front: Address) -> Try:
--- a/rowanshift/virtual/fleet.py
+++ b/rowanshift/virtual/fleet.py
@@ -48,17 +48,19 @@
 BOUNDS = {"contactMs": 3000, "drainMs": 3000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.2,
           "retryWindowS": 10, "retryBudgetSlack": 50, "leaseMs": 3000, "versionMs": 8000}
 CONTACT, APPLY, DRAIN, LEASE, VERSION = 3.0, 2.0, 3.0, 3.0, 8.0
-ALL = "all"  # whom a trouble concerns: every counter
 
 
 @dataclass(slots=True)
 class Trouble:
-    """From ``since`` to ``until`` a counter, or ALL of them, were not as they should be."""
+    """From ``since`` to ``until`` a machine was not as it should be. One of the core matters to all counters where
+    it is slow, and at the moments in which it goes, comes back or is cut off, but not in between."""
 
     what: str
-    whom: str
+    machine: str
+    core: bool
     since: float
     until: float
+    unsettles: bool = True  # a counter, or the whole core
 
 
 @dataclass(slots=True, eq=False)
@@ -176,7 +178,7 @@
         for unit in self.counters:
             self.nursery.start_soon(self._probe, unit)
         await self.put(config or config_of(1))
-        await self.until(lambda: all(unit.program.ready() for unit in self.counters))
+        await self.until(lambda: all(unit.program and unit.program.ready() for unit in self.counters))
         for unit in self.units:
             unit.boot["bootstrap"] = False
 
@@ -313,13 +315,12 @@
 
     def _mark(self, what: str, *units: Unit) -> None:
         """Something happened to these machines just now."""
-        for unit in units:
-            whom = ALL if unit.core else unit.name
-            self.troubles.append(Trouble(what, whom, self.now(), self.now()))
+        now = self.now()
+        self.troubles += [Trouble(what, unit.name, unit.core, now, now) for unit in units]
 
-    def _begin(self, what: str, *units: Unit) -> None:
+    def _begin(self, what: str, *units: Unit, slows: bool = False) -> None:
         for unit in units:
-            trouble = Trouble(what, ALL if unit.core else unit.name, self.now(), float("inf"))
+            trouble = Trouble(what, unit.name, unit.core, self.now(), float("inf"), slows or not unit.core)
             self.open[what, unit.name] = trouble
             self.troubles.append(trouble)
 
@@ -330,9 +331,8 @@
 
     def _down(self, unit: Unit, how: Callable[[], None]) -> None:
         unit.wanted = False
-        self._mark("down", unit)
-        if not unit.core:
-            self._begin("is down", unit)
+        self._mark("goes", unit)
+        self._begin("is down", unit)
         how()
 
     def kill(self, *units: Unit) -> None:
@@ -356,13 +356,13 @@
             unit.wanted = True
             unit.asleep.set()
             self._end("is down", unit)
+            self._end("leaves", unit)
             self._mark("started", unit)
 
     def freeze(self, *units: Unit) -> None:
         for unit in units:
             self._mark("frozen", unit)
-            if not unit.core:
-                self._begin("stands still", unit)
+            self._begin("stands still", unit)
             unit.machine.stand_still()
 
     def thaw(self, *units: Unit) -> None:
@@ -376,8 +376,7 @@
         """No way between a machine and others of the system, or all: ``both``, only none ``out``, or none ``in``."""
         self._ways(one, others, ways, self.network.lose_way)
         self._mark("cut", one)
-        if not one.core:
-            self._begin("is cut off", one)
+        self._begin("is cut off", one)
 
     def join(self, one: Unit, others: Iterable[Unit] | None = None, ways: str = "both") -> None:
         self._ways(one, others, ways, self.network.find_way)
@@ -400,10 +399,11 @@
             if other != zone:
                 self.network.cut(zone, other)
         for unit in self.units:
-            self.network.lose_way(unit.machine, self.platform) if unit.zone == zone else None
+            if unit.zone == zone:
+                self.network.lose_way(unit.machine, self.platform)
         here = [unit for unit in self.units if unit.zone == zone]
         self._mark("cut", *here)
-        self._begin("is cut off", *(unit for unit in here if not unit.core))
+        self._begin("is cut off", *here)
 
     def join_zone(self, zone: int) -> None:
         for other in range(self.zones):
@@ -423,11 +423,11 @@
         """Its disk takes so many times as long; 1 ends that."""
         self._end("slow disk", unit)
         if factor != 1:
-            self._begin("slow disk", unit)
+            self._begin("slow disk", unit, slows=True)
         unit.machine.drive.slow(factor)
 
     async def hang_disk(self, unit: Unit, seconds: float) -> None:
-        self._begin("disk hangs", unit)
+        self._begin("disk hangs", unit, slows=True)
         unit.machine.drive.hang(seconds)
         await trio.sleep(seconds)
         self._end("disk hangs", unit)
@@ -435,7 +435,7 @@
     def refuse_writes(self, unit: Unit, refuses: bool = True) -> None:
         self._end("refused", unit)
         if refuses:
-            self._begin("refused", unit)
+            self._begin("refused", unit, slows=True)
         unit.machine.drive.refuse(refuses)
 
     def terminate(self, unit: Unit) -> None:
@@ -473,13 +473,24 @@
 
     # what the rules say -----------------------------------
 
-    def in_trouble(self, whom: str, since: float, until: float) -> bool:
-        """Whether a counter, or all, met trouble at any time within this."""
-        return any(trouble.whom in (ALL, whom) and trouble.since <= until and trouble.until >= since
-                   for trouble in self.troubles)
+    def out_of_touch(self, counter: str, since: float, until: float) -> bool:
+        """Whether a counter or the core as a whole was unsettled at any time within this, or ``CONTACT`` before."""
+        return any(trouble.unsettles and (trouble.core or trouble.machine == counter)
+                   for trouble in self._met(since, until))
+
+    def adrift(self, counter: str, since: float, until: float) -> bool:
+        """Whether, within this or ``CONTACT`` before, the counter was, or more of the core than may be lost."""
+        met = list(self._met(since, until))
+        return (any(trouble.machine == counter for trouble in met)
+                or len({trouble.machine for trouble in met if trouble.core}) > self.f)
+
+    def _met(self, since: float, until: float) -> Iterable[Trouble]:
+        return (trouble for trouble in self.troubles
+                if trouble.since <= until and trouble.until >= since - CONTACT)
 
     def breaches(self) -> list[Breach]:
-        """The rules that were broken, those with a time bound only by machines in touch."""
+        """The rules that were broken, those with a time bound only by machines in touch. While the core is unsettled,
+        and most of it there, the bound of a configuration is ``SKEW`` longer."""
         late = {id(fact) for fact in self.facts if type(fact) is Ordered and any(
             holder == fact.holder and at <= fact.at <= at + REACH for at, holder in self.thawed)}
         facts = [fact for fact in self.facts if id(fact) not in late]
@@ -487,14 +498,16 @@
         through = {fact.id: front[fact.front] for fact in facts if type(fact) is Asked}
         spans = {"CONFIG": APPLY, "VERSION": VERSION, "DRAIN": DRAIN}
 
-        def excused(breach: Breach) -> bool:
+        def excused(breach: Breach, excuse: Callable[[str, float, float], bool], more: float = 0.0) -> bool:
             counter = next((through[id] for id in breach.ids if id in through), None)
-            if breach.rule not in spans or counter is None:
-                return False
-            return self.in_trouble(counter, breach.at - spans[breach.rule] - CONTACT, breach.at)
-
-        found = rules.check(facts, rules.Bounds(APPLY, DRAIN, VERSION, LEASE))
-        return [breach for breach in found if not excused(breach)]
+            span = spans.get(breach.rule, 0.0) + more
+            return breach.rule in spans and counter is not None and excuse(counter, breach.at - span, breach.at)
+
+        found = [breach for breach in rules.check(facts, rules.Bounds(APPLY, DRAIN, VERSION, LEASE))
+                 if not excused(breach, self.out_of_touch)]
+        found += [breach for breach in rules.config(facts, APPLY + SKEW)
+                  if not excused(breach, self.adrift, SKEW) and breach not in found]
+        return sorted(found, key=lambda breach: breach.at)
 
     def served(self, since: float = 0.0, until: float = float("inf"), names: Sequence[str] = ()) -> float:
         """The part of the calls begun within this, by these clients or all, that were answered whole; calls that
--- /dev/null
+++ b/tests/test_ledger_protocol.py
@@ -0,0 +1,455 @@
+"""The ledger's deciding module: unit tests on a small rig, drawn walks, and planted faults that must be found."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+
+from rowanshift.ledger import explorer
+from rowanshift.ledger import protocol as p
+from rowanshift.ledger.explorer import Host, World, half
+
+ME, OTHER, THIRD, FOURTH = 1, 2, 3, 4
+
+
+def never(sender: int, to: int, message: p.Message) -> bool:
+    return False
+
+
+class Rig:
+    """Machines whose messages arrive at once and whose saves land at once, unless a test says otherwise."""
+
+    def __init__(self, machines: int = 3, f: int = 1, spares: int = 0, duty_wait: float = 0.0) -> None:
+        seeds = tuple(range(1, machines + 1))
+        self.world = World({}, f, seeds)
+        self.duty_wait = duty_wait
+        self.drop: Callable[[int, int, p.Message], bool] = never
+        self.stuck: set[int] = set()  # machines whose saves don't land
+        self.paused: set[int] = set()
+        self.events: list[tuple[float, int, p.Action]] = []
+        for me in range(1, machines + spares + 1):
+            self.world.hosts[me] = Host(None)
+            self.start(me, bootstrap=me <= machines)
+
+    def start(self, me: int, bootstrap: bool = False) -> None:
+        host, world = self.world.hosts[me], self.world
+        ledger = p.Ledger(me, world.f, world.seeds, bootstrap, host.disk, world.now, half, self.duty_wait)
+        drain = ledger.drain
+
+        def noted() -> list[p.Action]:
+            actions = drain()
+            self.events += [(world.now, me, a) for a in actions if not isinstance(a, p.Send | p.Save)]
+            return actions
+
+        ledger.drain = noted
+        host.ledger = ledger
+        world.collect(me)
+
+    def settle(self) -> None:
+        world = self.world
+        for _ in range(2000):
+            saving = [m for m, h in world.hosts.items() if h.save is not None and m not in self.stuck]
+            moving = [i for i, entry in enumerate(world.net) if entry[1] not in self.paused]
+            if moving:
+                sender, to, message = world.net[moving[0]]
+                if world.hosts[to].ledger is None or self.drop(sender, to, message):
+                    world.net.pop(moving[0])
+                else:
+                    world.deliver(moving[0])
+            elif saving:
+                world.sync(saving[0])
+            else:
+                world.check_leases()
+                return
+        raise AssertionError("the machines never come to rest")
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> float:
+        """Let `seconds` pass, or fewer once `until` holds; the seconds that passed."""
+        began = self.world.now
+        self.settle()
+        while self.world.now < began + seconds and not until():
+            self.world.now += 0.05
+            for me, host in self.world.hosts.items():
+                if host.ledger is not None and me not in self.paused:
+                    self.world.tick(me)
+            self.settle()
+        return self.world.now - began
+
+    def ledger(self, me: int) -> p.Ledger:
+        return self.world.hosts[me].ledger
+
+    def primary(self) -> int:
+        """The machine that is primary by the highest number, or 0."""
+        found = [
+            (h.ledger.record.number, me)
+            for me, h in self.world.hosts.items()
+            if h.ledger is not None and h.ledger.is_primary
+        ]
+        return max(found, default=(0, 0))[1]
+
+    def elect(self) -> int:
+        self.run(3, lambda: bool(self.primary()))
+        self.run(0.5)
+        return self.primary()
+
+    def commit(self) -> int:
+        """Propose at the primary and settle; how many are committed."""
+        self.world.propose(self.primary())
+        self.settle()
+        return self.world.committed
+
+    def of(self, kind: type) -> list[tuple[float, int, p.Action]]:
+        return [event for event in self.events if isinstance(event[2], kind)]
+
+
+def answers(ledger: p.Ledger) -> list[p.Message]:
+    return [action.message for action in ledger.drain() if isinstance(action, p.Send)]
+
+
+def single(durable: p.Durable | None = None, bootstrap: bool = True, now: float = 0.0) -> p.Ledger:
+    """One machine of three, its first save landed."""
+    ledger = p.Ledger(ME, 1, (ME, OTHER, THIRD), bootstrap, durable, now, half)
+    for action in ledger.drain():
+        if isinstance(action, p.Save):
+            ledger.saved(action.token, now)
+    return ledger
+
+
+def number(round_: int, machine: int) -> int:
+    return round_ << 32 | machine
+
+
+RECORD = p.EpochRecord(number(1, OTHER), OTHER, (ME, OTHER), (ME, OTHER, THIRD))
+HELD = p.Durable(RECORD.number, RECORD, (RECORD.number, 3), b"abcd", False)
+
+
+class Saves(unittest.TestCase):
+    def test_a_promise_is_sent_only_once_it_is_saved(self):
+        ledger = single()
+        ledger.receive(OTHER, p.Prepare(number(1, OTHER)), 1.0)
+        save, *more = ledger.drain()
+        self.assertEqual(([], number(1, OTHER)), (more, save.durable.promised))
+        ledger.saved(save.token, 1.1)
+        self.assertEqual([True], [m.ok for m in answers(ledger)])
+
+    def test_one_save_is_outstanding_and_later_ones_go_together(self):
+        ledger = single()
+        ledger.receive(OTHER, p.Prepare(number(1, OTHER)), 1.0)
+        first = ledger.drain()[0]
+        ledger.receive(THIRD, p.Prepare(number(2, THIRD)), 1.0)
+        ledger.receive(THIRD, p.Store(number(2, THIRD), (number(2, THIRD), 0), b"abcd"), 1.0)
+        self.assertEqual([], ledger.drain())
+        ledger.saved(first.token, 1.1)
+        sent, second = ledger.drain()
+        self.assertEqual((OTHER, b"abcd"), (sent.to, second.durable.sheet))
+        ledger.saved(second.token, 1.2)
+        self.assertEqual([p.Promised, p.Stored], [type(m) for m in answers(ledger)])
+
+    def test_nothing_is_answered_after_a_failed_save(self):
+        ledger = single()
+        ledger.receive(OTHER, p.Prepare(number(1, OTHER)), 1.0)
+        ledger.save_failed(ledger.drain()[0].token, 1.1)
+        ledger.tick(1.2)
+        self.assertEqual([], [m for m in answers(ledger) if isinstance(m, p.Promised)])
+        ledger.receive(THIRD, p.Prepare(number(0, THIRD)), 1.2)
+        self.assertEqual([False], [m.ok for m in answers(ledger)])  # the promise may have reached the disk
+
+    def test_a_record_not_yet_saved_is_not_shown(self):
+        ledger = single()
+        ledger.receive(OTHER, p.Confirm(RECORD.number, 1, RECORD), 1.0)
+        self.assertEqual(0, ledger.record.number)
+        ledger.saved(ledger.drain()[0].token, 1.1)
+        self.assertEqual(RECORD, ledger.record)
+        self.assertEqual([p.Confirmed], [type(m) for m in answers(ledger)])
+
+    def test_a_durable_wins_over_bootstrap(self):
+        self.assertEqual(RECORD, single(HELD, bootstrap=True).record)
+
+
+class Witness(unittest.TestCase):
+    def ask(self, ledger: p.Ledger, message: p.Message, now: float, sender: int = THIRD) -> p.Message:
+        ledger.receive(sender, message, now)
+        actions = ledger.drain()
+        for action in actions:
+            if isinstance(action, p.Save):
+                ledger.saved(action.token, now)
+        found = [a.message for a in (*actions, *ledger.drain()) if isinstance(a, p.Send) and a.to == sender]
+        return found[-1] if found else None
+
+    def test_it_promises_no_lower_number(self):
+        ledger = single()
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 1.0).ok)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 1.0).ok)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(1, THIRD)), 1.0).ok)
+
+    def test_below_its_promise_it_neither_accepts_nor_stores_nor_confirms(self):
+        ledger = single(HELD)
+        high = number(2, THIRD)
+        self.assertTrue(self.ask(ledger, p.Prepare(high), 10.0).ok)
+        low = RECORD.number
+        for message in (p.Accept(low, RECORD), p.Store(low, (low, 4), b"abcdefgh"), p.Confirm(low, 9, RECORD)):
+            answer = self.ask(ledger, message, 10.0, OTHER)
+            self.assertEqual((False, high), (answer.ok, answer.promised))
+
+    def test_it_promises_to_no_other_while_a_lease_may_be_held(self):
+        ledger = single(HELD)
+        self.assertTrue(self.ask(ledger, p.Confirm(RECORD.number, 1, RECORD), 10.0, OTHER).ok)
+        late = 10.0 + p.BLOCK - 0.01
+        self.assertFalse(self.ask(ledger, p.PreVote(number(2, THIRD)), late).ok)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), late).ok)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, OTHER)), late, OTHER).ok)  # the holder itself
+        self.assertTrue(self.ask(ledger, p.Prepare(number(3, THIRD)), 10.0 + p.BLOCK).ok)
+
+    def test_it_waits_after_its_own_start(self):
+        ledger = single(HELD, now=100.0)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + p.BLOCK - 0.01).ok)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + p.BLOCK).ok)
+
+    def test_a_primary_that_hands_over_gives_up_its_lease(self):
+        ledger = single(HELD)
+        self.ask(ledger, p.Confirm(RECORD.number, 1, RECORD), 10.0, OTHER)
+        self.ask(ledger, p.Nominate(RECORD.number - 1), 10.0, OTHER)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 10.1).ok)
+        self.ask(ledger, p.Nominate(RECORD.number), 10.1, OTHER)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 10.2).ok)
+
+    def test_a_forgotten_one_takes_part_in_nothing(self):
+        ledger = single(bootstrap=False)
+        high = number(9, THIRD)
+        record = p.EpochRecord(high, THIRD, (ME, THIRD), (ME, OTHER, THIRD))
+        for message in (
+            p.PreVote(high), p.Prepare(high), p.Store(high, (high, 0), b""), p.Accept(high, record),
+            p.Confirm(high, 1, record), p.Nominate(high),
+        ):  # fmt: skip
+            self.assertIsNone(self.ask(ledger, message, 1.0), message)
+        self.assertTrue(ledger.is_forgotten)
+
+    def recalled(self, ledger: p.Ledger, now: float) -> int:
+        """Tick; the serial it asks with, or 0."""
+        ledger.tick(now)
+        return next((m.serial for m in answers(ledger) if isinstance(m, p.Recall)), 0)
+
+    def test_it_remembers_once_two_of_three_others_answered(self):
+        ledger = single(bootstrap=False)
+        self.assertEqual(0, self.recalled(ledger, p.RECALL_WAIT - 0.1))
+        serial = self.recalled(ledger, p.RECALL_WAIT)
+        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
+        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
+        self.ask(ledger, p.Recalled(serial + 1, number(4, THIRD), RECORD, False), 3.0, THIRD)
+        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, True), 3.0, THIRD)
+        self.assertTrue(ledger.is_forgotten)
+        self.ask(ledger, p.Recalled(serial, number(5, THIRD), p.NO_RECORD, False), 3.0, THIRD)
+        self.assertFalse(ledger.is_forgotten)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(4, OTHER)), 9.0, OTHER).ok)
+        self.assertEqual(RECORD, self.ask(ledger, p.Prepare(number(6, OTHER)), 9.0, OTHER).accepted)
+
+
+class Office(unittest.TestCase):
+    def test_the_first_primary_commits_and_reads(self):
+        rig = Rig()
+        primary = rig.elect()
+        self.assertEqual(1, rig.commit())
+        rig.world.read(primary)
+        rig.settle()
+        self.assertEqual(1, len(rig.of(p.ReadConfirmed)))
+        self.assertEqual(2, len(rig.ledger(primary).record.in_sync))
+        now = rig.world.now
+        self.assertGreater(rig.ledger(primary).lease_until(now), now)
+
+    def test_one_machine_alone_with_no_faults_to_bear(self):
+        rig = Rig(machines=1, f=0)
+        rig.elect()
+        rig.world.read(1)
+        self.assertEqual((1, 1), (rig.commit(), len(rig.of(p.ReadConfirmed))))
+
+    def test_a_takeover_keeps_what_was_committed(self):
+        rig = Rig(duty_wait=4.0)
+        first = rig.elect()
+        rig.commit()
+        kept = rig.ledger(first).committed_sheet
+        rig.world.crash(first, landed=False)
+        took = rig.run(5, lambda: bool(rig.primary()))
+        self.assertLess(took, 2.0)
+        second = rig.ledger(rig.primary())
+        self.assertEqual(kept, second.committed_sheet)
+        self.assertAlmostEqual(rig.world.now + 4.0, second.duty_from, delta=0.01)
+        self.assertEqual(2, rig.commit())
+
+    def test_an_old_primary_confirms_no_read_after_a_takeover(self):
+        rig = Rig()
+        first = rig.elect()
+        rig.paused = {first}
+        rig.run(3, lambda: rig.primary() not in (0, first))
+        self.assertNotEqual(first, rig.primary())
+        rig.commit()
+        rig.paused = set()
+        rig.world.net = [entry for entry in rig.world.net if entry[1] != first]  # it has heard nothing of it
+        self.assertTrue(rig.ledger(first).is_primary)
+        now = rig.world.now
+        self.assertLess(rig.ledger(first).lease_until(now), now)
+        rig.world.read(first)
+        rig.world.propose(first)
+        token = rig.world.tokens
+        rig.run(2)
+        self.assertFalse(rig.ledger(first).is_primary)
+        self.assertEqual([], [e for e in rig.of(p.ReadConfirmed) if e[1] == first])
+        self.assertEqual([token], [e[2].token for e in rig.of(p.Failed)])
+        self.assertEqual([token - 1], [e[2].token for e in rig.of(p.ReadFailed)])
+
+    def test_a_primary_without_a_majority_gives_up(self):
+        rig = Rig()
+        first = rig.elect()
+        rig.drop = lambda sender, to, message: first in (sender, to)
+        rig.run(p.LAPSE + 0.3)
+        self.assertFalse(rig.ledger(first).is_primary)
+
+    def test_a_silent_backup_is_replaced_and_the_proposal_goes_through(self):
+        rig = Rig()
+        primary = rig.elect()
+        record = rig.ledger(primary).record
+        backup = next(m for m in record.in_sync if m != primary)
+        rig.world.crash(backup, landed=False)
+        self.assertEqual(0, rig.commit())
+        rig.run(1.5, lambda: rig.world.committed == 1)
+        self.assertEqual(1, rig.world.committed)
+        after = rig.ledger(primary).record
+        self.assertGreater(after.number, record.number)
+        self.assertNotIn(backup, after.in_sync)
+        self.assertEqual(1, len(rig.of(p.Became)))  # primary all the while
+
+    def test_a_backup_with_a_slow_disk_is_replaced(self):
+        rig = Rig()
+        primary = rig.elect()
+        backup = next(m for m in rig.ledger(primary).record.in_sync if m != primary)
+        rig.stuck = {backup}
+        rig.commit()
+        rig.run(1.5, lambda: rig.world.committed == 1)
+        self.assertEqual(1, rig.world.committed)
+        self.assertNotIn(backup, rig.ledger(primary).record.in_sync)
+
+    def test_a_candidate_not_in_sync_nominates_one_that_is(self):
+        rig = Rig()
+        primary = rig.elect()
+        rig.commit()
+        record = rig.ledger(primary).record
+        backup = next(m for m in record.in_sync if m != primary)
+        rig.world.crash(primary, landed=False)
+        rig.ledger(backup)._stand_at = float("inf")
+        rig.run(4, lambda: bool(rig.primary()))
+        self.assertEqual(backup, rig.primary())
+
+    def test_a_failed_save_hands_over(self):
+        rig = Rig()
+        first = rig.elect()
+        rig.stuck = {first}
+        rig.commit()
+        rig.world.sync(first, ok=False)
+        self.assertEqual([False], [e[2].primary for e in rig.of(p.Became)][1:])
+        self.assertEqual(1, len(rig.of(p.Failed)))
+        rig.run(1.0, lambda: bool(rig.primary()))
+        self.assertNotIn(rig.primary(), (0, first))
+
+    def test_a_slow_save_hands_over(self):
+        rig = Rig()
+        first = rig.elect()
+        rig.stuck = {first}
+        rig.commit()
+        took = rig.run(4, lambda: rig.primary() not in (0, first))
+        self.assertNotIn(rig.primary(), (0, first))
+        self.assertLess(took, p.SLOW_SAVE + 0.6)
+
+    def test_a_lost_disk_is_made_good(self):
+        rig = Rig()
+        primary = rig.elect()
+        rig.commit()
+        backup = next(m for m in rig.ledger(primary).record.in_sync if m != primary)
+        rig.world.crash(backup, landed=False)
+        rig.world.hosts[backup].disk = None
+        rig.start(backup)
+        rig.run(6)
+        self.assertFalse(rig.ledger(backup).is_forgotten)
+        record = rig.ledger(primary).record
+        for member in record.in_sync:
+            self.assertEqual(rig.ledger(primary).committed_sheet, rig.world.hosts[member].disk.sheet)
+
+    def test_an_in_sync_machine_that_lost_its_disk_gets_the_sheet_anew(self):
+        rig = Rig()
+        primary = rig.elect()
+        rig.commit()
+        record = rig.ledger(primary).record
+        backup = next(m for m in record.in_sync if m != primary)
+        rig.world.crash(backup, landed=False)
+        rig.world.hosts[backup].disk = p.Durable(record.number, record, (0, 0), b"", False)
+        rig.start(backup)
+        rig.run(0.5)
+        self.assertEqual(record, rig.ledger(primary).record)
+        self.assertEqual(rig.ledger(primary).committed_sheet, rig.world.hosts[backup].disk.sheet)
+
+    def test_a_witness_that_is_gone_is_replaced_by_a_spare(self):
+        rig = Rig(spares=1)
+        primary = rig.elect()
+        rig.run(4)
+        self.assertFalse(rig.ledger(FOURTH).is_forgotten)
+        gone = next(m for m in (1, 2, 3) if m not in rig.ledger(primary).record.in_sync)
+        rig.world.crash(gone, landed=False)
+        rig.run(5)
+        record = rig.ledger(primary).record
+        self.assertEqual(({1, 2, 3, 4} - {gone}, ()), (set(record.witnesses), record.former))
+        rig.start(gone)  # it learns that it is no witness any more
+        rig.run(3)
+        self.assertEqual(record.witnesses, rig.ledger(gone).record.witnesses)
+
+    def test_a_change_of_witnesses_wants_a_majority_of_both_sets(self):
+        candidacy = p.Candidacy(
+            number(5, ME), True, "accept", 0.0, 0.0, 0.0, base=RECORD,
+            record=p.EpochRecord(number(5, ME), ME, (ME, OTHER), (ME, OTHER, FOURTH), (ME, OTHER, THIRD)),
+        )  # fmt: skip
+        sets = single()._deciding(candidacy)
+        self.assertEqual({(ME, OTHER, THIRD), (ME, OTHER, FOURTH)}, set(sets))
+
+    def test_what_is_asked_of_the_wrong_machine_or_too_early_or_too_large(self):
+        rig = Rig()
+        primary = rig.elect()
+        other = next(m for m in (1, 2, 3) if m != primary)
+        with self.assertRaises(p.NotPrimary) as caught:
+            rig.ledger(other).propose(1, b"", rig.world.now)
+        self.assertEqual(primary, caught.exception.hint)
+        with self.assertRaises(p.NotPrimary):
+            rig.ledger(other).confirm_read(1, rig.world.now)
+        with self.assertRaises(p.SheetTooLarge):
+            rig.ledger(primary).propose(1, bytes(p.SHEET_LIMIT + 1), rig.world.now)
+        rig.ledger(primary).propose(1, b"aaaa", rig.world.now)
+        with self.assertRaises(p.Busy):
+            rig.ledger(primary).propose(2, b"bbbb", rig.world.now)
+        self.assertEqual(b"", rig.ledger(primary).committed_sheet)
+
+
+class Explored(unittest.TestCase):
+    def walk(self, seeds: range, machines: int, f: int, spares: int) -> None:
+        committed = 0
+        for seed in seeds:
+            outcome = explorer.Walk(seed, machines, f, spares).run(5000)
+            self.assertEqual(("", ""), (outcome.broken, outcome.stalled), outcome)
+            committed += outcome.committed
+        self.assertGreater(committed, 10 * len(seeds))
+
+    def test_walks_of_three(self):
+        self.walk(range(1000, 1020), 3, 1, 0)
+
+    def test_walks_of_three_and_a_spare(self):
+        self.walk(range(1000, 1020), 3, 1, 1)
+
+    def test_walks_of_five_and_two_spares(self):
+        self.walk(range(1000, 1020), 5, 2, 2)
+
+    def test_breadth(self):
+        self.assertEqual("", explorer.breadth(1500).broken)
+
+    def test_planted_faults_are_found(self):
+        for fault, hunt in explorer.FAULTS.items():
+            with self.subTest(fault=fault.__name__):
+                self.assertIsNotNone(explorer.find(fault, [hunt.seed]), "not found")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -1,5 +1,7 @@
 """What staff ask a running system and its files, and the demo of the whole system, on loopback."""
 
+import ast
+import importlib
 import os
 import random
 import re
@@ -20,15 +22,20 @@
 from loguru import logger
 
 from rowanshift import boot, staff
+from rowanshift.ledger.api import ConfigResource
+from rowanshift.ledger.protocol import SheetTooLarge
 from rowanshift.ledger.store import Store
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import Answer, CallServer
+from rowanshift.net.connection import Message
 from rowanshift.records.table import CODEC, Hello
 from rowanshift.standins import whole
 
 ROOT = Path(__file__).parents[1]
 WITHIN = 30.0  # seconds for anything that is waited for
 LOOK = 0.02  # seconds between looks
+WHERE_LIMITS = "counter/*.py", "ledger/*.py", "net/links.py", "net/calls.py", "tally.py"
+WHERE_EVENTS = "counter/*.py", "ledger/*.py", "net/links.py", "net/calls.py"
 
 
 def net() -> str:
@@ -295,6 +302,12 @@
         self.played(Answer(404, b'{"error":"no configuration yet"}'))
         self.assertEqual(invoke("config", "get", "--at", self.at), (1, "rowanshift: no configuration yet\n"))
 
+    def test_what_was_never_sent_is_not_said_to_be_unclear(self) -> None:
+        self.at = f"{net()}1:8500"
+        code, said = self.put("--if-match", 8)
+        self.assertEqual(code, 1)
+        self.assertNotIn("may or may not", said)
+
     def test_answers_that_make_no_sense(self) -> None:
         for body in (b"", b"[]", b"\xff", b'{"revision":"x"}'):
             self.played(Answer(200, body))
@@ -304,6 +317,15 @@
             self.assertEqual((code, said.splitlines()[-1]), (1, "no primary"), body)
 
 
+class TooLarge(unittest.TestCase):
+    def test_a_configuration_that_the_control_state_has_no_room_for(self) -> None:
+        node = mock.Mock(change=mock.AsyncMock(side_effect=SheetTooLarge))
+        put = Message(b"PUT", b"/config", fields=[(b"if-match", b"0")], body=b"{}")
+        answer = trio.run(ConfigResource(node, 8500).call, put)
+        self.assertEqual(answer.status, 413)
+        self.assertIn(b"16773120 bytes", answer.body)
+
+
 class Offline(unittest.TestCase):
     def test_an_address_that_is_missing_or_unusable(self) -> None:
         with mock.patch.dict(os.environ, ROWANSHIFT_CONTROL=""):
@@ -347,7 +369,8 @@
                         {"name": "demo", "apiKeys": ["key-2", "key-3"]}]}
         self.assertEqual(staff.differences(whole.CONFIG, after), [
             "+ route new.example /chat/",
-            "~ route demo.example /chat/: timeoutMs 5000 -> 100, note differs, trafficSplit absent -> [chat:1]",
+            "~ route demo.example /chat/: timeoutMs 5000 -> 100, note differs, "
+            "trafficSplit absent -> [chat:1]",
             "+ service more", "~ service chat: engine.slots 4 -> 9",
             "+ tenant other", "~ tenant demo: 2 keys added, 1 removed",
             "~ limits: maxBodyBytes 1048576 -> 5"])
@@ -378,7 +401,8 @@
             code, said = invoke("ledger", "check", place)
             self.assertEqual(code, 0, said)
             for part in ("promised 43; has lost its disk", "epoch 41, primary 1.0.0.0",
-                         "in sync: 1.0.0.0, 2.0.0.0", "witnesses: 1.0.0.0, 2.0.0.0, 3.0.0.0", "sheet of epoch 41, sequence 3: revision 1",
+                         "in sync: 1.0.0.0, 2.0.0.0",
+                         "witnesses: 1.0.0.0, 2.0.0.0, 3.0.0.0", "sheet of epoch 41, sequence 3: revision 1",
                          "named: m version 7"):
                 self.assertIn(part, said)
             self.assertNotIn(whole.KEY, said)
@@ -433,6 +457,38 @@
         self.assertEqual(invoke("check", "--boot", data / "none")[0], 2)
 
 
+class Page(unittest.TestCase):
+    """``docs/operating-system.md`` against the code."""
+
+    text = (ROOT / "docs" / "operating-system.md").read_text()
+
+    def test_each_event_in_the_code_is_explained(self) -> None:
+        events = set()
+        for where in WHERE_EVENTS:
+            for path in (ROOT / "rowanshift").glob(where):
+                events |= set(re.findall(r"event=([a-z_]+)", path.read_text()))
+        told = set(re.findall(r"(?m)^\| `([a-z_]+)", self.text.split("## Log")[1].split("\n## ")[0]))
+        self.assertEqual(told, events | {"primary", "no_primary"})
+
+    def test_each_limit_in_the_code_has_its_row_and_value(self) -> None:
+        rows = re.findall(r"(?m)^\| `([a-z.]+)` \| `([A-Z_]+)` \| (\S+) \| (\S+) \|", self.text)
+        told = {(module, name): float(value) for module, name, value, _ in rows}
+        self.assertEqual(len(told), len(rows))
+        found = {}
+        for where in WHERE_LIMITS:
+            for path in (ROOT / "rowanshift").glob(where):
+                module = ".".join(path.relative_to(ROOT / "rowanshift").with_suffix("").parts)
+                if module == "ledger.explorer":
+                    continue
+                body = ast.parse(path.read_text()).body
+                names = {node.id for line in body if isinstance(line, ast.Assign) for target in line.targets
+                         for node in ast.walk(target) if isinstance(node, ast.Name) and node.id.isupper()}
+                values = vars(importlib.import_module(f"rowanshift.{module}"))
+                found |= {(module, name): float(values[name]) for name in names
+                          if type(values[name]) in (int, float) and name != "FORMAT"}
+        self.assertEqual(told, found)
+
+
 class Demo(unittest.TestCase):
     def test_one_streamed_request_is_shown_and_it_ends(self) -> None:
         said = []
