--- a/rowanshift/capacity/__init__.py
+++ b/rowanshift/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Capacity: what each role costs as the system grows, from steps measured on loopback and from record sizes."""
+"""Capacity: what each role costs as it grows, from steps measured on loopback and from record sizes."""
--- a/rowanshift/capacity/child.py
+++ b/rowanshift/capacity/child.py
@@ -19,8 +19,13 @@
 
 def figures(host: Loopback) -> dict[str, Any]:
     """What this process has used: CPU seconds, bytes of memory now and at most, bytes received and sent."""
-    return {"cpu_s": time.process_time(), "rss": rss(), "rss_most": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-            << 10, "received": host.count.received, "sent": host.count.sent}
+    return {
+        "cpu_s": time.process_time(),
+        "rss": rss(),
+        "rss_most": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss << 10,
+        "received": host.count.received,
+        "sent": host.count.sent,
+    }
 
 
 async def told(pipe: Connection) -> Any:
@@ -39,8 +44,7 @@
             at = time.process_time()
             await getattr(hollow, command)()
             own = time.process_time() - at
-            desk = hollow.desk
-            pipe.send(figures(host) | {"serial": desk.duties.roster.serial, "mark": desk.mark, "own_cpu_s": own})
+            pipe.send(figures(host) | hollow.state() | {"own_cpu_s": own})
         nursery.cancel_scope.cancel()
 
 
@@ -51,9 +55,9 @@
         channel = real_channel(host, address)
         nursery.start_soon(channel.run)
         while (command := await told(pipe)) != "stop":
-            serial, mark = command
+            roster, mark = command
             with trio.fail_after(WITHIN):
-                while channel.roster[1] < serial or channel.mark != mark:
+                while channel.roster < roster or channel.mark != mark:
                     await channel.changed(0.5)
             pipe.send(figures(host))
         nursery.cancel_scope.cancel()
--- a/rowanshift/capacity/command.py
+++ b/rowanshift/capacity/command.py
@@ -1,11 +1,10 @@
-"""``rowanshift capacity``: sweeps on loopback, figures of delivery and of failures, results as JSON and as plots."""
+"""``rowanshift capacity``: sweeps on loopback, delivery and failures, results as JSON and as plots."""
 
 import argparse
 import os
 import sys
 from collections.abc import Callable
 from contextlib import contextmanager
-from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -20,6 +19,7 @@
 from rowanshift.capacity.sweep import Plan, Shape, check_steps
 from rowanshift.policy.placement import POINTS
 
+
 def numbers(text: str) -> list[int]:
     """Steps as written: whole numbers parted by commas."""
     try:
@@ -34,12 +34,14 @@
     tenants, fanout = tuple(numbers(arguments.tenants)), tuple(numbers(arguments.fanout))
     many = Shape(routes=arguments.routes)
     whole = Shape(routes=arguments.routes, tenants=max(tenants, default=0))
-    made = [Plan("routers", "ledger", "routers", routers, Shape()),
-            Plan("servers", "ledger", "servers", servers, Shape()),
-            Plan("tenants", "ledger", "tenants", tenants, many),
-            Plan("fanout", "ledger", "routers", fanout, whole),
-            Plan("router-servers", "router", "servers", servers, Shape(routers=1)),
-            Plan("router-tenants", "router", "tenants", tenants, Shape(routers=1, routes=arguments.routes))]
+    made = [
+        Plan("routers", "ledger", "routers", routers, Shape()),
+        Plan("servers", "ledger", "servers", servers, Shape()),
+        Plan("tenants", "ledger", "tenants", tenants, many),
+        Plan("fanout", "ledger", "routers", fanout, whole),
+        Plan("router-servers", "router", "servers", servers, Shape(routers=1)),
+        Plan("router-tenants", "router", "tenants", tenants, Shape(routers=1, routes=arguments.routes)),
+    ]
     made = [plan for plan in made if plan.name in wanted]
     for plan in made:
         plan.shapes()
@@ -117,6 +119,7 @@
     results = Results(machine=this_machine())
     with progress(total) as (begun, say):
         for plan in sweeps:
+
             def began(x: int, plan: Plan = plan) -> None:
                 begun(f"{plan.name}, {plan.variable} {x}")
 
@@ -133,10 +136,19 @@
     """A sweep as plain lines: the points of each metric and the line through them."""
     told = [f"{sweep.name}: by {sweep.variable}, {', '.join(f'{k} {v:g}' for k, v in sweep.fixed.items())}"]
     for name in sweep.steps[0].metrics if sweep.steps else ():
-        points = "  ".join(f"{step.x}: {step.metrics[name]:.6g}" for step in sweep.steps if name in step.metrics)
+        points = "  ".join(
+            f"{step.x}: {step.metrics[name]:.6g}" for step in sweep.steps if name in step.metrics
+        )
         fit = sweep.lines.get(name)
-        said = "" if fit is None else (f"  no line: {fit.refused}" if fit.refused else
-                                       f"  {fit.intercept:.4g} + {fit.slope:.4g} x, {fit.residual:.1%} off")
+        said = (
+            ""
+            if fit is None
+            else (
+                f"  no line: {fit.refused}"
+                if fit.refused
+                else f"  {fit.intercept:.4g} + {fit.slope:.4g} x, {fit.residual:.1%} off"
+            )
+        )
         told.append(f"  {name:24} {points}{said}")
     return told
 
@@ -161,8 +173,11 @@
         if arguments.plots is not None:
             for path in plots.plot(results, arguments.plots):
                 print(path)
-        lines: list[Any] = report(results) if arguments.report else \
-            [text for sweep in results.sweeps for text in table(sweep)]
+        lines: list[Any] = (
+            report(results)
+            if arguments.report
+            else [text for sweep in results.sweeps for text in table(sweep)]
+        )
         print("\n".join(lines))
     except CapacityError as error:
         print(f"rowanshift: {error}", file=sys.stderr)
--- a/rowanshift/capacity/delivery.py
+++ b/rowanshift/capacity/delivery.py
@@ -1,4 +1,4 @@
-"""What a change of the configuration takes on the wire: the whole, compressed, against a difference. No I/O."""
+"""What a change of the configuration takes on the wire: the whole against a difference. No I/O."""
 
 import time
 import zlib
@@ -15,7 +15,7 @@
 
 
 def difference(before: dict[str, Any], after: dict[str, Any]) -> bytes:
-    """What a record of a difference would carry, compressed: rows that are new or changed, names that are gone."""
+    """What a record of a difference would carry, compressed: rows that are new or changed, names gone."""
     made = {}
     for kind in ("routes", "backends", "tenants"):
         old = {row["name"]: row for row in before[kind]}
@@ -40,7 +40,12 @@
     apart = difference(before, after)
     moved = after["routes"][0] | {"timeoutMs": 16000} if routes else None
     route = difference(before, before | {"routes": [moved, *before["routes"][1:]]}) if moved else b""
-    return {"body": len(body), "packed": len(packed), "whole": update(1, len(packed)),
-            "tenant_difference": DIFFERENCE_HEAD + len(apart),
-            "route_difference": DIFFERENCE_HEAD + len(route) if moved else 0,
-            "compress_cpu_s": round(packed_at - at, 6), "read_cpu_s": round(read_at - packed_at, 6)}
+    return {
+        "body": len(body),
+        "packed": len(packed),
+        "whole": update(1, len(packed)),
+        "tenant_difference": DIFFERENCE_HEAD + len(apart),
+        "route_difference": DIFFERENCE_HEAD + len(route) if moved else 0,
+        "compress_cpu_s": round(packed_at - at, 6),
+        "read_cpu_s": round(read_at - packed_at, 6),
+    }
--- a/rowanshift/capacity/fit.py
+++ b/rowanshift/capacity/fit.py
@@ -11,8 +11,8 @@
 class Line:
     """``slope`` in the metric's unit a thing stepped, ``intercept`` in the metric's unit.
 
-    ``residual`` is the largest distance of a point from the line, as a share of the larger of the points' range
-    and their mean. ``refused`` says why there is no line to go by; empty: there is one.
+    ``residual`` is the largest distance of a point from the line, as a share of the larger of the points'
+    range and their mean. ``refused`` says why there is no line to go by; empty: there is one.
     """
 
     slope: float
--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -1,7 +1,7 @@
 """Hollow parts: a configuration and a list of a given size, a ledger without clouds, routers without clients.
 
-Hollow routers speak the real Poll and read the real Update over loopback; the ledger is the real one, f = 0, one
-machine and no disk.
+Hollow routers speak the real Poll and read the real Update over loopback; the ledger is the real one, f = 0,
+one machine and no disk.
 """
 
 import random
@@ -14,6 +14,8 @@
 from rowanshift.boot import boot_of
 from rowanshift.capacity.meter import Loopback, free_port
 from rowanshift.counter.channel import Channel
+from rowanshift.ledger.duties import LIST_EVERY
+from rowanshift.ledger.node import NotConfirmed, NotPrimary, OutcomeUnknown
 from rowanshift.ledger.roster import Known, known_of
 from rowanshift.ledger.service import Desk
 from rowanshift.ledger.sheet import put_config, put_version, unpack
@@ -25,7 +27,6 @@
 MACHINE = 127 << 24 | 1 << 16  # the first hollow router's
 SERVES_WITHIN = 10.0  # seconds for the ledger to be primary
 CHANGE_WITHIN = 30.0  # seconds for a change to be committed
-UPDATE = CODEC.numbers[Update]
 AGAIN = 0.1  # seconds
 
 
@@ -39,25 +40,52 @@
 
 def tenant(chance: random.Random) -> dict[str, Any]:
     """A tenant with one key of 128 random bits."""
-    return {"name": f"tenant-{token(chance, 6)}", "apiKeys": [token(chance, 32)],
-            "priority": chance.randrange(4), "isolated": chance.random() < 0.3}
+    return {
+        "name": f"tenant-{token(chance, 6)}",
+        "apiKeys": [token(chance, 32)],
+        "priority": chance.randrange(4),
+        "isolated": chance.random() < 0.3,
+    }
 
 
 def route(chance: random.Random, services: int) -> dict[str, Any]:
-    return {"name": f"r-{token(chance, 7)}", "hostname": f"h{token(chance, 4)}.example",
-            "pathPrefix": f"/{token(chance, 7)}/", "routeType": "streaming", "timeoutMs": 15000,
-            "targetLatencyMs": 600, "priority": 1, "backend": f"pool-{chance.randrange(services):02d}",
-            "retries": 1, "public": False, "sticky": True, "resumable": False, "gap_aim_ms": 250}
+    return {
+        "name": f"r-{token(chance, 7)}",
+        "hostname": f"h{token(chance, 4)}.example",
+        "pathPrefix": f"/{token(chance, 7)}/",
+        "routeType": "streaming",
+        "timeoutMs": 15000,
+        "targetLatencyMs": 600,
+        "priority": 1,
+        "backend": f"pool-{chance.randrange(services):02d}",
+        "retries": 1,
+        "public": False,
+        "sticky": True,
+        "resumable": False,
+        "gap_aim_ms": 250,
+    }
 
 
 def configuration(tenants: int, routes: int, pools: int, seed: int = 1) -> dict[str, Any]:
     """A configuration of this size, the same for the same seed."""
     chance = random.Random(seed)
-    services = [{"name": f"pool-{i:02d}", "healthCheck": "/health", "maxConnections": 360, "protocol": "h1",
-                 "engine": {"slots": 12, "models": [{"name": name}]}} for i, name in enumerate(models(pools))]
-    return {"revision": 1, "routes": [route(chance, pools) for _ in range(routes)], "backends": services,
-            "limits": {"maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "tenants": [tenant(chance) for _ in range(tenants)]}
+    services = [
+        {
+            "name": f"pool-{i:02d}",
+            "healthCheck": "/health",
+            "maxConnections": 360,
+            "protocol": "h1",
+            "engine": {"slots": 12, "models": [{"name": name}]},
+        }
+        for i, name in enumerate(models(pools))
+    ]
+    return {
+        "revision": 1,
+        "routes": [route(chance, pools) for _ in range(routes)],
+        "backends": services,
+        "limits": {"maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [tenant(chance) for _ in range(tenants)],
+    }
 
 
 def changed(config: dict[str, Any], revision: int) -> dict[str, Any]:
@@ -75,28 +103,66 @@
 def listing(servers: int, pools: int, zones: int) -> list[dict[str, Any]]:
     """Entries of the platform's list."""
     names = models(pools)
-    return [{"id": f"i-{i * 2654435761 % (1 << 32):08x}", "backend": f"pool-{i % pools:02d}",
-             "address": f"10.{64 + i // 60000}.{i // 250 % 240}.{i % 250 + 1}:8080", "zone": f"zone-{i % zones:02d}",
-             "revision": "v1", "slots": 12, "state": "up", "warmupLeftMs": 0, "stage": "both",
-             "models": [{"name": names[i % pools], "revision": 1, "adapters": []}]} for i in range(servers)]
+    return [
+        {
+            "id": f"i-{i * 2654435761 % (1 << 32):08x}",
+            "backend": f"pool-{i % pools:02d}",
+            "address": f"10.{64 + i // 60000}.{i // 250 % 240}.{i % 250 + 1}:8080",
+            "zone": f"zone-{i % zones:02d}",
+            "revision": "v1",
+            "slots": 12,
+            "state": "up",
+            "warmupLeftMs": 0,
+            "stage": "both",
+            "models": [{"name": names[i % pools], "revision": 1, "adapters": []}],
+        }
+        for i in range(servers)
+    ]
 
 
 def pages(entries: list[dict[str, Any]], page: int = 50) -> list[bytes]:
     """The bodies of one reading of the list."""
-    return [orjson.dumps({"instances": entries[at:at + page], "nextToken": None if at + page >= len(entries)
-                          else f"p-{at + page}"}) for at in range(0, len(entries), page)]
+    return [
+        orjson.dumps(
+            {
+                "instances": entries[at : at + page],
+                "nextToken": None if at + page >= len(entries) else f"p-{at + page}",
+            }
+        )
+        for at in range(0, len(entries), page)
+    ]
+
+
+def named(raw: bytes, model: str) -> bytes | None:
+    """The sheet with version 1 named for a model."""
+    taken = put_version(unpack(raw), model, 1)
+    return None if taken is None else taken.pack()
 
 
 class HollowLedger:
     """The real ledger service, one machine, filled with a configuration, versions and a list."""
 
-    def __init__(self, host: Loopback, servers: int, tenants: int, routes: int, pools: int, zones: int = 10) -> None:
+    def __init__(
+        self, host: Loopback, servers: int, tenants: int, routes: int, pools: int, zones: int = 10
+    ) -> None:
         port, control = free_port(), free_port()
         self.host = host
-        self.desk = Desk(boot_of({
-            "nodeName": "hollow", "machineClass": "core", "ip": "127.0.0.1", "zone": "z", "bootstrap": True,
-            "listenAddresses": {"controlPlane": f"127.0.0.1:{control}"}, "internalPorts": [port, port + 1],
-            "seedNodes": [f"127.0.0.1:{port}"]}), host, seed=1)
+        self.desk = Desk(
+            boot_of(
+                {
+                    "nodeName": "hollow",
+                    "machineClass": "core",
+                    "ip": "127.0.0.1",
+                    "zone": "z",
+                    "bootstrap": True,
+                    "listenAddresses": {"controlPlane": f"127.0.0.1:{control}"},
+                    "internalPorts": [port, port + 1],
+                    "seedNodes": [f"127.0.0.1:{port}"],
+                }
+            ),
+            host,
+            seed=1,
+        )
         self.address: Address = ("127.0.0.1", port)
         self.entries, self.pages = listing(servers, pools, zones), []
         self.config = configuration(tenants, routes, pools)
@@ -110,22 +176,47 @@
                 await trio.sleep(0.02)
         await self.put(self.config)
         for name in self.models:
-            await self.desk.node.change(lambda raw, name=name: put_version(unpack(raw), name, 1).pack(), 5.0)
-        self.desk.duties.roster.take(self.known())
-        self.desk.refresh()
-        self.desk._tell()
+            await self.change(lambda raw, name=name: named(raw, name))
+        nursery.start_soon(self.fill)
+        while not self.desk.duties.roster.serial:
+            await trio.sleep(0.02)
+
+    async def fill(self) -> None:
+        """Takes the list in where it is not known: at first, and after the primacy was lost."""
+        while True:
+            self.desk.refresh()
+            if not self.desk.duties.roster.serial and self.desk.node.holds():
+                self.desk.duties.roster.take(self.known())
+                self.desk._tell()
+            await trio.sleep(LIST_EVERY if self.desk.duties.roster.serial else 0.1)
+
+    def state(self) -> dict[str, Any]:
+        """What routers are to know now, and how often the primacy was taken."""
+        desk, number = self.desk, self.desk.node.ledger.record.number
+        return {"roster": (number, desk.duties.roster.serial), "mark": desk.mark, "epoch": number >> 32}
+
+    async def change(self, made: Callable[[bytes], bytes | None]) -> None:
+        """A change, again while the ledger is not primary: one whose loop stood still loses its lease."""
+        with trio.fail_after(CHANGE_WITHIN):
+            while True:
+                try:
+                    await self.desk.node.change(made, CHANGE_WITHIN)
+                    return
+                except (NotPrimary, NotConfirmed, OutcomeUnknown):
+                    await trio.sleep(AGAIN)
 
     def known(self) -> list[Known]:
         return [known_of(entry) for entry in self.entries]
 
     async def put(self, config: dict[str, Any]) -> None:
-        body, desk = orjson.dumps(config), self.desk
+        body = orjson.dumps(config)
 
         def made(raw: bytes) -> bytes:
             sheet = unpack(raw)
-            return put_config(sheet, str(sheet.revision), body)[0].pack()
+            taken = put_config(sheet, str(sheet.revision), body)
+            return None if taken is None else taken[0].pack()
 
-        await desk.node.change(made, CHANGE_WITHIN)
+        await self.change(made)
         self.config = config
 
     async def change_config(self) -> None:
@@ -152,14 +243,40 @@
         self.desk.told_to_stop.set()
 
 
+UNPACKED: dict[bytes, Any] = {}  # answers that many routers of this process get alike
+MOST_UNPACKED = 8
+ASKED_WITH = [name for name in Poll.__dataclass_fields__ if name not in ("machine", "started")]
+
+
+def unpacked(kind: int, body: bytes) -> Any:
+    """The record in an answer; those alike are read once, as the routers' own work isn't measured."""
+    if len(body) < 4096:
+        return CODEC.unpack(kind, body)
+    if body not in UNPACKED:
+        if len(UNPACKED) >= MOST_UNPACKED:
+            UNPACKED.clear()
+        UNPACKED[body] = CODEC.unpack(kind, body)
+    return UNPACKED[body]
+
+
 class HollowRouter:
-    """A router without clients: real polls, answers read up to what it asks with next time."""
+    """A router without clients: real polls; of the answers it keeps what it asks with next time."""
 
-    def __init__(self, host: Loopback, number: int, address: Address, told: Callable[["HollowRouter"], None]) -> None:
+    def __init__(
+        self, host: Loopback, number: int, address: Address, told: Callable[["HollowRouter", Update], None]
+    ) -> None:
         self.host, self.machine, self.address, self.told = host, MACHINE + number, address, told
-        self.stamp, self.mark, self.roster = (0, 0), 0, (0, 0)
+        self.has = {name: 0 if name == "mark" else (0, 0) for name in ASKED_WITH}
         self.polls = self.answers = 0
 
+    @property
+    def mark(self) -> int:
+        return self.has["mark"]
+
+    @property
+    def roster(self) -> tuple[int, int]:
+        return self.has["roster"]
+
     async def run(self, most: int | None = None) -> None:
         """Polls, ``most`` times if that is given."""
         stream = self.host.stream()
@@ -167,8 +284,8 @@
             await connect(stream, self.address)
             frames, ring = Frames(), Ring()
             while most is None or self.polls < most:
-                poll = Poll(self.machine, 1, self.stamp, self.mark, self.roster)
                 self.polls += 1
+                poll = Poll(self.machine, 1, **self.has)
                 await send_all(stream, CODEC.pack(poll, self.polls & 0xFFFFFFFF))
                 ready: list[tuple[int, int, bytes]] = []
                 while not ready:
@@ -177,19 +294,15 @@
                     ready = frames.feed(ring.read())
                 self.answers += 1
                 kind, _, body = ready[0]
-                if kind == UPDATE:
-                    self._take(body)
+                answer = unpacked(kind, body)
+                if isinstance(answer, Update):
+                    self.has = {name: getattr(answer, name) for name in ASKED_WITH}
+                    self.told(self, answer)
                 else:
                     await trio.sleep(AGAIN)
         finally:
             stream.close()
 
-    def _take(self, body: bytes) -> None:
-        (self.stamp, mark, has_sheet, _, _, _, roster, has_rows), _ = CODEC.read(body, 0, "pq?qbvp?")
-        self.mark, self.roster = mark, roster
-        if has_sheet or has_rows:
-            self.told(self)
-
 
 class Fleet:
     """Hollow routers that share a process."""
@@ -199,8 +312,11 @@
         self.goal: Callable[[HollowRouter], bool] = lambda router: bool(router.mark and router.roster[1])
         self.pending = set(self.routers)
         self.all = trio.Event()
+        self.log: list[Update] | None = None  # of all answers, if it is given
 
-    def _heard(self, router: HollowRouter) -> None:
+    def _heard(self, router: HollowRouter, answer: Update) -> None:
+        if self.log is not None:
+            self.log.append(answer)
         if router in self.pending and self.goal(router):
             self.pending.discard(router)
             if not self.pending:
--- a/rowanshift/capacity/plots.py
+++ b/rowanshift/capacity/plots.py
@@ -28,7 +28,9 @@
 
 def page(pyplot: Any, sweep: Sweep, path: Path) -> Path:
     names = [name for name in sweep.lines if any(step.metrics[name] for step in sweep.steps)]
-    figure, panels = pyplot.subplots(-(-len(names) // 4), 4, figsize=(18, 3.2 * -(-len(names) // 4)), squeeze=False)
+    figure, panels = pyplot.subplots(
+        -(-len(names) // 4), 4, figsize=(18, 3.2 * -(-len(names) // 4)), squeeze=False
+    )
     xs = [step.x for step in sweep.steps]
     for name, panel in zip(names, panels.flat, strict=False):
         fit = sweep.lines[name]
@@ -37,7 +39,7 @@
             panel.plot(xs, [fit.at(x) for x in xs], "-")
         panel.set_xscale("log")
         panel.set_title(f"{name}{': no line' if fit.refused else ''}", fontsize=9)
-    for panel in list(panels.flat)[len(names):]:
+    for panel in list(panels.flat)[len(names) :]:
         panel.set_visible(False)
     figure.suptitle(f"{sweep.name}: by {sweep.variable}")
     figure.tight_layout()
--- a/rowanshift/capacity/results.py
+++ b/rowanshift/capacity/results.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class Step:
-    """One size, with its metrics: ``_s`` seconds, ``_cpu_s`` of CPU, bytes and counts else; ``_per_s`` a second."""
+    """One size, with its metrics: ``_s`` seconds, ``_cpu_s`` of CPU, else or counts; ``_per_s`` a second."""
 
     x: int
     metrics: dict[str, float]
@@ -54,9 +54,14 @@
 
 def this_machine() -> dict[str, Any]:
     """What the figures were measured on; others may have used it meanwhile."""
-    return {"at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()), "python": platform.python_version(),
-            "cores": os.cpu_count(), "memory": os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE"),
-            "load": [round(value, 2) for value in os.getloadavg()], "shared": True}
+    return {
+        "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "memory": os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE"),
+        "load": [round(value, 2) for value in os.getloadavg()],
+        "shared": True,
+    }
 
 
 def written(results: Results) -> bytes:
--- a/rowanshift/capacity/sizes.py
+++ b/rowanshift/capacity/sizes.py
@@ -1,14 +1,16 @@
 """The stated size, the budgets, and the exact lengths of records on the wire. No I/O.
 
-A change to ``rowanshift.records`` that changes a length fails ``tests/test_capacity.py`` until it is told here.
+A change to ``rowanshift.records`` that changes a length fails ``tests/test_capacity.py`` until it is here.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from rowanshift.records.codec import HEAD
+from rowanshift.records.delivery import CODEC, KINDS, Poll, Update
 
 DAY = 86400  # seconds
+FIXED = {"q": 8, "?": 1, "d": 8, "p": 16, "s": 2, "b": 4, "t": 2, "v": 2, "o": 4}  # bytes of a field, empty
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,16 +67,28 @@
     return text(id) + text(service) + text(address) + text(zone) + 16 + versions(of)
 
 
-def poll() -> int:
-    """Bytes of a Poll's frame: machine, start, stamp, mark, roster."""
-    return HEAD.size + 8 + 8 + 16 + 8 + 16
+def empty(record: type) -> int:
+    """Bytes of a record's frame with nothing in its texts, bytes, tuples, dicts and rows."""
+    return HEAD.size + sum(FIXED[letter] for letter in KINDS[CODEC.numbers[record]][1])
 
 
-def update(core: int, config: int = 0, named: Mapping[str, int] | None = None, rows: int = 0) -> int:
-    """Bytes of an Update's frame. ``core``: machines named; ``config``: bytes of the compressed configuration;
-    ``rows``: bytes of all rows."""
-    fixed = 16 + 8 + 1 + 8 + 16 + 1 + 8  # stamp, mark, has_sheet, revision, roster, has_rows, members
-    return HEAD.size + fixed + 4 + config + versions(named or {}) + 4 + rows + numbers(range(core))
+def poll() -> int:
+    """Bytes of a Poll's frame."""
+    return empty(Poll)
+
+
+def update(
+    core: int,
+    config: int = 0,
+    named: Mapping[str, int] | None = None,
+    rows: int = 0,
+    marks: int = 0,
+    members: int = 0,
+) -> int:
+    """Bytes of an Update's frame. ``core``: machines named; ``config``: bytes of it, compressed; ``rows``:
+    bytes of all rows; ``marks``: parts that stores keep or dropped; ``members``: routers named."""
+    lists = 8 * (core + marks + members)
+    return empty(Update) + config + versions(named or {}) - 2 + rows + lists
 
 
 def epoch(in_sync: int, witnesses: int, former: int = 0) -> int:
--- a/rowanshift/capacity/sweep.py
+++ b/rowanshift/capacity/sweep.py
@@ -1,8 +1,9 @@
-"""Sweeps: each step in a process of its own beside this one, bounded in time, count, memory and descriptors."""
+"""Sweeps: each step in a process of its own beside this one, bounded in time, count, memory, descriptors."""
 
+import itertools
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from functools import partial
 from multiprocessing import get_context
@@ -20,10 +21,11 @@
 MOST = {"routers": 2000, "servers": 100_000, "tenants": 200_000, "routes": 50_000}  # of one step
 MOST_STEPS = 12
 LOOK = 0.2  # seconds between looks at the memory
+SETTLE = 4.0  # seconds until a new primary has told the routers of each other, and polls are held
 FILES = 64  # descriptors beside the routers' connections
 
-# bytes, generous, for the check before a step: what a row, and a tenant or route, take in both processes, and what
-# is on its way to a router as a whole
+# bytes, generous, for the check before a step: what a row, and a tenant or route, take in both processes, and
+# what is on its way to a router as a whole
 ROW_MEMORY, ENTRY_MEMORY, PROCESS_MEMORY = 40_000, 6_000, 100 << 20
 ROW_SENT, ENTRY_SENT = 120 * 4, 100 * 4
 
@@ -51,10 +53,14 @@
             if not least <= (value := getattr(self, name)) <= most:
                 raise BadSteps(f"{value} {name}: {least} to {most} expected")
         if (wanted := self.memory()) > (half := half_of_memory()):
-            raise DoesNotFit(f"a step of {self.told()} takes some {wanted >> 20} MiB, half of the memory is "
-                             f"{half >> 20} MiB")
+            raise DoesNotFit(
+                f"a step of {self.told()} takes some {wanted >> 20} MiB, half of the memory is "
+                f"{half >> 20} MiB"
+            )
         if self.routers + FILES > (most := descriptors()):
-            raise DoesNotFit(f"a step of {self.told()} takes {self.routers + FILES} descriptors, there are {most}")
+            raise DoesNotFit(
+                f"a step of {self.told()} takes {self.routers + FILES} descriptors, there are {most}"
+            )
 
     def told(self) -> str:
         return f"{self.routers} routers, {self.servers} servers, {self.tenants} tenants, {self.routes} routes"
@@ -64,8 +70,10 @@
 
 
 def check_steps(steps: list[int]) -> None:
-    if not steps or len(steps) > MOST_STEPS or any(b <= a for a, b in zip(steps, steps[1:], strict=False)):
-        raise BadSteps(f"1 to {MOST_STEPS} rising whole numbers expected, not {','.join(map(str, steps)) or 'none'}")
+    if not steps or len(steps) > MOST_STEPS or any(b <= a for a, b in itertools.pairwise(steps)):
+        raise BadSteps(
+            f"1 to {MOST_STEPS} rising whole numbers expected, not {','.join(map(str, steps)) or 'none'}"
+        )
 
 
 class Other:
@@ -98,10 +106,8 @@
     try:
         yield Other(process, ours)
     finally:
-        try:
+        with suppress(OSError):
             ours.send("stop")
-        except OSError:
-            pass
         process.join(2.0)
         if process.is_alive():
             process.kill()
@@ -125,11 +131,16 @@
 
 
 def used(before: dict[str, Any], after: dict[str, Any], name: str) -> dict[str, float]:
-    return {f"{name}_cpu_s": after["cpu_s"] - before["cpu_s"], f"{name}_sent": after["sent"] - before["sent"],
-            f"{name}_received": after["received"] - before["received"]}
+    return {
+        f"{name}_cpu_s": after["cpu_s"] - before["cpu_s"],
+        f"{name}_sent": after["sent"] - before["sent"],
+        f"{name}_received": after["received"] - before["received"],
+    }
 
 
-async def ledger_step(shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
+async def ledger_step(
+    shape: Shape, window: float, limit: float, say: Callable[[str], None]
+) -> dict[str, float]:
     """The ledger in the measured process, hollow routers in this one."""
     metrics: dict[str, float] = {}
     with other("ledger", shape.ledger()) as ledger:
@@ -143,27 +154,35 @@
             before, at = await ledger.do("nothing"), trio.current_time()
             await fleet.start(nursery)
             if not await fleet.until(None, limit):
-                raise StepFailed(f"after {limit:g} s {len(fleet.pending)} routers of {shape.routers} knew nothing")
+                raise StepFailed(
+                    f"after {limit:g} s {len(fleet.pending)} routers of {shape.routers} knew nothing"
+                )
             metrics["first_s"] = trio.current_time() - at
             after = await ledger.do("nothing")
             metrics |= used(before, after, "first")
-            await trio.sleep(1.5)  # polls that the first answers set off
+            await trio.sleep(SETTLE)
 
             say("idle")
             before, at, polls = await ledger.do("nothing"), trio.current_time(), fleet.polls
             await trio.sleep(window)
             after, spent = await ledger.do("nothing"), trio.current_time() - at
-            metrics |= {f"idle_{name}_per_s": value / spent for name, value in
-                        (("cpu_s", after["cpu_s"] - before["cpu_s"]), ("polls", fleet.polls - polls),
-                         ("sent", after["sent"] - before["sent"]),
-                         ("received", after["received"] - before["received"]))}
+            metrics |= {
+                f"idle_{name}_per_s": value / spent
+                for name, value in (
+                    ("cpu_s", after["cpu_s"] - before["cpu_s"]),
+                    ("polls", fleet.polls - polls),
+                    ("sent", after["sent"] - before["sent"]),
+                    ("received", after["received"] - before["received"]),
+                )
+            }
             before = after
             after = await ledger.do("read_list")
             metrics["list_cpu_s"] = after["own_cpu_s"]
 
             for name, command, goal in (
-                    ("roster", "change_roster", lambda now, router: router.roster[1] >= now["serial"]),
-                    ("config", "change_config", lambda now, router: router.mark == now["mark"])):
+                ("roster", "change_roster", lambda now, router: router.roster >= now["roster"]),
+                ("config", "change_config", lambda now, router: router.mark == now["mark"]),
+            ):
                 say(name)
                 before, at = await ledger.do("nothing"), trio.current_time()
                 now = await ledger.do(command)
@@ -175,6 +194,7 @@
                 metrics[f"{name}_s"] = trio.current_time() - at
                 after = await ledger.do("nothing")
                 metrics |= used(before, after, name)
+                metrics[f"{name}_epochs"] = after["epoch"] - before["epoch"]
             metrics["rss"], metrics["rss_most"] = after["rss"], after["rss_most"]
             nursery.cancel_scope.cancel()
         if over:
@@ -182,20 +202,23 @@
     return metrics
 
 
-async def router_step(shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
+async def router_step(
+    shape: Shape, window: float, limit: float, say: Callable[[str], None]
+) -> dict[str, float]:
     """A real channel in the measured process, the ledger in this one."""
     metrics: dict[str, float] = {}
     host = Loopback()
     async with trio.open_nursery() as nursery:
         hollow = HollowLedger(host, **shape.ledger())
         await hollow.start(nursery)
-        desk, over = hollow.desk, []
+        over: list[str] = []
         with other("router", hollow.address) as router:
             start = await router.answer()
             nursery.start_soon(watched, router.process, nursery, over)
 
             async def known() -> dict[str, Any]:
-                return await router.do((desk.duties.roster.serial, desk.mark))
+                state = hollow.state()
+                return await router.do((state["roster"], state["mark"]))
 
             at = trio.current_time()
             first = await known()
@@ -206,8 +229,10 @@
             before, at = await known(), trio.current_time()
             await trio.sleep(window)
             after, spent = await known(), trio.current_time() - at
-            metrics |= {f"idle_{name}_per_s": (after[name] - before[name]) / spent
-                        for name in ("cpu_s", "received", "sent")}
+            metrics |= {
+                f"idle_{name}_per_s": (after[name] - before[name]) / spent
+                for name in ("cpu_s", "received", "sent")
+            }
             for name, change in (("roster", hollow.change_roster), ("config", hollow.change_config)):
                 say(name)
                 before = await known()
@@ -228,7 +253,9 @@
 STEP_OF = {"ledger": ledger_step, "router": router_step}
 
 
-async def _within(side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
+async def _within(
+    side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]
+) -> dict[str, float]:
     with trio.move_on_after(limit):
         return await STEP_OF[side](shape, window, limit / 3, say)
     raise StepFailed(f"a step of {shape.told()} did not end within {limit:g} s")
@@ -242,7 +269,9 @@
     return error
 
 
-def measure(side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
+def measure(
+    side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]
+) -> dict[str, float]:
     """The metrics of one step. ``CapacityError`` if it can't be done."""
     shape.check()
     try:
@@ -268,16 +297,26 @@
     def shapes(self) -> list[Shape]:
         check_steps(list(self.steps))
         names = Shape.__dataclass_fields__
-        shapes = [Shape(**{name: getattr(self.shape, name) for name in names} | {self.variable: step})
-                  for step in self.steps]
+        shapes = [
+            Shape(**{name: getattr(self.shape, name) for name in names} | {self.variable: step})
+            for step in self.steps
+        ]
         for shape in shapes:
             shape.check()
         return shapes
 
-    def run(self, window: float, limit: float, begun: Callable[[int], None], say: Callable[[str], None]) -> Sweep:
-        fixed = {name: getattr(self.shape, name) for name in Shape.__dataclass_fields__ if name != self.variable}
-        sweep = Sweep(self.name, self.variable, fixed | {"window_s": window},
-                      limit=f"{limit:g} s, {half_of_memory() >> 20} MiB, {MOST[self.variable]} {self.variable}")
+    def run(
+        self, window: float, limit: float, begun: Callable[[int], None], say: Callable[[str], None]
+    ) -> Sweep:
+        fixed = {
+            name: getattr(self.shape, name) for name in Shape.__dataclass_fields__ if name != self.variable
+        }
+        sweep = Sweep(
+            self.name,
+            self.variable,
+            fixed | {"window_s": window},
+            limit=f"{limit:g} s, {half_of_memory() >> 20} MiB, {MOST[self.variable]} {self.variable}",
+        )
         for shape in self.shapes():
             x = getattr(shape, self.variable)
             begun(x)
--- a/rowanshift/capacity/takeover.py
+++ b/rowanshift/capacity/takeover.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, pairwise
 from typing import Any
 
 from rowanshift.ledger.protocol import Committed, Ledger, Save, Send
@@ -102,8 +102,14 @@
 
     def holder(self) -> int:
         """The machine that holds the primary's lease, or 0."""
-        return next((me for me, ledger in self.ledgers.items() if me not in self.cut and ledger.is_primary
-                     and ledger.lease_until(self.now) > self.now), 0)
+        return next(
+            (
+                me
+                for me, ledger in self.ledgers.items()
+                if me not in self.cut and ledger.is_primary and ledger.lease_until(self.now) > self.now
+            ),
+            0,
+        )
 
     def on_duty(self) -> bool:
         me = self.holder()
@@ -119,8 +125,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Seconds after a trouble without a holder of the lease, without one that gives orders, and without a commit;
-    how many epochs it took."""
+    """Seconds after a trouble without a holder of the lease, without one that gives orders, and without a
+    commit; how many epochs it took."""
 
     holder_s: float
     orders_s: float
@@ -136,8 +142,10 @@
     world.until(world.now + world.chance.random())
     holder = world.holder()
     before = world.ledgers[holder].record
-    others = {"backup_killed": [m for m in before.in_sync if m != holder],
-              "witness_killed": [m for m in before.witnesses if m not in before.in_sync]}.get(trouble, [holder])
+    others = {
+        "backup_killed": [m for m in before.in_sync if m != holder],
+        "witness_killed": [m for m in before.witnesses if m not in before.in_sync],
+    }.get(trouble, [holder])
     victim = world.chance.choice(others)
     at = world.now
     if trouble == "primary_cut_off":
@@ -168,8 +176,10 @@
         made[trouble] = {"epochs_mean": sum(one.epochs for one in plays) / seeds}
         for name in ("holder_s", "orders_s", "commit_s"):
             values = [getattr(one, name) for one in plays]
-            made[trouble] |= {f"{name[:-2]}_mean_s": round(sum(values) / seeds, 4),
-                              f"{name[:-2]}_longest_s": round(max(values), 4)}
+            made[trouble] |= {
+                f"{name[:-2]}_mean_s": round(sum(values) / seeds, 4),
+                f"{name[:-2]}_longest_s": round(max(values), 4),
+            }
     return made
 
 
@@ -187,9 +197,15 @@
     # a server's share of the circle is what its leaving moves
     circle = [*ring.ring, ring.ring[0] + (1 << 64)]
     shares: Counter[str] = Counter()
-    for low, high in zip(circle, circle[1:], strict=False):
+    for low, high in pairwise(circle):
         shares[ring.owner[high % (1 << 64)]] += high - low
     total = sum(shares.values())
     own = [shares[name] / total for name in gone]
-    return {"mean": sum(own) / len(own), "largest": max(own), "largest_of_all": max(shares.values()) / total,
-            "homes_seen": len(homes), "points": len(ring.ring), "walk_cpu_s": round(walk, 8)}
+    return {
+        "mean": sum(own) / len(own),
+        "largest": max(own),
+        "largest_of_all": max(shares.values()) / total,
+        "homes_seen": len(homes),
+        "points": len(ring.ring),
+        "walk_cpu_s": round(walk, 8),
+    }
--- a/rowanshift/counter/channel.py
+++ b/rowanshift/counter/channel.py
@@ -33,6 +33,8 @@
         self.started = chance.getrandbits(63)
         self.book, self.servers = Book(), Engines(chance)
         self.stamp, self.mark, self.roster, self.stock = (0, 0), 0, (0, 0), (0, 0)
+        self.peers, self.machines = (0, 0), ()  # the members
+        self.met: Callable[[tuple[int, ...]], None] = lambda machines: None
         self.stored: set[int] = set()  # marks of parts that a store keeps
         self.named_at: dict[str, float] = {}  # trio's time at which a model's named version was heard of
         self.members = 0
@@ -89,7 +91,7 @@
             asked, doubted = trio.current_time(), self.unsure_since
             sure = doubted is None  # else all of it is asked for, and answered at once
             poll = Poll(self.machine, self.started, self.stamp, self.mark * sure,
-                        self.roster if sure else (0, 0), self.stock)
+                        self.roster if sure else (0, 0), self.stock, self.peers)
             try:
                 answer = await caller.ask(poll, ANSWER_WITHIN)
             except LinkFailed as error:
@@ -139,6 +141,9 @@
                             sum(map(len, book.routes.values())))
             self.book, self.mark = book, update.mark
             self._tell()
+        if update.has_peers:
+            self.peers, self.machines = update.peers, update.machines
+            self.met(self.machines)
         self.stock = update.stock
         if update.stock_whole:
             self.stored = set(unpacked(update.kept))
--- a/rowanshift/counter/front.py
+++ b/rowanshift/counter/front.py
@@ -13,13 +13,14 @@
 from rowanshift.counter.back import Back, Link, Outcome, SendFailed
 from rowanshift.counter.book import Book, Route, Tenant
 from rowanshift.counter.engines import Engine, Engines
+from rowanshift.counter.loads import Loads
 from rowanshift.counter.requests import Request, priority_of, request_of, salt_of, written
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import REASONS, said
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.flow import LAST_CHUNK
 from rowanshift.net.transport import Listener, Nursery, Stream
-from rowanshift.policy.placement import back_off, is_open, mark_of
+from rowanshift.policy.placement import Pool, back_off, is_open, lighter, mark_of
 from rowanshift.stock.index import mark_of as part_mark
 from rowanshift.stock.index import store_for, there
 from rowanshift.tally import RetryBudget
@@ -152,9 +153,9 @@
 
 class Front:
     def __init__(self, state: State, back: Back, budget: Budget, memory: Memory,
-                 retries: Callable[[str], RetryBudget], draw: Callable[[], float]) -> None:
+                 retries: Callable[[str], RetryBudget], draw: Callable[[], float], loads: Loads) -> None:
         self.state, self.back, self.budget, self.memory = state, back, budget, memory
-        self.retries, self.draw = retries, draw
+        self.retries, self.draw, self.loads = retries, draw, loads
         self.counts = Counts()
         self.idle: dict[Client, None] = {}
         self.saved: OrderedDict[int, float] = OrderedDict()  # parts given to a store, until when
@@ -281,6 +282,12 @@
         except ClientGone:
             self.counts.gone += 1
             raise
+        except Exception:
+            self.counts.failed += 1
+            if not out.begun:
+                out.keep = False
+                await out.refuse(Refusal(502, "a fault of this router"))
+            raise
         finally:
             self.open -= 1
         return out.keep
@@ -336,6 +343,8 @@
                 continue
             if arrived and (len(request.tried) >= route.servers or not retries.take(now)):
                 raise last
+            engine = await self._lightest(request, pool, mark, engine, {*request.tried, *unsent})
+            now = trio.current_time()
             self.counts.repeats += arrived
             had = engine.versions.get(request.model, 0)
             home = pool.home(mark)
@@ -372,6 +381,7 @@
         """One send to one server: None once the client has the whole answer, else what it would be told."""
         link = None
         engine.sent(trio.current_time())
+        told = await self.loads.add(engine.id, max(1, request.tokens[0]))
         try:
             link = self.back.kept(engine, trio.current_time()) or await self.back.dial(engine, until)
             if self._moved(request, route, tenant, had, engine, ran or out.begun):
@@ -379,13 +389,23 @@
                 raise Moved
             await self.back.send(link, data, until)
             request.tried.append(engine.id)
-            return await self._take(request, route, link, out, until)
+            return await self._take(request, route, link, out, until, told)
         except BaseException:
             if link is not None and not link.pooled:
                 self.back.close(link)
             raise
         finally:
             engine.ended()
+            await self.loads.done(told)
+
+    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine, out: set[str]) -> Engine:
+        """The server picked, or another that could serve as well and has far less to read, over all counters."""
+        others = pool.others(mark, trio.current_time(), request.model, first, out)
+        if not request.parts or not others:
+            return first
+        waiting = await self.loads.ask([first.id, *(engine.id for engine in others)])
+        shared = sum(size for _, size in request.parts[:-1])
+        return lighter(first, others, waiting, shared)
 
     def _moves(self, request: Request, tenant: Tenant | None, version: int, home: Engine | None,
                now: float) -> tuple[bytes | None, bytes | None]:
@@ -418,7 +438,8 @@
             return True
         return not begun and self._allowed(request) != (route, tenant)
 
-    async def _take(self, request: Request, route: Route, link: Link, out: Out, until: float) -> Refusal | None:
+    async def _take(self, request: Request, route: Route, link: Link, out: Out, until: float,
+                    told: tuple[str, int]) -> Refusal | None:
         """Takes the answer of one send in; None once the client has it whole."""
         engine, back = link.engine, self.back
 
@@ -430,6 +451,7 @@
                     and now - engine.heard_at > SILENT_FOR)
 
         message = await self._watched(out, back.head(link, request.id, until, look))
+        await self.loads.done(told)
         now = trio.current_time()
         engine.heard(now)
         fields = dict(message.fields)
--- a/rowanshift/counter/service.py
+++ b/rowanshift/counter/service.py
@@ -11,6 +11,7 @@
 from rowanshift.counter.back import Back
 from rowanshift.counter.channel import Channel
 from rowanshift.counter.front import BACKLOG, Front
+from rowanshift.counter.loads import Loads
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import Answer, CallServer
@@ -80,7 +81,11 @@
                 self.back = Back(host, budget, memory)
                 self.channel = Channel(host, machine_of(boot.ip), boot.inner[1], self.seeds,
                                        boot.bounds.version_ms / 1000, self.chance, self.back.leave)
-                self.front = Front(self.channel, self.back, budget, memory, self.retries, self.chance.random)
+                self.loads = Loads(host, boot.inner, machine_of(boot.ip))
+                self.channel.met = self.loads.meet
+                self.front = Front(self.channel, self.back, budget, memory, self.retries, self.chance.random,
+                                   self.loads)
+                nursery.start_soon(self.loads.run)
                 readiness = CallServer({b"/readiness": Readiness(self)}, memory)
                 nursery.start_soon(self._heed, signals)
                 nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery, host.pause)
--- a/rowanshift/ledger/roster.py
+++ b/rowanshift/ledger/roster.py
@@ -74,7 +74,7 @@
         """The next server to be ordered, with the model and version; None if none should be now."""
         for model, version in named.items():
             having = [known for known in self.servers.values() if model in known.versions and not known.draining]
-            for service in {known.service for known in having}:
+            for service in dict.fromkeys(known.service for known in having):
                 fellows = [known for known in having if known.service == service]
                 behind = [known for known in fellows
                           if known.versions[model] < version and not known.loading and known.not_before <= now]
--- a/rowanshift/ledger/service.py
+++ b/rowanshift/ledger/service.py
@@ -29,6 +29,7 @@
 from rowanshift.stock.index import packed
 
 HOLD = 1.0  # seconds that a poll is held
+MEMBERS_EVERY = 0.5  # seconds between tellings of who is a member
 MEMBER_FOR = 2.5  # seconds that a counter is a member after its poll
 COUNTED_FOR = 12.0  # seconds that it still counts where a shared budget is cut
 LARGEST_CALL = 16 << 20  # bytes of an operator's body
@@ -52,6 +53,8 @@
         self.members: dict[int, float] = {}  # counters by machine, with trio's time of their last poll
         self.primary_since: float | None = None
         self.links = 0
+        self.peers: tuple[int, ...] = ()  # counters that are members, as they were told last
+        self.peers_serial = 0  # 0: not known yet
 
     # state ------------------------------------------------
 
@@ -82,6 +85,7 @@
     def _became(self, primary: bool) -> None:
         self.primary_since = trio.current_time() if primary else None
         self.members.clear()
+        self.peers, self.peers_serial = (), 0
         self.duties.forget()
         self.refresh()
         self._tell()
@@ -156,7 +160,8 @@
             has_rows = roster.serial > 0 and poll.roster != (epoch, roster.serial)
             stock = self.duties.stock
             has_stock = poll.stock != (epoch, stock.serial)
-            if has_sheet or has_rows or has_stock or now >= until:
+            has_peers = self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial)
+            if has_sheet or has_rows or has_stock or has_peers or now >= until:
                 counted = sum(now - at < COUNTED_FOR for at in self.members.values())
                 known = self.primary_since is not None and now - self.primary_since > MEMBER_FOR
                 whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
@@ -164,11 +169,25 @@
                               self.packed if has_sheet else b"", self.sheet.versions if has_sheet else {},
                               (epoch, roster.serial), has_rows, roster.rows() if has_rows else (),
                               counted if known else 0, (epoch, stock.serial), whole, packed(kept),
-                              packed(dropped), self._core())
+                              packed(dropped), (epoch, self.peers_serial) if has_peers else poll.peers,
+                              has_peers, self.peers if has_peers else (), self._core())
             news = self.news
             with trio.move_on_at(until):
                 await news.wait()
 
+    async def _tell_members(self) -> None:
+        """Tells the counters of each other, once a new primary has surely heard all that live."""
+        while True:
+            now = trio.current_time()
+            if self.primary_since is not None and now - self.primary_since > MEMBER_FOR:
+                peers = tuple(sorted(machine for machine, at in self.members.items() if now - at < MEMBER_FOR))
+                if peers != self.peers:
+                    self.peers, self.peers_serial = peers, self.peers_serial + 1
+                    self._tell()
+                for machine in [machine for machine, at in self.members.items() if now - at > COUNTED_FOR]:
+                    del self.members[machine]
+            await self.host.pause(MEMBERS_EVERY)
+
     def _core(self) -> tuple[int, ...]:
         record = self.node.ledger.record
         return tuple(sorted({*record.witnesses, *record.in_sync}))
@@ -236,6 +255,7 @@
                 nursery.start_soon(self._accept, inner, nursery)
                 nursery.start_soon(calls.serve, host.listen(control, 256), nursery, host.pause)
                 nursery.start_soon(self.node.run)
+                nursery.start_soon(self._tell_members)
                 nursery.start_soon(self.duties.read_list)
                 nursery.start_soon(self.duties.roll_out, nursery)
                 nursery.start_soon(self.duties.follow_stores, nursery, self.stores)
--- a/rowanshift/policy/placement.py
+++ b/rowanshift/policy/placement.py
@@ -9,6 +9,7 @@
 WALK = 8  # servers looked at for a prefix
 SILENT = 0.8  # seconds without a byte from a server that has requests, after which no more go there
 BACK_OFF, LONGEST_BACK_OFF = 0.25, 4.0  # seconds out after a failed dial; doubled with each
+OTHERS, EASE, MOVED = 2, 1500, 0.3  # servers compared; tokens; what a moved token costs of a read one
 MARGIN, SPARE = 2.0, 3.0  # over the mean of own open work, in means and in requests
 
 
@@ -25,6 +26,16 @@
     engine.silent_until = now + min(LONGEST_BACK_OFF, BACK_OFF * 2 ** min(engine.strikes - 1, 8))
 
 
+def lighter(first, others: list, waiting: dict[str, int], shared: int):
+    """Of the first and the others the one with the least to read before a request, where the first has over
+    ``EASE`` tokens; another lacks the ``shared`` tokens and has them moved there."""
+    if waiting.get(first.id, 0) <= EASE:
+        return first
+    known = [engine for engine in others if engine.id in waiting]
+    best = min(known, default=first, key=lambda engine: waiting[engine.id])
+    return best if waiting.get(best.id, 0) + MOVED * shared < waiting[first.id] else first
+
+
 def mark_of(model: str, prefix: bytes) -> int:
     """A prefix's place on the ring, the same at every counter."""
     return stable(f"{model}|{prefix.decode('latin-1')}") >> 32
@@ -65,6 +76,12 @@
             return self._replica(mark, walk[:shadows + 1], most)
         return next((engine for engine in walk if engine.inflight < most), walk[0])
 
+    def others(self, mark: int, now: float, model: str, first, out) -> list:
+        """The next servers on the ring walk that could serve as well as the first that was picked."""
+        version = first.versions.get(model, 0)
+        return [engine for engine in self.ring.walk(mark, WALK) if engine is not first and engine.id not in out
+                and is_open(engine, now) and engine.versions.get(model, 0) >= version][:OTHERS]
+
     def _replica(self, mark: int, replicas: list, most: float):
         """One replica drawn at random and kept, until it holds well over the mean."""
         kept = self.drawn.get(mark)
--- a/rowanshift/records/delivery.py
+++ b/rowanshift/records/delivery.py
@@ -31,6 +31,7 @@
     mark: int  # of the sheet's text
     roster: tuple[int, int]  # epoch and serial of the roster that it has
     stock: tuple[int, int]  # the same of what stores keep
+    peers: tuple[int, int]  # and of the members
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,6 +52,9 @@
     stock_whole: bool = False  # else what changed
     kept: bytes = b""  # marks of parts that stores keep, 8 bytes each
     dropped: bytes = b""  # and of those that they no longer do
+    peers: tuple[int, int] = (0, 0)
+    has_peers: bool = False
+    machines: tuple[int, ...] = ()  # counters that are members now
     core: tuple[int, ...] = ()  # machines of the core that may be asked next time
 
 
@@ -62,6 +66,6 @@
     core: tuple[int, ...]
 
 
-KINDS: dict[int, tuple[type, str]] = {1: (Poll, "qqpqpp"), 2: (Update, "pq?qbvp?oqp?bbt"), 3: (Elsewhere, "qt")}
+KINDS: dict[int, tuple[type, str]] = {1: (Poll, "qqpqppp"), 2: (Update, "pq?qbvp?oqp?bbp?tt"), 3: (Elsewhere, "qt")}
 NESTED: dict[str, tuple[type, str]] = {"o": (Row, "ssssqqv")}
 CODEC = Codec(KINDS, NESTED)  # all that a counter needs
--- a/rowanshift/virtual/disk.py
+++ b/rowanshift/virtual/disk.py
@@ -1,8 +1,8 @@
 """The disk of a machine of the virtual network: one record, as ``ledger/store.py`` keeps it on a real one.
 
-A write is on the disk when its sync ends, ``work`` and the troubles after it began. A process that is killed
-before that leaves it to the kernel, which syncs it all the same. A loss of power before that loses it, keeps
-it, or tears it: a torn copy is found by its checksum, and the record before it is what is read.
+A write is on the disk when its sync ends, half of the call's time after the bytes were handed over. A process
+that is killed in between leaves them to the kernel, which syncs them all the same. A loss of power in between
+keeps or loses them; torn, they are as lost, for lmdb then opens at the record before.
 """
 
 import random
--- a/rowanshift/virtual/fleet.py
+++ b/rowanshift/virtual/fleet.py
@@ -159,6 +159,17 @@
             "dataDir": "/data" if core else None, "faultTolerance": {"machines": self.f}, "bounds": BOUNDS,
             "cloudApi": {"address": f"{self.platform.address}:{LISTED}", "ratePerS": 40, "maxLagMs": 800}})
 
+    def spare(self) -> Unit:
+        """One more core machine, with an empty disk, started now. Operators find it by a 307."""
+        n, seeds = len(self.cores), self.cores[0].boot["seedNodes"]
+        unit = self._unit(self.network.machine(f"core-{n}", n % self.zones), True, seeds)
+        unit.boot["bootstrap"] = False
+        self.cores.append(unit)
+        self.units.append(unit)
+        self._mark("started", unit)
+        self.nursery.start_soon(self._live, unit, 0.0)
+        return unit
+
     def server(self, service: str = SERVICE) -> ModelServer:
         """One more model server, in the list from now on."""
         n = len(self.servers)
--- a/tests/test_system_virtual.py
+++ b/tests/test_system_virtual.py
@@ -185,6 +185,16 @@
 
         self.through(trouble, 0.97)
 
+    def test_a_spare_takes_the_place_of_one_that_stays_away(self):
+        async def trouble(fleet):
+            fleet.cut_power(fleet.primary())
+            fleet.spare()
+            await trio.sleep(9)  # it recalls, joins and becomes a witness
+            fleet.cut_power(fleet.primary())
+            await trio.sleep(3)
+
+        self.through(trouble, 0.97)
+
     def test_a_counter_is_told_to_stop(self):
         async def trouble(fleet):
             unit = fleet.counters[0]
