Let the few streams of a quiet server end before its weights load

Change: where a server's report says one or two streams run and nothing waits, they are waited for, 0.6 s at most.

--- a/rowanshift/capacity/roles.py
+++ b/rowanshift/capacity/roles.py
@@ -72,8 +72,9 @@
     if found is None or metric not in found.lines or found.lines[metric].refused:
         return None
     fit = found.lines[metric]
+    intercept = 0.0 if abs(fit.intercept) < 1e-6 * abs(fit.at(x)) else fit.intercept
     sign = "-" if fit.slope < 0 else "+"
-    return fit.at(x), f"{fit.intercept:.3g} {sign} {abs(fit.slope):.3g} {found.variable}", f"{sweep} {metric}"
+    return fit.at(x), f"{intercept:.3g} {sign} {abs(fit.slope):.3g} {found.variable}", f"{sweep} {metric}"
 
 
 def exact(size: Size = TARGET) -> list[Figure]:
@@ -286,6 +287,28 @@
         size.routers / 10,
         " routers / 10",
     )
+    add(
+        "primary",
+        "rosters to all by failures, CPU",
+        "servers",
+        "roster_cpu_s",
+        size.servers,
+        "of a core",
+        1.0,
+        size.routers / 10 * roster_changes(size) / DAY,
+        " routers / 10 changes/s",
+    )
+    add(
+        "primary",
+        "rosters to all by one version of all models a day, CPU",
+        "servers",
+        "roster_cpu_s",
+        size.servers,
+        "of a core",
+        1.0,
+        size.routers / 10 * load_changes(size) / DAY,
+        " routers / 10 changes/s",
+    )
     add(
         "primary",
         "a whole configuration to all, time",
--- a/rowanshift/ledger/duties.py
+++ b/rowanshift/ledger/duties.py
@@ -20,7 +20,9 @@
 LIST_EVERY = 0.8  # seconds between readings of the list
 LIST_WITHIN = 1.0  # seconds for a page
 MOST_PAGES = 400
-LEFT_ALONE = 0.12  # seconds between telling the counters of a load and the order
+FEW = 2  # streams at a server that are waited for
+LEFT_ALONE = 0.15  # seconds between looks whether the streams that run at a server to be loaded have ended
+DRAIN_WITHIN = 0.6  # seconds that they are waited for; then they pause while it loads
 ORDER_WITHIN = 0.8  # seconds for an answer to an order
 REPORT_EVERY, REPORT_WITHIN = 0.25, 0.6  # seconds
 LOAD_WITHIN = 12.0  # seconds that a server may take to load
@@ -145,7 +147,7 @@
         """Brings one server to a version."""
         well = False
         try:
-            await self.host.pause(LEFT_ALONE)
+            await self._left_alone(known)
             well = await self._ordered(known, model, version)
         except CallFailed as error:
             logger.info("event=order_failed server={} why={!r}", known.id, str(error))
@@ -157,6 +159,29 @@
                 roster.failed(known.id, trio.current_time())
             self.changed()
 
+    async def _left_alone(self, known: Known) -> None:
+        """Waits until the streams that run there have ended, as the counters send no more: only where they are
+        few, since what waits elsewhere meanwhile loses more than they do, and not for long."""
+        until = trio.current_time() + DRAIN_WITHIN
+        while trio.current_time() < until:
+            await self.host.pause(LEFT_ALONE)
+            report = await self._report(known)
+            if report is None or not 0 < report.get("active", 0) <= FEW or report.get("queued"):
+                return
+
+    async def _report(self, known: Known) -> dict | None:
+        """What a server says of itself; None if it says nothing that can be read."""
+        host, _, port = known.address.rpartition(":")
+        expected = [(b"Expect-Instance", known.id.encode())]
+        try:
+            answer = await call(self.host, self.memory, (host, int(port)), b"GET", b"/report", b"", expected,
+                                REPORT_WITHIN)
+            report = orjson.loads(answer.body)
+            return report if answer.status == 200 and isinstance(report, dict) else None
+        except (CallFailed, ValueError) as error:
+            logger.info("event=report_failed server={} why={!r}", known.id, str(error))
+            return None
+
     async def _ordered(self, known: Known, model: str, version: int) -> bool:
         host, _, port = known.address.rpartition(":")
         address = host, int(port)
