--- a/rowanshift/capacity/plots.py
+++ b/rowanshift/capacity/plots.py
@@ -20,10 +20,10 @@
 
 
 def plot(results: Results, folder: Path) -> list[Path]:
-    """One file a sweep, a panel a metric: points, and the line where there is one."""
+    """One file a sweep that lines were sought for, a panel a metric: points, and the line if there is one."""
     pyplot = library()
     folder.mkdir(parents=True, exist_ok=True)
-    return [page(pyplot, sweep, folder / f"{sweep.name}.png") for sweep in results.sweeps if sweep.steps]
+    return [page(pyplot, sweep, folder / f"{sweep.name}.png") for sweep in results.sweeps if sweep.lines]
 
 
 def page(pyplot: Any, sweep: Sweep, path: Path) -> Path:
--- a/rowanshift/capacity/roles.py
+++ b/rowanshift/capacity/roles.py
@@ -121,6 +121,17 @@
         "B/s",
         BUDGET.traffic,
     )
+    machines = size.servers + size.routers + size.control
+    comings = 2 * (size.failures + size.restarts) * size.routers / machines  # and goings of routers, a day
+    members = (sizes.update(core) + 8 * size.routers) * comings / DAY
+    add(
+        "router",
+        "members, whole",
+        f"({sizes.update(core)} + 8 routers) changes / 86,400",
+        members,
+        "B/s",
+        BUDGET.traffic,
+    )
     add("router", "kept parts, whole", f"{MARK} blocks", MARK * size.blocks, "bytes", BUDGET.memory)
     add("router", "kept parts, one frame", "16 MiB / 8", LARGEST // MARK, "blocks")
     add("router", "kept parts, events", f"{MARK} events", MARK * size.events, "B/s", BUDGET.traffic)
--- a/rowanshift/counter/front.py
+++ b/rowanshift/counter/front.py
@@ -32,6 +32,7 @@
 LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
 UNSENT_MOST = 4  # servers that could not be reached, for one request
 HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
+LOAD_HOLD, LOAD_PART = 2.0, 0.4  # seconds, and of what is left, where servers take new weights
 SILENT_FOR = 1.5  # seconds without a byte from a server, after which a repeatable request goes elsewhere
 LEAST_MOVED = 64  # tokens in common that are worth a move
 SAVED_FOR, MOST_SAVED = 8.0, 4096  # seconds in which a part is not given to a store again; parts remembered
@@ -336,7 +337,10 @@
             version = self.state.version(request.model, now)
             engine = pool.pick(mark, now, request.model, version, {*request.tried, *unsent})
             if engine is None:
-                held_until = held_until or now + min(HOLD_MOST, HOLD_PART * route.aim)
+                if not held_until:
+                    held_until = now + min(HOLD_MOST, HOLD_PART * route.aim)
+                    if any(engine.loading for engine in pool.engines):  # it will soon be back
+                        held_until = now + min(LOAD_HOLD, LOAD_PART * (until - now))
                 if request.tried or now >= held_until:
                     raise last if not ran else Refusal(502, "it may have run, and no other server is there")
                 await self.state.changed(min(held_until, until) - now)
--- a/rowanshift/ledger/duties.py
+++ b/rowanshift/ledger/duties.py
@@ -26,6 +26,7 @@
 ORDER_WITHIN = 0.8  # seconds for an answer to an order
 REPORT_EVERY, REPORT_WITHIN = 0.25, 0.6  # seconds
 LOAD_WITHIN = 12.0  # seconds that a server may take to load
+UNHEARD_MOST = 2  # reports in a row without an answer, after which a load counts as failed
 STOCK_EVERY = 0.25  # seconds between tellings of what stores keep
 EVENTS_WAIT_MS, EVENTS_WITHIN = 1000, 1.6  # that a store holds a question, and seconds for its answer
 EVENTS_EVERY = 0.2  # seconds between questions
@@ -204,22 +205,27 @@
             return True
         if status not in (0, 202, 409):
             return False
-        until = trio.current_time() + LOAD_WITHIN
+        until, unheard = trio.current_time() + LOAD_WITHIN, 0
         while trio.current_time() < until and self.node.holds() and known.id in self.roster.servers:
             await self.host.pause(REPORT_EVERY)
-            try:
-                answer = await call(self.host, self.memory, address, b"GET", b"/report", b"", expected,
-                                    REPORT_WITHIN)
-                report = orjson.loads(answer.body)
-                having = {row["name"]: row["revision"] for row in report["models"]}
-                if answer.status == 200 and having.get(model, 0) >= version:
-                    return True
-                if answer.status != 200 or (status != 202 and not report["busy"]):
+            report = await self._report(known)
+            if report is None:
+                unheard += 1
+                if unheard >= UNHEARD_MOST:  # its place is another's: it is looked at again later
                     return False
-            except CallFailed as error:
-                if not error.sent:
-                    raise
-            except (ValueError, KeyError, TypeError) as error:
-                logger.info("event=bad_report server={} why={!r}", known.id, repr(error))
+                continue
+            unheard = 0
+            if versions_of(report).get(model, 0) >= version:
+                return True
+            if status != 202 and not report.get("busy"):
                 return False
         return False
+
+
+def versions_of(report: dict) -> dict[str, int]:
+    """The version of each model, as far as a report can be read."""
+    try:
+        return {str(row["name"]): int(row["revision"]) for row in report["models"]}
+    except (KeyError, TypeError, ValueError) as error:
+        logger.info("event=bad_report why={!r}", repr(error))
+        return {}
--- a/rowanshift/ledger/protocol.py
+++ b/rowanshift/ledger/protocol.py
@@ -459,6 +459,13 @@
             self._send_proposal()
         self._settle()
 
+    def resign(self, now: float) -> None:
+        """Gives the epoch and the lease up, if this is the primary, so that a backup stands at once."""
+        self._now = max(self._now, now)
+        if self._epoch is not None and len(self._epoch.in_sync) > 1:
+            self._hand_over()
+        self._settle()
+
     def confirm_read(self, token: int, now: float) -> None:
         """`ReadConfirmed` or `ReadFailed` follows; reads asked meanwhile share the next round."""
         self._now = max(self._now, now)
--- a/rowanshift/ledger/roster.py
+++ b/rowanshift/ledger/roster.py
@@ -29,6 +29,7 @@
     versions: dict[str, int]
     loading: bool = False
     not_before: float = 0.0  # when it may be ordered again
+    failures: int = 0  # of loads
 
     def row(self) -> Row:
         state = (DRAINING if self.draining else UP) | (LOADING if self.loading else 0)
@@ -57,7 +58,7 @@
         for entry in entries:
             known = self.servers.get(entry.id)
             if known is not None:
-                entry.loading, entry.not_before = known.loading, known.not_before
+                entry.loading, entry.not_before, entry.failures = known.loading, known.not_before, known.failures
                 for model, version in known.versions.items():
                     entry.versions[model] = max(version, entry.versions.get(model, 0))
             made[entry.id] = entry
@@ -80,7 +81,7 @@
                           if known.versions[model] < version and not known.loading and known.not_before <= now]
                 loading = sum(known.loading for known in fellows)
                 if behind and loading < max(1, int(AT_ONCE * len(fellows))):
-                    return min(behind, key=lambda known: known.id), model, version
+                    return min(behind, key=lambda known: (known.failures, known.id)), model, version
         return None
 
     def begin(self, known: Known) -> None:
@@ -96,5 +97,5 @@
 
     def failed(self, id: str, now: float) -> None:
         if (known := self.servers.get(id)) is not None:
-            known.loading, known.not_before = False, now + AGAIN
+            known.loading, known.not_before, known.failures = False, now + AGAIN, known.failures + 1
             self.serial += 1
--- a/rowanshift/ledger/service.py
+++ b/rowanshift/ledger/service.py
@@ -36,6 +36,7 @@
 MEMORY_PART = 0.4
 OPEN_AGAIN = 0.5  # seconds between tries to open the disk
 WRITE_WITHIN = 2.0  # seconds for a counter to take an answer
+FAREWELL = 0.3  # seconds from giving the primacy up to the end
 LINKS = 2048  # connections of counters and core machines at once
 
 
@@ -264,6 +265,11 @@
                             ledger.is_forgotten, ledger.record.number)
                 await self.told_to_stop.wait()
                 logger.info("event=stopping primary={}", ledger.is_primary)
+                if ledger.is_primary:
+                    async with self.node.turn:  # a change under way is answered first
+                        ledger.resign(trio.current_time())
+                        self.node.act()
+                    await host.pause(FAREWELL)
                 nursery.cancel_scope.cancel()
 
     async def _heed(self, signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,6 +9,7 @@
 import tempfile
 import unittest
 import zlib
+from importlib.util import find_spec
 from pathlib import Path
 from unittest import mock
 
@@ -248,6 +249,15 @@
         self.assertEqual(code, 2)
         self.assertIn("rowanshift[plots]", err)
 
+    @unittest.skipUnless(find_spec("matplotlib"), "the extra `plots` isn't installed")
+    def test_sweeps_with_lines_are_drawn(self) -> None:
+        sweep = Sweep("some", "servers", {}, [Step(x, {"rss": 3.0 * x}) for x in (10, 100, 1000)])
+        sweep.fit()
+        with tempfile.TemporaryDirectory() as folder:
+            made = plots.plot(Results([sweep, Sweep("none", "f", {}, [Step(1, {"s": 1.0})])]), Path(folder))
+            self.assertEqual([path.name for path in made], ["some.png"])
+            self.assertTrue(made[0].read_bytes().startswith(b"\x89PNG"))
+
     def test_delivery_is_told_and_kept(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "out.json"
