--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -2,8 +2,7 @@
 calls its methods as things happen and carries out what ``drain`` returns. ``model.py`` is the interface.
 
 A work item (wi) passes the stages share, hotness, placement, pace and hand-off; what comes back of a hand-
-off (ho) passes them the other way. docs/design.md tells what departs from the design, and when.
-"""
+off (ho) passes them the other way. docs/design.md tells what departs from the design, and when."""
 
 from heapq import heappop, heappush
 from itertools import count
@@ -18,8 +17,7 @@
 __all__ = ["DEEP", "EPOCH", "EVIDENCE", "GOOD", "HOLD", "HOT_EPOCHS", "LATE", "LEASE", "POINTS", "REGAIN",
            "SLOW", "TABLE", "TELL", "TICK", "WALK", "Chance", "Router", "group_of", "stable"]
 
-POINTS = 64  # ring points of a cache of mean heft
-WALK = 6  # distinct caches kept of a key's ring walk
+POINTS, WALK = 64, 6  # ring points of a cache of mean heft; distinct caches kept of a key's ring walk
 HOLD = 0.2  # of the due time, that a wi is held for at most; less where few may miss it
 LATE = 0.5  # of the due time, after which a read goes to the origin if that has room
 SLOW = 0.2  # of an equal part of what all caches may have out: one that may have less is slow by itself
@@ -74,8 +72,7 @@
 
     def answered(self, now: float, id: int, number: int, server: str, verdict: int, spent: float, final: bool,
                  remark: int | None) -> None:
-        self.now = now
-        cache = self.caches[server]
+        self.now, cache = now, self.caches[server]
         cache.inflight -= 1
         self.fleet.inflight -= cache.entry.kind != self.s.origin_kind
         self._observe(cache, verdict, spent)
@@ -107,14 +104,12 @@
 
     def overtaken(self, now: float, id: int, number: int) -> None:
         """Takes back a ho that many later ones at its cache overtook: its connection fell silent."""
-        self.now = now
-        item = self.items.get(id)
+        self.now, item = now, self.items.get(id)
         if self.s.cancelling and item and item.category.semantics is Semantics.RERUNNABLE:
             self.results.withdrawals.append((id, number))
 
     def heard(self, now: float, author: int, payload: bytes) -> None:
-        self.now = now
-        tally = Tally.unpack(payload, len(self.asked))
+        self.now, tally = now, Tally.unpack(payload, len(self.asked))
         if tally is not None and tally.total:
             self._learn(tally)
         elif tally is not None:  # else it is of another version
@@ -169,13 +164,11 @@
             {mark: (hot.score, hot.streak, hot.lease, hot.shadows) for mark, hot in self.scores.items()})
 
     def take_up(self, now: float, learned: Learned) -> None:
-        """Starts from what another process learned. While both live, they keep to one router's limits: each
-        to half, which grows by answers."""
+        """Starts from what another process learned, at half its limits: both may live for a while."""
         self.now = now
         for cache in (self.fleet, *self.caches.values()):
-            limit, median, base = learned.servers.get(cache.entry.server, (cache.limit, 0.0, 0.0))
-            if cache is self.fleet:
-                limit, median, base = learned.fleet
+            known = learned.servers.get(cache.entry.server, (cache.limit, 0.0, 0.0))
+            limit, median, base = learned.fleet if cache is self.fleet else known
             cache.limit = min(1024.0, max(0.02, limit / 2 if limit >= 2 else limit))
             cache.median, cache.base, cache.limit_at = max(0.0, median), max(0.0, base), now
         if len(learned.asked) == len(self.asked):
@@ -246,8 +239,7 @@
         if item.refused and self._spills():  # its home's table of connections is full
             return None, False
         for cache in walk[:WALK]:
-            tried = any(cache is h for h, _ in item.hos)
-            if tried or not self._open(cache, item):
+            if any(cache is h for h, _ in item.hos) or not self._open(cache, item):
                 continue
             if not self._cold_room(cache):
                 if self._spills():
@@ -332,8 +324,7 @@
     # hand-off ---------------------------------------------
 
     def _hand_off(self, item: Item, cache: Cache) -> None:
-        item.stage += 1
-        item.held_at = 0.0
+        item.stage, item.held_at = item.stage + 1, 0.0
         self.held.pop(item.id, None)
         item.hos.append((cache, self.now))
         item.out += 1
--- a/rowanshift/counter/back.py
+++ b/rowanshift/counter/back.py
@@ -153,8 +153,8 @@
             raise SendFailed(Outcome.UNSENT, "its time was up")
 
     async def head(self, link: Link, id: bytes, until: float, look: Callable[[], bool]) -> Message:
-        """The head of the answer, with its body if that is no stream. ``look`` is asked twice a second, and ends
-        the wait when it is true."""
+        """The head of the answer, with its body if that is no stream. ``look`` is asked twice a second, and
+        ends the wait when it is true."""
         connection = link.connection
         while True:
             try:
@@ -180,7 +180,7 @@
         return message
 
     async def body(self, link: Link, until: float, look: Callable[[], bool]) -> bytes:
-        """More of a stream's body, b"" at its whole end; ``SendFailed`` if it breaks off or its time is up."""
+        """More of a stream's body, b"" at its whole end; ``SendFailed`` if it breaks off or is too late."""
         connection, flow = link.connection, link.message.flow
         while True:
             if flow.pieces:
--- a/rowanshift/counter/channel.py
+++ b/rowanshift/counter/channel.py
@@ -1,4 +1,4 @@
-"""What a counter knows of the whole: the sheet and the roster, asked of the ledger with the version that it has."""
+"""What a counter knows of the whole: sheet and roster, asked of the ledger with the version that it has."""
 
 import random
 import zlib
@@ -97,7 +97,8 @@
             except LinkFailed as error:
                 failed += 1
                 if failed in (1, 10, 100):
-                    logger.info("event=poll_failed to={} times={} why={!r}", ip_of(primary), failed, str(error))
+                    logger.info("event=poll_failed to={} times={} why={!r}",
+                                ip_of(primary), failed, str(error))
                 primary = 0
                 await self.host.pause(AGAIN * (0.5 + self.chance.random()))
                 continue
--- a/rowanshift/counter/front.py
+++ b/rowanshift/counter/front.py
@@ -402,8 +402,9 @@
             engine.ended()
             await self.loads.done(told)
 
-    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine, out: set[str]) -> Engine:
-        """The server picked, or another that could serve as well and has far less to read, over all counters."""
+    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine,
+                        out: set[str]) -> Engine:
+        """The server picked, or another that serves as well and has far less to read, over all counters."""
         others = pool.others(mark, trio.current_time(), request.model, first, out)
         if not request.parts or not others:
             return first
@@ -438,7 +439,8 @@
     def _moved(self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Engine,
                begun: bool) -> bool:
         """Whether what was decided no longer holds once the connection is up."""
-        if not engine.listed or engine.draining or engine.loading or engine.versions.get(request.model, 0) != had:
+        if (not engine.listed or engine.draining or engine.loading
+                or engine.versions.get(request.model, 0) != had):
             return True
         return not begun and self._allowed(request) != (route, tenant)
 
--- a/rowanshift/counter/loads.py
+++ b/rowanshift/counter/loads.py
@@ -1,12 +1,14 @@
 """How much each server still has to read, summed over all counters, by datagrams.
 
-Each server has one counter that keeps its sum: the holder of its id by rendezvous hashing over the members. Others tell
-it what they send there and when its first event came, and ask before they send. All of it are hints: a datagram that is
-lost, late or foreign makes a choice worse and breaks nothing. Nothing is kept for longer than ``KEPT``.
+Each server has one counter that keeps its sum: the holder of its id by rendezvous hashing over the members.
+Others tell it what they send there and when its first event came, and ask before they send. All of it are
+hints: a datagram that is lost, late or foreign makes a choice worse and breaks nothing. Nothing is kept for
+longer than ``KEPT``.
 """
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from contextlib import suppress
 from functools import lru_cache
 from itertools import count
 from struct import Struct
@@ -102,10 +104,8 @@
                     wait[2].set()
 
     async def _send(self, to: Address, kind: int, call: int, server: int, tokens: int) -> None:
-        try:
+        with suppress(OSError):
             await self.port.send(RECORD.pack(MAGIC, FORMAT, kind, call, server, min(tokens, MOST_TOKENS)), to)
-        except OSError:
-            pass
 
     def _place(self, server: str) -> Address | None:
         """Where a server's sum is kept; None: nowhere, or here."""
--- a/rowanshift/counter/requests.py
+++ b/rowanshift/counter/requests.py
@@ -50,8 +50,10 @@
     host = fields.get(b"host", b"").lower()
     return Request(id, message.method, target, target.split(b"?", 1)[0], host.split(b":", 1)[0],
                    [pair for pair in message.end_to_end() if pair[0] not in OURS], message.body,
-                   key.strip() if scheme.lower() == b"bearer" else None, now + min(left, LONGEST_MS) / 1000, now,
-                   fields.get(b"model-name", b"").decode("latin-1"), parts_of(fields.get(b"prompt-prefix", b"")),
+                   key.strip() if scheme.lower() == b"bearer" else None,
+                   now + min(left, LONGEST_MS) / 1000, now,
+                   fields.get(b"model-name", b"").decode("latin-1"),
+                   parts_of(fields.get(b"prompt-prefix", b"")),
                    tokens_of(fields.get(b"token-count", b"")), fields.get(b"last-event-id"))
 
 
--- a/rowanshift/counter/service.py
+++ b/rowanshift/counter/service.py
@@ -88,7 +88,8 @@
                 nursery.start_soon(self.loads.run)
                 readiness = CallServer({b"/readiness": Readiness(self)}, memory)
                 nursery.start_soon(self._heed, signals)
-                nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery, host.pause)
+                nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery,
+                                   host.pause)
                 nursery.start_soon(self.channel.run)
                 nursery.start_soon(self._watch)
                 listener = host.listen(boot.want("frontend"), BACKLOG)
--- a/rowanshift/ledger/api.py
+++ b/rowanshift/ledger/api.py
@@ -53,7 +53,8 @@
         match = dict(message.fields).get(b"if-match")
 
         def made(sheet: bytes) -> bytes | None:
-            changed = put_config(unpack(sheet), None if match is None else match.decode("latin-1"), message.body)
+            changed = put_config(unpack(sheet), None if match is None else match.decode("latin-1"),
+                                 message.body)
             return None if changed is None else changed[0].pack()
 
         try:
--- a/rowanshift/ledger/duties.py
+++ b/rowanshift/ledger/duties.py
@@ -1,7 +1,7 @@
 """The primary's duties: the platform's list is read for all, and servers get their orders under a fence.
 
-Both are done only while the primary holds its lease; orders, by one holder, only after the one before has surely
-stopped. The fence is the epoch's number, which rises and is on the disks of a majority.
+Both are done only while the primary holds its lease; orders, by one holder, only after the one before has
+surely stopped. The fence is the epoch's number, which rises and is on the disks of a majority.
 """
 
 from collections.abc import Callable
@@ -61,7 +61,8 @@
                         self.changed()
                 except (CallFailed, BadList) as error:
                     logger.info("event=list_failed why={!r}", str(error))
-            await self.host.pause(max(0.05, at + (LIST_EVERY if self.node.holds() else 0.1) - trio.current_time()))
+            every = LIST_EVERY if self.node.holds() else 0.1
+            await self.host.pause(max(0.05, at + every - trio.current_time()))
 
     async def _pages(self) -> list[Known]:
         entries, token = [], None
@@ -108,7 +109,8 @@
                 target = b"/kv-events?since=%d" % source.since
             at = trio.current_time()
             try:
-                answer = await line.call(b"GET", target, [(b"Wait-Ms", b"%d" % EVENTS_WAIT_MS)], EVENTS_WITHIN)
+                answer = await line.call(b"GET", target, [(b"Wait-Ms", b"%d" % EVENTS_WAIT_MS)],
+                                         EVENTS_WITHIN)
                 if answer.status != 200:
                     raise BadEvents(f"status {answer.status}")
                 data = orjson.loads(answer.body)
@@ -161,8 +163,8 @@
             self.changed()
 
     async def _left_alone(self, known: Known) -> None:
-        """Waits until the streams that run there have ended, as the counters send no more: only where they are
-        few, since what waits elsewhere meanwhile loses more than they do, and not for long."""
+        """Waits until the streams that run there have ended, as the counters send no more: only where they
+        are few, since what waits elsewhere meanwhile loses more than they do, and not for long."""
         until = trio.current_time() + DRAIN_WITHIN
         while trio.current_time() < until:
             await self.host.pause(LEFT_ALONE)
@@ -188,8 +190,9 @@
         address = host, int(port)
         if not self._may_order():
             return False
-        order = orjson.dumps({"operation": "revision", "model": model, "revision": version, "method": "retain",
-                              "leaseHolder": self.name, "fenceToken": self.node.ledger.record.number})
+        order = orjson.dumps({"operation": "revision", "model": model, "revision": version,
+                              "method": "retain", "leaseHolder": self.name,
+                              "fenceToken": self.node.ledger.record.number})
         expected = [(b"Expect-Instance", known.id.encode())]
         self.orders += 1
         try:
--- a/rowanshift/ledger/node.py
+++ b/rowanshift/ledger/node.py
@@ -70,8 +70,8 @@
         return self.ledger.committed_sheet
 
     async def change(self, made: Callable[[bytes], bytes | None], within: float) -> bytes:
-        """Makes the next sheet from the newest, once it is on all disks that are wanted; None changes nothing.
-        ``NotPrimary``, ``NotConfirmed``, ``OutcomeUnknown``, and what ``made`` raises."""
+        """Makes the next sheet from the newest, once it is on all disks that are wanted; None changes
+        nothing. ``NotPrimary``, ``NotConfirmed``, ``OutcomeUnknown``, and what ``made`` raises."""
         with trio.move_on_after(within):
             async with self.turn:
                 sheet = made(await self.read())
--- a/rowanshift/ledger/service.py
+++ b/rowanshift/ledger/service.py
@@ -1,4 +1,4 @@
-"""A core machine as a service: the ledger, the operator's API, what the counters ask, the primary's duties."""
+"""A core machine as a service: the ledger, the operator's API, the counters' polls, the primary's duties."""
 
 import random
 import signal
@@ -15,6 +15,7 @@
 from rowanshift.ledger.duties import Duties
 from rowanshift.ledger.node import Node, durable_of
 from rowanshift.ledger.protocol import Durable, Ledger
+from rowanshift.ledger.roster import Roster
 from rowanshift.ledger.sheet import Sheet, unpack
 from rowanshift.ledger.store import DamagedRecord, NewerFormat, StoreError
 from rowanshift.logs import log_to_stderr
@@ -54,6 +55,8 @@
         self.members: dict[int, float] = {}  # counters by machine, with trio's time of their last poll
         self.primary_since: float | None = None
         self.links = 0
+        self.rows_of: tuple[Roster | None, int] = (None, 0)
+        self.rows = b""
         self.peers: tuple[int, ...] = ()  # counters that are members, as they were told last
         self.peers_serial = 0  # 0: not known yet
 
@@ -127,7 +130,8 @@
         record = ledger.record
         return {"name": self.boot.name, "machine": self.boot.ip, "primary": ledger.is_primary,
                 "primaryHint": ip_of(ledger.primary_hint), "epoch": record.number,
-                "inSync": [ip_of(m) for m in record.in_sync], "witnesses": [ip_of(m) for m in record.witnesses],
+                "inSync": [ip_of(m) for m in record.in_sync],
+                "witnesses": [ip_of(m) for m in record.witnesses],
                 "forgotten": ledger.is_forgotten, "leaseS": round(self.node.holds(), 3),
                 "revision": self.sheet.revision if ledger.is_primary else None,
                 "versions": self.sheet.versions if ledger.is_primary else None,
@@ -168,7 +172,7 @@
                 whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
                 return Update(stamp, self.mark, has_sheet, self.sheet.revision if has_sheet else 0,
                               self.packed if has_sheet else b"", self.sheet.versions if has_sheet else {},
-                              (epoch, roster.serial), has_rows, roster.rows() if has_rows else (),
+                              (epoch, roster.serial), has_rows, self._rows(roster) if has_rows else (),
                               counted if known else 0, (epoch, stock.serial), whole, packed(kept),
                               packed(dropped), (epoch, self.peers_serial) if has_peers else poll.peers,
                               has_peers, self.peers if has_peers else (), self._core())
@@ -176,12 +180,19 @@
             with trio.move_on_at(until):
                 await news.wait()
 
+    def _rows(self, roster: Roster) -> bytes:
+        """The roster's rows, packed once for all counters that ask."""
+        if self.rows_of != (roster, roster.serial):
+            self.rows_of, self.rows = (roster, roster.serial), CODEC.put("o", roster.rows())
+        return self.rows
+
     async def _tell_members(self) -> None:
         """Tells the counters of each other, once a new primary has surely heard all that live."""
         while True:
             now = trio.current_time()
             if self.primary_since is not None and now - self.primary_since > MEMBER_FOR:
-                peers = tuple(sorted(machine for machine, at in self.members.items() if now - at < MEMBER_FOR))
+                peers = tuple(sorted(machine for machine, at in self.members.items()
+                                     if now - at < MEMBER_FOR))
                 if peers != self.peers:
                     self.peers, self.peers_serial = peers, self.peers_serial + 1
                     self._tell()
@@ -246,8 +257,10 @@
                 ledger = Ledger(self.machine, file.fault_tolerance.machines, self._seeds(), file.bootstrap,
                                 durable, trio.current_time(), self.chance.random,
                                 boot.bounds.lease_ms / 1000 + 0.3)
-                self.node = Node(host, self.machine, boot.inner[1], ledger, store, nursery, self._became, self.refresh)
-                self.duties = Duties(host, memory, self.node, boot.cloud, boot.name, self.named, self._tell)
+                self.node = Node(host, self.machine, boot.inner[1], ledger, store, nursery, self._became,
+                                 self.refresh)
+                self.duties = Duties(host, memory, self.node, boot.cloud, boot.name, self.named,
+                                     self._tell)
                 control = boot.want("controlPlane")
                 calls = CallServer({b"/config": ConfigResource(self.node, control[1]),
                                     b"/version-put": VersionResource(self.node, control[1]),
--- a/rowanshift/net/calls.py
+++ b/rowanshift/net/calls.py
@@ -142,7 +142,8 @@
             with trio.move_on_after(within):
                 if self.connection is None or self.connection.stream.readable():
                     self.close()
-                    self.connection = Connection(self.host.stream(), httptools.HttpResponseParser, self.memory)
+                    self.connection = Connection(self.host.stream(), httptools.HttpResponseParser,
+                                                 self.memory)
                     await connect(self.connection.stream, self.address)
                 await send_all(self.connection.stream, asked(self.address, method, target, b"", fields, True))
                 sent = True
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -60,8 +60,8 @@
     comes before that is whole; without, such a body is an error. With ``streams``, the body of a 2xx answer
     flows from its first byte. ``largest`` is the most bytes of a body that must come whole."""
 
-    def __init__(self, stream: Stream, parser: type, memory: Memory, flows: bool = False, streams: bool = False,
-                 largest: int = 0) -> None:
+    def __init__(self, stream: Stream, parser: type, memory: Memory, flows: bool = False,
+                 streams: bool = False, largest: int = 0) -> None:
         self.stream, self.memory, self.requests = stream, memory, parser is httptools.HttpRequestParser
         self.flows, self.streams = flows, streams
         self.flow: Flow | None = None  # of the message that is being read
@@ -213,9 +213,8 @@
         else:
             if not given and message.status >= 200 and message.status not in NO_BODY:
                 self.to_the_end = True
-            if self.streams and 200 <= message.status < 300:
-                self._begin_flow()
-            elif length is not None and length > WHOLE and self._may_flow():
+            if (self.streams and 200 <= message.status < 300) or (
+                    length is not None and length > WHOLE and self._may_flow()):
                 self._begin_flow()
         if self.error is not None:
             raise self.error
--- a/rowanshift/policy/hotness.py
+++ b/rowanshift/policy/hotness.py
@@ -4,9 +4,7 @@
 
 from rowanshift.model import Hot
 
-EPOCH = 1.0
-LEASE = 5.0
-HOT_EPOCHS = 4
+EPOCH, LEASE, HOT_EPOCHS = 1.0, 5.0, 4  # seconds, seconds, epochs
 TABLE = 512  # keys scored at once
 EVIDENCE = 24  # samples that an epoch and its past hold at least
 
--- a/rowanshift/policy/placement.py
+++ b/rowanshift/policy/placement.py
@@ -1,6 +1,5 @@
-"""Where a request for a model server goes: the ring home of its prefix, a leased shadow while the prefix is hot,
-or the next on the ring walk while the home is out or holds well over the mean. No I/O, no clock; seconds.
-"""
+"""Where a request for a model server goes: the ring home of its prefix, a leased shadow while that is hot,
+or the next on the ring walk while the home is out or holds well over the mean. No I/O, no clock; seconds."""
 
 from rowanshift.policy.hotness import Hotness
 from rowanshift.policy.ring import HashRing, stable
@@ -63,11 +62,9 @@
     def pick(self, mark: int, now: float, model: str, version: int, out):
         """The server for a prefix, of those that have the version or a newer one; None if there is none."""
         def fit(engine) -> bool:
-            return (engine.id not in out and is_open(engine, now)
-                    and engine.versions.get(model, 0) >= version)
+            return engine.id not in out and is_open(engine, now) and engine.versions.get(model, 0) >= version
 
-        hot = self.hotness.get(mark)
-        shadows = hot.shadows if hot is not None else 0
+        shadows = hot.shadows if (hot := self.hotness.get(mark)) is not None else 0
         walk = [engine for engine in self.ring.walk(mark, WALK + shadows) if fit(engine)]
         if not walk:
             return min(filter(fit, self.engines), default=None, key=lambda engine: engine.inflight)
@@ -79,8 +76,9 @@
     def others(self, mark: int, now: float, model: str, first, out) -> list:
         """The next servers on the ring walk that could serve as well as the first that was picked."""
         version = first.versions.get(model, 0)
-        return [engine for engine in self.ring.walk(mark, WALK) if engine is not first and engine.id not in out
-                and is_open(engine, now) and engine.versions.get(model, 0) >= version][:OTHERS]
+        return [engine for engine in self.ring.walk(mark, WALK) if engine is not first
+                and engine.id not in out and is_open(engine, now)
+                and engine.versions.get(model, 0) >= version][:OTHERS]
 
     def _replica(self, mark: int, replicas: list, most: float):
         """One replica drawn at random and kept, until it holds well over the mean."""
--- a/rowanshift/policy/ring.py
+++ b/rowanshift/policy/ring.py
@@ -3,7 +3,6 @@
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Hashable, Mapping
 from hashlib import blake2b
-from itertools import chain
 
 WALKS = 20000  # walks kept
 
@@ -42,11 +41,11 @@
         if walk is None or len(walk) < min(length, len(self.points)):
             if len(self.walks) > WALKS:
                 self.walks.clear()
-            walk = []
-            start = bisect_right(self.ring, mark << 32)
-            for point in chain(self.ring[start:], self.ring[:start]):
-                if self.owner[point] not in walk:
-                    walk.append(self.owner[point])
+            walk, start = [], bisect_right(self.ring, mark << 32)
+            for i in range(start, start + len(self.ring)):
+                owner = self.owner[self.ring[i % len(self.ring)]]
+                if owner not in walk:
+                    walk.append(owner)
                     if len(walk) == length:
                         break
             self.walks[mark] = walk
--- a/rowanshift/policy/shares.py
+++ b/rowanshift/policy/shares.py
@@ -6,8 +6,7 @@
 from rowanshift.policy.hotness import Hotness
 from rowanshift.policy.limits import GOOD, Limits
 
-TELL = 1.0  # a sum over routers, each
-TICK = 0.1
+TELL, TICK = 1.0, 0.1  # seconds: a sum over routers, each; between looks at the shares
 DEEP = 0.25  # a limit that two slow answers leave; under it own answers are too rare to learn from
 
 
@@ -103,8 +102,7 @@
         for cache in self.ready:
             part = tally.keep.get(cache.mark, 255)
             if part == 255:  # no crowd there, over all routers: as good as an answer in time of its own
-                if cache.limit < DEEP:
-                    cache.limit = min(DEEP, GOOD * cache.limit)
+                cache.limit = max(cache.limit, min(DEEP, GOOD * cache.limit))
             elif cache.heard_at < self.now - TELL:  # own answers, where any came, tell as much
                 self._regain(cache)
                 cache.limit = max(0.02, min(1.0, cache.limit) * part / 255)
--- a/rowanshift/records/codec.py
+++ b/rowanshift/records/codec.py
@@ -1,7 +1,7 @@
 """Frames and the fields of records, to bytes and back. No I/O.
 
-A frame is ``>2sBBII``: the magic, the format, the record's kind, the call's number and the length of what follows. A
-record is a dataclass; ``SPEC`` gives one letter a field:
+A frame is ``>2sBBII``: the magic, the format, the record's kind, the call's number and the length of what
+follows. A record is a dataclass; ``SPEC`` gives one letter a field:
 
     q  whole number, 0 to 2**64-1      ?  true or false      d  float
     s  text, UTF-8, 64 KiB at most     b  bytes              p  pair of whole numbers
@@ -73,7 +73,9 @@
                 return pack(">H", len(value)) + b"".join(
                     self.put("s", name) + pack(">Q", number) for name, number in sorted(value.items()))
             case "o":
-                cls, spec = self.nested["o"]
+                if isinstance(value, bytes):  # packed before, for many
+                    return value
+                spec = self.nested["o"][1]
                 return pack(">I", len(value)) + b"".join(self.fields(row, spec) for row in value)
         return self.fields(value, self.nested[letter][1])
 
--- a/rowanshift/rota/__init__.py
+++ b/rowanshift/rota/__init__.py
@@ -1,4 +1,4 @@
-"""Which live member does what: rendezvous hashing, so that a member that comes or goes moves only its own keys."""
+"""Which live member does what: rendezvous hashing; a member that comes or goes moves only its own keys."""
 
 from collections.abc import Iterable
 
--- a/rowanshift/stock/index.py
+++ b/rowanshift/stock/index.py
@@ -1,7 +1,7 @@
 """The index of kept prompt parts: what a source keeps, by its events, and what of that is told on. No I/O.
 
-A part is known by its mark, a hash of where it is kept, the model, the salt it is kept under and its id. Holdings
-are hints: a part that is not there costs a read or a fruitless fetch, and breaks nothing.
+A part is known by its mark, a hash of where it is kept, the model, the salt it is kept under and its id.
+Holdings are hints: a part that is not there costs a read or a fruitless fetch, and breaks nothing.
 """
 
 from collections import OrderedDict, deque
@@ -31,7 +31,7 @@
 
 
 def store_for(stores: Iterable[str], prefix: str) -> str | None:
-    """The store that keeps a prefix, of those given: each prefix has one, and a lost store moves only its own."""
+    """The store that keeps a prefix, of those given: each has one, and a lost store moves only its own."""
     return max(stores, default=None, key=lambda at: stable(f"{at}|{prefix}"))
 
 
--- a/rowanshift/tally.py
+++ b/rowanshift/tally.py
@@ -1,9 +1,10 @@
 """Shared budgets cut into parts that add up over any number of counters. No I/O, no clock.
 
-Over all counters, repeats of a service's requests in any window may be ``ratio`` x its requests in that window, plus
-``slack``. A counter's part follows its own requests; the slack is cut by the number of members. What another counter
-took before it ended may still lie in the window, and members may not know of each other for a while: only ``SURE`` of
-both is used, and a counter that has just started has no slack until it has been a member for a window.
+Over all counters, repeats of a service's requests in any window may be ``ratio`` x its requests in that
+window, plus ``slack``. A counter's part follows its own requests; the slack is cut by the number of members.
+What another counter took before it ended may still lie in the window, and members may not know of each other
+for a while: only ``SURE`` of both is used, and a counter that has just started has no slack until it has been
+a member for a window.
 """
 
 from collections import deque
@@ -24,7 +25,8 @@
 
     def take(self, now: float) -> bool:
         """Whether one more repeat may be sent now; it is counted if so."""
-        asked, spent = self._sum(self.asked, now, self.window), self._sum(self.spent, now, self.window + BUCKET)
+        asked = self._sum(self.asked, now, self.window)
+        spent = self._sum(self.spent, now, self.window + BUCKET)
         own = self.slack / self.members if self.members else 0.0
         if spent + 1 > SURE * (self.ratio * asked + own):
             return False
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,391 @@
+"""Which server a prefix goes to, over the servers that a counter knows of."""
+
+import random
+import unittest
+from collections import Counter
+from itertools import count
+
+from rowanshift.counter.engines import Engine, Engines
+from rowanshift.policy.hotness import EVIDENCE, HOT_EPOCHS, LEASE
+from rowanshift.policy.placement import (
+    BACK_OFF,
+    EASE,
+    LONGEST_BACK_OFF,
+    MARGIN,
+    MOVED,
+    OTHERS,
+    SILENT,
+    SPARE,
+    WALK,
+    back_off,
+    is_open,
+    lighter,
+    mark_of,
+)
+
+SERVICE, MODEL = "s", "m"
+
+
+def engine(n, version=1, service=SERVICE, **more):
+    return Engine(f"i-{n}", service, f"10.0.0.{n}:80", "z", 4, {MODEL: version}, **more)
+
+
+def roster(many=6, seed=1, **more):
+    made = Engines(random.Random(seed))
+    made.update([engine(n, **more) for n in range(many)])
+    return made
+
+
+def marks(many=300):
+    return [mark_of(MODEL, b"p%d" % n) for n in range(many)]
+
+
+def cold():
+    """Prefixes of which none comes again."""
+    return (mark_of(MODEL, b"cold-%d" % n) for n in count())
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.engines = roster()
+        self.pool = self.engines.pool(SERVICE)
+        self.mark = mark_of(MODEL, b"prefix")
+        self.walk = self.pool.ring.walk(self.mark, 6)
+
+    def pick(self, mark=None, now=0.0, version=1, out=()):
+        return self.pool.pick(self.mark if mark is None else mark, now, MODEL, version, out)
+
+
+class Homes(Case):
+    def test_it_stays(self):
+        self.assertIs(self.pick(), self.walk[0])
+        self.assertIs(self.pick(), self.pool.home(self.mark))
+
+    def test_each_counter_has_the_same(self):
+        other = Engines(random.Random(9))
+        other.update([engine(n) for n in reversed(range(6))])
+        for mark in marks():
+            self.assertEqual(other.pool(SERVICE).pick(mark, 0.0, MODEL, 1, ()).id, self.pick(mark).id)
+
+    def test_prefixes_are_spread(self):
+        counts = Counter(self.pick(mark).id for mark in marks(2000))
+        self.assertEqual(len(counts), 6)
+        self.assertTrue(all(200 < many < 540 for many in counts.values()), counts)
+
+    def test_one_that_comes_or_goes_moves_only_its_own(self):
+        before = {mark: self.pick(mark).id for mark in marks()}
+        self.engines.update([engine(n) for n in range(5)])
+        for mark, id in before.items():
+            self.assertTrue(self.pick(mark).id == id or id == "i-5")
+        self.engines.update([engine(n) for n in range(7)])
+        moved = [self.pick(mark).id for mark, id in before.items() if self.pick(mark).id != id]
+        self.assertEqual(set(moved), {"i-6"})
+
+    def test_models_and_prefixes_have_places_of_their_own(self):
+        places = {mark_of(model, prefix) for model in "mn" for prefix in (b"a", b"b", b"\xff")}
+        self.assertEqual(len(places), 6)
+        self.assertLess(self.mark, 2**32)
+
+
+class Skipped(Case):
+    def test_one_that_is_out_of_the_question(self):
+        for name, value in (("draining", True), ("loading", True), ("listed", False), ("silent_until", 5.0)):
+            self.setUp()
+            setattr(self.walk[0], name, value)
+            self.assertFalse(is_open(self.walk[0], 1.0))
+            self.assertIs(self.pick(now=1.0), self.walk[1], name)
+
+    def test_one_tried_before(self):
+        self.assertIs(self.pick(out={self.walk[0].id, self.walk[1].id}), self.walk[2])
+
+    def test_an_old_version(self):
+        for server in self.walk[1:]:
+            server.versions = {MODEL: 2}
+        self.assertIs(self.pick(version=2), self.walk[1])
+        self.walk[1].versions = {MODEL: 3}
+        self.assertIs(self.pick(version=2), self.walk[1])
+        self.walk[1].versions = {"other": 9}
+        self.assertIs(self.pick(version=2), self.walk[2])
+
+    def test_one_that_says_nothing(self):
+        server = self.walk[0]
+        server.sent(0.0)
+        self.assertTrue(is_open(server, SILENT))
+        self.assertFalse(is_open(server, SILENT + 0.01))
+        server.heard(11.0)
+        self.assertTrue(is_open(server, 11.0))
+        server.ended()
+        self.assertTrue(is_open(server, 100.0))  # nothing is out there
+        server.sent(100.0)
+        self.assertTrue(is_open(server, 99.99 + SILENT))
+
+    def test_back_off_doubles_to_its_bound(self):
+        server, spans = self.walk[0], []
+        for _ in range(20):
+            back_off(server, 10.0)
+            spans.append(server.silent_until - 10.0)
+        self.assertEqual(spans[:3], [BACK_OFF, 2 * BACK_OFF, 4 * BACK_OFF])
+        self.assertEqual(spans[-1], LONGEST_BACK_OFF)
+        self.assertFalse(is_open(server, 10.1))
+        server.heard(10.2)
+        self.assertTrue(is_open(server, 10.2))
+        back_off(server, 10.0)
+        self.assertEqual(server.silent_until, 10.0 + BACK_OFF)
+
+    def test_none_fits(self):
+        self.assertIsNone(self.pick(version=2))
+        self.assertIsNone(self.pick(out={server.id for server in self.walk}))
+        for server in self.walk:
+            server.loading = True
+        self.assertIsNone(self.pick())
+        self.assertIsNone(self.engines.pool("unknown").pick(self.mark, 0.0, MODEL, 0, ()))
+        self.assertIsNone(self.engines.pool("unknown").home(self.mark))
+
+    def test_beyond_the_walk_the_one_with_the_least_open(self):
+        self.engines = roster(WALK + 4)
+        self.pool = self.engines.pool(SERVICE)
+        walk = self.pool.ring.walk(self.mark, WALK + 4)
+        for server in walk[:WALK]:
+            server.draining = True
+        for n, server in enumerate(walk[WALK:]):
+            server.inflight = 5 - n
+        self.assertIs(self.pick(), walk[-1])
+
+
+class Margin(Case):
+    def test_over_it_the_next_on_the_walk(self):
+        most = next(n for n in range(100) if n >= MARGIN * n / 6 + SPARE)
+        self.walk[0].inflight = most - 1
+        self.assertIs(self.pick(), self.walk[0])
+        self.walk[0].inflight = most
+        self.assertIs(self.pick(), self.walk[1])
+        self.walk[1].inflight = self.walk[0].inflight = 20
+        self.assertIs(self.pick(), self.walk[2])
+
+    def test_all_over_it(self):
+        """One alone holds the mean itself, so only what is spare can be over it."""
+        for server in self.walk[1:]:
+            server.draining = True
+        self.walk[0].inflight = 1000
+        self.assertIs(self.pick(), self.walk[0])
+
+    def test_an_even_load_moves_nothing(self):
+        for server in self.walk:
+            server.inflight = 50
+        self.assertIs(self.pick(), self.walk[0])
+
+
+class Hot(Case):
+    def heat(self, epochs=HOT_EPOCHS, now=0.0, share=0.5):
+        """So many epochs in which one prefix has that part of the requests."""
+        others = cold()
+        for _ in range(epochs):
+            self.assertGreaterEqual(self.pool.hotness.epoch_at, now)
+            for n in range(4 * EVIDENCE):
+                hot = n < 4 * EVIDENCE * share
+                self.pool.sample(self.mark if hot else next(others), now + 0.1 + n / 1000)
+            now += 1.0
+            self.pool.sample(next(others), now + 0.05)
+            now += 0.05
+        return now
+
+    def shadows(self):
+        hot = self.pool.hotness.get(self.mark)
+        return hot.shadows if hot is not None else 0
+
+    def test_four_epochs_over_one_share_make_it_hot(self):
+        self.heat(HOT_EPOCHS - 1)
+        self.assertEqual(self.shadows(), 0)
+        self.setUp()
+        now = self.heat()
+        self.assertEqual(self.shadows(), 1)
+        self.assertIn(self.pick(now=now), self.walk[:2])
+        self.heat(3, now)
+        self.assertIn(self.shadows(), (2, 3))
+
+    def test_a_prefix_under_one_share_stays_at_home(self):
+        now = self.heat(8, share=0.1)
+        self.assertEqual(self.shadows(), 0)
+        self.assertIs(self.pick(now=now), self.walk[0])
+
+    def test_shadows_are_never_more_than_other_servers(self):
+        self.heat(12, share=1.0)
+        self.assertEqual(self.shadows(), 5)
+
+    def test_a_replica_is_kept(self):
+        seen = set()
+        for seed in range(20):
+            self.setUp()
+            self.pool.chance.seed(seed)
+            now = self.heat()
+            first = self.pick(now=now)
+            self.assertEqual({self.pick(now=now) for _ in range(50)}, {first})
+            seen.add(self.walk.index(first))
+        self.assertEqual(seen, {0, 1})
+
+    def test_it_moves_on_over_the_margin(self):
+        now = self.heat()
+        first = self.pick(now=now)
+        other, = (server for server in self.walk[:2] if server is not first)
+        first.inflight, first.heard_at = 30, now
+        self.assertIs(self.pick(now=now), other)
+        first.inflight = 0
+        self.assertIs(self.pick(now=now), other)  # and stays there
+        first.inflight, other.inflight, other.heard_at = 30, 40, now
+        self.assertIs(self.pick(now=now), first)
+
+    def test_a_replica_that_is_out_is_not_kept(self):
+        now = self.heat()
+        first = self.pick(now=now)
+        first.loading = True
+        self.assertIsNot(self.pick(now=now), first)
+        first.loading = False
+        self.engines.update([engine(n) for n in range(6) if f"i-{n}" != first.id])
+        self.assertNotIn(first, self.pool.drawn.values())
+        self.assertIsNot(self.pick(now=now), first)
+
+    def test_the_lease_ends(self):
+        now, others = self.heat(), cold()
+        until = now + LEASE + 3.0
+        while now < until:
+            for _ in range(2 * EVIDENCE):
+                self.pool.sample(next(others), now)
+            now += 1.01
+        self.assertEqual(self.shadows(), 0)
+        self.assertIs(self.pick(now=now), self.walk[0])
+
+
+class Lighter(Case):
+    def lighter(self, first, *others, shared=0):
+        """By the tokens that wait at the first and the others; None: not known."""
+        known = zip(self.walk, (first, *others), strict=False)
+        waiting = {server.id: tokens for server, tokens in known if tokens is not None}
+        found = lighter(self.walk[0], self.walk[1:1 + len(others)], waiting, shared)
+        return self.walk.index(found)
+
+    def test_only_over_what_is_eased(self):
+        self.assertEqual(self.lighter(EASE, 0), 0)
+        self.assertEqual(self.lighter(EASE + 1, 0), 1)
+
+    def test_ties_stay(self):
+        self.assertEqual(self.lighter(EASE + 1, EASE + 1), 0)
+        self.assertEqual(self.lighter(EASE + 1, EASE), 1)
+        self.assertEqual(self.lighter(9000, 5, 5), 1)
+
+    def test_what_would_be_moved_counts(self):
+        self.assertEqual(self.lighter(4000, 1000, shared=int(3000 / MOVED)), 0)
+        self.assertEqual(self.lighter(4001, 1000, shared=int(3000 / MOVED)), 1)
+
+    def test_the_lightest_of_all(self):
+        self.assertEqual(self.lighter(9000, 500, 400), 2)
+        self.assertEqual(self.lighter(9000, 9500, 9100), 0)
+
+    def test_loads_that_are_not_known(self):
+        self.assertEqual(self.lighter(None, 0), 0)
+        self.assertEqual(self.lighter(9000, None), 0)
+        self.assertEqual(self.lighter(9000, None, 5000), 2)
+        self.assertEqual(self.lighter(None, None), 0)
+        self.assertEqual(self.lighter(9000), 0)
+
+    def test_others_could_serve_as_well(self):
+        def others(out=()):
+            return self.pool.others(self.mark, 1.0, MODEL, self.walk[0], out)
+
+        self.assertEqual(others(), self.walk[1:1 + OTHERS])
+        self.walk[1].loading = True
+        self.assertEqual(others(), self.walk[2:2 + OTHERS])
+        self.assertEqual(others({self.walk[2].id}), self.walk[3:3 + OTHERS])
+        for server in self.walk[:2]:
+            server.versions, server.loading = {MODEL: 2}, False
+        self.assertEqual(others(), [self.walk[1]])
+
+
+class Updates(Case):
+    def given(self, *engines):
+        return self.engines.update([engine(n) for n in range(1, 6)] + list(engines))
+
+    def test_the_same_again(self):
+        before = dict(self.engines.engines)
+        self.assertEqual(self.given(engine(0)), [])
+        self.assertEqual(self.engines.engines, before)
+
+    def test_what_is_known_of_one_is_kept(self):
+        server = self.engines.engines["i-0"]
+        server.sent(5.0)
+        self.assertEqual(self.given(engine(0, 7, loading=True)), [])
+        self.assertIs(self.engines.engines["i-0"], server)
+        self.assertEqual((server.inflight, server.versions, server.loading), (1, {MODEL: 7}, True))
+
+    def test_one_is_gone(self):
+        server = self.engines.engines["i-0"]
+        self.assertEqual(self.given(), [server])
+        self.assertFalse(server.listed or "i-0" in self.engines.engines or server in self.pool.engines)
+        self.assertNotIn(server, {self.pick(mark) for mark in marks()})
+
+    def test_all_are_gone(self):
+        self.assertEqual(len(self.engines.update([])), 6)
+        self.assertIsNone(self.pick())
+
+    def test_its_address_has_another_id(self):
+        old, new = self.engines.engines["i-0"], engine(0)
+        new.id = "i-0-next"
+        self.assertEqual(self.given(new), [old])
+        self.assertFalse(old.listed)
+        self.assertIs(self.engines.engines["i-0-next"], new)
+        self.assertTrue(new.listed and new in self.pool.engines and old not in self.pool.engines)
+
+    def test_the_same_id_is_elsewhere(self):
+        for name, value in (("address", "10.9.9.9:80"), ("service", "t")):
+            self.setUp()
+            old, new = self.engines.engines["i-0"], engine(0)
+            mine = [mark for mark in marks() if self.pick(mark) is old]
+            setattr(new, name, value)
+            self.assertEqual(self.given(new), [old])
+            self.assertFalse(old.listed)
+            self.assertIs(self.engines.engines["i-0"], new)
+            self.assertEqual(new in self.pool.engines, name == "address")
+            for mark in mine:
+                self.assertEqual(self.pick(mark) is new, name == "address")
+        self.assertIs(self.engines.pool("t").pick(self.mark, 0.0, MODEL, 1, ()), new)
+
+    def test_draining_and_back(self):
+        server = self.engines.engines["i-0"]
+        mine = [mark for mark in marks() if self.pick(mark) is server]
+        self.assertTrue(mine)
+        self.assertEqual(self.given(engine(0, draining=True)), [])
+        self.assertTrue(server.listed and server.draining and server not in self.pool.engines)
+        self.assertNotIn(server, {self.pick(mark) for mark in mine})
+        self.assertEqual(self.given(engine(0)), [])
+        self.assertEqual({self.pick(mark) for mark in mine}, {server})
+
+    def test_gone_and_back(self):
+        old = self.engines.engines["i-0"]
+        self.given()
+        self.assertEqual(self.given(engine(0)), [])
+        self.assertIsNot(self.engines.engines["i-0"], old)
+        self.assertIn(self.engines.engines["i-0"], self.pool.engines)
+
+    def test_drawn_rosters(self):
+        chance = random.Random(4)
+        for _ in range(150):
+            wanted = [engine(n, chance.randrange(3), chance.choice("st"), draining=chance.random() < 0.2)
+                      for n in range(12) if chance.random() < 0.7]
+            before = set(self.engines.engines.values())
+            gone = self.engines.update(wanted)
+            now = set(self.engines.engines.values())
+            self.assertEqual(set(gone), before - now)
+            self.assertEqual(len(gone), len(set(gone)))
+            self.assertFalse(any(server.listed for server in gone))
+            self.assertTrue(all(server.listed for server in now))
+            self.assertEqual({(server.id, server.service, server.draining, *server.versions.items())
+                              for server in now},
+                             {(server.id, server.service, server.draining, *server.versions.items())
+                              for server in wanted})
+            for service in "st":
+                ready = {server for server in now if server.service == service and not server.draining}
+                pool = self.engines.pool(service)
+                self.assertEqual((set(pool.engines), set(pool.ring.points)), (ready, ready))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,252 @@
+"""Records and frames: there and back at the edges of each field, and bytes that are none."""
+
+import random
+import unittest
+from contextlib import suppress
+from dataclasses import dataclass, fields
+
+from rowanshift.ledger import protocol
+from rowanshift.records import delivery, table
+from rowanshift.records.codec import FORMAT, HEAD, LARGEST, MAGIC, BadRecord, Codec, Frames
+
+TOP = 2**64 - 1
+NUMBERS = (0, 1, 255, 2**32, 2**53, TOP)
+TEXTS = ("", "a", "naïve ☃ 𝄞", "\x00", "x" * 65_535)
+
+
+@dataclass(slots=True, frozen=True)
+class Measured:
+    """No kind of the table has a plain ``d`` yet."""
+
+    value: float
+
+
+def drawn(chance, letter, nested):
+    match letter:
+        case "q":
+            return chance.choice((*NUMBERS, chance.getrandbits(64)))
+        case "?":
+            return chance.random() < 0.5
+        case "s":
+            return chance.choice(TEXTS[:4])
+        case "b":
+            return chance.randbytes(chance.choice((0, 1, 7, 300)))
+        case "p":
+            return chance.choice(NUMBERS), chance.getrandbits(64)
+        case "t":
+            return tuple(chance.choice(NUMBERS) for _ in range(chance.choice((0, 1, 5))))
+        case "v":
+            return {f"m{n}": chance.choice(NUMBERS) for n in range(chance.choice((0, 1, 4)))}
+        case "o":
+            cls, spec = nested["o"]
+            return tuple(cls(*(drawn(chance, part, nested) for part in spec))
+                         for _ in range(chance.choice((0, 1, 3))))
+    cls, spec = nested[letter]
+    return cls(*(drawn(chance, part, nested) for part in spec))
+
+
+def records(chance, count):
+    """Some of each kind of the whole table."""
+    codec = table.CODEC
+    return [cls(*(drawn(chance, letter, codec.nested) for letter in spec))
+            for cls, spec in codec.kinds.values() for _ in range(count)]
+
+
+def unframed(data):
+    (kind, call, body), = Frames().feed(data)
+    return table.CODEC.unpack(kind, body), call
+
+
+class RoundTrip(unittest.TestCase):
+    def test_every_kind_with_drawn_fields(self):
+        for n, record in enumerate(records(random.Random(1), 40)):
+            self.assertEqual(unframed(table.CODEC.pack(record, n)), (record, n))
+
+    def test_every_kind_has_a_letter_for_each_field(self):
+        for cls, spec in (*table.CODEC.kinds.values(), *table.CODEC.nested.values()):
+            self.assertEqual(len(fields(cls)), len(spec), cls.__name__)
+
+    def test_counters_and_the_core_give_one_number_to_a_kind(self):
+        self.assertEqual({**table.CODEC.kinds, **delivery.KINDS}, table.CODEC.kinds)
+        self.assertEqual(len(table.CODEC.numbers), len(table.CODEC.kinds))
+        poll = delivery.Poll(1, 2, (3, 4), 5, (6, 7), (8, 9), (10, 11))
+        self.assertEqual(delivery.CODEC.pack(poll, 9), table.CODEC.pack(poll, 9))
+
+    def test_whole_numbers_at_their_edges(self):
+        for number in NUMBERS:
+            record = table.Hello(number)
+            self.assertEqual(unframed(table.CODEC.pack(record))[0], record)
+
+    def test_the_call_at_its_edges(self):
+        for call in (0, 1, 2**32 - 1):
+            self.assertEqual(unframed(table.CODEC.pack(table.Hello(1), call))[1], call)
+
+    def test_texts_at_their_edges(self):
+        for text in TEXTS:
+            row = delivery.Row(text, "s", "a:1", "", 1, delivery.UP | delivery.LOADING, {text: TOP})
+            update = delivery.Update((0, 0), 0, False, 0, b"", {}, (1, 1), True, (row,))
+            self.assertEqual(unframed(delivery.CODEC.pack(update))[0], update)
+
+    def test_the_longest_tuple_and_dict(self):
+        whole = delivery.Elsewhere(0, tuple(range(65_535)))
+        self.assertEqual(unframed(table.CODEC.pack(whole))[0], whole)
+        versions = {str(n): n for n in range(65_535)}
+        update = delivery.Update((0, 0), 0, False, 0, b"", versions, (0, 0), False)
+        self.assertEqual(unframed(table.CODEC.pack(update))[0], update)
+
+    def test_a_body_of_many_bytes(self):
+        store = protocol.Store(1, (2, 3), random.Random(1).randbytes(3 << 20))
+        self.assertEqual(unframed(table.CODEC.pack(store))[0], store)
+
+    def test_floating_point_numbers(self):
+        codec = Codec({1: (Measured, "d")}, {})
+        for value in (0.0, -0.0, 1e-308, -1.5, 1.7976931348623157e308, float("inf")):
+            body = codec.pack(Measured(value))[HEAD.size:]
+            self.assertEqual(repr(codec.unpack(1, body).value), repr(value))
+
+    def test_rows_packed_before_are_the_same_bytes(self):
+        row = delivery.Row("i", "s", "a:1", "z", 2, delivery.DRAINING, {"m": 3})
+        given = ((1, 2), 3, True, 4, b"c", {"m": 1}, (5, 6), True)
+        packed = delivery.CODEC.put("o", (row, row))
+        self.assertEqual(delivery.CODEC.pack(delivery.Update(*given, packed)),
+                         delivery.CODEC.pack(delivery.Update(*given, (row, row))))
+
+
+class Pieces(unittest.TestCase):
+    def setUp(self):
+        self.records = records(random.Random(2), 4)
+        self.data = b"".join(table.CODEC.pack(record, n) for n, record in enumerate(self.records))
+
+    def taken(self, pieces):
+        frames = Frames()
+        made = [frame for piece in pieces for frame in frames.feed(piece)]
+        self.assertEqual(bytes(frames.held), b"")
+        self.assertEqual([call for _, call, _ in made], list(range(len(self.records))))
+        return [table.CODEC.unpack(kind, body) for kind, _, body in made]
+
+    def test_byte_by_byte(self):
+        self.assertEqual(self.taken(self.data[at:at + 1] for at in range(len(self.data))), self.records)
+
+    def test_all_at_once(self):
+        self.assertEqual(self.taken([self.data]), self.records)
+
+    def test_odd_pieces(self):
+        for seed in range(50):
+            chance, at, pieces = random.Random(seed), 0, []
+            while at < len(self.data):
+                size = chance.choice((0, 1, 3, 11, 12, 13, 97, 1000))
+                pieces.append(memoryview(self.data)[at:at + size])
+                at += size
+            self.assertEqual(self.taken(pieces), self.records)
+
+    def test_what_is_not_whole_gives_nothing_yet(self):
+        frame, frames = table.CODEC.pack(table.Hello(7)), Frames()
+        self.assertEqual(frames.feed(frame[:-1]), [])
+        self.assertEqual(len(frames.feed(frame[-1:])), 1)
+
+
+class NoFrames(unittest.TestCase):
+    def refused(self, magic=MAGIC, form=FORMAT, size=8):
+        with self.assertRaises(BadRecord):
+            Frames().feed(HEAD.pack(magic, form, 16, 0, size))
+
+    def test_another_magic(self):
+        for magic in (b"RL", b"\0\0", b"SR", b"HT"):
+            self.refused(magic=magic)
+
+    def test_another_format(self):
+        for form in (0, FORMAT + 1, 255):
+            self.refused(form=form)
+        frame = bytearray(table.CODEC.pack(table.Hello(7)))
+        frame[2] = FORMAT + 1
+        with self.assertRaises(BadRecord):
+            Frames().feed(bytes(frame))
+
+    def test_one_of_another_format_after_good_ones(self):
+        frames, good = Frames(), table.CODEC.pack(table.Hello(7))
+        self.assertEqual(len(frames.feed(good)), 1)
+        with self.assertRaises(BadRecord):
+            frames.feed(good[:2] + bytes([FORMAT + 1]) + good[3:])
+
+    def test_too_long(self):
+        self.refused(size=LARGEST + 1)
+        self.refused(size=2**32 - 1)
+        frames = Frames()
+        self.assertEqual(frames.feed(HEAD.pack(MAGIC, FORMAT, 16, 0, LARGEST)), [])
+
+    def test_random_bytes(self):
+        chance, refused = random.Random(3), 0
+        for _ in range(3000):
+            try:
+                Frames().feed(chance.randbytes(chance.randrange(40)))
+            except BadRecord:
+                refused += 1
+        self.assertGreater(refused, 1500)
+
+
+class NoRecords(unittest.TestCase):
+    def bodies(self, count=3):
+        return [(*Frames().feed(table.CODEC.pack(record))[0][::2], record)
+                for record in records(random.Random(4), count)]
+
+    def test_unknown_kinds(self):
+        for kind in set(range(256)) - set(table.CODEC.kinds):
+            with self.assertRaises(BadRecord):
+                table.CODEC.unpack(kind, b"")
+        for kind in table.KINDS:
+            with self.assertRaises(BadRecord):
+                delivery.CODEC.unpack(kind, bytes(8))
+
+    def test_cut_short_anywhere(self):
+        for kind, body, _ in self.bodies():
+            for end in range(len(body)):
+                with self.assertRaises(BadRecord):
+                    table.CODEC.unpack(kind, body[:end])
+
+    def test_bytes_too_many(self):
+        for kind, body, _ in self.bodies():
+            for more in (b"\0", b"\0" * 8, b"\xff" * 3):
+                with self.assertRaises(BadRecord):
+                    table.CODEC.unpack(kind, body + more)
+
+    def test_lengths_that_lie(self):
+        for body in (b"\0" * 8 + b"\xff\xff", b"\0" * 8 + b"\0\2" + bytes(8), b"\0" * 8 + b"\0\0" + bytes(8)):
+            with self.assertRaises(BadRecord):
+                table.CODEC.unpack(3, body)
+        for lie in (b"\xff\xff\xff\xff", b"\0\0\1\0"):
+            with self.assertRaises(BadRecord):
+                table.CODEC.take(lie + bytes(40), 0, "o")
+            with self.assertRaises(BadRecord):
+                table.CODEC.take(lie + bytes(40), 0, "b")
+
+    def test_text_that_is_none(self):
+        update = delivery.Update((0, 0), 0, False, 0, b"", {"ab": 1}, (0, 0), False)
+        (kind, _, body), = Frames().feed(delivery.CODEC.pack(update))
+        with self.assertRaises(BadRecord):
+            delivery.CODEC.unpack(kind, body.replace(b"ab", b"\xff\xfe"))
+
+    def test_random_bytes_of_each_kind(self):
+        chance, refused, kinds = random.Random(5), 0, sorted(table.CODEC.kinds)
+        for _ in range(8000):
+            kind = chance.choice(kinds)
+            body = chance.randbytes(chance.randrange(120))
+            try:
+                record = table.CODEC.unpack(kind, body)
+            except BadRecord:
+                refused += 1
+            else:  # it is a record then, and has bytes of its own
+                self.assertEqual(unframed(table.CODEC.pack(record))[0], record)
+        self.assertGreater(refused, 4000)
+
+    def test_single_bytes_changed(self):
+        chance, bodies = random.Random(6), self.bodies()
+        for _ in range(8000):
+            kind, body, _ = chance.choice(bodies)
+            spoilt = bytearray(body)
+            spoilt[chance.randrange(len(spoilt))] = chance.randrange(256)
+            with suppress(BadRecord):
+                table.CODEC.unpack(kind, bytes(spoilt))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,292 @@
+"""Requests as a counter reads them and passes them on, by the book of routes, tenants and services."""
+
+import random
+import unittest
+from contextlib import suppress
+
+import orjson
+
+from rowanshift.counter.book import BadSheet, Book, Tenant, book_of
+from rowanshift.counter.requests import (
+    LONGEST_MS,
+    parts_of,
+    priority_of,
+    request_of,
+    salt_of,
+    tokens_of,
+    written,
+)
+from rowanshift.net.connection import BadMessage, Message
+
+SHEET = {
+    "limits": {"maxBodyBytes": 1000, "headerTimeoutMs": 500, "idleTimeoutMs": 2000},
+    "backends": [{"name": "a", "healthCheck": "/up", "maxConnections": 7, "engine": {"kvTokenBytes": 16}},
+                 {"name": "b"}, {"name": "k", "kvStoreAddress": "10.0.0.7:9000"}],
+    "routes": [
+        {"name": "root", "hostname": "H.example", "pathPrefix": "/", "backend": "a"},
+        {"name": "deep", "hostname": "h.example", "pathPrefix": "/v1/chat", "backend": "a", "priority": 4,
+         "routeType": "streaming", "resumable": True, "retries": 3, "timeoutMs": 1500,
+         "targetLatencyMs": 200},
+        {"name": "v1", "hostname": "h.example", "pathPrefix": "/v1", "routeType": "idempotent",
+         "trafficSplit": [{"backend": "a", "weight": 3}, {"backend": "b", "weight": 1}]},
+        {"name": "other", "hostname": "o.example", "pathPrefix": "/x", "backend": "b", "public": True}],
+    "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 8},
+                {"name": "t2", "apiKeys": ["k3"], "isolated": True}],
+}
+ID = (b"request-id", b"r-1")
+
+
+def book(sheet=SHEET):
+    return book_of(3, orjson.dumps(sheet), {"m": 2})
+
+
+def read(*fields, target=b"/v1/chat", method=b"POST", body=b"{}", now=100.0):
+    return request_of(Message(method, target, fields=list(fields), body=body), now)
+
+
+def sent(request, tenant=None, left=1.0, version=2, after=None, fetch=None, save=None, priority=5):
+    data = written(request, tenant, b"i-0-1", left, version, after, fetch, save, priority)
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.split(b"\r\n")
+    return first, [tuple(line.split(b": ", 1)) for line in lines], body
+
+
+class Books(unittest.TestCase):
+    def test_the_longest_prefix(self):
+        for path, name in ((b"/v1/chat/x", "deep"), (b"/v1/chat", "deep"), (b"/v1/cha", "v1"),
+                           (b"/v2", "root"), (b"/", "root")):
+            self.assertEqual(book().match(b"h.example", path).name, name)
+
+    def test_the_order_of_routes_does_not_matter(self):
+        chance = random.Random(1)
+        for _ in range(50):
+            rows = chance.sample(SHEET["routes"], len(SHEET["routes"]))
+            made = book({**SHEET, "routes": rows})
+            self.assertEqual(made.match(b"h.example", b"/v1/chat/x").name, "deep")
+            self.assertEqual(made.match(b"h.example", b"/v1").name, "v1")
+
+    def test_no_route(self):
+        self.assertIsNone(book().match(b"o.example", b"/y"))
+        self.assertIsNone(book().match(b"none", b"/"))
+        self.assertIsNone(book().match(b"h.example", b""))
+
+    def test_all_fields(self):
+        made = book()
+        route = made.match(b"h.example", b"/v1/chat")
+        self.assertEqual((route.timeout, route.aim, route.servers, route.priority), (1.5, 0.2, 3, 4))
+        self.assertTrue(route.streaming and route.repeatable and not route.public)
+        self.assertEqual((made.largest_body, made.header_within, made.idle_for), (1000, 0.5, 2.0))
+        self.assertEqual((made.services["a"].health, made.services["a"].connections), (b"/up", 7))
+        self.assertEqual((made.services["k"].store, made.services["a"].token_bytes), ("10.0.0.7:9000", 16))
+        self.assertEqual((made.revision, made.versions), (3, {"m": 2}))
+        self.assertIs(made.tenants[b"k1"], made.tenants[b"k2"])
+        self.assertTrue(made.tenants[b"k3"].isolated)
+        self.assertTrue(made.match(b"o.example", b"/x").public)
+
+    def test_what_may_run_more_than_once(self):
+        for kind, resumable, expected in (("streaming", True, True), ("streaming", False, False),
+                                          ("idempotent", False, True), ("", True, False)):
+            row = {"hostname": "h", "pathPrefix": "/", "backend": "a", "routeType": kind,
+                   "resumable": resumable}
+            self.assertEqual(book({"routes": [row]}).match(b"h", b"/").repeatable, expected)
+
+    def test_without_tenants_no_key_is_asked_for(self):
+        self.assertIsNone(book({}).tenants)
+        self.assertEqual(book({"tenants": []}).tenants, {})
+
+    def test_weights(self):
+        route = book().match(b"h.example", b"/v1")
+        self.assertEqual([route.service(n / 1000) for n in range(1000)].count("a"), 750)
+        self.assertEqual((route.service(0.0), route.service(1.0)), ("a", "b"))
+
+    def test_a_weight_of_zero_gets_nothing(self):
+        for weights in ((0, 1, 0), (0, 0, 2), (5, 0, 0)):
+            split = [{"backend": name, "weight": weight} for name, weight in zip("xyz", weights, strict=True)]
+            row = {"hostname": "h", "pathPrefix": "/", "trafficSplit": split}
+            route = book({"routes": [row]}).match(b"h", b"/")
+            only = "xyz"[[weight > 0 for weight in weights].index(True)]
+            self.assertEqual({route.service(n / 100) for n in range(101)}, {only})
+
+    def test_priority(self):
+        route = book().match(b"h.example", b"/v1/chat")
+        for tenant, expected in ((None, 4), (Tenant(b"t", None, False), 4), (Tenant(b"t", 0, False), 0),
+                                 (Tenant(b"t", 99, False), 9), (Tenant(b"t", -3, False), 0)):
+            self.assertEqual(priority_of(route, tenant), expected)
+
+    def test_no_configuration(self):
+        self.assertEqual(book_of(9, b"", {"m": 1}), Book(versions={"m": 1}))
+
+    def test_junk(self):
+        for data in (b"x", b"null", b"[]", b"1", b"\xff", b'{"routes": [1]}', b'{"routes": [{}]}',
+                     b'{"limits": 1}', b'{"backends": [{}]}', b'{"backends": [{"name": []}]}',
+                     b'{"tenants": [{"name": 1}]}', b'{"tenants": 1}',
+                     b'{"backends": [{"name": "a", "maxConnections": "x"}]}'):
+            with self.assertRaises(BadSheet, msg=data):
+                book_of(1, data, {})
+        chance, good = random.Random(2), orjson.dumps(SHEET)
+        for _ in range(3000):
+            spoilt = bytearray(good)
+            spoilt[chance.randrange(len(spoilt))] = chance.randrange(256)
+            with suppress(BadSheet):
+                book_of(1, bytes(spoilt), {})
+
+
+class Reading(unittest.TestCase):
+    def refused(self, *fields, **more):
+        with self.assertRaises(BadMessage) as caught:
+            read(*fields, **more)
+        self.assertEqual(caught.exception.status, 400)
+
+    def test_a_whole_one(self):
+        request = read(ID, (b"host", b"H.example:80"), (b"authorization", b"Bearer k1"),
+                       (b"model-name", b"m"), (b"deadline-remaining", b"1500"),
+                       (b"prompt-prefix", b"a:10, b:20,c:5"),
+                       (b"token-count", b"35, 100"), (b"last-event-id", b"7"), target=b"/v1/chat?x=/y")
+        self.assertEqual((request.id, request.host, request.key), (b"r-1", b"h.example", b"k1"))
+        self.assertEqual(request.model, "m")
+        self.assertEqual((request.path, request.target), (b"/v1/chat", b"/v1/chat?x=/y"))
+        self.assertEqual((request.until, request.came_at), (101.5, 100.0))
+        self.assertEqual((request.parts, request.prefix), (((b"a", 10), (b"b", 20), (b"c", 5)), b"b"))
+        self.assertEqual((request.tokens, request.after), ((35, 100), b"7"))
+
+    def test_the_prefix(self):
+        self.assertEqual(read(ID).prefix, b"r-1")
+        self.assertEqual(read(ID, (b"prompt-prefix", b"a:1")).prefix, b"a")
+        self.assertEqual(read(ID, (b"prompt-prefix", b"a:1,b:2")).prefix, b"a")
+
+    def test_the_id_is_needed(self):
+        self.refused()
+        self.refused((b"request-id", b""))
+
+    def test_headers_that_stand_there_twice(self):
+        for name, value in (ID, (b"deadline-remaining", b"5"), (b"authorization", b"Bearer k1"),
+                            (b"prompt-prefix", b"a:1")):
+            fields = [pair for pair in (ID,) if pair[0] != name]
+            self.refused(*fields, (name, value), (name, value))
+            self.refused(*fields, (name, value), (b"x", b"y"), (name, b"other"))
+        read(ID, (b"x-any", b"1"), (b"x-any", b"2"))
+
+    def test_deadlines(self):
+        for text, seconds in ((b"0", 0.0), (b"1", 0.001), (b"2.5", 0.0025), (b"1e3", 1.0),
+                              (b"9" * 40, 3600.0)):
+            self.assertAlmostEqual(read(ID, (b"deadline-remaining", text)).until, 100.0 + seconds)
+        self.assertEqual(read(ID).until, 160.0)
+        self.assertEqual(LONGEST_MS, 3_600_000)
+
+    def test_deadlines_that_are_none(self):
+        for text in (b"", b"x", b"-1", b"nan", b"inf", b"-inf", b"Infinity", b"1e999", b"1,2", b"0x10",
+                     b"\xff", b"1 2", b"5s"):
+            self.refused(ID, (b"deadline-remaining", text))
+
+    def test_prompt_prefixes_that_are_none(self):
+        for text in (b"", b"a", b"a:", b"a:x", b"a:-1", b"a:1.5", b"a:1,", b",a:1", b"a:1,,b:2", b"a:1,b",
+                     b":", b"a:1;b:2", b"a: 1", b"a:\xb2", b"\xff"):
+            self.assertEqual(parts_of(text), (), text)
+            self.assertEqual(read(ID, (b"prompt-prefix", text)).parts, ())
+
+    def test_a_number_of_tokens_beyond_reason(self):
+        """A field of 16 KiB holds one that Python won't read, and one that no float holds."""
+        for digits in (5000, 400):
+            text = b"9" * digits
+            with self.subTest("parts", digits=digits):
+                tokens = sum(size for _, size in parts_of(b"a:1,b:" + text))
+                self.assertLess(float(tokens), float("inf"))
+            with self.subTest("tokens", digits=digits):
+                self.assertLess(float(sum(tokens_of(text + b"," + text))), float("inf"))
+
+    def test_drawn_prompt_prefixes_and_counts(self):
+        chance = random.Random(3)
+        for _ in range(5000):
+            text = bytes(chance.choices(b"ab:,0 9-.\xff", k=chance.randrange(14)))
+            self.assertTrue(all(tokens >= 0 for _, tokens in parts_of(text)))
+            self.assertTrue(min(tokens_of(text)) >= 0)
+
+    def test_token_counts(self):
+        for text, tokens in ((b"", (0, 0)), (b"5", (5, 0)), (b"5,7", (5, 7)), (b",7", (0, 7)),
+                             (b"x,7", (0, 7)), (b"-5,7", (0, 7)), (b"5,7,9", (5, 0))):
+            self.assertEqual(tokens_of(text), tokens)
+
+    def test_keys(self):
+        for text, key in ((b"Bearer k1", b"k1"), (b"bearer  k1 ", b"k1"), (b"BEARER k1", b"k1"),
+                          (b"Basic k1", None), (b"k1", None), (b"", None)):
+            self.assertEqual(read(ID, (b"authorization", text)).key, key)
+        self.assertIsNone(read(ID).key)
+
+    def test_absolute_targets(self):
+        for target, path in ((b"http://h.example/v1?q=1", b"/v1"), (b"HTTPS://h:80/", b"/"),
+                             (b"http://h", b"/")):
+            self.assertEqual(read(ID, target=target).path, path)
+        self.assertEqual(read(ID, target=b"http://h/v1?q=http://x/y").target, b"/v1?q=http://x/y")
+
+    def test_an_absolute_target_without_a_path_keeps_its_query(self):
+        for query in (b"?q=1", b"?q=/v1/chat"):
+            request = read(ID, target=b"http://h" + query)
+            self.assertEqual((request.path, request.target), (b"/", b"/" + query))
+
+    def test_targets_that_are_none(self):
+        for target in (b"", b"*", b"v1", b"h:80", b"ftp://h/v1", b"://h/v1", b"?q"):
+            self.refused(ID, target=target)
+
+
+class Writing(unittest.TestCase):
+    OWN = ((b"tenant-name", b"evil"), (b"expect-instance", b"evil"), (b"expect-version", b"evil"),
+           (b"cache-salt", b"evil"), (b"kv-fetch", b"evil"), (b"kv-save", b"evil"), (b"priority", b"evil"),
+           (b"deadline-remaining", b"77777"), (b"authorization", b"Bearer evil"), (b"last-event-id", b"evil"))
+
+    def test_what_goes_on(self):
+        request = read(ID, (b"host", b"h"), (b"x-any", b"1"), (b"x-any", b"2"), (b"connection", b"x-hop"),
+                       (b"x-hop", b"1"), target=b"/v1?q=1")
+        first, lines, body = sent(request, Tenant(b"t1", None, False), 1.25, fetch=b"f:1", save=b"s:1")
+        self.assertEqual((first, body), (b"POST /v1?q=1 HTTP/1.1", b"{}"))
+        self.assertEqual(lines, [
+            (b"request-id", b"r-1"), (b"host", b"h"), (b"x-any", b"1"), (b"x-any", b"2"),
+            (b"Deadline-Remaining", b"1250"), (b"Expect-Instance", b"i-0-1"), (b"Tenant-Name", b"t1"),
+            (b"Expect-Version", b"2"), (b"Cache-Salt", b"v2."), (b"Kv-Fetch", b"f:1"), (b"Kv-Save", b"s:1"),
+            (b"Priority", b"5"), (b"Content-Length", b"2")])
+
+    def test_a_clients_own_never_go_on(self):
+        request = read(ID, *self.OWN)
+        for tenant in (None, Tenant(b"t", None, True)):
+            for version in (0, 2):
+                data = written(request, tenant, b"i", 1.0, version, None, None, None, None)
+                self.assertNotIn(b"evil", data)
+                self.assertNotIn(b"77777", data)
+
+    def test_each_stands_there_once(self):
+        _, lines, _ = sent(read(ID, *self.OWN), Tenant(b"t", None, True), after=b"9", fetch=b"f", save=b"s")
+        names = [name.lower() for name, _ in lines]
+        self.assertEqual(len(names), len(set(names)))
+        self.assertEqual(dict(lines)[b"Last-Event-Id"], b"9")
+
+    def test_the_key_never_goes_on(self):
+        for scheme in (b"Bearer ", b"bearer  ", b"Basic ", b""):
+            request = read(ID, (b"authorization", scheme + b"secret"))
+            data = written(request, Tenant(b"t", None, False), b"i", 1.0, 1, None, None, None, None)
+            self.assertNotIn(b"secret", data)
+
+    def test_salts(self):
+        tenants = (None, Tenant(b"a", None, False), Tenant(b"b", 1, False))
+        isolated = (Tenant(b"a", None, True), Tenant(b"b", None, True), Tenant(b"1.a", None, True))
+        for version in (1, 2, 11):
+            self.assertEqual(len({salt_of(tenant, version) for tenant in tenants}), 1)
+        salts = [salt_of(tenant, version) for version in (1, 2, 11, 12) for tenant in (None, *isolated)]
+        self.assertEqual(len(set(salts)), len(salts))
+
+    def test_without_a_version_nothing_is_kept_or_moved(self):
+        names = {name for name, _ in sent(read(ID), version=0, fetch=b"f", save=b"s")[1]}
+        self.assertFalse(names & {b"Expect-Version", b"Cache-Salt", b"Kv-Fetch", b"Kv-Save"})
+
+    def test_a_millisecond_is_left_at_least(self):
+        for left, text in ((-5.0, b"1"), (0.0, b"1"), (0.0004, b"1"), (0.0019, b"1"), (0.002, b"2"),
+                           (3.0, b"3000")):
+            self.assertEqual(dict(sent(read(ID), left=left)[1])[b"Deadline-Remaining"], text)
+
+    def test_the_length_of_the_body(self):
+        for method, body, expected in ((b"POST", b"", b"0"), (b"PUT", b"abc", b"3"), (b"GET", b"", None),
+                                       (b"GET", b"ab", b"2"), (b"DELETE", b"", None)):
+            _, lines, came = sent(read(ID, (b"content-length", b"99"), method=method, body=body))
+            self.assertEqual((dict(lines).get(b"Content-Length"), came), (expected, body))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,235 @@
+"""The roster of servers as the primary keeps it, and which of them loads next."""
+
+import random
+import unittest
+
+from rowanshift.ledger.roster import AGAIN, AT_ONCE, BadList, Known, Roster, known_of
+from rowanshift.records.delivery import CODEC, DRAINING, LOADING, UP, Row, Update
+
+
+def entry(id="i-0-1", version=1, service="s", **more):
+    return {"id": id, "backend": service, "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "up",
+            "models": [{"name": "m", "revision": version}], **more}
+
+
+def known(id, version=1, service="s", draining=False, **more):
+    return Known(id, service, f"10.0.0.1:{id[-1]}", "z", 1, draining, {"m": version}, **more)
+
+
+def roster(*servers):
+    made = Roster()
+    made.take(list(servers))
+    return made
+
+
+class Entries(unittest.TestCase):
+    def test_one(self):
+        self.assertEqual(known_of(entry()).row(), Row("i-0-1", "s", "10.0.0.1:80", "z", 4, UP, {"m": 1}))
+
+    def test_what_may_be_missing(self):
+        made = known_of({"id": "i", "backend": "s", "address": "a:1"})
+        self.assertEqual(made.row(), Row("i", "s", "a:1", "", 1, UP, {}))
+        self.assertEqual(known_of(entry(models=[{"name": "m"}, {"name": "n", "revision": None}])).versions,
+                         {"m": 0, "n": 0})
+
+    def test_states(self):
+        made = known_of(entry(state="draining"))
+        self.assertEqual(made.row().state, DRAINING)
+        made.loading = True
+        self.assertEqual(made.row().state, DRAINING | LOADING)
+        self.assertEqual(known_of(entry(state="unheard of")).row().state, UP)
+
+    def test_junk(self):
+        for junk in (None, 1, "x", [], {}, {"id": "i"}, entry(models=1), entry(models=["m"]),
+                     entry(models=[{}]), entry(models=[None]), entry(slots="many"), entry(slots=[1]),
+                     entry(slots=float("nan")), entry(models=[{"name": "m", "revision": "x"}])):
+            with self.assertRaises(BadList, msg=repr(junk)):
+                known_of(junk)
+
+    def drawn(self, chance, deep=2):
+        kind = chance.randrange(8 if deep else 6)
+        if kind == 6:
+            return [self.drawn(chance, deep - 1) for _ in range(chance.randrange(3))]
+        if kind == 7:
+            names = chance.sample(("id", "name", "revision", "x"), 3)
+            return {name: self.drawn(chance, deep - 1) for name in names}
+        return chance.choice((None, True, 0, -1, 3, 0.5, "", "draining", "12", "x"))
+
+    def test_drawn_junk(self):
+        chance, refused = random.Random(1), 0
+        for _ in range(5000):
+            junk = entry()
+            for name in chance.sample(sorted(junk), chance.randrange(1, 4)):
+                if chance.random() < 0.3:
+                    del junk[name]
+                else:
+                    junk[name] = self.drawn(chance)
+            try:
+                self.assertIsInstance(known_of(junk), Known)
+            except BadList:
+                refused += 1
+        self.assertGreater(refused, 500)
+
+    def test_what_is_taken_can_be_told_on(self):
+        """A row that has no record would keep the whole roster from every counter."""
+        for junk in (entry(slots=-1), entry(slots=2**64), entry(version=-1), entry(version=2**64),
+                     entry(id="i" * 65_536), entry(zone="z" * 65_536)):
+            with self.subTest(str(junk)[:200]):
+                try:
+                    row = known_of(junk).row()
+                except BadList:
+                    continue
+                CODEC.pack(Update((0, 0), 0, False, 0, b"", {}, (1, 1), True, (row,)))
+
+
+class Lists(unittest.TestCase):
+    def test_a_list_is_taken(self):
+        made = roster(known("a"), known("b"))
+        self.assertEqual([row.id for row in made.rows()], ["a", "b"])
+        self.assertEqual(made.serial, 1)
+
+    def test_an_empty_first_list_counts_as_read(self):
+        made = Roster()
+        self.assertTrue(made.take([]))
+        self.assertEqual(made.serial, 1)
+        self.assertFalse(made.take([]))
+
+    def test_the_same_list_changes_nothing(self):
+        made = roster(known("a"), known("b"))
+        self.assertFalse(made.take([known("b"), known("a")]))
+        self.assertEqual(made.serial, 1)
+
+    def test_what_changes_the_serial(self):
+        for servers in ([known("a")], [known("a"), known("b"), known("c")], [known("a"), known("b", 2)],
+                        [known("a"), known("b", draining=True)], [known("a"), known("b", service="t")]):
+            made = roster(known("a"), known("b"))
+            self.assertTrue(made.take(servers))
+            self.assertEqual(made.serial, 2)
+
+    def test_versions_never_go_back_for_an_incarnation(self):
+        made = roster(known("a", 3))
+        self.assertFalse(made.take([known("a", 2)]))
+        self.assertEqual(made.servers["a"].versions, {"m": 3})
+        made.loaded("a", "m", 5)
+        made.loaded("a", "m", 4)
+        made.take([known("a", 3)])
+        self.assertEqual(made.servers["a"].versions, {"m": 5})
+        made.take([known("b", 1)])  # the next one begins as it says
+        self.assertEqual(made.servers["b"].versions, {"m": 1})
+        made.take([known("a", 2)])
+        self.assertEqual(made.servers["a"].versions, {"m": 2})
+
+    def test_versions_never_go_back_whatever_comes(self):
+        chance, made, best = random.Random(2), Roster(), {}
+        for _ in range(2000):
+            id, version = chance.choice("abc"), chance.randrange(50)
+            if chance.random() < 0.5:
+                made.take([known(each, chance.randrange(50)) for each in "abc"])
+            else:
+                made.loaded(id, "m", version)
+            for each, server in made.servers.items():
+                self.assertGreaterEqual(server.versions["m"], best.get(each, 0))
+                best[each] = server.versions["m"]
+
+    def test_a_model_that_the_list_lost_stays(self):
+        made = roster(known("a", 3))
+        one = known("a")
+        one.versions = {}
+        made.take([one])
+        self.assertEqual(made.servers["a"].versions, {"m": 3})
+
+    def test_what_a_load_left_outlives_a_list(self):
+        made = roster(known("a"))
+        made.begin(made.servers["a"])
+        made.take([known("a")])
+        self.assertTrue(made.servers["a"].loading)
+        made.failed("a", 10.0)
+        made.take([known("a")])
+        server = made.servers["a"]
+        self.assertEqual((server.loading, server.not_before, server.failures), (False, 10.0 + AGAIN, 1))
+
+    def test_ends_of_loads_of_servers_that_are_gone(self):
+        made = roster(known("a"))
+        made.failed("gone", 1.0)
+        made.loaded("gone", "m", 2)
+        self.assertEqual((made.serial, set(made.servers)), (1, {"a"}))
+
+
+class Loads(unittest.TestCase):
+    def begun(self, made, version=2, now=0.0):
+        ids = []
+        while (order := made.next_load({"m": version}, now)) is not None:
+            self.assertEqual(order[1:], ("m", version))
+            made.begin(order[0])
+            ids.append(order[0].id)
+        return ids
+
+    def test_at_most_a_part_at_once_and_one_at_least(self):
+        for count in range(1, 30):
+            made = roster(*(known(f"i{n:02}") for n in range(count)))
+            self.assertEqual(len(self.begun(made)), max(1, int(AT_ONCE * count)))
+
+    def test_each_service_has_its_own_part(self):
+        made = roster(*(known(f"{service}{n}", service=service) for service in "st" for n in range(5)))
+        self.assertEqual(sorted(self.begun(made)), ["s0", "s1", "t0", "t1"])
+
+    def test_all_have_it_in_the_end(self):
+        made, rounds = roster(*(known(f"i{n:02}") for n in range(17))), 0
+        while ids := self.begun(made):
+            rounds += 1
+            self.assertLessEqual(len(ids), int(AT_ONCE * 17))
+            for id in ids:
+                made.loaded(id, "m", 2)
+        self.assertEqual({server.versions["m"] for server in made.servers.values()}, {2})
+        self.assertEqual(rounds, 3)
+
+    def test_nothing_is_behind(self):
+        made = roster(known("a", 2), known("b", 3))
+        self.assertIsNone(made.next_load({"m": 2}, 0.0))
+        self.assertIsNone(made.next_load({}, 0.0))
+        self.assertIsNone(made.next_load({"other": 9}, 0.0))
+        self.assertIsNone(Roster().next_load({"m": 2}, 0.0))
+
+    def test_none_that_drains(self):
+        made = roster(known("a", draining=True), known("b"))
+        self.assertEqual(self.begun(made), ["b"])
+        self.assertEqual(self.begun(roster(known("a", draining=True))), [])
+
+    def test_those_that_drain_do_not_count_as_fellows(self):
+        made = roster(*(known(f"d{n}", draining=True) for n in range(10)), known("a"), known("b"))
+        self.assertEqual(self.begun(made), ["a"])
+
+    def test_failures_come_last(self):
+        made = roster(known("a"), known("b"), known("c"))
+        for id in "aab":
+            made.failed(id, 0.0)
+        order = []
+        while (found := made.next_load({"m": 2}, 100.0)) is not None:
+            order.append(found[0].id)
+            made.begin(found[0])
+            made.loaded(found[0].id, "m", 2)
+        self.assertEqual(order, ["c", "b", "a"])
+
+    def test_not_before_its_time(self):
+        made = roster(known("a"))
+        made.begin(made.servers["a"])
+        made.failed("a", 5.0)
+        self.assertIsNone(made.next_load({"m": 2}, 5.0))
+        self.assertIsNone(made.next_load({"m": 2}, 5.0 + AGAIN - 0.01))
+        self.assertEqual(made.next_load({"m": 2}, 5.0 + AGAIN)[0].id, "a")
+
+    def test_a_failed_load_lets_another_begin(self):
+        made = roster(known("a"), known("b"))
+        self.assertEqual(self.begun(made), ["a"])
+        made.failed("a", 0.0)
+        self.assertEqual(self.begun(made), ["b"])
+
+    def test_a_second_model(self):
+        one = known("a", 2)
+        one.versions["n"] = 1
+        found = roster(one).next_load({"m": 2, "n": 4}, 0.0)
+        self.assertEqual((found[0].id, *found[1:]), ("a", "n", 4))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_stock.py
@@ -0,0 +1,283 @@
+"""The index of kept prompt parts: what sources tell, and what is told on; a lie of it costs only headers."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from rowanshift.counter.book import Book, Service, Tenant
+from rowanshift.counter.engines import Engine
+from rowanshift.counter.front import Front
+from rowanshift.counter.requests import request_of, written
+from rowanshift.net.connection import Message
+from rowanshift.stock import index
+from rowanshift.stock.index import (
+    MOST_CHANGES,
+    MOST_PARTS,
+    BadEvents,
+    Source,
+    Stock,
+    mark_of,
+    packed,
+    store_for,
+    there,
+    unpacked,
+)
+
+AT = "10.0.0.1:9000"
+
+
+def listed(held, boot=1, following=5):
+    return {"bootEpoch": boot, "nextToken": following, "held": held}
+
+
+def told(events, boot=1, following=9, lost=False):
+    return {"bootEpoch": boot, "nextToken": following, "lost": lost, "events": events}
+
+
+def mark(id, salt="v1.", model="m"):
+    return mark_of(AT, model, salt, id)
+
+
+class Sources(unittest.TestCase):
+    def setUp(self):
+        self.source = Source(AT)
+        self.source.take_list(listed([["v1.", "a", 64, "m"], ["v1.", "b", 32, "m"]]))
+
+    def test_nothing_before_the_list(self):
+        self.assertEqual(Source(AT).marks(), set())
+
+    def test_the_list(self):
+        self.assertEqual(self.source.marks(), {mark("a"), mark("b"), there(AT)})
+        self.assertEqual((self.source.boot, self.source.since), (1, 5))
+        self.assertEqual(self.source.parts[mark("a")], 64)
+
+    def test_a_source_that_keeps_nothing_is_there(self):
+        source = Source(AT)
+        source.take_list(listed([], boot=0))
+        self.assertEqual(source.marks(), {there(AT)})
+
+    def test_another_list_takes_the_place_of_the_first(self):
+        self.source.take_list(listed([["v2.", "a", 1, "m"]]))
+        self.assertEqual(self.source.marks(), {mark("a", "v2."), there(AT)})
+
+    def test_events(self):
+        events = [[6, "+", "v1.", "c", 10, "m"], [7, "-", "v1.", "a", 0, "m"],
+                  [8, "-", "v1.", "none", 0, "m"]]
+        self.assertTrue(self.source.take_events(told(events)))
+        self.assertEqual(self.source.marks(), {mark("b"), mark("c"), there(AT)})
+        self.assertEqual(self.source.since, 9)
+
+    def test_events_in_their_order(self):
+        events = [[6, "-", "v1.", "a", 0, "m"], [7, "+", "v1.", "a", 8, "m"], [8, "+", "v1.", "c", 8, "m"],
+                  [9, "-", "v1.", "c", 0, "m"]]
+        self.assertTrue(self.source.take_events(told(events)))
+        self.assertEqual(self.source.marks(), {mark("a"), mark("b"), there(AT)})
+
+    def test_gaps(self):
+        for gap in (told([], lost=True), told([], boot=2), told([[6, "+", "v1.", "c", 1, "m"]], boot=0)):
+            self.setUp()
+            self.assertFalse(self.source.take_events(gap))
+            self.assertEqual((self.source.marks(), self.source.boot, self.source.since), (set(), -1, 0))
+            self.source.take_list(listed([["v1.", "c", 1, "m"]], boot=2))
+            self.assertEqual(self.source.marks(), {mark("c"), there(AT)})
+
+    def test_marks_tell_all_apart(self):
+        self.assertEqual(len({mark_of(*fields) for fields in (
+            (AT, "m", "v1.", "a"), ("b:1", "m", "v1.", "a"), (AT, "n", "v1.", "a"), (AT, "m", "v2.", "a"),
+            (AT, "m", "v1.x", "a"), (AT, "m", "v1.", "b"))}), 6)
+
+    def test_junk_is_refused_and_changes_nothing(self):
+        junk = [None, 1, "x", [], {}, {"bootEpoch": 1}, listed(None), listed([1]), listed([[]]), listed("ab"),
+                listed([["v", "a", "x", "m"]]), listed([["v", "a", 1]]), listed([], boot="x"),
+                listed([], following=None), listed([["v", "a", None, "m"]]), listed([["v", "a", [], "m"]])]
+        events = [told(None), told([1]), told([[]]), told([[1, "+", "v", "a", "x", "m"]]), told([["+"]]),
+                  told([], boot=None), told([], following={}), {"bootEpoch": 1, "nextToken": 1, "events": []}]
+        before = self.source.marks()
+        for take, answers in ((self.source.take_list, junk), (self.source.take_events, junk + events)):
+            for answer in answers:
+                with self.assertRaises(BadEvents, msg=repr(answer)):
+                    take(answer)
+                self.assertEqual((self.source.marks(), self.source.boot, self.source.since), (before, 1, 5))
+
+    def test_drawn_junk(self):
+        chance = random.Random(1)
+
+        def value(deep=3):
+            kind = chance.randrange(9 if deep else 6)
+            if kind == 6:
+                return [value(deep - 1) for _ in range(chance.randrange(5))]
+            if kind >= 7:
+                names = chance.sample(("bootEpoch", "nextToken", "lost", "held", "events", "x"), 5)
+                return {name: value(deep - 1) for name in names}
+            return chance.choice((None, True, -1, 2**70, 0.5, "", "+", "12", "\ud800"))
+
+        for _ in range(3000):
+            source = Source(AT)
+            for take in (source.take_list, source.take_events):
+                before = source.marks()
+                try:
+                    take(value())
+                except BadEvents:
+                    self.assertEqual(source.marks(), before)
+
+    def test_parts_are_bounded(self):
+        self.source.take_list(listed([["v", str(n), 1, "m"] for n in range(MOST_PARTS + 10)]))
+        self.assertEqual(len(self.source.parts), MOST_PARTS)
+        self.assertNotIn(mark("9", "v"), self.source.parts)
+        events = [[1, "+", "v", "10", 1, "m"], [2, "+", "v", "new", 1, "m"]]
+        self.assertTrue(self.source.take_events(told(events)))
+        self.assertEqual(len(self.source.parts), MOST_PARTS)
+        self.assertIn(mark("10", "v"), self.source.parts)  # told of again
+        self.assertNotIn(mark("11", "v"), self.source.parts)
+
+
+class Stocks(unittest.TestCase):
+    def through(self, stock, had, serial):
+        """What one has after an answer, who had that."""
+        whole, kept, dropped = stock.since(serial)
+        self.assertFalse(set(kept) & set(dropped))
+        return set(kept) if whole else (had | set(kept)) - set(dropped)
+
+    def test_nothing_changed(self):
+        stock = Stock()
+        self.assertTrue(stock.update({1, 2}))
+        serial = stock.serial
+        self.assertFalse(stock.update({2, 1}))
+        self.assertEqual(stock.serial, serial)
+        self.assertEqual(stock.since(serial), (False, [], []))
+
+    def test_one_who_has_none_or_an_unknown_one_gets_the_whole(self):
+        stock = Stock()
+        self.assertEqual(stock.since(0), (True, [], []))
+        stock.update({3, 1})
+        for serial in (0, stock.serial + 1, 2**60):
+            self.assertEqual(stock.since(serial), (True, [1, 3], []))
+
+    def test_every_serial(self):
+        for seed, many in ((1, 3), (2, 40), (3, 400)):
+            chance, stock = random.Random(seed), Stock()
+            past = {stock.serial: set()}
+            for _ in range(120):
+                held = set(stock.held)
+                for _ in range(chance.randrange(many) + 1):
+                    held ^= {chance.randrange(1000)}
+                stock.update(held)
+                past[stock.serial] = held
+            wholes = 0
+            for serial, had in past.items():
+                self.assertEqual(self.through(stock, had, serial), stock.held)
+                wholes += stock.since(serial)[0]
+            self.assertLessEqual(len(stock.changes), MOST_CHANGES)
+            self.assertEqual(wholes > 0, many == 400)  # older than what is kept
+
+    def test_one_change_larger_than_what_is_kept(self):
+        for size in (MOST_CHANGES - 1, MOST_CHANGES, MOST_CHANGES + 1, 3 * MOST_CHANGES):
+            stock, before = Stock(), set(range(5))
+            stock.update(before)
+            serial = stock.serial
+            stock.update(set(range(100, 100 + size)))
+            self.assertEqual(self.through(stock, before, serial), stock.held)
+            self.assertEqual(self.through(stock, set(), serial - 1), stock.held)
+
+    def test_the_net_of_what_came_and_went(self):
+        stock = Stock()
+        stock.update({1})
+        serial = stock.serial
+        stock.update({1, 2})
+        stock.update({2})
+        stock.update({1})
+        whole, kept, dropped = stock.since(serial)
+        self.assertEqual((whole, sorted(kept), sorted(dropped)), (False, [1], [2]))
+
+    def test_marks_there_and_back(self):
+        marks = [0, 1, 2**64 - 1, there(AT)]
+        self.assertEqual(unpacked(packed(marks)), tuple(marks))
+        self.assertEqual(unpacked(packed([])), ())
+        self.assertEqual(unpacked(packed(marks)[:-3]), tuple(marks[:-1]))
+
+
+class Stores(unittest.TestCase):
+    def test_a_lost_store_moves_only_its_own_prefixes(self):
+        stores = [f"10.0.1.{n}:9000" for n in range(5)]
+        before = {f"p{n}": store_for(stores, f"p{n}") for n in range(2000)}
+        for lost in stores:
+            left = [at for at in stores if at != lost]
+            share = sum(at == lost for at in before.values())
+            self.assertTrue(250 < share < 550, share)
+            for prefix, at in before.items():
+                moved = store_for(reversed(left), prefix)
+                self.assertTrue(moved == at if at != lost else moved in left)
+
+    def test_no_store(self):
+        self.assertIsNone(store_for([], "p"))
+
+
+class Lies(unittest.TestCase):
+    """Whatever the index says, a request differs in what it says of moves, and in nothing else."""
+
+    STORES = ("10.0.1.1:9000", "10.0.1.2:9000")
+
+    def front(self, stored):
+        services = {at: Service(at, b"", 8, at, 64) for at in self.STORES}
+        state = SimpleNamespace(book=Book(1, services=services), stored=stored, servers=None)
+        return Front(state, None, SimpleNamespace(), None, None, None, None)
+
+    def request(self, prefix):
+        return request_of(Message(b"POST", b"/v1", fields=[
+            (b"request-id", b"r"), (b"host", b"h"), (b"model-name", b"m"), (b"prompt-prefix", prefix)],
+            body=b"{}"), 0.0)
+
+    def sent(self, stored, prefix, home, tenant=None):
+        request = self.request(prefix)
+        fetch, save = self.front(stored)._moves(request, tenant, 3, home, 1.0)
+        data = written(request, tenant, b"i-1", 2.0, 3, None, fetch, save, 5)
+        lines = data.split(b"\r\n")
+        moves = [line for line in lines if line.startswith((b"Kv-Fetch: ", b"Kv-Save: "))]
+        return [line for line in lines if line not in moves], moves
+
+    def test_any_index_changes_only_those_headers(self):
+        chance = random.Random(1)
+        home = Engine("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
+        every = [there(at) for at in self.STORES] + [
+            index.mark_of(at, "m", salt, id) for at in self.STORES for salt in ("v3.", "v2.", "v3.t")
+            for id in ("a", "b", "c")]
+        allowed = {b"Kv-Fetch: " + at.encode() for at in (*self.STORES, home.address)} | {
+            b"Kv-Save: " + at.encode() for at in self.STORES}
+        for prefix in (b"a:100,b:64,c:7", b"a:1,b:2", b"a:9", b""):
+            plain, _ = self.sent(set(), prefix, None)
+            seen = set()
+            for _ in range(300):
+                stored = set(chance.sample(every, chance.randrange(len(every) + 1)))
+                stored |= {chance.getrandbits(64) for _ in range(3)}
+                lines, moves = self.sent(stored, prefix, chance.choice((None, home)))
+                self.assertEqual(lines, plain)
+                self.assertLessEqual(set(moves), allowed)
+                self.assertLessEqual(len(moves), 2)
+                seen.update(moves)
+            if prefix in (b"a:9", b""):
+                self.assertEqual(seen, set())  # nothing is shared
+
+    def test_a_store_that_does_not_answer_is_not_named(self):
+        marks = {index.mark_of(at, "m", "v3.", "a") for at in self.STORES}
+        self.assertEqual(self.sent(marks, b"a:100,b:1", None)[1], [])
+
+    def test_what_is_given_to_a_store_is_not_given_again_at_once(self):
+        front, request = self.front({there(self.STORES[0])}), self.request(b"a:100,b:1")
+        address = self.STORES[0].encode()
+        save = [front._moves(request, None, 3, None, at)[1] for at in (1.0, 2.0, 20.0)]
+        self.assertEqual(save, [address, None, address])
+        self.assertEqual(front._moves(request, Tenant(b"t", None, True), 3, None, 20.0)[1], address)
+        self.assertEqual(front._moves(request, None, 0, None, 40.0), (None, None))
+
+    def test_a_part_is_fetched_from_the_store_that_keeps_it(self):
+        address, home = self.STORES[0].encode(), Engine("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
+        stored = {there(self.STORES[0]), index.mark_of(self.STORES[0], "m", "v3.", "a")}
+        front = self.front(stored)
+        self.assertEqual(front._moves(self.request(b"a:100,b:1"), None, 3, None, 1.0), (address, None))
+        self.assertEqual(front._moves(self.request(b"a:100,b:1"), None, 3, home, 1.0), (address, None))
+        fetch, save = front._moves(self.request(b"a:100,c:50,b:1"), None, 3, home, 1.0)
+        self.assertEqual((fetch, save), (home.address.encode(), address))
+
+
+if __name__ == "__main__":
+    unittest.main()
