--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,7 +9,6 @@
 import tempfile
 import unittest
 import zlib
-from importlib.util import find_spec
 from pathlib import Path
 from unittest import mock
 
@@ -249,7 +248,6 @@
         self.assertEqual(code, 2)
         self.assertIn("rowanshift[plots]", err)
 
-    @unittest.skipUnless(find_spec("matplotlib"), "the extra `plots` isn't installed")
     def test_sweeps_with_lines_are_drawn(self) -> None:
         sweep = Sweep("some", "servers", {}, [Step(x, {"rss": 3.0 * x}) for x in (10, 100, 1000)])
         sweep.fit()
