--- a/rowanshift/choice.py
+++ b/rowanshift/choice.py
@@ -9,13 +9,9 @@
 from math import log, log2
 
 from rowanshift.model import Cache, Entry, Hot, Item, Learned, Results, Semantics, Settings, Tally, Verdict
-from rowanshift.policy.hotness import EPOCH, EVIDENCE, HOT_EPOCHS, LEASE, TABLE
-from rowanshift.policy.limits import GOOD, REGAIN, Chance
+from rowanshift.policy.hotness import EPOCH, LEASE, TABLE
 from rowanshift.policy.ring import HashRing, stable
-from rowanshift.policy.shares import DEEP, TELL, TICK, Shares
-
-__all__ = ["DEEP", "EPOCH", "EVIDENCE", "GOOD", "HOLD", "HOT_EPOCHS", "LATE", "LEASE", "POINTS", "REGAIN",
-           "SLOW", "TABLE", "TELL", "TICK", "WALK", "Chance", "Router", "group_of", "stable"]
+from rowanshift.policy.shares import TELL, TICK, Shares
 
 POINTS, WALK = 64, 6  # ring points of a cache of mean heft; distinct caches kept of a key's ring walk
 HOLD = 0.2  # of the due time, that a wi is held for at most; less where few may miss it
@@ -53,8 +49,9 @@
             out.wake = self.wake_at - self.now
         return out
 
-    def take(self, now: float, id: int, category: int, customer: int, key: str | None, left: float,
-             write: bool) -> None:
+    def take(
+        self, now: float, id: int, category: int, customer: int, key: str | None, left: float, write: bool
+    ) -> None:
         self.now = now
         if now - self.eased_at >= TICK:  # as work comes in: nothing ticks while idle
             self._ease((now - self.eased_at) / TICK)
@@ -70,8 +67,9 @@
             self._hotness(item)
         self._forward(item)
 
-    def answered(self, now: float, id: int, number: int, server: str, verdict: int, spent: float, final: bool,
-                 remark: int | None) -> None:
+    def answered(
+        self, now: float, id: int, number: int, server: str, verdict: int, spent: float, final: bool, remark: int | None
+    ) -> None:
         self.now, cache = now, self.caches[server]
         cache.inflight -= 1
         self.fleet.inflight -= cache.entry.kind != self.s.origin_kind
@@ -124,8 +122,8 @@
             return
         if scope != "delta":
             named = {e.server for e in entries}
-            entries = entries + [c.entry._replace(health="dead") for c in self.caches.values()
-                                 if c.entry.server not in named]
+            unnamed = [c.entry for c in self.caches.values() if c.entry.server not in named]
+            entries = entries + [entry._replace(health="dead") for entry in unnamed]
         for entry in entries:
             cache = self.caches.get(entry.server)
             if cache is None:
@@ -155,13 +153,13 @@
 
     def learned(self) -> Learned:
         """What another process of this router may start from."""
+
         def times(cache: Cache) -> tuple[float, float, float]:
             return cache.limit, cache.median, cache.base
 
-        return Learned(
-            {c.entry.server: times(c) for c in self.caches.values() if c.entry.health == "live"},
-            times(self.fleet), self.asked, self.warm_rate, self.extra, self.samples,
-            {mark: (hot.score, hot.streak, hot.lease, hot.shadows) for mark, hot in self.scores.items()})
+        live = {c.entry.server: times(c) for c in self.caches.values() if c.entry.health == "live"}
+        keys = {mark: (hot.score, hot.streak, hot.lease, hot.shadows) for mark, hot in self.scores.items()}
+        return Learned(live, times(self.fleet), self.asked, self.warm_rate, self.extra, self.samples, keys)
 
     def take_up(self, now: float, learned: Learned) -> None:
         """Starts from what another process learned, at half its limits: both may live for a while."""
@@ -214,17 +212,18 @@
     def _lay_ring(self) -> None:
         mean = self.heft / max(1, len(self.ready)) or 1.0
         unit = 2.0 ** round(log2(mean))  # steady while caches come and go, and the same at every router
-        self.ring.lay({c: POINTS if self.s.live_heft else max(1, round(POINTS * c.entry.heft / unit))
-                       for c in self.ready})
+        equal = self.s.live_heft
+        self.ring.lay({c: POINTS if equal else max(1, round(POINTS * c.entry.heft / unit)) for c in self.ready})
 
     def _walk(self, mark: int, length: int = WALK) -> list[Cache]:
         return self.ring.walk(mark, length)
 
     def _open(self, cache: Cache, item: Item | None) -> bool:
         """Whether a new ho may go to the cache, by rule and by health, leaving its load aside."""
-        bound = item and item.ran_since is not None and item.category.semantics is Semantics.TICKETED
-        return self._answers(cache) and (not bound or (
-            group_of(cache, item) == item.ran_group and self.now - item.ran_since < item.category.window))
+        if not item or item.ran_since is None or item.category.semantics is not Semantics.TICKETED:
+            return self._answers(cache)
+        known = group_of(cache, item) == item.ran_group and self.now - item.ran_since < item.category.window
+        return known and self._answers(cache)
 
     def _place(self, item: Item) -> tuple[Cache | None, bool]:
         """Where a read goes, and whether there is room at once."""
@@ -252,8 +251,7 @@
 
     def _replica(self, hot: Hot, replicas: list[Cache]) -> Cache:
         """One replica drawn at random and kept, until it holds well over the mean in flight."""
-        drawn = {c: -log(1 - self.chance.draw()) / max(1e-9, c.entry.heft * min(1.0, c.limit))
-                 for c in replicas}
+        drawn = {c: -log(1 - self.chance.draw()) / max(1e-9, c.entry.heft * min(1.0, c.limit)) for c in replicas}
         if hot.current not in drawn:
             hot.current = min(drawn, key=drawn.get)
         elif hot.current.limit < 1 or hot.current.inflight > 2 * self.fleet.inflight / len(self.ready) + 2:
@@ -311,8 +309,9 @@
     def _spills(self) -> bool:
         """Whether the origin has room for reads that caches have none for."""
         origin = self.origin
-        return (origin is not None and origin.median < 1.9 * origin.base + 1e-9
-                and self._open(origin, None) and self._room(origin, 0.5))
+        if origin is None or origin.median >= 1.9 * origin.base + 1e-9:
+            return False
+        return self._open(origin, None) and self._room(origin, 0.5)
 
     def _gate(self, item: Item) -> None:
         """The origin: few fetches out, one a key, its pace set by its answer times."""
@@ -357,9 +356,10 @@
             return
         if verdict == Verdict.MISS and not item.last:
             self._gate(item)
-        elif (item.expiry < self.now + 0.005 or verdict == Verdict.MOOT or item.last
-              or len(item.hos) >= self.s.max_hand_offs or (
-                  item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE)):
+            return
+        spent = item.expiry < self.now + 0.005 or item.last or len(item.hos) >= self.s.max_hand_offs
+        barred = item.ran_since is not None and item.category.semantics is Semantics.EXCLUSIVE
+        if spent or barred or verdict == Verdict.MOOT:
             self.give_up(item)
         else:
             self._forward(item)
--- a/rowanshift/policy/placement.py
+++ b/rowanshift/policy/placement.py
@@ -61,6 +61,7 @@
 
     def pick(self, mark: int, now: float, model: str, version: int, out):
         """The server for a prefix, of those that have the version or a newer one; None if there is none."""
+
         def fit(engine) -> bool:
             return engine.id not in out and is_open(engine, now) and engine.versions.get(model, 0) >= version
 
@@ -70,15 +71,14 @@
             return min(filter(fit, self.engines), default=None, key=lambda engine: engine.inflight)
         most = MARGIN * sum(engine.inflight for engine in self.engines) / len(self.engines) + SPARE
         if shadows:
-            return self._replica(mark, walk[:shadows + 1], most)
+            return self._replica(mark, walk[: shadows + 1], most)
         return next((engine for engine in walk if engine.inflight < most), walk[0])
 
     def others(self, mark: int, now: float, model: str, first, out) -> list:
         """The next servers on the ring walk that could serve as well as the first that was picked."""
         version = first.versions.get(model, 0)
-        return [engine for engine in self.ring.walk(mark, WALK) if engine is not first
-                and engine.id not in out and is_open(engine, now)
-                and engine.versions.get(model, 0) >= version][:OTHERS]
+        able = [e for e in self.ring.walk(mark, WALK) if e.id not in out and e.versions.get(model, 0) >= version]
+        return [engine for engine in able if engine is not first and is_open(engine, now)][:OTHERS]
 
     def _replica(self, mark: int, replicas: list, most: float):
         """One replica drawn at random and kept, until it holds well over the mean."""
--- a/rowanshift/policy/shares.py
+++ b/rowanshift/policy/shares.py
@@ -111,8 +111,8 @@
     def give_up(self, item: Item) -> None:
         """Answers at once: deferred where that assures no harm, else written off."""
         what = item.category.semantics
-        safe = what is Semantics.RERUNNABLE or (not item.out and item.ran_since is None) or (
-            what is Semantics.TICKETED and item.category.group == "all")
+        assured = what is Semantics.RERUNNABLE or (what is Semantics.TICKETED and item.category.group == "all")
+        safe = assured or (not item.out and item.ran_since is None)
         answer = Answer.DEFERRED if safe and not item.streams else Answer.WRITTEN_OFF
         back = self.s.retry_after if item.over else min(self.s.retry_after, 0.25 * item.category.due)
         self.results.answers.append((item.id, answer, back))
--- a/rowanshift/virtual/world.py
+++ b/rowanshift/virtual/world.py
@@ -15,9 +15,10 @@
 import trio
 from loguru import logger
 
-from rowanshift.choice import Router, stable
+from rowanshift.choice import Router
 from rowanshift.net.config import config_of, entry_of
 from rowanshift.net.service import Phase, Service
+from rowanshift.policy.ring import stable
 from rowanshift.rules.checks import Broken, Rules, Terms
 from rowanshift.rules.events import Events, Fact
 from rowanshift.scenario import Scenario, Trouble
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,8 +3,9 @@
 import pytest
 from helpers import CATEGORIES, EXCLUSIVE, ORIGIN, RERUNNABLE, TICKETED, ZONAL, come_back, entry, router, take
 
-from rowanshift.choice import LEASE, stable
 from rowanshift.model import Answer, Hot, Item, Tally, Verdict
+from rowanshift.policy.hotness import LEASE
+from rowanshift.policy.ring import stable
 
 K = stable("k") >> 32
 KEYS = [f"k:{n}" for n in range(300)]
