--- a/benchmarks/proxy.py
+++ b/benchmarks/proxy.py
@@ -53,6 +53,7 @@
 
 def cache(port: int) -> None:
     """Answers each request at once."""
+
     async def serve(stream: trio.SocketStream) -> None:
         counter, done = Counter(), 0
         parser = httptools.HttpRequestParser(counter)
@@ -105,7 +106,8 @@
             for i in range(count):
                 await stream.send_all(
                     f"GET /read/k{(n * 7 + i) % 500} HTTP/1.1\r\nHost: a\r\nX-Txn: {tag}-{n}-{i}\r\n"
-                    "X-Org: demo\r\nX-Remaining-Ms: 2000\r\n\r\n".encode())
+                    "X-Org: demo\r\nX-Remaining-Ms: 2000\r\n\r\n".encode()
+                )
                 counter = Counter()
                 parser = httptools.HttpResponseParser(counter)
                 while not counter.whole:
@@ -137,8 +139,9 @@
     """CPU microseconds a work item: this tree, the relay, and a revision where one is given."""
     parser = argparse.ArgumentParser(description=main.__doc__, allow_abbrev=False)
     parser.add_argument("--against", metavar="REVISION", help="a git revision to compare with")
-    parser.add_argument("--python", default=sys.executable, metavar="FILE",
-                        help="its interpreter, where it needs other packages")
+    parser.add_argument(
+        "--python", default=sys.executable, metavar="FILE", help="its interpreter, where it needs other packages"
+    )
     parser.add_argument("--rounds", type=int, default=ROUNDS, help="measured ones; %(default)s if not given")
     parser.add_argument("--requests", type=int, default=REQUESTS, help="a round; %(default)s if not given")
     parser.add_argument("--connections", type=int, nargs="+", default=CONNECTIONS, help="at once")
@@ -149,9 +152,19 @@
         parser.error("at least 1 round of 256 requests on 1 connection")
     with ExitStack() as stack:
         ports = [free_port() for _ in range(5)]
-        rows = [{"instanceId": f"c{n}", "hostPort": f"127.0.0.1:{port}", "zone": "here", "cell": 0,
-                 "machineType": "cache", "lifecycle": "active", "weight": 1.0, "startedAtMs": 0}
-                for n, port in enumerate(ports[:4])]
+        rows = [
+            {
+                "instanceId": f"c{n}",
+                "hostPort": f"127.0.0.1:{port}",
+                "zone": "here",
+                "cell": 0,
+                "machineType": "cache",
+                "lifecycle": "active",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+            for n, port in enumerate(ports[:4])
+        ]
         processes = [Process(target=cache, args=(port,), daemon=True) for port in ports[:4]]
         processes.append(Process(target=discovery, args=(ports[4], rows), daemon=True))
         for process in processes:
@@ -160,8 +173,7 @@
         trees = {"this tree": HERE}
         if against:
             tree = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "tree"
-            subprocess.run(["git", "-C", HERE, "worktree", "add", "-q", "--detach", tree, against],
-                           check=True)
+            subprocess.run(["git", "-C", HERE, "worktree", "add", "-q", "--detach", tree, against], check=True)
             stack.callback(subprocess.run, ["git", "-C", HERE, "worktree", "remove", "--force", tree])
             trees[against] = tree
         raw = json.loads((HERE / "examples/config.json").read_text())
@@ -171,15 +183,13 @@
         for name, tree in trees.items():
             port = free_port()
             config = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "config.json"
-            config.write_text(json.dumps(raw | {"listen": f"127.0.0.1:{port}",
-                                                "discovery": f"127.0.0.1:{ports[4]}"}))
+            config.write_text(json.dumps(raw | {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{ports[4]}"}))
             python = sys.executable if tree is HERE else arguments.python
             command = [python, "-m", "rowanshift", "serve", "-c", str(config), "--level", "error"]
             process = started(stack, command, port, cwd=tree, env=os.environ | {"PYTHONPATH": str(tree)})
             targets[name] = port, process.pid
         port = free_port()
-        process = started(stack, [sys.executable, str(HERE / "benchmarks/relay.py"), str(port),
-                                  str(ports[0])], port)
+        process = started(stack, [sys.executable, str(HERE / "benchmarks/relay.py"), str(port), str(ports[0])], port)
         targets["relay"] = port, process.pid
         time.sleep(1.0)
         result = {}
@@ -192,8 +202,10 @@
                     used = cpu_of(pid) - before
                     wanted = max(1, requests // connections) * connections
                     if served < LEAST * wanted:
-                        fail(f"{name}: only {served} of {wanted} served at {connections} connections; "
-                             "nothing is measured")
+                        fail(
+                            f"{name}: only {served} of {wanted} served at {connections} connections; "
+                            "nothing is measured"
+                        )
                     if n:
                         took[name].append(1e6 * used / served)
             row = {name: round(statistics.median(values), 1) for name, values in took.items()}
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,6 +1,6 @@
 """The floor of ``proxy.py``: a relay on trio and httptools that decides nothing, one connection for one.
 
-    python benchmarks/relay.py PORT TARGET_PORT
+python benchmarks/relay.py PORT TARGET_PORT
 """
 
 import socket
--- a/rowanshift/adapter/wire.py
+++ b/rowanshift/adapter/wire.py
@@ -24,9 +24,16 @@
         self.name, self.banks = name, banks
         self.router: Router | None = None
         self.calls: dict[str, Callable[..., None]] = {
-            "start": self.start, "order": self.order, "result": self.result, "timer": self.timer,
-            "directory_update": self.directory_update, "heard": self.heard, "streaming": self.streaming,
-            "cancelled_by_client": self.cancelled_by_client, "probe_done": self.probe_done, "down": self.down,
+            "start": self.start,
+            "order": self.order,
+            "result": self.result,
+            "timer": self.timer,
+            "directory_update": self.directory_update,
+            "heard": self.heard,
+            "streaming": self.streaming,
+            "cancelled_by_client": self.cancelled_by_client,
+            "probe_done": self.probe_done,
+            "down": self.down,
         }
 
     def start(self, now: float, seed: int, data: dict[str, Any], *_: Any) -> None:
@@ -35,12 +42,33 @@
         except SettingsError as error:
             raise WireError(f"start: {error}") from error
 
-    def order(self, now: float, corr: int, grade: int, billing: int | None, key: str | None, expires: int,
-              _cost: Any = None, _size: Any = None, bits: int | None = 0, *_: Any) -> None:
+    def order(
+        self,
+        now: float,
+        corr: int,
+        grade: int,
+        billing: int | None,
+        key: str | None,
+        expires: int,
+        _cost: Any = None,
+        _size: Any = None,
+        bits: int | None = 0,
+        *_: Any,
+    ) -> None:
         self.router.take(now, corr, grade, billing or 0, key, expires / 1e6, bool((bits or 0) & WRITE))
 
-    def result(self, now: float, corr: int, copy: int, server: str, verdict: int, spent: int, final: bool,
-               remark: int | None = None, *_: Any) -> None:
+    def result(
+        self,
+        now: float,
+        corr: int,
+        copy: int,
+        server: str,
+        verdict: int,
+        spent: int,
+        final: bool,
+        remark: int | None = None,
+        *_: Any,
+    ) -> None:
         self.router.answered(now, corr, copy, server, verdict, spent / 1e6, bool(final), remark)
 
     def timer(self, now: float, *_: Any) -> None:
@@ -70,10 +98,13 @@
 def encode(results: Results) -> list[list[Any]]:
     out: list[list[Any]] = [["try", wi, round(at * 1e6), server] for wi, at, server in results.hand_offs]
     out += [["withdraw", wi, number] for wi, number in results.withdrawals]
-    out += [[answer.value, wi, round(back * 1e6)] if answer.value == "bounce" else [answer.value, wi]
-            for wi, answer, back in results.answers]
-    out += [["notify", "*" if peer is None else peer, b64encode(payload).decode()]
-            for peer, payload in results.messages]
+    out += [
+        [answer.value, wi, round(back * 1e6)] if answer.value == "bounce" else [answer.value, wi]
+        for wi, answer, back in results.answers
+    ]
+    out += [
+        ["notify", "*" if peer is None else peer, b64encode(payload).decode()] for peer, payload in results.messages
+    ]
     out += [["ping", server] for server in results.probes]
     out += [["emit", line] for line in results.log]
     if results.subscribe:
@@ -92,8 +123,15 @@
 
     def page(self, bank: int, entries: list[list[Any]], *_: Any) -> None:
         self.banks[bank] = [
-            Entry(server, cell or 0, 1.0 if heft is None else float(heft), zone or 0, health, kind or 0,
-                  (came_up or 0) / 1e6)
+            Entry(
+                server,
+                cell or 0,
+                1.0 if heft is None else float(heft),
+                zone or 0,
+                health,
+                kind or 0,
+                (came_up or 0) / 1e6,
+            )
             for cell, server, heft, zone, health, kind, came_up, *_ in entries
         ]
 
--- a/rowanshift/boot.py
+++ b/rowanshift/boot.py
@@ -82,7 +82,8 @@
         self.name, self.ip, self.zone, self.region = file.node_name, file.ip, file.zone, file.region
         self.bounds, self.limits = file.bounds, file.limits
         self.listen: Mapping[str, Address] = {
-            name: address_of(text, f"listenAddresses.{name}") for name, text in file.listen_addresses.items()}
+            name: address_of(text, f"listenAddresses.{name}") for name, text in file.listen_addresses.items()
+        }
         self.inner: Address = (file.ip, file.internal_ports[0])
         self.seeds = [address_of(text, f"seedNodes[{i}]") for i, text in enumerate(file.seed_nodes)]
         self.cloud = file.cloud_api and address_of(file.cloud_api.address, "cloudApi.address")
--- a/rowanshift/capacity/command.py
+++ b/rowanshift/capacity/command.py
@@ -136,9 +136,7 @@
     """A sweep as plain lines: the points of each metric and the line through them."""
     told = [f"{sweep.name}: by {sweep.variable}, {', '.join(f'{k} {v:g}' for k, v in sweep.fixed.items())}"]
     for name in sweep.steps[0].metrics if sweep.steps else ():
-        points = "  ".join(
-            f"{step.x}: {step.metrics[name]:.6g}" for step in sweep.steps if name in step.metrics
-        )
+        points = "  ".join(f"{step.x}: {step.metrics[name]:.6g}" for step in sweep.steps if name in step.metrics)
         fit = sweep.lines.get(name)
         said = (
             ""
@@ -174,9 +172,7 @@
             for path in plots.plot(results, arguments.plots):
                 print(path)
         lines: list[Any] = (
-            report(results)
-            if arguments.report
-            else [text for sweep in results.sweeps for text in table(sweep)]
+            report(results) if arguments.report else [text for sweep in results.sweeps for text in table(sweep)]
         )
         print("\n".join(lines))
     except CapacityError as error:
--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -142,9 +142,7 @@
 class HollowLedger:
     """The real ledger service, one machine, filled with a configuration, versions and a list."""
 
-    def __init__(
-        self, host: Loopback, servers: int, tenants: int, routes: int, pools: int, zones: int = 10
-    ) -> None:
+    def __init__(self, host: Loopback, servers: int, tenants: int, routes: int, pools: int, zones: int = 10) -> None:
         port, control = free_port(), free_port()
         self.host = host
         self.desk = Desk(
--- a/rowanshift/capacity/options.py
+++ b/rowanshift/capacity/options.py
@@ -24,9 +24,7 @@
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """The options of ``rowanshift capacity``."""
-    parser.add_argument(
-        "--only", default=",".join(PARTS), metavar="PART,...", help="what to measure: %(default)s"
-    )
+    parser.add_argument("--only", default=",".join(PARTS), metavar="PART,...", help="what to measure: %(default)s")
     for name, steps in (("routers", ROUTERS), ("servers", SERVERS), ("tenants", TENANTS), ("fanout", FANOUT)):
         parser.add_argument(
             f"--{name}",
@@ -41,12 +39,8 @@
         metavar="N",
         help="routes beside many tenants; %(default)s if not given",
     )
-    parser.add_argument(
-        "--window", type=float, default=WINDOW, metavar="S", help="seconds that idle is measured"
-    )
-    parser.add_argument(
-        "--limit", type=float, default=LIMIT, metavar="S", help="seconds that a step may take"
-    )
+    parser.add_argument("--window", type=float, default=WINDOW, metavar="S", help="seconds that idle is measured")
+    parser.add_argument("--limit", type=float, default=LIMIT, metavar="S", help="seconds that a step may take")
     parser.add_argument("--seeds", type=int, default=SEEDS, metavar="N", help="plays of each failure")
     parser.add_argument("--output", "-o", type=Path, metavar="FILE", help="write the results there, as JSON")
     parser.add_argument("--plots", type=Path, metavar="DIR", help="draw the sweeps there (needs matplotlib)")
@@ -58,6 +52,4 @@
         metavar="FILE",
         help="take results from a file, measure nothing; repeat it",
     )
-    parser.add_argument(
-        "--report", action="store_true", help="print each role's formulas and figures as Markdown"
-    )
+    parser.add_argument("--report", action="store_true", help="print each role's formulas and figures as Markdown")
--- a/rowanshift/capacity/plots.py
+++ b/rowanshift/capacity/plots.py
@@ -28,9 +28,7 @@
 
 def page(pyplot: Any, sweep: Sweep, path: Path) -> Path:
     names = [name for name in sweep.lines if any(step.metrics[name] for step in sweep.steps)]
-    figure, panels = pyplot.subplots(
-        -(-len(names) // 4), 4, figsize=(18, 3.2 * -(-len(names) // 4)), squeeze=False
-    )
+    figure, panels = pyplot.subplots(-(-len(names) // 4), 4, figsize=(18, 3.2 * -(-len(names) // 4)), squeeze=False)
     xs = [step.x for step in sweep.steps]
     for name, panel in zip(names, panels.flat, strict=False):
         fit = sweep.lines[name]
--- a/rowanshift/capacity/roles.py
+++ b/rowanshift/capacity/roles.py
@@ -195,9 +195,7 @@
     ) -> None:
         if (found := through(results, sweep, metric, x)) is not None:
             value, formula, run = found
-            made.append(
-                Figure(role, what, f"({formula}){by}" if by else formula, value * times, unit, run, budget)
-            )
+            made.append(Figure(role, what, f"({formula}){by}" if by else formula, value * times, unit, run, budget))
 
     changes = size.changes / DAY
     add("router", "memory by servers", "router-servers", "memory", size.servers, "bytes", BUDGET.memory)
@@ -352,9 +350,7 @@
         frame = sizes.store(sizes.sheet(config, named, 64))
         run = "delivery-tenants body"
         made.append(Figure("backup", "a change", f"{HEAD.size + 28} + sheet", frame, "bytes", run, LARGEST))
-        made.append(
-            Figure("backup", "changes, in and to disk", "(store) changes/s", frame * changes, "B/s", run)
-        )
+        made.append(Figure("backup", "changes, in and to disk", "(store) changes/s", frame * changes, "B/s", run))
     return made
 
 
--- a/rowanshift/capacity/sweep.py
+++ b/rowanshift/capacity/sweep.py
@@ -54,13 +54,10 @@
                 raise BadSteps(f"{value} {name}: {least} to {most} expected")
         if (wanted := self.memory()) > (half := half_of_memory()):
             raise DoesNotFit(
-                f"a step of {self.told()} takes some {wanted >> 20} MiB, half of the memory is "
-                f"{half >> 20} MiB"
+                f"a step of {self.told()} takes some {wanted >> 20} MiB, half of the memory is {half >> 20} MiB"
             )
         if self.routers + FILES > (most := descriptors()):
-            raise DoesNotFit(
-                f"a step of {self.told()} takes {self.routers + FILES} descriptors, there are {most}"
-            )
+            raise DoesNotFit(f"a step of {self.told()} takes {self.routers + FILES} descriptors, there are {most}")
 
     def told(self) -> str:
         return f"{self.routers} routers, {self.servers} servers, {self.tenants} tenants, {self.routes} routes"
@@ -71,9 +68,7 @@
 
 def check_steps(steps: list[int]) -> None:
     if not steps or len(steps) > MOST_STEPS or any(b <= a for a, b in itertools.pairwise(steps)):
-        raise BadSteps(
-            f"1 to {MOST_STEPS} rising whole numbers expected, not {','.join(map(str, steps)) or 'none'}"
-        )
+        raise BadSteps(f"1 to {MOST_STEPS} rising whole numbers expected, not {','.join(map(str, steps)) or 'none'}")
 
 
 class Other:
@@ -138,9 +133,7 @@
     }
 
 
-async def ledger_step(
-    shape: Shape, window: float, limit: float, say: Callable[[str], None]
-) -> dict[str, float]:
+async def ledger_step(shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
     """The ledger in the measured process, hollow routers in this one."""
     metrics: dict[str, float] = {}
     with other("ledger", shape.ledger()) as ledger:
@@ -154,9 +147,7 @@
             before, at = await ledger.do("nothing"), trio.current_time()
             await fleet.start(nursery)
             if not await fleet.until(None, limit):
-                raise StepFailed(
-                    f"after {limit:g} s {len(fleet.pending)} routers of {shape.routers} knew nothing"
-                )
+                raise StepFailed(f"after {limit:g} s {len(fleet.pending)} routers of {shape.routers} knew nothing")
             metrics["first_s"] = trio.current_time() - at
             after = await ledger.do("nothing")
             metrics |= used(before, after, "first")
@@ -202,9 +193,7 @@
     return metrics
 
 
-async def router_step(
-    shape: Shape, window: float, limit: float, say: Callable[[str], None]
-) -> dict[str, float]:
+async def router_step(shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
     """A real channel in the measured process, the ledger in this one."""
     metrics: dict[str, float] = {}
     host = Loopback()
@@ -230,8 +219,7 @@
             await trio.sleep(window)
             after, spent = await known(), trio.current_time() - at
             metrics |= {
-                f"idle_{name}_per_s": (after[name] - before[name]) / spent
-                for name in ("cpu_s", "received", "sent")
+                f"idle_{name}_per_s": (after[name] - before[name]) / spent for name in ("cpu_s", "received", "sent")
             }
             for name, change in (("roster", hollow.change_roster), ("config", hollow.change_config)):
                 say(name)
@@ -253,9 +241,7 @@
 STEP_OF = {"ledger": ledger_step, "router": router_step}
 
 
-async def _within(
-    side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]
-) -> dict[str, float]:
+async def _within(side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
     with trio.move_on_after(limit):
         return await STEP_OF[side](shape, window, limit / 3, say)
     raise StepFailed(f"a step of {shape.told()} did not end within {limit:g} s")
@@ -269,9 +255,7 @@
     return error
 
 
-def measure(
-    side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]
-) -> dict[str, float]:
+def measure(side: str, shape: Shape, window: float, limit: float, say: Callable[[str], None]) -> dict[str, float]:
     """The metrics of one step. ``CapacityError`` if it can't be done."""
     shape.check()
     try:
@@ -298,19 +282,14 @@
         check_steps(list(self.steps))
         names = Shape.__dataclass_fields__
         shapes = [
-            Shape(**{name: getattr(self.shape, name) for name in names} | {self.variable: step})
-            for step in self.steps
+            Shape(**{name: getattr(self.shape, name) for name in names} | {self.variable: step}) for step in self.steps
         ]
         for shape in shapes:
             shape.check()
         return shapes
 
-    def run(
-        self, window: float, limit: float, begun: Callable[[int], None], say: Callable[[str], None]
-    ) -> Sweep:
-        fixed = {
-            name: getattr(self.shape, name) for name in Shape.__dataclass_fields__ if name != self.variable
-        }
+    def run(self, window: float, limit: float, begun: Callable[[int], None], say: Callable[[str], None]) -> Sweep:
+        fixed = {name: getattr(self.shape, name) for name in Shape.__dataclass_fields__ if name != self.variable}
         sweep = Sweep(
             self.name,
             self.variable,
--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -26,11 +26,13 @@
 
 def whole_number(least: int, most: int | None = None):
     """A type for argparse: a whole number within bounds."""
+
     def parse(text: str) -> int:
         value = int(text)
         if value < least or (most is not None and value > most):
-            raise argparse.ArgumentTypeError(f"{value} is not {least} or more" if most is None else
-                                             f"{value} is not within {least} and {most}")
+            raise argparse.ArgumentTypeError(
+                f"{value} is not {least} or more" if most is None else f"{value} is not within {least} and {most}"
+            )
         return value
 
     parse.__name__ = "whole number"
@@ -63,8 +65,14 @@
     config = loaded(arguments)
     logger.remove()
     try:
-        logger.add(sys.stderr, level=arguments.level, format="{time:HH:mm:ss.SSS} {level: <7} {message}",
-                   backtrace=False, diagnose=False, filter=Lines())
+        logger.add(
+            sys.stderr,
+            level=arguments.level,
+            format="{time:HH:mm:ss.SSS} {level: <7} {message}",
+            backtrace=False,
+            diagnose=False,
+            filter=Lines(),
+        )
     except ValueError as error:  # no such level
         fail(error, UNUSABLE)
     try:
@@ -81,10 +89,11 @@
 
         return show(staff.boot_check, arguments.boot)
     c = loaded(arguments)
-    print(f"{c.name}: listens on {c.listen[0]}:{c.listen[1]}; {len(c.names.categories)} categories, "
-          f"{len(c.names.tenants)} tenants, {len(c.known.get('instances', ()))} servers known, "
-          f"{c.settings.routers} routers"
-          + (f"; calls on {c.control[0]}:{c.control[1]}" if c.control else ""))
+    print(
+        f"{c.name}: listens on {c.listen[0]}:{c.listen[1]}; {len(c.names.categories)} categories, "
+        f"{len(c.names.tenants)} tenants, {len(c.known.get('instances', ()))} servers known, "
+        f"{c.settings.routers} routers" + (f"; calls on {c.control[0]}:{c.control[1]}" if c.control else "")
+    )
     return 0
 
 
@@ -119,8 +128,16 @@
     from rowanshift.virtual.command import UsageError, simulate
 
     try:
-        return simulate(arguments.file, arguments.seeds, arguments.seed, arguments.size, arguments.workers,
-                        arguments.events, arguments.shrink, arguments.json)
+        return simulate(
+            arguments.file,
+            arguments.seeds,
+            arguments.seed,
+            arguments.size,
+            arguments.workers,
+            arguments.events,
+            arguments.shrink,
+            arguments.json,
+        )
     except UsageError as error:
         arguments.parser.error(str(error))
 
@@ -149,6 +166,7 @@
 
 def asking(command: str, *names: str) -> Callable[[argparse.Namespace], int]:
     """What runs a command that asks a running system, with these arguments after the address."""
+
     def run(arguments: argparse.Namespace) -> int:
         from rowanshift import staff
 
@@ -212,19 +230,26 @@
 
 def add_file(parser: argparse.ArgumentParser, *flags: str, variable: str, what: str) -> None:
     """A file that an option names, or else the environment."""
-    parser.add_argument(*flags, type=Path, metavar="FILE", default=os.environ.get(variable) or None,
-                        help=f"{what} [environment: {variable}]")
+    parser.add_argument(
+        *flags,
+        type=Path,
+        metavar="FILE",
+        default=os.environ.get(variable) or None,
+        help=f"{what} [environment: {variable}]",
+    )
 
 
 def add_level(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--level", type=str.upper, default="INFO",
-                        help="what to log; %(default)s if not given")
+    parser.add_argument("--level", type=str.upper, default="INFO", help="what to log; %(default)s if not given")
 
 
 def add_at(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--at", metavar="IP:PORT", default=os.environ.get("ROWANSHIFT_CONTROL") or None,
-                        help="the control address of a core machine, or several with commas between "
-                             "[environment: ROWANSHIFT_CONTROL]")
+    parser.add_argument(
+        "--at",
+        metavar="IP:PORT",
+        default=os.environ.get("ROWANSHIFT_CONTROL") or None,
+        help="the control address of a core machine, or several with commas between [environment: ROWANSHIFT_CONTROL]",
+    )
 
 
 def add_config(parser: argparse.ArgumentParser) -> None:
@@ -243,21 +268,26 @@
     get = add("get", asking("config_get", "output"), "Print the configuration in force; it holds API keys.")
     get.add_argument("--output", "-o", type=Path, metavar="FILE", help="where it goes instead")
     put = add("put", asking("config_put", "file", "if_match"), "Put a configuration in force.")
-    put.add_argument("--if-match", type=whole_number(0), metavar="N",
-                     help="the revision that it builds on; the current one if not given")
+    put.add_argument(
+        "--if-match",
+        type=whole_number(0),
+        metavar="N",
+        help="the revision that it builds on; the current one if not given",
+    )
     add("diff", asking("config_diff", "file"), "Say how a configuration differs from the one in force.")
     add("check", config_check, config_check.__doc__)
 
 
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(
-        prog="rowanshift", description="Spreads keys over cache servers before a slow origin.",
-        allow_abbrev=False)
+        prog="rowanshift", description="Spreads keys over cache servers before a slow origin.", allow_abbrev=False
+    )
     commands = top.add_subparsers(title="commands", metavar="COMMAND")
 
     def add(command) -> argparse.ArgumentParser:
-        under = commands.add_parser(command.__name__, help=command.__doc__, description=command.__doc__,
-                                    allow_abbrev=False)
+        under = commands.add_parser(
+            command.__name__, help=command.__doc__, description=command.__doc__, allow_abbrev=False
+        )
         under.set_defaults(run=command, parser=under)
         return under
 
@@ -267,8 +297,9 @@
         add_level(under)
         if command is ledger:
             more = under.add_subparsers(title="commands", metavar="[COMMAND]")
-            tool = more.add_parser("check", help=ledger_check.__doc__, description=ledger_check.__doc__,
-                                   allow_abbrev=False)
+            tool = more.add_parser(
+                "check", help=ledger_check.__doc__, description=ledger_check.__doc__, allow_abbrev=False
+            )
             tool.add_argument("folder", type=Path, metavar="DIR", help="its data directory")
             tool.set_defaults(run=ledger_check, parser=tool)
     for command in (status, members, duties):
@@ -283,14 +314,17 @@
         if command is serve:
             add_level(under)
         else:
-            under.add_argument("--boot", type=Path, metavar="FILE",
-                               help="the settings of a process of the whole system instead, as JSON")
+            under.add_argument(
+                "--boot",
+                type=Path,
+                metavar="FILE",
+                help="the settings of a process of the whole system instead, as JSON",
+            )
     add(version)
 
     under = add(migrate)
     under.add_argument("old", type=Path, help="the configuration of the old shape, as JSON")
-    under.add_argument("--output", "-o", type=Path, metavar="FILE", required=True,
-                       help="where its counterpart goes")
+    under.add_argument("--output", "-o", type=Path, metavar="FILE", required=True, help="where its counterpart goes")
     under.add_argument("--dry-run", action="store_true", help="change nothing; say what would be")
     under.add_argument("--listen", metavar="ADDRESS", help="where the client's own router listens")
     under.add_argument("--routers", type=whole_number(1), metavar="N", help="how many routers there will be")
@@ -298,12 +332,19 @@
     under.add_argument("--zone", action="append", default=[], help="a location of the new shape; repeat it")
 
     under = add(demo)
-    under.add_argument("--config", "-c", type=Path, metavar="FILE",
-                       help="the configuration for --router; examples/config.json if not given")
-    under.add_argument("--stay", action=argparse.BooleanOptionalAction, default=True,
-                       help="go on until Ctrl-C")
-    under.add_argument("--router", action=argparse.BooleanOptionalAction,
-                       help="a router for caches between its stand-ins; with --no-router the stand-ins alone")
+    under.add_argument(
+        "--config",
+        "-c",
+        type=Path,
+        metavar="FILE",
+        help="the configuration for --router; examples/config.json if not given",
+    )
+    under.add_argument("--stay", action=argparse.BooleanOptionalAction, default=True, help="go on until Ctrl-C")
+    under.add_argument(
+        "--router",
+        action=argparse.BooleanOptionalAction,
+        help="a router for caches between its stand-ins; with --no-router the stand-ins alone",
+    )
 
     from rowanshift.capacity.options import add_options
 
@@ -312,13 +353,11 @@
     under = add(simulate)
     under.add_argument("file", type=Path, nargs="?", help="a scenario as TOML")
     under.add_argument("--seeds", default="", help="N, or FIRST:LAST without the last")
-    under.add_argument("--seed", type=whole_number(0), metavar="N",
-                       help="one seed, with its troubles and figures")
+    under.add_argument("--seed", type=whole_number(0), metavar="N", help="one seed, with its troubles and figures")
     under.add_argument("--size", default="small", help="small or grown; %(default)s if not given")
     under.add_argument("--workers", type=whole_number(1, 256), metavar="N", default=1, help="processes")
     under.add_argument("--events", type=Path, metavar="FILE", help="write all facts there, as JSON lines")
-    under.add_argument("--shrink", type=Path, metavar="FILE",
-                       help="cut what fails down, and write it there")
+    under.add_argument("--shrink", type=Path, metavar="FILE", help="cut what fails down, and write it there")
     under.add_argument("--json", action="store_true", help="results as JSON")
     return top
 
--- a/rowanshift/counter/back.py
+++ b/rowanshift/counter/back.py
@@ -66,8 +66,7 @@
             self.close(link)
 
     def drop_idle(self) -> bool:
-        links = min((links for links in self.idle.values() if links), default=None,
-                    key=lambda links: links[0].since)
+        links = min((links for links in self.idle.values() if links), default=None, key=lambda links: links[0].since)
         if links is None:
             return False
         self.close(links.pop(0))
@@ -111,8 +110,10 @@
         link = None
         try:
             stream = self.host.stream()
-            link = Link(engine, Connection(stream, httptools.HttpResponseParser, self.memory, streams=True,
-                                           largest=LARGEST_ERROR))
+            link = Link(
+                engine,
+                Connection(stream, httptools.HttpResponseParser, self.memory, streams=True, largest=LARGEST_ERROR),
+            )
             self.dials += 1
             up = False
             with trio.CancelScope(deadline=min(until, trio.current_time() + DIAL_WITHIN)):
@@ -222,8 +223,12 @@
     def keep(self, link: Link, now: float) -> None:
         """Puts a clean connection aside for the next request."""
         link.pooled, link.message, link.since = True, None, now
-        if (not link.engine.listed or link.engine.draining or link.connection.sending()
-                or link.connection.stream.readable()):
+        if (
+            not link.engine.listed
+            or link.engine.draining
+            or link.connection.sending()
+            or link.connection.stream.readable()
+        ):
             return self.close(link)
         links = self.idle.setdefault(link.engine, [])
         links.append(link)
--- a/rowanshift/counter/book.py
+++ b/rowanshift/counter/book.py
@@ -90,10 +90,15 @@
         data = orjson.loads(config)
         limits = data.get("limits") or {}
         tenants = data.get("tenants")
-        book = Book(revision, {}, None if tenants is None else {}, versions=dict(versions),
-                    largest_body=int(limits.get("maxBodyBytes") or 4 << 20),
-                    header_within=float(limits.get("headerTimeoutMs") or 3000) / 1000,
-                    idle_for=float(limits.get("idleTimeoutMs") or 15000) / 1000)
+        book = Book(
+            revision,
+            {},
+            None if tenants is None else {},
+            versions=dict(versions),
+            largest_body=int(limits.get("maxBodyBytes") or 4 << 20),
+            header_within=float(limits.get("headerTimeoutMs") or 3000) / 1000,
+            idle_for=float(limits.get("idleTimeoutMs") or 15000) / 1000,
+        )
         for row in data.get("backends") or ():
             book.services[row["name"]] = service_of(row)
         for row in data.get("routes") or ():
@@ -111,8 +116,13 @@
 
 def service_of(row: dict[str, Any]) -> Service:
     engine = row.get("engine") or {}
-    return Service(row["name"], (row.get("healthCheck") or "").encode(), int(row.get("maxConnections") or 64),
-                   str(row.get("kvStoreAddress") or ""), int(engine.get("kvTokenBytes") or 0))
+    return Service(
+        row["name"],
+        (row.get("healthCheck") or "").encode(),
+        int(row.get("maxConnections") or 64),
+        str(row.get("kvStoreAddress") or ""),
+        int(engine.get("kvTokenBytes") or 0),
+    )
 
 
 def route_of(row: dict[str, Any]) -> Route:
@@ -120,7 +130,16 @@
         split = tuple((part["backend"], float(part["weight"])) for part in row["trafficSplit"])
     else:
         split = ((row["backend"], 1.0),)
-    return Route(row.get("name") or "", row["hostname"].lower().encode(), row["pathPrefix"].encode(),
-                 row.get("routeType") or "", float(row.get("timeoutMs") or 60000) / 1000,
-                 float(row.get("targetLatencyMs") or 1000) / 1000, int(row.get("priority") or 0), split,
-                 max(1, int(row.get("retries") or 1)), bool(row.get("public")), bool(row.get("resumable")))
+    return Route(
+        row.get("name") or "",
+        row["hostname"].lower().encode(),
+        row["pathPrefix"].encode(),
+        row.get("routeType") or "",
+        float(row.get("timeoutMs") or 60000) / 1000,
+        float(row.get("targetLatencyMs") or 1000) / 1000,
+        int(row.get("priority") or 0),
+        split,
+        max(1, int(row.get("retries") or 1)),
+        bool(row.get("public")),
+        bool(row.get("resumable")),
+    )
--- a/rowanshift/counter/channel.py
+++ b/rowanshift/counter/channel.py
@@ -26,8 +26,16 @@
 class Channel:
     """Polls the ledger for good; ``State`` for the front."""
 
-    def __init__(self, host: Host, machine: int, port: int, seeds: Callable[[], Iterable[Address]],
-                 version_within: float, chance: random.Random, gone: Callable[[Engine], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        machine: int,
+        port: int,
+        seeds: Callable[[], Iterable[Address]],
+        version_within: float,
+        chance: random.Random,
+        gone: Callable[[Engine], None],
+    ) -> None:
         self.host, self.machine, self.port, self.seeds = host, machine, port, seeds
         self.version_within, self.chance, self.gone = version_within, chance, gone
         self.started = chance.getrandbits(63)
@@ -90,15 +98,21 @@
                 caller = Caller(self.host, CODEC, (ip_of(primary), self.port))
             asked, doubted = trio.current_time(), self.unsure_since
             sure = doubted is None  # else all of it is asked for, and answered at once
-            poll = Poll(self.machine, self.started, self.stamp, self.mark * sure,
-                        self.roster if sure else (0, 0), self.stock, self.peers)
+            poll = Poll(
+                self.machine,
+                self.started,
+                self.stamp,
+                self.mark * sure,
+                self.roster if sure else (0, 0),
+                self.stock,
+                self.peers,
+            )
             try:
                 answer = await caller.ask(poll, ANSWER_WITHIN)
             except LinkFailed as error:
                 failed += 1
                 if failed in (1, 10, 100):
-                    logger.info("event=poll_failed to={} times={} why={!r}",
-                                ip_of(primary), failed, str(error))
+                    logger.info("event=poll_failed to={} times={} why={!r}", ip_of(primary), failed, str(error))
                 primary = 0
                 await self.host.pause(AGAIN * (0.5 + self.chance.random()))
                 continue
@@ -138,8 +152,7 @@
                 if version > self.book.versions.get(model, 0):
                     self.named_at[model] = now
             if book.revision != self.book.revision:
-                logger.info("event=config revision={} routes={}", book.revision,
-                            sum(map(len, book.routes.values())))
+                logger.info("event=config revision={} routes={}", book.revision, sum(map(len, book.routes.values())))
             self.book, self.mark = book, update.mark
             self._tell()
         if update.has_peers:
@@ -162,5 +175,13 @@
 
 
 def engine_of(row: Row) -> Engine:
-    return Engine(row.id, row.service, row.address, row.zone, row.slots, dict(row.versions),
-                  draining=bool(row.state & DRAINING), loading=bool(row.state & LOADING))
+    return Engine(
+        row.id,
+        row.service,
+        row.address,
+        row.zone,
+        row.slots,
+        dict(row.versions),
+        draining=bool(row.state & DRAINING),
+        loading=bool(row.state & LOADING),
+    )
--- a/rowanshift/counter/front.py
+++ b/rowanshift/counter/front.py
@@ -123,8 +123,11 @@
 
     async def refuse(self, refusal: Refusal) -> None:
         body = said(refusal.why)
-        lines = [b"HTTP/1.1 %d %s" % (refusal.status, REASONS.get(refusal.status, b"")),
-                 b"Content-Type: application/json", b"Content-Length: %d" % len(body)]
+        lines = [
+            b"HTTP/1.1 %d %s" % (refusal.status, REASONS.get(refusal.status, b"")),
+            b"Content-Type: application/json",
+            b"Content-Length: %d" % len(body),
+        ]
         if refusal.back:
             lines.append(b"Retry-After: %.3f" % refusal.back)
         if not self.keep:
@@ -153,8 +156,16 @@
 
 
 class Front:
-    def __init__(self, state: State, back: Back, budget: Budget, memory: Memory,
-                 retries: Callable[[str], RetryBudget], draw: Callable[[], float], loads: Loads) -> None:
+    def __init__(
+        self,
+        state: State,
+        back: Back,
+        budget: Budget,
+        memory: Memory,
+        retries: Callable[[str], RetryBudget],
+        draw: Callable[[], float],
+        loads: Loads,
+    ) -> None:
         self.state, self.back, self.budget, self.memory = state, back, budget, memory
         self.retries, self.draw, self.loads = retries, draw, loads
         self.counts = Counts()
@@ -166,8 +177,7 @@
 
     # the listener -----------------------------------------
 
-    async def accept(self, listener: Listener, nursery: Nursery,
-                     pause: Callable[[float], Awaitable[None]]) -> None:
+    async def accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
         while True:
             await listener.wait()
             for _ in range(AT_ONCE):
@@ -201,8 +211,7 @@
     # one connection ---------------------------------------
 
     async def serve(self, stream: Stream) -> None:
-        connection = Connection(stream, httptools.HttpRequestParser, self.memory,
-                                largest=self.state.book.largest_body)
+        connection = Connection(stream, httptools.HttpRequestParser, self.memory, largest=self.state.book.largest_body)
         client = Client(connection)
         try:
             while True:
@@ -352,11 +361,26 @@
             self.counts.repeats += arrived
             had = engine.versions.get(request.model, 0)
             home = pool.home(mark)
-            near = home if home is not engine and home is not None and is_open(home, now) \
-                and home.versions.get(request.model, 0) == had else None
+            near = (
+                home
+                if home is not engine
+                and home is not None
+                and is_open(home, now)
+                and home.versions.get(request.model, 0) == had
+                else None
+            )
             fetch, save = self._moves(request, tenant, had, near, now)
-            data = written(request, tenant, engine.id.encode(), until - now, had,
-                           out.last or request.after, fetch, save, priority_of(route, tenant))
+            data = written(
+                request,
+                tenant,
+                engine.id.encode(),
+                until - now,
+                had,
+                out.last or request.after,
+                fetch,
+                save,
+                priority_of(route, tenant),
+            )
             try:
                 last = await self._attempt(request, route, tenant, had, engine, data, out, until, ran)
                 if last is None:
@@ -372,16 +396,31 @@
                     if len(unsent) >= UNSENT_MOST:
                         raise last from failure
                     continue
-                logger.info("event=send_failed server={} request={} outcome={} why={!r}", engine.id,
-                            request.id.decode("latin-1"), failure.outcome.value, str(failure))
+                logger.info(
+                    "event=send_failed server={} request={} outcome={} why={!r}",
+                    engine.id,
+                    request.id.decode("latin-1"),
+                    failure.outcome.value,
+                    str(failure),
+                )
                 arrived = ran = True
                 last = Refusal(504 if failure.outcome is Outcome.LATE else 502, "it may have run")
                 self.counts.resumed += out.begun
             if ran and (not route.repeatable or (out.begun and not out.last)):
                 raise last
 
-    async def _attempt(self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Engine,
-                       data: bytes, out: Out, until: float, ran: bool) -> Refusal | None:
+    async def _attempt(
+        self,
+        request: Request,
+        route: Route,
+        tenant: Tenant | None,
+        had: int,
+        engine: Engine,
+        data: bytes,
+        out: Out,
+        until: float,
+        ran: bool,
+    ) -> Refusal | None:
         """One send to one server: None once the client has the whole answer, else what it would be told."""
         link = None
         engine.sent(trio.current_time())
@@ -402,8 +441,7 @@
             engine.ended()
             await self.loads.done(told)
 
-    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine,
-                        out: set[str]) -> Engine:
+    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine, out: set[str]) -> Engine:
         """The server picked, or another that serves as well and has far less to read, over all counters."""
         others = pool.others(mark, trio.current_time(), request.model, first, out)
         if not request.parts or not others:
@@ -412,8 +450,9 @@
         shared = sum(size for _, size in request.parts[:-1])
         return lighter(first, others, waiting, shared)
 
-    def _moves(self, request: Request, tenant: Tenant | None, version: int, home: Engine | None,
-               now: float) -> tuple[bytes | None, bytes | None]:
+    def _moves(
+        self, request: Request, tenant: Tenant | None, version: int, home: Engine | None, now: float
+    ) -> tuple[bytes | None, bytes | None]:
         """Where the server may take the shared parts from, and the store that it is to give them to."""
         shared = request.parts[:-1]
         if not shared or not version:
@@ -436,16 +475,17 @@
             self.saved[mark] = now + SAVED_FOR
         return fetch, address
 
-    def _moved(self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Engine,
-               begun: bool) -> bool:
+    def _moved(
+        self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Engine, begun: bool
+    ) -> bool:
         """Whether what was decided no longer holds once the connection is up."""
-        if (not engine.listed or engine.draining or engine.loading
-                or engine.versions.get(request.model, 0) != had):
+        if not engine.listed or engine.draining or engine.loading or engine.versions.get(request.model, 0) != had:
             return True
         return not begun and self._allowed(request) != (route, tenant)
 
-    async def _take(self, request: Request, route: Route, link: Link, out: Out, until: float,
-                    told: tuple[str, int]) -> Refusal | None:
+    async def _take(
+        self, request: Request, route: Route, link: Link, out: Out, until: float, told: tuple[str, int]
+    ) -> Refusal | None:
         """Takes the answer of one send in; None once the client has it whole."""
         engine, back = link.engine, self.back
 
@@ -453,8 +493,7 @@
             now = trio.current_time()
             if self._left(out):
                 return True
-            return (route.repeatable and len(request.tried) < route.servers
-                    and now - engine.heard_at > SILENT_FOR)
+            return route.repeatable and len(request.tried) < route.servers and now - engine.heard_at > SILENT_FOR
 
         message = await self._watched(out, back.head(link, request.id, until, look))
         await self.loads.done(told)
@@ -507,8 +546,9 @@
                 raise ClientGone from failure
             raise
 
-    async def _stream(self, request: Request, route: Route, link: Link, out: Out, until: float,
-                      look: Callable[[], bool]) -> None:
+    async def _stream(
+        self, request: Request, route: Route, link: Link, out: Out, until: float, look: Callable[[], bool]
+    ) -> None:
         """Passes a stream on in whole events; what came of one that broke off is dropped."""
         message, held, engine = link.message, b"", link.engine
         length = message.length if not route.streaming else None
--- a/rowanshift/counter/requests.py
+++ b/rowanshift/counter/requests.py
@@ -5,8 +5,20 @@
 from rowanshift.counter.book import Route, Tenant
 from rowanshift.net.connection import BadMessage, Fields, Message
 
-OURS = frozenset([b"authorization", b"deadline-remaining", b"tenant-name", b"expect-instance",
-                  b"expect-version", b"cache-salt", b"kv-fetch", b"kv-save", b"priority", b"last-event-id"])
+OURS = frozenset(
+    [
+        b"authorization",
+        b"deadline-remaining",
+        b"tenant-name",
+        b"expect-instance",
+        b"expect-version",
+        b"cache-salt",
+        b"kv-fetch",
+        b"kv-save",
+        b"priority",
+        b"last-event-id",
+    ]
+)
 LONGEST_MS = 3_600_000.0
 MOST_DIGITS = 9  # of a number of tokens
 
@@ -49,13 +61,22 @@
     left = number(fields.get(b"deadline-remaining", b"60000"), "Deadline-Remaining")
     scheme, _, key = fields.get(b"authorization", b"").partition(b" ")
     host = fields.get(b"host", b"").lower()
-    return Request(id, message.method, target, target.split(b"?", 1)[0], host.split(b":", 1)[0],
-                   [pair for pair in message.end_to_end() if pair[0] not in OURS], message.body,
-                   key.strip() if scheme.lower() == b"bearer" else None,
-                   now + min(left, LONGEST_MS) / 1000, now,
-                   fields.get(b"model-name", b"").decode("latin-1"),
-                   parts_of(fields.get(b"prompt-prefix", b"")),
-                   tokens_of(fields.get(b"token-count", b"")), fields.get(b"last-event-id"))
+    return Request(
+        id,
+        message.method,
+        target,
+        target.split(b"?", 1)[0],
+        host.split(b":", 1)[0],
+        [pair for pair in message.end_to_end() if pair[0] not in OURS],
+        message.body,
+        key.strip() if scheme.lower() == b"bearer" else None,
+        now + min(left, LONGEST_MS) / 1000,
+        now,
+        fields.get(b"model-name", b"").decode("latin-1"),
+        parts_of(fields.get(b"prompt-prefix", b"")),
+        tokens_of(fields.get(b"token-count", b"")),
+        fields.get(b"last-event-id"),
+    )
 
 
 def absolute(target: bytes) -> bytes:
@@ -63,7 +84,7 @@
     if not slashes or scheme.lower() not in (b"http", b"https"):
         raise BadMessage(400, "a path is wanted")
     host = rest.replace(b"?", b"/", 1).partition(b"/")[0]
-    path = rest[len(host):]
+    path = rest[len(host) :]
     return path if path[:1] == b"/" else b"/" + path
 
 
@@ -104,8 +125,17 @@
     return b"v%d.%s" % (version, tenant.name if tenant is not None and tenant.isolated else b"")
 
 
-def written(request: Request, tenant: Tenant | None, instance: bytes, left: float, version: int,
-            after: bytes | None, fetch: bytes | None, save: bytes | None, priority: int | None) -> bytes:
+def written(
+    request: Request,
+    tenant: Tenant | None,
+    instance: bytes,
+    left: float,
+    version: int,
+    after: bytes | None,
+    fetch: bytes | None,
+    save: bytes | None,
+    priority: int | None,
+) -> bytes:
     """The head and body as they go to a server. ``left`` in seconds; ``version`` 0: the model has none."""
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
     lines += [b"%s: %s" % pair for pair in request.fields]
--- a/rowanshift/counter/service.py
+++ b/rowanshift/counter/service.py
@@ -63,8 +63,9 @@
     def retries(self, service: str) -> RetryBudget:
         bounds = self.boot.bounds
         if service not in self.budgets:
-            self.budgets[service] = RetryBudget(bounds.retry_budget_ratio, bounds.retry_budget_slack,
-                                                bounds.retry_window_s)
+            self.budgets[service] = RetryBudget(
+                bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.retry_window_s
+            )
         budget, now = self.budgets[service], trio.current_time()
         if self.joined_at is None and self.channel.members:
             self.joined_at = now
@@ -79,17 +80,24 @@
                 memory = Memory(boot.limits.memory_mb * MEMORY_PART)
                 budget = Budget(host.descriptors(boot.limits.max_fds), FILES)
                 self.back = Back(host, budget, memory)
-                self.channel = Channel(host, machine_of(boot.ip), boot.inner[1], self.seeds,
-                                       boot.bounds.version_ms / 1000, self.chance, self.back.leave)
+                self.channel = Channel(
+                    host,
+                    machine_of(boot.ip),
+                    boot.inner[1],
+                    self.seeds,
+                    boot.bounds.version_ms / 1000,
+                    self.chance,
+                    self.back.leave,
+                )
                 self.loads = Loads(host, boot.inner, machine_of(boot.ip))
                 self.channel.met = self.loads.meet
-                self.front = Front(self.channel, self.back, budget, memory, self.retries, self.chance.random,
-                                   self.loads)
+                self.front = Front(
+                    self.channel, self.back, budget, memory, self.retries, self.chance.random, self.loads
+                )
                 nursery.start_soon(self.loads.run)
                 readiness = CallServer({b"/readiness": Readiness(self)}, memory)
                 nursery.start_soon(self._heed, signals)
-                nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery,
-                                   host.pause)
+                nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery, host.pause)
                 nursery.start_soon(self.channel.run)
                 nursery.start_soon(self._watch)
                 listener = host.listen(boot.want("frontend"), BACKLOG)
--- a/rowanshift/ledger/api.py
+++ b/rowanshift/ledger/api.py
@@ -31,11 +31,13 @@
                 return Answer(307, b"", [(LOCATION, at)])
             return Answer(503, said("no primary is known"), [(b"Retry-After", b"0.3")])
         except NotConfirmed:
-            return Answer(503, said("this machine could not confirm that it is the primary"),
-                          [(b"Retry-After", b"0.3")])
+            return Answer(
+                503, said("this machine could not confirm that it is the primary"), [(b"Retry-After", b"0.3")]
+            )
         except OutcomeUnknown:
-            return Answer(503, said("not on enough disks in time: it may or may not be in force"),
-                          [(b"Retry-After", b"0.3")])
+            return Answer(
+                503, said("not on enough disks in time: it may or may not be in force"), [(b"Retry-After", b"0.3")]
+            )
         except SheetTooLarge:
             return Answer(413, said(f"with it the control state would be over {SHEET_LIMIT} bytes"))
 
@@ -53,8 +55,7 @@
         match = dict(message.fields).get(b"if-match")
 
         def made(sheet: bytes) -> bytes | None:
-            changed = put_config(unpack(sheet), None if match is None else match.decode("latin-1"),
-                                 message.body)
+            changed = put_config(unpack(sheet), None if match is None else match.decode("latin-1"), message.body)
             return None if changed is None else changed[0].pack()
 
         try:
--- a/rowanshift/ledger/duties.py
+++ b/rowanshift/ledger/duties.py
@@ -36,8 +36,16 @@
 
 
 class Duties:
-    def __init__(self, host: Host, memory: Memory, node: Node, cloud: Address | None, name: str,
-                 named: Callable[[], dict[str, int]], changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        memory: Memory,
+        node: Node,
+        cloud: Address | None,
+        name: str,
+        named: Callable[[], dict[str, int]],
+        changed: Callable[[], None],
+    ) -> None:
         self.host, self.memory, self.node, self.cloud, self.name = host, memory, node, cloud, name
         self.named, self.changed = named, changed
         self.roster, self.stock = Roster(), Stock()
@@ -109,8 +117,7 @@
                 target = b"/kv-events?since=%d" % source.since
             at = trio.current_time()
             try:
-                answer = await line.call(b"GET", target, [(b"Wait-Ms", b"%d" % EVENTS_WAIT_MS)],
-                                         EVENTS_WITHIN)
+                answer = await line.call(b"GET", target, [(b"Wait-Ms", b"%d" % EVENTS_WAIT_MS)], EVENTS_WITHIN)
                 if answer.status != 200:
                     raise BadEvents(f"status {answer.status}")
                 data = orjson.loads(answer.body)
@@ -132,8 +139,7 @@
 
     def _may_order(self) -> bool:
         """Whether an order may go out now and still arrive while this machine is the only holder."""
-        return (self.node.ledger.duty_from <= trio.current_time()
-                and self.node.holds() > SPARE)
+        return self.node.ledger.duty_from <= trio.current_time() and self.node.holds() > SPARE
 
     async def roll_out(self, nursery: Nursery) -> None:
         while True:
@@ -177,8 +183,9 @@
         host, _, port = known.address.rpartition(":")
         expected = [(b"Expect-Instance", known.id.encode())]
         try:
-            answer = await call(self.host, self.memory, (host, int(port)), b"GET", b"/report", b"", expected,
-                                REPORT_WITHIN)
+            answer = await call(
+                self.host, self.memory, (host, int(port)), b"GET", b"/report", b"", expected, REPORT_WITHIN
+            )
             report = orjson.loads(answer.body)
             return report if answer.status == 200 and isinstance(report, dict) else None
         except (CallFailed, ValueError) as error:
@@ -190,14 +197,29 @@
         address = host, int(port)
         if not self._may_order():
             return False
-        order = orjson.dumps({"operation": "revision", "model": model, "revision": version,
-                              "method": "retain", "leaseHolder": self.name,
-                              "fenceToken": self.node.ledger.record.number})
+        order = orjson.dumps(
+            {
+                "operation": "revision",
+                "model": model,
+                "revision": version,
+                "method": "retain",
+                "leaseHolder": self.name,
+                "fenceToken": self.node.ledger.record.number,
+            }
+        )
         expected = [(b"Expect-Instance", known.id.encode())]
         self.orders += 1
         try:
-            answer = await call(self.host, self.memory, address, b"POST", b"/order", order, expected,
-                                min(ORDER_WITHIN, self.node.holds()))
+            answer = await call(
+                self.host,
+                self.memory,
+                address,
+                b"POST",
+                b"/order",
+                order,
+                expected,
+                min(ORDER_WITHIN, self.node.holds()),
+            )
             status = answer.status
         except CallFailed as error:
             if not error.sent:
--- a/rowanshift/ledger/explorer.py
+++ b/rowanshift/ledger/explorer.py
@@ -189,8 +189,7 @@
         if ledger.is_primary and ledger.record.number not in self.checks.offices:
             self.offices += 1
             accepted = {
-                m: p.NUMBER_LIMIT if h.lost or h.disk is None else h.disk.accepted.number
-                for m, h in self.hosts.items()
+                m: p.NUMBER_LIMIT if h.lost or h.disk is None else h.disk.accepted.number for m, h in self.hosts.items()
             }
             self.checks.office(ledger.record, ledger.committed_sheet, accepted)
 
@@ -290,9 +289,7 @@
 class Walk:
     """A drawn walk. `spares` machines beyond the seeds wait for a place."""
 
-    def __init__(
-        self, seed: int, machines: int, f: int, spares: int = 0, make: type[p.Ledger] = p.Ledger
-    ) -> None:
+    def __init__(self, seed: int, machines: int, f: int, spares: int = 0, make: type[p.Ledger] = p.Ledger) -> None:
         self.seed, self.make = seed, make
         self.constants = CONTENDED if seed % 2 else {}
         self.draw = draw = random.Random(seed)
--- a/rowanshift/ledger/node.py
+++ b/rowanshift/ledger/node.py
@@ -43,8 +43,17 @@
 
 
 class Node:
-    def __init__(self, host: Host, machine: int, port: int, ledger: Ledger, store: Disk | None,
-                 nursery: Nursery, became: Callable[[bool], None], committed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        machine: int,
+        port: int,
+        ledger: Ledger,
+        store: Disk | None,
+        nursery: Nursery,
+        became: Callable[[bool], None],
+        committed: Callable[[], None],
+    ) -> None:
         self.host, self.machine, self.port, self.ledger, self.store = host, machine, port, ledger, store
         self.nursery, self.became, self.committed = nursery, became, committed
         self.senders: dict[int, Sender] = {}
@@ -128,8 +137,12 @@
                 case Failed(token) | ReadFailed(token):
                     self._end(token, False)
                 case Became(primary):
-                    logger.info("event={} epoch={} in_sync={}", "primary" if primary else "no_primary",
-                                self.ledger.record.number, ",".join(map(ip_of, self.ledger.record.in_sync)))
+                    logger.info(
+                        "event={} epoch={} in_sync={}",
+                        "primary" if primary else "no_primary",
+                        self.ledger.record.number,
+                        ",".join(map(ip_of, self.ledger.record.in_sync)),
+                    )
                     self.became(primary)
 
     def _end(self, token: int, well: bool) -> None:
@@ -157,8 +170,9 @@
             if len(self.senders) >= MOST_PEERS:
                 quiet = min(self.senders, key=lambda machine: self.heard.get(machine, 0.0))
                 self.senders.pop(quiet).stop()
-            sender = self.senders[to] = Sender(self.host, CODEC, (ip_of(to), self.port), Hello(self.machine),
-                                               partial(self._alive, to))
+            sender = self.senders[to] = Sender(
+                self.host, CODEC, (ip_of(to), self.port), Hello(self.machine), partial(self._alive, to)
+            )
             self.nursery.start_soon(sender.run)
         sender.put(message)
 
@@ -184,7 +198,7 @@
     if len(record) < HEAD.size:
         raise BadRecord("a record cut short")
     _, _, kind, _, _ = HEAD.unpack_from(record)
-    return CODEC.unpack(kind, record[HEAD.size:])
+    return CODEC.unpack(kind, record[HEAD.size :])
 
 
 __all__ = ["BadRecord", "LinkFailed", "Node", "NotConfirmed", "NotPrimary", "OutcomeUnknown", "durable_of"]
--- a/rowanshift/ledger/roster.py
+++ b/rowanshift/ledger/roster.py
@@ -40,11 +40,16 @@
 def known_of(entry: dict[str, Any]) -> Known:
     """``BadList`` if the entry can't be read."""
     try:
-        versions = {str(model["name"]): int(model.get("revision") or 0)
-                    for model in entry.get("models") or ()}
-        known = Known(str(entry["id"]), str(entry["backend"]), str(entry["address"]),
-                      str(entry.get("zone") or ""), int(entry.get("slots") or 1),
-                      entry.get("state") == "draining", versions)
+        versions = {str(model["name"]): int(model.get("revision") or 0) for model in entry.get("models") or ()}
+        known = Known(
+            str(entry["id"]),
+            str(entry["backend"]),
+            str(entry["address"]),
+            str(entry.get("zone") or ""),
+            int(entry.get("slots") or 1),
+            entry.get("state") == "draining",
+            versions,
+        )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise BadList(repr(error)) from error
     texts = (known.id, known.service, known.address, known.zone, *versions)
@@ -84,13 +89,14 @@
     def next_load(self, named: dict[str, int], now: float) -> tuple[Known, str, int] | None:
         """The next server to be ordered, with the model and version; None if none should be now."""
         for model, version in named.items():
-            having = [known for known in self.servers.values()
-                      if model in known.versions and not known.draining]
+            having = [known for known in self.servers.values() if model in known.versions and not known.draining]
             for service in dict.fromkeys(known.service for known in having):
                 fellows = [known for known in having if known.service == service]
-                behind = [known for known in fellows
-                          if known.versions[model] < version and not known.loading
-                          and known.not_before <= now]
+                behind = [
+                    known
+                    for known in fellows
+                    if known.versions[model] < version and not known.loading and known.not_before <= now
+                ]
                 loading = sum(known.loading for known in fellows)
                 if behind and loading < max(1, int(AT_ONCE * len(fellows))):
                     return min(behind, key=lambda known: (known.failures, known.id)), model, version
--- a/rowanshift/ledger/service.py
+++ b/rowanshift/ledger/service.py
@@ -128,24 +128,39 @@
     def status(self) -> dict:
         ledger, now = self.node.ledger, trio.current_time()
         record = ledger.record
-        return {"name": self.boot.name, "machine": self.boot.ip, "primary": ledger.is_primary,
-                "primaryHint": ip_of(ledger.primary_hint), "epoch": record.number,
-                "inSync": [ip_of(m) for m in record.in_sync],
-                "witnesses": [ip_of(m) for m in record.witnesses],
-                "forgotten": ledger.is_forgotten, "leaseS": round(self.node.holds(), 3),
-                "revision": self.sheet.revision if ledger.is_primary else None,
-                "versions": self.sheet.versions if ledger.is_primary else None,
-                "known": [ip_of(m) for m in sorted(ledger.known)],
-                "members": [ip_of(m) for m, at in self.members.items() if now - at < MEMBER_FOR],
-                "memberAgeS": {ip_of(m): round(now - at, 3) for m, at in self.members.items()
-                               if now - at < MEMBER_FOR},
-                "readsList": self.boot.cloud is not None and self.node.holds() > 0,
-                "listRead": self.duties.roster.serial > 0,
-                "mayOrder": ledger.duty_from <= now and self.node.holds() > 0,
-                "servers": [{"id": row.id, "service": row.service, "address": row.address, "state": row.state,
-                             "versions": row.versions} for row in self.duties.roster.rows()],
-                "calls": self.duties.calls, "orders": self.duties.orders,
-                "saves": self.node.saves, "saveSeconds": round(self.node.save_seconds, 4)}
+        return {
+            "name": self.boot.name,
+            "machine": self.boot.ip,
+            "primary": ledger.is_primary,
+            "primaryHint": ip_of(ledger.primary_hint),
+            "epoch": record.number,
+            "inSync": [ip_of(m) for m in record.in_sync],
+            "witnesses": [ip_of(m) for m in record.witnesses],
+            "forgotten": ledger.is_forgotten,
+            "leaseS": round(self.node.holds(), 3),
+            "revision": self.sheet.revision if ledger.is_primary else None,
+            "versions": self.sheet.versions if ledger.is_primary else None,
+            "known": [ip_of(m) for m in sorted(ledger.known)],
+            "members": [ip_of(m) for m, at in self.members.items() if now - at < MEMBER_FOR],
+            "memberAgeS": {ip_of(m): round(now - at, 3) for m, at in self.members.items() if now - at < MEMBER_FOR},
+            "readsList": self.boot.cloud is not None and self.node.holds() > 0,
+            "listRead": self.duties.roster.serial > 0,
+            "mayOrder": ledger.duty_from <= now and self.node.holds() > 0,
+            "servers": [
+                {
+                    "id": row.id,
+                    "service": row.service,
+                    "address": row.address,
+                    "state": row.state,
+                    "versions": row.versions,
+                }
+                for row in self.duties.roster.rows()
+            ],
+            "calls": self.duties.calls,
+            "orders": self.duties.orders,
+            "saves": self.node.saves,
+            "saveSeconds": round(self.node.save_seconds, 4),
+        }
 
     # counters ---------------------------------------------
 
@@ -170,12 +185,26 @@
                 counted = sum(now - at < COUNTED_FOR for at in self.members.values())
                 known = self.primary_since is not None and now - self.primary_since > MEMBER_FOR
                 whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
-                return Update(stamp, self.mark, has_sheet, self.sheet.revision if has_sheet else 0,
-                              self.packed if has_sheet else b"", self.sheet.versions if has_sheet else {},
-                              (epoch, roster.serial), has_rows, self._rows(roster) if has_rows else (),
-                              counted if known else 0, (epoch, stock.serial), whole, packed(kept),
-                              packed(dropped), (epoch, self.peers_serial) if has_peers else poll.peers,
-                              has_peers, self.peers if has_peers else (), self._core())
+                return Update(
+                    stamp,
+                    self.mark,
+                    has_sheet,
+                    self.sheet.revision if has_sheet else 0,
+                    self.packed if has_sheet else b"",
+                    self.sheet.versions if has_sheet else {},
+                    (epoch, roster.serial),
+                    has_rows,
+                    self._rows(roster) if has_rows else (),
+                    counted if known else 0,
+                    (epoch, stock.serial),
+                    whole,
+                    packed(kept),
+                    packed(dropped),
+                    (epoch, self.peers_serial) if has_peers else poll.peers,
+                    has_peers,
+                    self.peers if has_peers else (),
+                    self._core(),
+                )
             news = self.news
             with trio.move_on_at(until):
                 await news.wait()
@@ -191,8 +220,7 @@
         while True:
             now = trio.current_time()
             if self.primary_since is not None and now - self.primary_since > MEMBER_FOR:
-                peers = tuple(sorted(machine for machine, at in self.members.items()
-                                     if now - at < MEMBER_FOR))
+                peers = tuple(sorted(machine for machine, at in self.members.items() if now - at < MEMBER_FOR))
                 if peers != self.peers:
                     self.peers, self.peers_serial = peers, self.peers_serial + 1
                     self._tell()
@@ -254,17 +282,28 @@
                 store, durable = await self._disk()
                 memory = Memory(boot.limits.memory_mb * MEMORY_PART)
                 file = boot.file
-                ledger = Ledger(self.machine, file.fault_tolerance.machines, self._seeds(), file.bootstrap,
-                                durable, trio.current_time(), self.chance.random,
-                                boot.bounds.lease_ms / 1000 + 0.3)
-                self.node = Node(host, self.machine, boot.inner[1], ledger, store, nursery, self._became,
-                                 self.refresh)
-                self.duties = Duties(host, memory, self.node, boot.cloud, boot.name, self.named,
-                                     self._tell)
+                ledger = Ledger(
+                    self.machine,
+                    file.fault_tolerance.machines,
+                    self._seeds(),
+                    file.bootstrap,
+                    durable,
+                    trio.current_time(),
+                    self.chance.random,
+                    boot.bounds.lease_ms / 1000 + 0.3,
+                )
+                self.node = Node(host, self.machine, boot.inner[1], ledger, store, nursery, self._became, self.refresh)
+                self.duties = Duties(host, memory, self.node, boot.cloud, boot.name, self.named, self._tell)
                 control = boot.want("controlPlane")
-                calls = CallServer({b"/config": ConfigResource(self.node, control[1]),
-                                    b"/version-put": VersionResource(self.node, control[1]),
-                                    b"/status": StatusResource(self.status)}, memory, LARGEST_CALL)
+                calls = CallServer(
+                    {
+                        b"/config": ConfigResource(self.node, control[1]),
+                        b"/version-put": VersionResource(self.node, control[1]),
+                        b"/status": StatusResource(self.status),
+                    },
+                    memory,
+                    LARGEST_CALL,
+                )
                 inner = host.listen(boot.inner, 256)
                 nursery.start_soon(self._accept, inner, nursery)
                 nursery.start_soon(calls.serve, host.listen(control, 256), nursery, host.pause)
@@ -274,8 +313,12 @@
                 nursery.start_soon(self.duties.roll_out, nursery)
                 nursery.start_soon(self.duties.follow_stores, nursery, self.stores)
                 host.settled()
-                logger.info("event=started role=ledger name={} forgotten={} epoch={}", boot.name,
-                            ledger.is_forgotten, ledger.record.number)
+                logger.info(
+                    "event=started role=ledger name={} forgotten={} epoch={}",
+                    boot.name,
+                    ledger.is_forgotten,
+                    ledger.record.number,
+                )
                 await self.told_to_stop.wait()
                 logger.info("event=stopping primary={}", ledger.is_primary)
                 if ledger.is_primary:
--- a/rowanshift/ledger/sheet.py
+++ b/rowanshift/ledger/sheet.py
@@ -82,13 +82,13 @@
         at = HEAD.size + length
         if at > len(packed):
             raise BadSheet("the configuration is cut short")
-        config, versions, taken = bytes(packed[HEAD.size:at]), {}, []
+        config, versions, taken = bytes(packed[HEAD.size : at]), {}, []
         for _ in range(named):
             size, number = VERSION.unpack_from(packed, at)
             at += VERSION.size + size
             if at > len(packed):
                 raise BadSheet("a model's name is cut short")
-            versions[bytes(packed[at - size:at]).decode()] = number
+            versions[bytes(packed[at - size : at]).decode()] = number
         for _ in range(recent):
             taken.append(TAKEN.unpack_from(packed, at))
             at += TAKEN.size
--- a/rowanshift/ledger/store.py
+++ b/rowanshift/ledger/store.py
@@ -81,7 +81,7 @@
     if len(stored) < HEADER.size:
         return Copy(key, damage=f"{len(stored)} bytes, shorter than its header")
     magic, version, crc, length = HEADER.unpack_from(stored)
-    body = stored[HEADER.size:]
+    body = stored[HEADER.size :]
     if magic != MAGIC:
         return Copy(key, damage="another magic number")
     if len(body) != length:
@@ -92,7 +92,7 @@
         return Copy(key, version)
     if version < FORMAT or length < GENERATION.size:
         return Copy(key, version, damage="a format that never was")
-    return Copy(key, version, *GENERATION.unpack_from(body), record=body[GENERATION.size:])
+    return Copy(key, version, *GENERATION.unpack_from(body), record=body[GENERATION.size :])
 
 
 def check_size(env: Any, path: Path) -> None:
@@ -183,8 +183,16 @@
         try:
             named = [] if (self.path / DATA_FILE).exists() else unsynced(self.path)
             self.path.mkdir(parents=True, exist_ok=True)
-            self.env = self.opened(str(self.path), map_size=self.map_mb << 20, max_dbs=0, lock=True,
-                                   sync=True, metasync=True, writemap=False, map_async=False)
+            self.env = self.opened(
+                str(self.path),
+                map_size=self.map_mb << 20,
+                max_dbs=0,
+                lock=True,
+                sync=True,
+                metasync=True,
+                writemap=False,
+                map_async=False,
+            )
             for directory in named:
                 sync(directory)
             check_size(self.env, self.path)
--- a/rowanshift/logs.py
+++ b/rowanshift/logs.py
@@ -9,5 +9,11 @@
 
 def log_to_stderr(level: str) -> None:
     logger.remove()
-    logger.add(sys.stderr, level=level.upper(), format="{time:HH:mm:ss.SSS} level={level} {message}",
-               backtrace=False, diagnose=False, filter=Lines())
+    logger.add(
+        sys.stderr,
+        level=level.upper(),
+        format="{time:HH:mm:ss.SSS} level={level} {message}",
+        backtrace=False,
+        diagnose=False,
+        filter=Lines(),
+    )
--- a/rowanshift/migrate.py
+++ b/rowanshift/migrate.py
@@ -52,22 +52,26 @@
         new["listen"] = wanted.listen
     elif not old["listen"].startswith(LOOPBACK):
         new["listen"] = "127.0.0.1:{}".format(address_of(old["listen"])[1])
-        lost.append(f"listen: {old['listen']} served clients of a pool; a client's own router listens on "
-                    f"{new['listen']}")
-
-    for path, value, what in (("replicas_of_me", wanted.routers, "--routers"),
-                              ("ordinal", wanted.ordinal, "--ordinal")):
+        lost.append(
+            f"listen: {old['listen']} served clients of a pool; a client's own router listens on {new['listen']}"
+        )
+
+    for path, value, what in (
+        ("replicas_of_me", wanted.routers, "--routers"),
+        ("ordinal", wanted.ordinal, "--ordinal"),
+    ):
         if value is not None:
             settings[path] = value
         else:
             lost.append(f"settings.{path}: {settings[path]} is the pool's; {what} tells the new one")
     if settings["ordinal"] >= settings["replicas_of_me"]:
-        raise ConfigError(f"settings.ordinal: {settings['ordinal']} is not below "
-                          f"{settings['replicas_of_me']} routers")
+        raise ConfigError(f"settings.ordinal: {settings['ordinal']} is not below {settings['replicas_of_me']} routers")
 
     if gone := [key for key in ("peers", "peers_all", "peer_listen") if new.pop(key, None)]:
-        lost.append(f"{', '.join(gone)}: the addresses of the pool's routers; list the new ones and set "
-                    "settings.limits.peers, where they may talk")
+        lost.append(
+            f"{', '.join(gone)}: the addresses of the pool's routers; list the new ones and set "
+            "settings.limits.peers, where they may talk"
+        )
     if gone and settings["limits"]["peers"]:
         settings["limits"]["peers"] = False
 
@@ -82,8 +86,9 @@
             known["instances"] = [row for row in known["instances"] if row.get("zone") in wanted.zones]
         settings["zones"] = list(wanted.zones)
         zone = settings.get("zone")
-        if zone is not None and (old["settings"].get("zones") or [])[zone:zone + 1] != list(
-                wanted.zones[zone:zone + 1]):
+        if zone is not None and (old["settings"].get("zones") or [])[zone : zone + 1] != list(
+            wanted.zones[zone : zone + 1]
+        ):
             del settings["zone"]
             lost.append(f"settings.zone: {zone} is a place in the old list of zones")
 
--- a/rowanshift/model.py
+++ b/rowanshift/model.py
@@ -96,8 +96,16 @@
     wake: float | None = None  # wait before the next call of ``woken``
 
     def __bool__(self) -> bool:
-        return bool(self.hand_offs or self.answers or self.withdrawals or self.wake is not None
-                    or self.messages or self.log or self.subscribe or self.probes)
+        return bool(
+            self.hand_offs
+            or self.answers
+            or self.withdrawals
+            or self.wake is not None
+            or self.messages
+            or self.log
+            or self.subscribe
+            or self.probes
+        )
 
 
 EDGES = [0.001 * 2 ** (i / 2) for i in range(1, 24)]  # seconds
@@ -219,7 +227,7 @@
         head = HEAD.pack(0x40 | self.total, len(reads), self.span, self.waited, self.samples)
         head += pack(f">{len(self.asked)}I", *self.asked)
         head += b"".join(READ.pack(mark, min(-n, 65535)) for n, mark in reads)
-        return head + b"".join(CACHE.pack(*row) for row in rows[:(256 - len(head)) // CACHE.size])
+        return head + b"".join(CACHE.pack(*row) for row in rows[: (256 - len(head)) // CACHE.size])
 
     @classmethod
     def unpack(cls, payload: bytes, customers: int) -> "Tally | None":
@@ -233,9 +241,15 @@
         if not whole or not (0 <= span < 1e9 and 0 <= waited < 1e9):
             return None
         caches = {mark: n for n, mark in CACHE.iter_unpack(payload[end:])}
-        return cls(list(unpack_from(f">{customers}I", payload, HEAD.size)), span, waited, samples,
-                   dict(READ.iter_unpack(payload[start:end])), *(({}, caches) if kind & 1 else (caches, {})),
-                   bool(kind & 1))
+        return cls(
+            list(unpack_from(f">{customers}I", payload, HEAD.size)),
+            span,
+            waited,
+            samples,
+            dict(READ.iter_unpack(payload[start:end])),
+            *(({}, caches) if kind & 1 else (caches, {})),
+            bool(kind & 1),
+        )
 
 
 @dataclass(slots=True)
--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -57,7 +57,8 @@
         """So many processes hold the limit together: closes what can be spared beyond this one's part."""
         self.limit = max(8, self.descriptors // processes - OWN - self.aside)
         while self.clients + self.servers > self.limit and (
-                self.silent_clients() or self.idle_servers() or self.idle_clients()):
+            self.silent_clients() or self.idle_servers() or self.idle_clients()
+        ):
             pass
         self.freed.set()
 
--- a/rowanshift/net/calls.py
+++ b/rowanshift/net/calls.py
@@ -58,8 +58,7 @@
         self.resources, self.memory, self.largest = resources, memory, largest
         self.open = 0
 
-    async def serve(self, listener: Listener, nursery: Nursery,
-                    pause: Callable[[float], Awaitable[None]]) -> None:
+    async def serve(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
         while True:
             await listener.wait()
             try:
@@ -123,7 +122,7 @@
 
 def said(why: str) -> bytes:
     """An error's text as a JSON body."""
-    escaped = "".join(c if c.isprintable() and c not in '"\\' else f"\\u{ord(c) & 0xffff:04x}" for c in why)
+    escaped = "".join(c if c.isprintable() and c not in '"\\' else f"\\u{ord(c) & 0xFFFF:04x}" for c in why)
     return b'{"error":"%s"}' % escaped.encode()
 
 
@@ -134,16 +133,14 @@
         self.host, self.memory, self.address = host, memory, address
         self.connection: Connection | None = None
 
-    async def call(self, method: bytes, target: bytes, fields: Fields | None = None,
-                   within: float = 2.0) -> Message:
+    async def call(self, method: bytes, target: bytes, fields: Fields | None = None, within: float = 2.0) -> Message:
         """The whole answer to a call without a body; ``CallFailed`` otherwise."""
         message, sent = None, False
         try:
             with trio.move_on_after(within):
                 if self.connection is None or self.connection.stream.readable():
                     self.close()
-                    self.connection = Connection(self.host.stream(), httptools.HttpResponseParser,
-                                                 self.memory)
+                    self.connection = Connection(self.host.stream(), httptools.HttpResponseParser, self.memory)
                     await connect(self.connection.stream, self.address)
                 await send_all(self.connection.stream, asked(self.address, method, target, b"", fields, True))
                 sent = True
@@ -166,11 +163,13 @@
             self.connection = None
 
 
-def asked(address: Address, method: bytes, target: bytes, body: bytes, fields: Fields | None,
-          keep: bool) -> bytes:
+def asked(address: Address, method: bytes, target: bytes, body: bytes, fields: Fields | None, keep: bool) -> bytes:
     """A call's bytes."""
-    lines = [b"%s %s HTTP/1.1" % (method, target), b"Host: %s:%d" % (address[0].encode(), address[1]),
-             *(b"%s: %s" % pair for pair in fields or [])]
+    lines = [
+        b"%s %s HTTP/1.1" % (method, target),
+        b"Host: %s:%d" % (address[0].encode(), address[1]),
+        *(b"%s: %s" % pair for pair in fields or []),
+    ]
     if not keep:
         lines.append(b"Connection: close")
     if body or method == b"POST":
@@ -189,8 +188,16 @@
             raise ConnectionAbortedError("it ended without an answer")
 
 
-async def call(host: Host, memory: Memory, address: Address, method: bytes, target: bytes, body: bytes = b"",
-               fields: Fields | None = None, within: float = 2.0) -> Message:
+async def call(
+    host: Host,
+    memory: Memory,
+    address: Address,
+    method: bytes,
+    target: bytes,
+    body: bytes = b"",
+    fields: Fields | None = None,
+    within: float = 2.0,
+) -> Message:
     """Makes one call on a connection of its own and gives the whole answer; ``CallFailed`` otherwise."""
     sent, message = False, None
     try:
@@ -205,8 +212,7 @@
             sent = True
             message = await answer_on(connection)
     except (OSError, BadMessage, trio.ClosedResourceError) as error:
-        raise CallFailed(str(error) or errno.errorcode.get(getattr(error, "errno", 0) or 0, "closed"),
-                         sent) from error
+        raise CallFailed(str(error) or errno.errorcode.get(getattr(error, "errno", 0) or 0, "closed"), sent) from error
     finally:
         connection.close()
     if message is None:
--- a/rowanshift/net/clients.py
+++ b/rowanshift/net/clients.py
@@ -63,7 +63,7 @@
     if not fields.get(b"x-txn"):
         raise BadMessage(400, "X-Txn is missing")
     if message.target[:1] != b"/" and (form := ABSOLUTE.match(message.target)) is not None:
-        message.target = message.target[form.end():] or b"/"
+        message.target = message.target[form.end() :] or b"/"
     first, *rest = message.target.split(b"?", 1)[0].strip(b"/").split(b"/")
     category = fields.get(b"x-lane", first)
     if category != first or (position := names.categories.get(category)) is None:
@@ -76,8 +76,20 @@
         raise BadMessage(400, "X-Remaining-Ms is no whole number of milliseconds")
     key = unquote(rest[-1].decode("latin-1")) if rest and rest[-1] else None
     passed_on = [field for field in message.end_to_end() if field[0] != LEFT]
-    return Exchange(id, position, customer, key, message.method == b"PUT", came_at + int(left) / 1000,
-                    message.method, message.target, passed_on, message.body, message.flow, message.length)
+    return Exchange(
+        id,
+        position,
+        customer,
+        key,
+        message.method == b"PUT",
+        came_at + int(left) / 1000,
+        message.method,
+        message.target,
+        passed_on,
+        message.body,
+        message.flow,
+        message.length,
+    )
 
 
 def written(reply: Reply, keep: bool, chunked: bool = False) -> bytes:
@@ -122,8 +134,15 @@
 
 
 class Clients:
-    def __init__(self, names: Names, driver: Decider, clock: Clock, budget: Budget, memory: Memory,
-                 figures: Figures | None = None) -> None:
+    def __init__(
+        self,
+        names: Names,
+        driver: Decider,
+        clock: Clock,
+        budget: Budget,
+        memory: Memory,
+        figures: Figures | None = None,
+    ) -> None:
         self.names, self.driver, self.clock = names, driver, clock
         self.figures = figures or Figures([name.decode("latin-1") for name in names.categories])
         self.budget, self.memory = budget, memory
@@ -399,8 +418,12 @@
         late = trio.current_time() - client.until
         await trio.sleep(0.005)
         if (exchange := client.exchange) is not None:
-            logger.error("work item {} was left without an answer: {:.3f} s late, {} hand-offs",
-                         exchange.id, late, exchange.hand_offs)
+            logger.error(
+                "work item {} was left without an answer: {:.3f} s late, {} hand-offs",
+                exchange.id,
+                late,
+                exchange.hand_offs,
+            )
             self.driver.gone(exchange)
             self._answer(client, Reply(504))
 
--- a/rowanshift/net/config.py
+++ b/rowanshift/net/config.py
@@ -66,9 +66,15 @@
     if (health := HEALTH.get(row["lifecycle"])) is None:
         raise ValueError(f"unknown lifecycle {row['lifecycle']!r}")
     zone, kind = row.get("zone"), row.get("machineType")
-    return Entry(row["instanceId"], row.get("cell") or 0, float(row.get("weight", 1.0)),
-                 names.zones.setdefault(zone, len(names.zones)), health,
-                 names.kinds.setdefault(kind, len(names.kinds)), (row.get("startedAtMs") or 0) / 1e3)
+    return Entry(
+        row["instanceId"],
+        row.get("cell") or 0,
+        float(row.get("weight", 1.0)),
+        names.zones.setdefault(zone, len(names.zones)),
+        health,
+        names.kinds.setdefault(kind, len(names.kinds)),
+        (row.get("startedAtMs") or 0) / 1e3,
+    )
 
 
 def control_of(text: Any, where: str) -> Address | None:
@@ -87,9 +93,12 @@
     try:
         raw, limits = data["settings"], data["limits"]
         categories, tenants = raw["categories"], raw.get("tenants") or ()
-        names = Names({c["name"].encode(): n for n, c in enumerate(categories)},
-                      {t["name"].encode(): n for n, t in enumerate(tenants)},
-                      positions(raw.get("zones") or []), positions(raw.get("kinds") or []))
+        names = Names(
+            {c["name"].encode(): n for n, c in enumerate(categories)},
+            {t["name"].encode(): n for n, t in enumerate(tenants)},
+            positions(raw.get("zones") or []),
+            positions(raw.get("kinds") or []),
+        )
         known = data.get("known") or {"generation": 0, "instances": []}
         for row in known["instances"]:
             entry_of(row, names), address_of(row["hostPort"])
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -21,9 +21,21 @@
 
 Fields = list[tuple[bytes, bytes]]
 
-HOP_BY_HOP = frozenset([b"connection", b"content-length", b"expect", b"keep-alive", b"proxy-authenticate",
-                        b"proxy-authorization", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                        b"upgrade"])
+HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    ]
+)
 
 
 class BadMessage(Exception):
@@ -50,8 +62,9 @@
 
     def end_to_end(self) -> Fields:
         """The fields that go on as they came, among them the mark by which a repeat is known."""
-        named = {name.strip().lower() for field, value in self.fields if field == b"connection"
-                 for name in value.split(b",")}
+        named = {
+            name.strip().lower() for field, value in self.fields if field == b"connection" for name in value.split(b",")
+        }
         return [(name, value) for name, value in self.fields if name not in HOP_BY_HOP and name not in named]
 
 
@@ -60,13 +73,13 @@
     comes before that is whole; without, such a body is an error. With ``streams``, the body of a 2xx answer
     flows from its first byte. ``largest`` is the most bytes of a body that must come whole."""
 
-    def __init__(self, stream: Stream, parser: type, memory: Memory, flows: bool = False,
-                 streams: bool = False, largest: int = 0) -> None:
+    def __init__(
+        self, stream: Stream, parser: type, memory: Memory, flows: bool = False, streams: bool = False, largest: int = 0
+    ) -> None:
         self.stream, self.memory, self.requests = stream, memory, parser is httptools.HttpRequestParser
         self.flows, self.streams = flows, streams
         self.flow: Flow | None = None  # of the message that is being read
-        self.largest = largest or (
-            (LARGEST_BODY if flows else WHOLE) if self.requests else memory.largest_answer)
+        self.largest = largest or ((LARGEST_BODY if flows else WHOLE) if self.requests else memory.largest_answer)
         self.parser = parser(self)
         self.inbound, self.outbound = Ring(), Ring()
         self.unsent = memoryview(b"")  # what the outbound ring did not take
@@ -192,8 +205,11 @@
     def on_headers_complete(self) -> None:
         message, self.in_head = self.message, False
         version = self.parser.get_http_version()
-        given = {name: value for name, value in message.fields
-                 if name in (b"content-length", b"transfer-encoding", b"expect")}
+        given = {
+            name: value
+            for name, value in message.fields
+            if name in (b"content-length", b"transfer-encoding", b"expect")
+        }
         length = None
         if (text := given.get(b"content-length")) is not None:
             length = message.length = int(text)
@@ -214,7 +230,8 @@
             if not given and message.status >= 200 and message.status not in NO_BODY:
                 self.to_the_end = True
             if (self.streams and 200 <= message.status < 300) or (
-                    length is not None and length > WHOLE and self._may_flow()):
+                length is not None and length > WHOLE and self._may_flow()
+            ):
                 self._begin_flow()
         if self.error is not None:
             raise self.error
@@ -279,9 +296,9 @@
         while self.unsent or self.outbound:
             try:
                 if not self.outbound and len(self.unsent) > self.outbound.capacity:  # it would pass in pieces
-                    self.unsent = self.unsent[self.stream.send(self.unsent):]
+                    self.unsent = self.unsent[self.stream.send(self.unsent) :]
                     continue
-                self.unsent = self.unsent[self.outbound.write(self.unsent):]
+                self.unsent = self.unsent[self.outbound.write(self.unsent) :]
                 self.outbound.drop(self.stream.send(self.outbound.held()))
             except BlockingIOError:
                 return False
--- a/rowanshift/net/control.py
+++ b/rowanshift/net/control.py
@@ -78,8 +78,9 @@
                     return
                 scope.deadline = trio.current_time() + ANSWER_WITHIN
                 long = len(line) > LONGEST_LINE or not line.endswith(b"\n")
-                text = self._no(f"a line of {LONGEST_LINE} bytes at most, with its end") if long else (
-                    self.answer(line))
+                text = (
+                    self._no(f"a line of {LONGEST_LINE} bytes at most, with its end") if long else (self.answer(line))
+                )
                 await send_all(stream, text.encode())
                 stream.end()
                 scope.deadline = trio.current_time() + LINGER_FOR
--- a/rowanshift/net/discovery.py
+++ b/rowanshift/net/discovery.py
@@ -23,9 +23,16 @@
 
 
 class Discovery:
-    def __init__(self, address: Address, names: Names, ask: bool, random_: random.Random,
-                 members: Membership, list_changed: Callable[[str, list[Entry]], None],
-                 host: Host = SYSTEM) -> None:
+    def __init__(
+        self,
+        address: Address,
+        names: Names,
+        ask: bool,
+        random_: random.Random,
+        members: Membership,
+        list_changed: Callable[[str, list[Entry]], None],
+        host: Host = SYSTEM,
+    ) -> None:
         self.address, self.names, self.ask, self.random = address, names, ask, random_
         self.members, self.list_changed, self.host = members, list_changed, host
         self.generation = 0
@@ -51,8 +58,10 @@
 
     def learn(self, data: dict[str, Any], scope: str = "") -> None:
         """Takes in one object of discovery's."""
-        rows = [(entry_of(row, self.names), address_of(row["hostPort"]) if row.get("hostPort") else None)
-                for row in data["instances"]]
+        rows = [
+            (entry_of(row, self.names), address_of(row["hostPort"]) if row.get("hostPort") else None)
+            for row in data["instances"]
+        ]
         self.generation = data["generation"]
         self.members.learn(scope or ("full" if data.get("reset") else "delta"), rows)
 
@@ -80,8 +89,11 @@
             await self._watch()
         except Exception as error:  # whatever discovery sends, it ends the watch and not the router
             if not self.broken:  # one line an outage
-                logger.info("the watch of the list broke after generation {}: {}", self.generation,
-                            str(error) or type(error).__name__)
+                logger.info(
+                    "the watch of the list broke after generation {}: {}",
+                    self.generation,
+                    str(error) or type(error).__name__,
+                )
             self.broken = True
 
     async def _watch(self) -> None:
--- a/rowanshift/net/driver.py
+++ b/rowanshift/net/driver.py
@@ -34,8 +34,16 @@
         self.exchanges[exchange.id] = exchange
         exchange.expiry -= WAY_BACK
         now = self.clock.now()
-        self._call(self.router.take, now, exchange.id, exchange.category, exchange.customer, exchange.key,
-                   exchange.expiry - now, exchange.write)
+        self._call(
+            self.router.take,
+            now,
+            exchange.id,
+            exchange.category,
+            exchange.customer,
+            exchange.key,
+            exchange.expiry - now,
+            exchange.write,
+        )
 
     def gone(self, exchange: Exchange) -> None:
         if exchange.end(None):
@@ -46,8 +54,9 @@
         exchange, now = ho.exchange, self.clock.now()
         if verdict is Verdict.FINISHED:
             self._end(exchange.id, reply)
-        self._call(self.router.answered, now, exchange.id, ho.number, ho.server, verdict, now - ho.at,
-                   exchange.ended, remark)
+        self._call(
+            self.router.answered, now, exchange.id, ho.number, ho.server, verdict, now - ho.at, exchange.ended, remark
+        )
 
     def silent(self, ho: HandOff) -> None:
         self._call(self.router.overtaken, self.clock.now(), ho.exchange.id, ho.number)
@@ -80,8 +89,13 @@
         self._each(call, [(now, *args)])
         unsent = self._carry_out(now)
         while unsent:  # for want of a descriptor
-            self._each(self.router.answered, [(now, ho.exchange.id, ho.number, ho.server, Verdict.MOOT, 0.0,
-                                               ho.exchange.ended, None) for ho in unsent])
+            self._each(
+                self.router.answered,
+                [
+                    (now, ho.exchange.id, ho.number, ho.server, Verdict.MOOT, 0.0, ho.exchange.ended, None)
+                    for ho in unsent
+                ],
+            )
             unsent = self._carry_out(now)
 
     @staticmethod
--- a/rowanshift/net/figures.py
+++ b/rowanshift/net/figures.py
@@ -34,10 +34,16 @@
         self.ended[category][outcome_of(status)] += 1
 
     def text(self) -> str:
-        lines = [f'router_requests{{class="{escaped(name)}",outcome="{outcome}"}} {n}'
-                 for name, row in zip(self.categories, self.ended, strict=True)
-                 for outcome, n in zip(OUTCOMES, row, strict=True)]
+        lines = [
+            f'router_requests{{class="{escaped(name)}",outcome="{outcome}"}} {n}'
+            for name, row in zip(self.categories, self.ended, strict=True)
+            for outcome, n in zip(OUTCOMES, row, strict=True)
+        ]
         known, avoided = self.servers()
-        lines += [f"router_attempts {self.attempts}", f"router_in_flight {self.in_flight}",
-                  f"router_cache_servers_known {known}", f"router_cache_servers_excluded {avoided}"]
+        lines += [
+            f"router_attempts {self.attempts}",
+            f"router_in_flight {self.in_flight}",
+            f"router_cache_servers_known {known}",
+            f"router_cache_servers_excluded {avoided}",
+        ]
         return "\n".join(lines) + "\n"
--- a/rowanshift/net/handover.py
+++ b/rowanshift/net/handover.py
@@ -167,7 +167,7 @@
     def _lines(link: Link) -> Iterator[str]:
         while (end := link.rest.find(b"\n")) >= 0:
             line = bytes(link.rest[:end])
-            del link.rest[:end + 1]
+            del link.rest[: end + 1]
             yield line.decode("ascii", "replace")
         if len(link.rest) > LONGEST_LINE:
             raise NoFellow("a line has no end")
--- a/rowanshift/net/links.py
+++ b/rowanshift/net/links.py
@@ -81,8 +81,7 @@
 class Sender:
     """Records one way to one machine, the newest kept while it can't be reached."""
 
-    def __init__(self, host: Host, codec: Codec, address: Address, hello: Any,
-                 alive: Callable[[], bool]) -> None:
+    def __init__(self, host: Host, codec: Codec, address: Address, hello: Any, alive: Callable[[], bool]) -> None:
         self.host, self.codec, self.address, self.hello = host, codec, address, hello
         self.alive = alive  # whether the machine was heard since this connection has been up
         self.queue: deque[Any] = deque(maxlen=MOST_QUEUED)
--- a/rowanshift/net/peers.py
+++ b/rowanshift/net/peers.py
@@ -11,8 +11,9 @@
 
 
 class Peers:
-    def __init__(self, port: Port, addresses: list[Address], everyone: Address | None,
-                 heard: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self, port: Port, addresses: list[Address], everyone: Address | None, heard: Callable[[int, bytes], None]
+    ) -> None:
         self.port, self.addresses, self.everyone, self.heard = port, addresses, everyone, heard
         self.ordinals = {address: n for n, address in enumerate(addresses)}
         self.ours, self.hearing = trio.Event(), trio.CancelScope()
--- a/rowanshift/net/ring.py
+++ b/rowanshift/net/ring.py
@@ -27,7 +27,7 @@
             self.view = self.spare.pop() if pooled else memoryview(bytearray(self.capacity))
         end = self.start + self.size
         if end >= self.capacity:
-            return self.view[end - self.capacity:self.start]
+            return self.view[end - self.capacity : self.start]
         return self.view[end:]
 
     def filled(self, n: int) -> None:
@@ -39,7 +39,7 @@
         """The first run of held bytes."""
         if self.view is None:
             return memoryview(b"")
-        return self.view[self.start:min(self.start + self.size, self.capacity)]
+        return self.view[self.start : min(self.start + self.size, self.capacity)]
 
     def drop(self, n: int) -> None:
         """So many bytes of ``held()`` are done with."""
@@ -58,7 +58,7 @@
         taken = 0
         while taken < len(data) and (space := self.space()):
             n = min(len(space), len(data) - taken)
-            space[:n] = data[taken:taken + n]
+            space[:n] = data[taken : taken + n]
             self.filled(n)
             taken += n
         return taken
--- a/rowanshift/net/servers.py
+++ b/rowanshift/net/servers.py
@@ -72,8 +72,17 @@
 
 
 class Servers:
-    def __init__(self, clock: Clock, dial_within: float, idle_for: float, stall_for: float, budget: Budget,
-                 memory: Memory, nursery: Nursery, host: Host = SYSTEM) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dial_within: float,
+        idle_for: float,
+        stall_for: float,
+        budget: Budget,
+        memory: Memory,
+        nursery: Nursery,
+        host: Host = SYSTEM,
+    ) -> None:
         self.clock, self.budget, self.memory, self.nursery, self.host = clock, budget, memory, nursery, host
         self.dial_within, self.idle_for = dial_within, SPARE * idle_for
         self.stall_for = stall_for  # seconds that an answer may stand still halfway
@@ -249,8 +258,7 @@
         chunked, stalled = ho.exchange.length is None, trio.current_time() + SILENT_BODY
         with trio.CancelScope(deadline=link.until) as link.scope:
             try:
-                while not (link.broken or link.withdrawn or link.written or early or flow.cut
-                           or flow.given_up):
+                while not (link.broken or link.withdrawn or link.written or early or flow.cut or flow.given_up):
                     if connection.sending():
                         with trio.move_on_at(stalled):
                             await connection.stream.wait_writable()
@@ -371,15 +379,13 @@
         remark = REMARKS.get(dict(message.fields).get(b"x-found"))
         if ho.exchange.ended:
             message.flow.give_up()
-        reply = Reply(message.status, message.body, message.end_to_end(), flow=message.flow,
-                      length=message.length)
+        reply = Reply(message.status, message.body, message.end_to_end(), flow=message.flow, length=message.length)
         self.done(ho, verdict_of(message), remark, reply)
         self._overtake(link.target, ho)
 
     def _reusable(self, link: Link, message: Message | None) -> bool:
         """Whether a connection may carry another hand-off: only after a whole answer with nothing behind."""
-        return (message is not None and message.keep and link.written and link.connection.clean()
-                and link.target.kept)
+        return message is not None and message.keep and link.written and link.connection.clean() and link.target.kept
 
     def _keep(self, link: Link) -> None:
         link.since = trio.current_time()
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -106,9 +106,16 @@
         return "SUCCESS\n"
 
     def _control(self) -> Control:
-        return Control({"READY": ((), self._ready), "STATS": ((), lambda: self.figures.text() + "EOT\n"),
-                        "DISABLE": (("ID",), self._call_out), "ENABLE": (("ID",), self._call_back),
-                        "DRAIN": ((), self._drain), "UNDRAIN": ((), self._undrain)})
+        return Control(
+            {
+                "READY": ((), self._ready),
+                "STATS": ((), lambda: self.figures.text() + "EOT\n"),
+                "DISABLE": (("ID",), self._call_out),
+                "ENABLE": (("ID",), self._call_back),
+                "DRAIN": ((), self._drain),
+                "UNDRAIN": ((), self._undrain),
+            }
+        )
 
     # ------------------------------------------------------
 
@@ -135,13 +142,19 @@
                 figures = Figures([name.decode("latin-1") for name in config.names.categories])
                 self.memory, self.budget, self.figures = memory, budget, figures
                 stall_for = min(config.dial_within, STALL * min(c.due for c in config.settings.categories))
-                servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory,
-                                  nursery, host)
+                servers = Servers(clock, config.dial_within, config.idle_for, stall_for, budget, memory, nursery, host)
                 driver = Driver(config.settings, config.seed, clock, servers)
                 clients = Clients(config.names, driver, clock, budget, memory, figures)
                 members = self.members = Membership(servers, driver.list_changed)
-                discovery = Discovery(config.discovery, config.names, config.settings.ask,
-                                      random.Random(config.seed), members, driver.list_changed, host)
+                discovery = Discovery(
+                    config.discovery,
+                    config.names,
+                    config.settings.ask,
+                    random.Random(config.seed),
+                    members,
+                    driver.list_changed,
+                    host,
+                )
                 self.servers, self.driver, self.clients, self.discovery = servers, driver, clients, discovery
                 driver.subscribe = discovery.subscribe
                 figures.servers = lambda: driver.router.seen(clock.now())
@@ -191,8 +204,7 @@
                 spent = self.host.cpu() - cpu
                 logger.warning("stood still for {:.2f} s, of which {:.2f} s computing", late, spent)
 
-    async def _accept(self, accepting: trio.CancelScope, clients: Clients,
-                      listener: Listener) -> None:
+    async def _accept(self, accepting: trio.CancelScope, clients: Clients, listener: Listener) -> None:
         async with self.host.nursery() as nursery:
             with accepting:
                 await clients.accept(listener, nursery)
@@ -213,8 +225,11 @@
     async def _take_over(self) -> Inherited:
         """Meets the process that serves, if there is one, and takes up what is out by hand."""
         handover, members = self.handover, self.members
-        handover.passed_on = lambda: {name: thing for name, thing in (
-            ("listener", self.listener), ("port", self.peers and self.peers.port)) if thing is not None}
+        handover.passed_on = lambda: {
+            name: thing
+            for name, thing in (("listener", self.listener), ("port", self.peers and self.peers.port))
+            if thing is not None
+        }
         handover.out = lambda: members.out
         handover.learned = self.driver.router.learned
         handover.called, handover.changed = self._called_elsewhere, self._fellows_changed
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -338,8 +338,7 @@
     def take_over(self, stream: Stream) -> tuple[bytes, list[Listener | Port]]:
         data, numbers, _, _ = socket.recv_fds(stream, 4096, MOST_PASSED)
         socks = [socket.socket(fileno=number) for number in numbers]
-        return data, [SocketPort(sock) if sock.type == socket.SOCK_DGRAM else SocketListener(sock)
-                      for sock in socks]
+        return data, [SocketPort(sock) if sock.type == socket.SOCK_DGRAM else SocketListener(sock) for sock in socks]
 
 
 @contextmanager
@@ -398,7 +397,7 @@
     left = memoryview(data)
     while left:
         try:
-            left = left[stream.send(left):]
+            left = left[stream.send(left) :]
         except BlockingIOError:
             await stream.wait_writable()
 
--- a/rowanshift/records/codec.py
+++ b/rowanshift/records/codec.py
@@ -49,8 +49,7 @@
 
     def fields(self, record: Any, spec: str) -> bytes:
         names = type(record).__dataclass_fields__
-        return b"".join(self.put(letter, getattr(record, name))
-                        for letter, name in zip(spec, names, strict=True))
+        return b"".join(self.put(letter, getattr(record, name)) for letter, name in zip(spec, names, strict=True))
 
     def put(self, letter: str, value: Any) -> bytes:
         match letter:
@@ -71,7 +70,8 @@
                 return pack(f">H{len(value)}Q", len(value), *value)
             case "v":
                 return pack(">H", len(value)) + b"".join(
-                    self.put("s", name) + pack(">Q", number) for name, number in sorted(value.items()))
+                    self.put("s", name) + pack(">Q", number) for name, number in sorted(value.items())
+                )
             case "o":
                 if isinstance(value, bytes):  # packed before, for many
                     return value
@@ -128,7 +128,7 @@
 
 
 def piece(data: bytes, at: int, size: int) -> bytes:
-    made = bytes(data[at:at + size])
+    made = bytes(data[at : at + size])
     if len(made) != size:
         raise BadRecord(f"{size} bytes wanted, {len(made)} there")
     return made
@@ -147,10 +147,10 @@
         while len(held) - at >= HEAD.size:
             magic, form, kind, call, size = HEAD.unpack_from(held, at)
             if magic != MAGIC or form != FORMAT or size > LARGEST:
-                raise BadRecord(f"no frame of this system: {bytes(held[at:at + 4])!r}, {size} bytes")
+                raise BadRecord(f"no frame of this system: {bytes(held[at : at + 4])!r}, {size} bytes")
             if len(held) - at - HEAD.size < size:
                 break
-            made.append((kind, call, bytes(held[at + HEAD.size:at + HEAD.size + size])))
+            made.append((kind, call, bytes(held[at + HEAD.size : at + HEAD.size + size])))
             at += HEAD.size + size
         del held[:at]
         return made
--- a/rowanshift/records/delivery.py
+++ b/rowanshift/records/delivery.py
@@ -66,7 +66,6 @@
     core: tuple[int, ...]
 
 
-KINDS: dict[int, tuple[type, str]] = {
-    1: (Poll, "qqpqppp"), 2: (Update, "pq?qbvp?oqp?bbp?tt"), 3: (Elsewhere, "qt")}
+KINDS: dict[int, tuple[type, str]] = {1: (Poll, "qqpqppp"), 2: (Update, "pq?qbvp?oqp?bbp?tt"), 3: (Elsewhere, "qt")}
 NESTED: dict[str, tuple[type, str]] = {"o": (Row, "ssssqqv")}
 CODEC = Codec(KINDS, NESTED)  # all that a counter needs
--- a/rowanshift/rules/checks.py
+++ b/rowanshift/rules/checks.py
@@ -220,8 +220,7 @@
     def _deferred(self, txn: str, seen: Seen) -> None:
         ran = any(s.may_have_run for s in seen.sendings)
         what = seen.category.semantics
-        if ran and (what is Semantics.EXCLUSIVE
-                    or (what is Semantics.TICKETED and seen.category.group != "all")):
+        if ran and (what is Semantics.EXCLUSIVE or (what is Semantics.TICKETED and seen.category.group != "all")):
             self._break(2, txn, f"{what.name.lower()}, deferred although it may have run")
 
     # 3: drains kept -----------------------------------------
@@ -238,8 +237,9 @@
         if since is not None:
             since = max(since, self.went_on.get(router, 0.0))
             if first_at > since + self.terms.grace + SLACK:
-                self._break(3, txn, f"{router} handed it to {server} {first_at - since:.3f} s after the word "
-                                    "that it leaves")
+                self._break(
+                    3, txn, f"{router} handed it to {server} {first_at - since:.3f} s after the word that it leaves"
+                )
 
     # 4: nothing cold pushed over, nor the origin stopped by cold misses
 
--- a/rowanshift/rules/system.py
+++ b/rowanshift/rules/system.py
@@ -292,27 +292,35 @@
 def twice(facts: Facts) -> list[Breach]:
     """TWICE: a request that is not idempotent runs more than once."""
     asked = by_id(facts, Asked)
-    return [Breach("TWICE", runs[1].at, (id,), f"ran as {', '.join(run.run for run in runs)}")
-            for id, runs in by_id(facts, Began).items()
-            if len(runs) > 1 and id in asked and not asked[id][0].repeatable]
+    return [
+        Breach("TWICE", runs[1].at, (id,), f"ran as {', '.join(run.run for run in runs)}")
+        for id, runs in by_id(facts, Began).items()
+        if len(runs) > 1 and id in asked and not asked[id][0].repeatable
+    ]
 
 
 def refused(facts: Facts) -> list[Breach]:
     """REFUSED: a promise that a request never runs, which ran or runs later and may not be repeated."""
     asked, began = by_id(facts, Asked), by_id(facts, Began)
-    return [Breach("REFUSED", end.at, (end.id,), f"{end.status}, yet it ran at {began[end.id][0].at:.3f} s")
-            for end in of_kind(facts, Answered)
-            if end.status in PROMISES and end.id in began and end.id in asked
-            and not asked[end.id][0].repeatable]
+    return [
+        Breach("REFUSED", end.at, (end.id,), f"{end.status}, yet it ran at {began[end.id][0].at:.3f} s")
+        for end in of_kind(facts, Answered)
+        if end.status in PROMISES and end.id in began and end.id in asked and not asked[end.id][0].repeatable
+    ]
 
 
 def mixed(facts: Facts) -> list[Breach]:
     """MIXED: a success without the stamp of a run of this request, with another's body or id, or unasked."""
     asked, began, pieces = by_id(facts, Asked), by_id(facts, Began), by_id(facts, Piece)
-    broken = [Breach("MIXED", fact.at, (fact.id,), f"unasked-for bytes {fact.data[:40]!r}")
-              for fact in of_kind(facts, Surplus)]
-    broken += [Breach("MIXED", fact.at, (fact.id,), "bytes that are no answer")
-               for fact in of_kind(facts, Lost) if fact.how == "garbled"]
+    broken = [
+        Breach("MIXED", fact.at, (fact.id,), f"unasked-for bytes {fact.data[:40]!r}")
+        for fact in of_kind(facts, Surplus)
+    ]
+    broken += [
+        Breach("MIXED", fact.at, (fact.id,), "bytes that are no answer")
+        for fact in of_kind(facts, Lost)
+        if fact.how == "garbled"
+    ]
     for id, ends in by_id(facts, Answered).items():
         ours = asked[id][0] if id in asked else None
         for n, end in enumerate(ends):
@@ -345,8 +353,7 @@
             broken.append(Breach("UNASKED", run.at, (run.id, run.instance), "an id that no client sent"))
             continue
         ours = asked[run.id][0]
-        wrong = [name for name in ("method", "target", "body", "host")
-                 if getattr(run, name) != getattr(ours, name)]
+        wrong = [name for name in ("method", "target", "body", "host") if getattr(run, name) != getattr(ours, name)]
         if run.tenant != ours.tenant:
             wrong.append(f"tenant {run.tenant!r} for {ours.tenant!r}")
         if run.key:
@@ -381,8 +388,11 @@
 
 def route_of(config: dict[str, Any], host: str, target: str) -> dict[str, Any] | None:
     path = target.partition("?")[0]
-    fits = [route for route in config.get("routes", ())
-            if route["hostname"] == host and path.startswith(route["pathPrefix"])]
+    fits = [
+        route
+        for route in config.get("routes", ())
+        if route["hostname"] == host and path.startswith(route["pathPrefix"])
+    ]
     return max(fits, key=lambda route: len(route["pathPrefix"]), default=None)
 
 
@@ -414,8 +424,11 @@
     @classmethod
     def among(cls, facts: Facts) -> "Configs":
         answers = of_kind(facts, ConfigAnswered)
-        return cls(of_kind(facts, ConfigSent), [answer for answer in answers if answer.status == 200],
-                   frozenset(answer.call for answer in answers if 400 <= answer.status < 500))
+        return cls(
+            of_kind(facts, ConfigSent),
+            [answer for answer in answers if answer.status == 200],
+            frozenset(answer.call for answer in answers if 400 <= answer.status < 500),
+        )
 
     def newest_acked(self, at: float) -> int:
         return max((answer.revision for answer in self.acked if answer.at <= at), default=0)
@@ -423,8 +436,9 @@
     def may_rule(self, at: float, until: float) -> list[ConfigSent]:
         """Those sent by ``until`` that are not older than the newest that was acknowledged by ``at``."""
         oldest = self.newest_acked(at)
-        return [sent for sent in self.sent
-                if sent.at <= until and sent.revision >= oldest and sent.call not in self.refused]
+        return [
+            sent for sent in self.sent if sent.at <= until and sent.revision >= oldest and sent.call not in self.refused
+        ]
 
 
 def route(facts: Facts) -> list[Breach]:
@@ -432,10 +446,19 @@
     configs, asked, broken = Configs.among(facts), by_id(facts, Asked), []
     for run in of_kind(facts, Began) if configs.sent else ():
         key = asked[run.id][0].key if run.id in asked else ""
-        if not any(run.service in services_of(sent.config, run.host, run.target, key)
-                   for sent in configs.sent if sent.at <= run.at):
-            broken.append(Breach("ROUTE", run.at, (run.id, run.instance),
-                                 f"{run.service} may not run {run.host}{run.target} with this key"))
+        if not any(
+            run.service in services_of(sent.config, run.host, run.target, key)
+            for sent in configs.sent
+            if sent.at <= run.at
+        ):
+            broken.append(
+                Breach(
+                    "ROUTE",
+                    run.at,
+                    (run.id, run.instance),
+                    f"{run.service} may not run {run.host}{run.target} with this key",
+                )
+            )
     return broken
 
 
@@ -445,20 +468,30 @@
     configs, asked, broken = Configs.among(facts), by_id(facts, Asked), []
     sent = {one.call: one for one in configs.sent}
     for base, answers in by(configs.acked, lambda answer: answer.base).items():
-        if len({answer.revision for answer in answers}) > 1 or len(
-                {digest_of(repr(sent[a.call].config)) for a in answers if a.call in sent}) > 1:
-            broken.append(Breach("CONFIG", answers[-1].at, tuple(answer.call for answer in answers),
-                                 f"two acknowledged on top of {base}"))
-    broken += [Breach("CONFIG", answer.at, (answer.call,), "an invalid one was acknowledged")
-               for answer in configs.acked if answer.call in sent and not sent[answer.call].valid]
+        if (
+            len({answer.revision for answer in answers}) > 1
+            or len({digest_of(repr(sent[a.call].config)) for a in answers if a.call in sent}) > 1
+        ):
+            broken.append(
+                Breach(
+                    "CONFIG",
+                    answers[-1].at,
+                    tuple(answer.call for answer in answers),
+                    f"two acknowledged on top of {base}",
+                )
+            )
+    broken += [
+        Breach("CONFIG", answer.at, (answer.call,), "an invalid one was acknowledged")
+        for answer in configs.acked
+        if answer.call in sent and not sent[answer.call].valid
+    ]
     for read in of_kind(facts, ConfigRead):
         newest = configs.newest_acked(read.since)
         if read.config is None:
             broken.append(Breach("CONFIG", read.at, (), "the newest did not come"))
         elif (got := read.config.get("revision", 0)) < newest:
             broken.append(Breach("CONFIG", read.at, (str(got),), f"{got} read, {newest} was acknowledged"))
-        elif got and read.config not in [one.config for one in configs.may_rule(0.0, read.at)
-                                         if one.revision == got]:
+        elif got and read.config not in [one.config for one in configs.may_rule(0.0, read.at) if one.revision == got]:
             broken.append(Breach("CONFIG", read.at, (str(got),), "none like it was sent and not refused"))
     return broken + _applied(facts, configs, asked, apply)
 
@@ -469,8 +502,7 @@
         if (ours := asked.get(run.id, [None])[0]) is None:
             continue
         rule = configs.may_rule(ours.at - apply, run.at)
-        if rule and not any(run.service in services_of(one.config, run.host, run.target, ours.key)
-                            for one in rule):
+        if rule and not any(run.service in services_of(one.config, run.host, run.target, ours.key) for one in rule):
             broken.append(Breach("CONFIG", run.at, (run.id, run.instance), f"{run.service}, by an older one"))
     for end in of_kind(facts, Answered) if configs.sent else ():
         if end.status not in DENIALS or (ours := asked.get(end.id, [None])[0]) is None:
@@ -486,20 +518,32 @@
 
 def stale(facts: Facts) -> list[Breach]:
     """STALE: a run on cache that was made under another version."""
-    return [Breach("STALE", hit.at, (hit.id, hit.instance),
-                   f"part {hit.part} of version {hit.made_revision} under {hit.revision}")
-            for hit in of_kind(facts, CacheHit) if hit.made_revision != hit.revision]
+    return [
+        Breach(
+            "STALE",
+            hit.at,
+            (hit.id, hit.instance),
+            f"part {hit.part} of version {hit.made_revision} under {hit.revision}",
+        )
+        for hit in of_kind(facts, CacheHit)
+        if hit.made_revision != hit.revision
+    ]
 
 
 def wall(facts: Facts, isolated: Collection[str] | None = None) -> list[Breach]:
     """WALL: a run on cache that another tenant's made, where one of the two is isolated."""
     if isolated is None:
-        isolated = {tenant["name"] for sent in of_kind(facts, ConfigSent)
-                    for tenant in sent.config.get("tenants", ()) if tenant.get("isolated")}
-    return [Breach("WALL", hit.at, (hit.id, hit.instance),
-                   f"part {hit.part} of {hit.made_tenant!r} used by {hit.tenant!r}")
-            for hit in of_kind(facts, CacheHit)
-            if hit.made_tenant != hit.tenant and (hit.tenant in isolated or hit.made_tenant in isolated)]
+        isolated = {
+            tenant["name"]
+            for sent in of_kind(facts, ConfigSent)
+            for tenant in sent.config.get("tenants", ())
+            if tenant.get("isolated")
+        }
+    return [
+        Breach("WALL", hit.at, (hit.id, hit.instance), f"part {hit.part} of {hit.made_tenant!r} used by {hit.tenant!r}")
+        for hit in of_kind(facts, CacheHit)
+        if hit.made_tenant != hit.tenant and (hit.tenant in isolated or hit.made_tenant in isolated)
+    ]
 
 
 def version(facts: Facts, within: float) -> list[Breach]:
@@ -507,17 +551,29 @@
     named, seen, broken = of_kind(facts, VersionNamed), set(), []
     runs = [(made.at, made.run, made.id, made.model, made.revision) for made in of_kind(facts, Made)]
     started = {run for _, run, *_ in runs}
-    runs += [(began.at, began.run, began.id, began.model, began.revision)
-             for began in of_kind(facts, Began) if began.run not in started]
+    runs += [
+        (began.at, began.run, began.id, began.model, began.revision)
+        for began in of_kind(facts, Began)
+        if began.run not in started
+    ]
     for at, run, id, model, revision in sorted(runs):
         if run in seen:
             continue
         seen.add(run)
-        newest = max((name for name in named if name.model == model and name.at + within < at),
-                     key=lambda name: name.revision, default=None)
+        newest = max(
+            (name for name in named if name.model == model and name.at + within < at),
+            key=lambda name: name.revision,
+            default=None,
+        )
         if newest is not None and revision < newest.revision:
-            broken.append(Breach("VERSION", at, (id, run), f"{model} {revision}; {newest.revision} was "
-                                                           f"acknowledged at {newest.at:.3f} s"))
+            broken.append(
+                Breach(
+                    "VERSION",
+                    at,
+                    (id, run),
+                    f"{model} {revision}; {newest.revision} was acknowledged at {newest.at:.3f} s",
+                )
+            )
     return broken
 
 
@@ -531,8 +587,11 @@
         holders: dict[int, str] = {}
         for fact in got:
             if holders.setdefault(fact.fence, fact.holder) != fact.holder:
-                broken.append(Breach("ONE", fact.at, (where, holders[fact.fence], fact.holder),
-                                     f"two holders of fence {fact.fence}"))
+                broken.append(
+                    Breach(
+                        "ONE", fact.at, (where, holders[fact.fence], fact.holder), f"two holders of fence {fact.fence}"
+                    )
+                )
         heard = [fact for fact in got if fact.status != 412]
         highest, turns = -1, []
         for fact in heard:
@@ -542,9 +601,11 @@
             if not turns or turns[-1][0] != fact.holder:
                 turns.append([fact.holder, fact.at, fact.at])
             turns[-1][2] = fact.at
-        broken += [Breach("ONE", again[1], (where, again[0], between[0]), "holders take turns")
-                   for before, between, again in zip(turns, turns[1:], turns[2:], strict=False)
-                   if before[0] == again[0] and again[1] - before[2] < lease]
+        broken += [
+            Breach("ONE", again[1], (where, again[0], between[0]), "holders take turns")
+            for before, between, again in zip(turns, turns[1:], turns[2:], strict=False)
+            if before[0] == again[0] and again[1] - before[2] < lease
+        ]
     return broken
 
 
@@ -554,14 +615,27 @@
     for listed in of_kind(facts, Listed):
         if listed.state != "up":
             left.setdefault(listed.instance, listed.at)
-    return [Breach("DRAIN", fact.at, (fact.id, fact.instance), f"it left at {left[fact.instance]:.3f} s")
-            for fact in of_kind(facts, Reached)
-            if fact.refused != 421 and fact.at > left.get(fact.instance, float("inf")) + within]
+    return [
+        Breach("DRAIN", fact.at, (fact.id, fact.instance), f"it left at {left[fact.instance]:.3f} s")
+        for fact in of_kind(facts, Reached)
+        if fact.refused != 421 and fact.at > left.get(fact.instance, float("inf")) + within
+    ]
 
 
 def check(facts: Facts, bounds: Bounds = Bounds()) -> list[Breach]:
     """Every rule here, in the order of the times."""
-    found = [*twice(facts), *refused(facts), *mixed(facts), *unasked(facts), *order(facts), *route(facts),
-             *config(facts, bounds.config_apply), *stale(facts), *wall(facts, bounds.isolated),
-             *version(facts, bounds.version), *one(facts, bounds.lease), *drain(facts, bounds.drain)]
+    found = [
+        *twice(facts),
+        *refused(facts),
+        *mixed(facts),
+        *unasked(facts),
+        *order(facts),
+        *route(facts),
+        *config(facts, bounds.config_apply),
+        *stale(facts),
+        *wall(facts, bounds.isolated),
+        *version(facts, bounds.version),
+        *one(facts, bounds.lease),
+        *drain(facts, bounds.drain),
+    ]
     return sorted(found, key=lambda breach: breach.at)
--- a/rowanshift/settings.py
+++ b/rowanshift/settings.py
@@ -43,8 +43,13 @@
             raise SettingsError("objective_mix.miss_share: over 0 expected beside objective_mix.slow_end")
         return Settings(
             categories=[
-                Category(float(c["credit"]), c["due_time_us"] / 1e6, Semantics(c["semantics"]),
-                         c.get("group") or "", (c.get("window_us") or 0) / 1e6)
+                Category(
+                    float(c["credit"]),
+                    c["due_time_us"] / 1e6,
+                    Semantics(c["semantics"]),
+                    c.get("group") or "",
+                    (c.get("window_us") or 0) / 1e6,
+                )
                 for c in data["categories"]
             ],
             quotas=[float(t["quota_rps"]) for t in data.get("tenants") or ()],
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -86,8 +86,9 @@
         self.addresses, self.host = list(addresses), host
         self.memory = Memory(MEMORY)
 
-    async def ask(self, address: Address, method: bytes, target: bytes, body: bytes = b"",
-                  fields: Fields | None = None) -> Message:
+    async def ask(
+        self, address: Address, method: bytes, target: bytes, body: bytes = b"", fields: Fields | None = None
+    ) -> Message:
         """One call, on to where a 307 sends it, twice at most. ``CallFailed``."""
         within = WITHIN + A_BYTE * len(body)
         for _ in range(MOST_REDIRECTS + 1):
@@ -102,8 +103,7 @@
                 raise CallFailed(str(error), True) from error
         raise CallFailed(f"sent on more than {MOST_REDIRECTS} times", True)
 
-    async def settled(self, method: bytes, target: bytes, body: bytes = b"",
-                      fields: Fields | None = None) -> Message:
+    async def settled(self, method: bytes, target: bytes, body: bytes = b"", fields: Fields | None = None) -> Message:
         """The answer to a call that may be sent again as it was: tries all addresses, some rounds long."""
         why, sent = "", False
         for n in range(ROUNDS):
@@ -181,8 +181,7 @@
 def table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> list[str]:
     cells = [list(head), *([str(cell) for cell in row] for row in rows)]
     widths = [max(len(row[n]) for row in cells) for n in range(len(head))]
-    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-            for row in cells]
+    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in cells]
 
 
 def primary_of(statuses: Sequence[dict[str, Any]]) -> dict[str, Any]:
@@ -212,16 +211,32 @@
         if "error" in row:
             shown.append((row["machine"], "-", "no answer", *("-",) * 6, row["error"]))
             continue
-        role = ("primary" if row["primary"] else "backup" if row["machine"] in row["inSync"] else
-                "witness" if row["machine"] in row["witnesses"] else "spare")
+        role = (
+            "primary"
+            if row["primary"]
+            else "backup"
+            if row["machine"] in row["inSync"]
+            else "witness"
+            if row["machine"] in row["witnesses"]
+            else "spare"
+        )
         hint = row["primaryHint"] if row["primaryHint"] != "0.0.0.0" else "-"
         milliseconds = 1000 * row["saveSeconds"] / row["saves"] if row["saves"] else 0.0
-        shown.append((row["machine"], row["name"], role, row["epoch"], hint,
-                      ",".join(row["inSync"]) or "-", row["leaseS"], f"{milliseconds:.1f}",
-                      "-" if row["revision"] is None else row["revision"],
-                      "its disk was lost" if row["forgotten"] else ""))
-    head = ("machine", "name", "role", "epoch", "primary", "in sync", "lease s", "save ms", "revision",
-            "note")
+        shown.append(
+            (
+                row["machine"],
+                row["name"],
+                role,
+                row["epoch"],
+                hint,
+                ",".join(row["inSync"]) or "-",
+                row["leaseS"],
+                f"{milliseconds:.1f}",
+                "-" if row["revision"] is None else row["revision"],
+                "its disk was lost" if row["forgotten"] else "",
+            )
+        )
+    head = ("machine", "name", "role", "epoch", "primary", "in sync", "lease s", "save ms", "revision", "note")
     return Shown([*table(head, shown), *(() if well else ["no primary"])], well)
 
 
@@ -237,20 +252,28 @@
     """Who reads the platform's list and who orders, and how far the named versions are."""
     rows = asked(at, Control.statuses)
     row = primary_of(rows)
-    lines = table(("duty", "held by", "so far"), [
-        ("reads the list", row["machine"] if row["readsList"] else "nobody now", f"{row['calls']} calls"),
-        ("orders", row["machine"] if row["mayOrder"] else "nobody now", f"{row['orders']} orders")])
+    lines = table(
+        ("duty", "held by", "so far"),
+        [
+            ("reads the list", row["machine"] if row["readsList"] else "nobody now", f"{row['calls']} calls"),
+            ("orders", row["machine"] if row["mayOrder"] else "nobody now", f"{row['orders']} orders"),
+        ],
+    )
     listed = f"{len(row['servers'])} servers listed" if row["listRead"] else "the list was not read yet"
     lines.append(f"fence {row['epoch']}; the lease holds for {row['leaseS']} s; {listed}")
     loading = [server["id"] for server in row["servers"] if server["state"] & LOADING]
     lines.append(f"loading: {', '.join(loading) or 'none'}")
     for model, version in sorted((row["versions"] or {}).items()):
         having = [server for server in row["servers"] if model in server["versions"]]
-        behind = [f"{server['id']} ({server['versions'][model]}"
-                  + (", draining)" if server["state"] & DRAINING else ")")
-                  for server in having if server["versions"][model] < version]
-        lines.append(f"{model} version {version}: {len(having) - len(behind)} of {len(having)} servers"
-                     + (f"; behind: {', '.join(behind)}" if behind else ""))
+        behind = [
+            f"{server['id']} ({server['versions'][model]}" + (", draining)" if server["state"] & DRAINING else ")")
+            for server in having
+            if server["versions"][model] < version
+        ]
+        lines.append(
+            f"{model} version {version}: {len(having) - len(behind)} of {len(having)} servers"
+            + (f"; behind: {', '.join(behind)}" if behind else "")
+        )
     return Shown(lines)
 
 
@@ -305,8 +328,9 @@
         raise Refused(answer)
     revision, sent = orjson.loads(answer.body)["revision"], orjson.loads(body)["revision"]
     if revision != sent:  # a retry as the ledger sees it
-        return Shown([f"revision {sent} was taken earlier, and {revision} followed: {revision} is in force"],
-                     well=False)
+        return Shown(
+            [f"revision {sent} was taken earlier, and {revision} followed: {revision} is in force"], well=False
+        )
     return Shown([f"revision {revision} is in force"])
 
 
@@ -316,8 +340,12 @@
 
     config: Configuration = parsed(file, read(file))
     tenants = "no keys are checked" if config.tenants is None else f"{len(config.tenants)} tenants"
-    return Shown([f"{file}: revision {config.revision} can be put: {len(config.routes)} routes, "
-                  f"{len(config.backends)} services, {tenants}"])
+    return Shown(
+        [
+            f"{file}: revision {config.revision} can be put: {len(config.routes)} routes, "
+            f"{len(config.backends)} services, {tenants}"
+        ]
+    )
 
 
 def parsed(place: object, body: bytes) -> Any:
@@ -330,13 +358,42 @@
 
 
 # Fields whose values may be shown; of others only that they differ.
-TOLD = frozenset([
-    "name", "routeType", "timeoutMs", "targetLatencyMs", "priority", "backend", "trafficSplit",
-    "retries", "public", "sticky", "resumable", "gap_aim_ms", "healthCheck", "maxConnections",
-    "protocol", "tls", "kvStoreAddress", "zone", "kvTokenCapacity", "linkMbps", "maxConcurrent",
-    "isolated", "engine.slots", "engine.kvTokenCapacity", "engine.kvTokenBytes", "engine.linkMbps",
-    "engine.stride", "engine.maxConcurrent", "maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs",
-    "idleTimeoutMs"])
+TOLD = frozenset(
+    [
+        "name",
+        "routeType",
+        "timeoutMs",
+        "targetLatencyMs",
+        "priority",
+        "backend",
+        "trafficSplit",
+        "retries",
+        "public",
+        "sticky",
+        "resumable",
+        "gap_aim_ms",
+        "healthCheck",
+        "maxConnections",
+        "protocol",
+        "tls",
+        "kvStoreAddress",
+        "zone",
+        "kvTokenCapacity",
+        "linkMbps",
+        "maxConcurrent",
+        "isolated",
+        "engine.slots",
+        "engine.kvTokenCapacity",
+        "engine.kvTokenBytes",
+        "engine.linkMbps",
+        "engine.stride",
+        "engine.maxConcurrent",
+        "maxHeaderBytes",
+        "maxBodyBytes",
+        "headerTimeoutMs",
+        "idleTimeoutMs",
+    ]
+)
 KEYS = "apiKeys"
 
 
@@ -354,16 +411,23 @@
     """A line for each route, service, tenant and limit that is added (+), removed (-) or changed (~)."""
     lines = []
     for kind, place, name_of in (
-            ("route", "routes", lambda row: f"{row['hostname'].lower()} {row['pathPrefix']}"),
-            ("service", "backends", lambda row: row["name"]), ("tenant", "tenants", lambda row: row["name"])):
+        ("route", "routes", lambda row: f"{row['hostname'].lower()} {row['pathPrefix']}"),
+        ("service", "backends", lambda row: row["name"]),
+        ("tenant", "tenants", lambda row: row["name"]),
+    ):
         old, new = ({name_of(row): row for row in config.get(place) or ()} for config in (before, after))
         if kind == "tenant" and (before.get(place) is None) != (after.get(place) is None):
-            lines.append("~ tenants: " + ("keys are no longer checked" if after.get(place) is None
-                                          else "keys are checked from now on"))
+            lines.append(
+                "~ tenants: "
+                + ("keys are no longer checked" if after.get(place) is None else "keys are checked from now on")
+            )
         lines += [f"- {kind} {name}" for name in old if name not in new]
         lines += [f"+ {kind} {name}" for name in new if name not in old]
-        lines += [f"~ {kind} {name}: {', '.join(told)}" for name in new if name in old
-                  and (told := changes(old[name], new[name]))]
+        lines += [
+            f"~ {kind} {name}: {', '.join(told)}"
+            for name in new
+            if name in old and (told := changes(old[name], new[name]))
+        ]
     told = changes(before.get("limits") or {}, after.get("limits") or {})
     return lines + ([f"~ limits: {', '.join(told)}"] if told else [])
 
@@ -439,13 +503,14 @@
         return ", ".join(map(ip_of, machines)) or "none"
 
     lost = "; has lost its disk and not recalled yet" if durable.forgotten else ""
-    config = (f"revision {sheet.revision}, {len(sheet.config)} bytes" if sheet.revision
-              else "no configuration yet")
-    lines = [f"promised {durable.promised}{lost}",
-             f"epoch {accepted.number}, primary {ip_of(accepted.primary) if accepted.primary else 'none'}",
-             f"in sync: {told(accepted.in_sync)}; witnesses: {told(accepted.witnesses)}"
-             + (f"; former witnesses: {told(accepted.former)}" if accepted.former else ""),
-             "sheet of epoch {}, sequence {}: ".format(*durable.stamp) + config]
+    config = f"revision {sheet.revision}, {len(sheet.config)} bytes" if sheet.revision else "no configuration yet"
+    lines = [
+        f"promised {durable.promised}{lost}",
+        f"epoch {accepted.number}, primary {ip_of(accepted.primary) if accepted.primary else 'none'}",
+        f"in sync: {told(accepted.in_sync)}; witnesses: {told(accepted.witnesses)}"
+        + (f"; former witnesses: {told(accepted.former)}" if accepted.former else ""),
+        "sheet of epoch {}, sequence {}: ".format(*durable.stamp) + config,
+    ]
     lines += [f"named: {model} version {version}" for model, version in sorted(sheet.versions.items())]
     return "\n".join(lines)
 
@@ -459,22 +524,26 @@
         boot = load_boot(file)
         role, wanted = ROLES.get(boot.file.machine_class, ("", ()))
         if not role:
-            raise BootError("machineClass",
-                            f"one of {', '.join(ROLES)} expected, not {boot.file.machine_class!r}")
+            raise BootError("machineClass", f"one of {', '.join(ROLES)} expected, not {boot.file.machine_class!r}")
         for name in wanted:
             boot.want(name)
         numbers(boot)
     except BootError as error:
         raise UnusableInput(str(error)) from error
     listens = ", ".join(f"{name} {ip}:{port}" for name, (ip, port) in boot.listen.items())
-    lines = [f"{boot.name}: {role} at {boot.ip}, zone {boot.zone}; listens on {listens}; "
-             "internal {}:{}".format(*boot.inner),
-             f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
-             f"{boot.file.fault_tolerance.machines} machines may be lost"]
+    lines = [
+        f"{boot.name}: {role} at {boot.ip}, zone {boot.zone}; listens on {listens}; internal {{}}:{{}}".format(
+            *boot.inner
+        ),
+        f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
+        f"{boot.file.fault_tolerance.machines} machines may be lost",
+    ]
     if role == "ledger":
-        lines.append(f"data {boot.data or 'nowhere: what it holds ends with the process'}; "
-                     f"{'a first start' if boot.file.bootstrap else 'no first start'}; list at "
-                     + ("{}:{}".format(*boot.cloud) if boot.cloud else "no address"))
+        lines.append(
+            f"data {boot.data or 'nowhere: what it holds ends with the process'}; "
+            f"{'a first start' if boot.file.bootstrap else 'no first start'}; list at "
+            + ("{}:{}".format(*boot.cloud) if boot.cloud else "no address")
+        )
     return Shown(lines)
 
 
--- a/rowanshift/standins/clients.py
+++ b/rowanshift/standins/clients.py
@@ -78,11 +78,21 @@
 
 
 class Crowd:
-    def __init__(self, host: Host, name: str, site: int, now: Callable[[], float], events: Events,
-                 chance: random.Random, doors: list[Door], asked: list[Asked], customers: dict[str, float],
-                 rate: float, habits: Habits) -> None:
-        self.host, self.name, self.site, self.now, self.events, self.chance = (host, name, site, now, events,
-                                                                               chance)
+    def __init__(
+        self,
+        host: Host,
+        name: str,
+        site: int,
+        now: Callable[[], float],
+        events: Events,
+        chance: random.Random,
+        doors: list[Door],
+        asked: list[Asked],
+        customers: dict[str, float],
+        rate: float,
+        habits: Habits,
+    ) -> None:
+        self.host, self.name, self.site, self.now, self.events, self.chance = (host, name, site, now, events, chance)
         self.doors, self.asked, self.customers, self.habits = doors, asked, customers, habits
         self.rate = rate  # first tries a second
         self.keys = Keys(habits.keys, habits.zipf)
@@ -161,8 +171,9 @@
                 break
         return how, back
 
-    async def _on_one(self, door: Door, txn: str, what: Asked, customer: str, key: str, left: float,
-                      fresh: bool) -> tuple[str, float]:
+    async def _on_one(
+        self, door: Door, txn: str, what: Asked, customer: str, key: str, left: float, fresh: bool
+    ) -> tuple[str, float]:
         connection = None if fresh or self.chance.random() < self.habits.one_off else self._kept(door)
         kept = connection is not None
         if connection is None:
@@ -180,7 +191,7 @@
                         return "no way", 0.0
                 request = self._request(txn, what, customer, key, left)
                 if self.habits.halves and self.chance.random() < self.habits.halves:
-                    await send_all(connection.stream, request[:len(request) // 2])
+                    await send_all(connection.stream, request[: len(request) // 2])
                     await self.host.pause(self.chance.random() * 3)
                     return "half", 0.0
                 await send_all(connection.stream, request)
@@ -249,8 +260,13 @@
 
     def _request(self, txn: str, what: Asked, customer: str, key: str, left: float) -> bytes:
         method = "PUT" if what.write else "GET"
-        lines = [f"{method} /{what.name}/{key} HTTP/1.1", "Host: app.svc", f"X-Txn: {txn}",
-                 f"X-Lane: {what.name}", f"X-Remaining-Ms: {int(left * 1000)}"]
+        lines = [
+            f"{method} /{what.name}/{key} HTTP/1.1",
+            "Host: app.svc",
+            f"X-Txn: {txn}",
+            f"X-Lane: {what.name}",
+            f"X-Remaining-Ms: {int(left * 1000)}",
+        ]
         if customer:
             lines.append(f"X-Org: {customer}")
         body = f"{key} by {txn}" if what.write else ""
--- a/rowanshift/standins/demo.py
+++ b/rowanshift/standins/demo.py
@@ -29,17 +29,23 @@
 class Fleet:
     """Stand-ins on real loopback sockets, as the router's configuration expects them."""
 
-    def __init__(self, discovery: Address, works: dict[str, float], fetch: float = 0.2,
-                 host: str = "127.0.0.1") -> None:
+    def __init__(
+        self, discovery: Address, works: dict[str, float], fetch: float = 0.2, host: str = "127.0.0.1"
+    ) -> None:
         self.events, ledger = Events(time.monotonic), Ledger()
         caches = {f"cache-{port}": (host, port) for port in CACHES}
         rows = [row_of(name, address, "here", "cache") for name, address in caches.items()]
         rows.append(row_of("origin", (host, ORIGIN), "here", "origin"))
         common = time.monotonic, self.events
-        self.servers = [Cache(SYSTEM, address, *common, name, Kind(works), ledger, random.Random(name))
-                        for name, address in caches.items()]
-        self.servers.append(Origin(SYSTEM, (host, ORIGIN), *common, "origin",
-                                   Kind(dict.fromkeys(works, fetch)), ledger, random.Random(0)))
+        self.servers = [
+            Cache(SYSTEM, address, *common, name, Kind(works), ledger, random.Random(name))
+            for name, address in caches.items()
+        ]
+        self.servers.append(
+            Origin(
+                SYSTEM, (host, ORIGIN), *common, "origin", Kind(dict.fromkeys(works, fetch)), ledger, random.Random(0)
+            )
+        )
         self.agent = Agent(SYSTEM, discovery, *common, "demo", rows)
 
     async def run(self) -> None:
@@ -53,8 +59,10 @@
     connection = Connection(SYSTEM.stream(), httptools.HttpResponseParser, Memory(64))
     try:
         await connect(connection.stream, address)
-        head = (f"{method} {target} HTTP/1.1\r\nHost: demo\r\nX-Txn: {txn}\r\nX-Org: demo\r\n"
-                f"X-Remaining-Ms: 2000\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n")
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: demo\r\nX-Txn: {txn}\r\nX-Org: demo\r\n"
+            f"X-Remaining-Ms: 2000\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
         await send_all(connection.stream, head.encode() + body)
         while (message := connection.next()) is None:
             await connection.stream.wait_readable()
@@ -73,8 +81,7 @@
         message = await ask(address, "GET", f"/read/{key}", f"demo-{n}")
         found = field_of(message, b"x-found") or "from the origin"
         took = 1000 * (trio.current_time() - began)
-        say(f"GET /read/{key:8} {message.status}  {took:6.1f} ms  {found:16}"
-            f"{message.body.decode().strip()}")
+        say(f"GET /read/{key:8} {message.status}  {took:6.1f} ms  {found:16}{message.body.decode().strip()}")
     message = await ask(address, "PUT", "/write/hello", "demo-put", b"new")
     say(f"PUT /write/hello   {message.status}  {message.body.decode().strip()}")
     message = await ask(address, "GET", "/read/hello", "demo-again")
@@ -84,8 +91,10 @@
 async def stand_by(config_path: Path) -> None:
     """The stand-ins alone, for routers that are started beside them."""
     config = load(config_path)
-    say("Stand-ins of three caches, an origin and discovery; Ctrl-C ends them. A router for them:\n"
-        f"  rowanshift serve -c {config_path}")
+    say(
+        "Stand-ins of three caches, an origin and discovery; Ctrl-C ends them. A router for them:\n"
+        f"  rowanshift serve -c {config_path}"
+    )
     await Fleet(config.discovery, {name.decode(): 0.002 for name in config.names.categories}).run()
 
 
@@ -100,8 +109,10 @@
         await show(config.listen, service)
         if stay:
             host, port = config.listen
-            say("The router goes on; Ctrl-C ends it. To ask it yourself:\n  curl -i -H 'X-Txn: 1' -H "
-                f"'X-Org: demo' -H 'X-Remaining-Ms: 2000' http://{host}:{port}/read/hello")
+            say(
+                "The router goes on; Ctrl-C ends it. To ask it yourself:\n  curl -i -H 'X-Txn: 1' -H "
+                f"'X-Org: demo' -H 'X-Remaining-Ms: 2000' http://{host}:{port}/read/hello"
+            )
         else:
             service.told_to_stop.set()
         while service.phase is not Phase.STOPPED:
--- a/rowanshift/standins/discovery.py
+++ b/rowanshift/standins/discovery.py
@@ -19,12 +19,27 @@
 Row = dict[str, Any]
 
 
-def row_of(server: str, address: Address, zone: str, machine_type: str, started_at: float = 0.0,
-           lifecycle: str = "active", weight: float = 1.0, cell: int = 0) -> Row:
+def row_of(
+    server: str,
+    address: Address,
+    zone: str,
+    machine_type: str,
+    started_at: float = 0.0,
+    lifecycle: str = "active",
+    weight: float = 1.0,
+    cell: int = 0,
+) -> Row:
     """One entry of the list; ``started_at`` in Unix seconds, 0 for long ago."""
-    return {"instanceId": server, "hostPort": "{}:{}".format(*address), "zone": zone, "cell": cell,
-            "machineType": machine_type, "lifecycle": lifecycle, "weight": weight,
-            "startedAtMs": int(started_at * 1000)}
+    return {
+        "instanceId": server,
+        "hostPort": "{}:{}".format(*address),
+        "zone": zone,
+        "cell": cell,
+        "machineType": machine_type,
+        "lifecycle": lifecycle,
+        "weight": weight,
+        "startedAtMs": int(started_at * 1000),
+    }
 
 
 def chunk(data: bytes) -> bytes:
@@ -34,8 +49,9 @@
 class Agent(HttpServer):
     """Beside one router. ``rows`` is the list as it has been told the agent."""
 
-    def __init__(self, host: Host, address: Address, now: Callable[[], float], events: Events,
-                 router: str, rows: list[Row]) -> None:
+    def __init__(
+        self, host: Host, address: Address, now: Callable[[], float], events: Events, router: str, rows: list[Row]
+    ) -> None:
         super().__init__(host, address, now, events)
         self.router = router
         self.rows = {row["instanceId"]: row for row in rows}
--- a/rowanshift/standins/engine.py
+++ b/rowanshift/standins/engine.py
@@ -205,9 +205,12 @@
         shown = [event for at, event in self.events if at <= self.now()]
         oldest = self.events[0][1][0] if self.events else self.number + 1
         full = len(self.events) == self.traits.events_kept
-        return {"bootEpoch": self.epoch, "nextToken": shown[-1][0] if shown else min(number, self.number),
-                "lost": number > self.number or (full and number < oldest - 1),
-                "events": [event for event in shown if event[0] > number]}
+        return {
+            "bootEpoch": self.epoch,
+            "nextToken": shown[-1][0] if shown else min(number, self.number),
+            "lost": number > self.number or (full and number < oldest - 1),
+            "events": [event for event in shown if event[0] > number],
+        }
 
     def whole(self) -> dict[str, Any]:
         held = [[salt, name, part.tokens, model] for (model, salt, name), part in self.parts.items()]
@@ -226,9 +229,17 @@
     """What model servers and stores share: lives, and calls about cached parts. ``run`` is the process: it
     goes on after ``crash`` and ``restart``, and may be run anew after its machine was killed."""
 
-    def __init__(self, host: Host, address: Address, clock: Callable[[], float], facts: list[Fact],
-                 registry: Registry, traits: Traits | None = None, zone: str = "z1",
-                 region: str = "r1") -> None:
+    def __init__(
+        self,
+        host: Host,
+        address: Address,
+        clock: Callable[[], float],
+        facts: list[Fact],
+        registry: Registry,
+        traits: Traits | None = None,
+        zone: str = "z1",
+        region: str = "r1",
+    ) -> None:
         super().__init__(host, address, clock, Events(clock))
         self.facts, self.registry, self.traits = facts, registry, traits or Traits()
         self.zone, self.region, self.name = zone, region, "{}:{}".format(*address)
@@ -382,10 +393,21 @@
     """Answers requests with streams of events. An event's id is the number of tokens that it completes; its
     data tells which request and run made it, for the checks in ``rules/system.py``."""
 
-    def __init__(self, host: Host, address: Address, instance_id: str, service: str,
-                 clock: Callable[[], float], facts: list[Fact], registry: Registry, models: dict[str, int],
-                 traits: Traits | None = None, zone: str = "z1", region: str = "r1",
-                 chance: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        host: Host,
+        address: Address,
+        instance_id: str,
+        service: str,
+        clock: Callable[[], float],
+        facts: list[Fact],
+        registry: Registry,
+        models: dict[str, int],
+        traits: Traits | None = None,
+        zone: str = "z1",
+        region: str = "r1",
+        chance: random.Random | None = None,
+    ) -> None:
         self.first_id = self.instance_id = instance_id
         self.next_id = ""
         self.service, self.models = service, dict(models)
@@ -437,12 +459,24 @@
 
     def _note(self) -> None:
         """Keeps how it stands for ``/report``, which tells it late."""
-        self.reports.append((self.now(), {
-            "stage": "both", "models": [{"name": name, "revision": revision, "adapters": []}
-                                        for name, revision in self.models.items()],
-            "busy": bool(self.busy), "sequence": self.sequence, "queued": len(self.waiting),
-            "active": len(self.running), "kvInUse": self.cache.in_use(), "kvSize": self.traits.kv_tokens,
-            "handles": 0}))
+        self.reports.append(
+            (
+                self.now(),
+                {
+                    "stage": "both",
+                    "models": [
+                        {"name": name, "revision": revision, "adapters": []} for name, revision in self.models.items()
+                    ],
+                    "busy": bool(self.busy),
+                    "sequence": self.sequence,
+                    "queued": len(self.waiting),
+                    "active": len(self.running),
+                    "kvInUse": self.cache.in_use(),
+                    "kvSize": self.traits.kv_tokens,
+                    "handles": 0,
+                },
+            )
+        )
 
     def report(self, at: float) -> dict[str, Any]:
         """How it stood at a time, or at its start."""
@@ -451,9 +485,18 @@
     def row(self, instance: str, state: str, at: float) -> dict[str, Any]:
         """Its entry in the platform's list, with the models that it had at a time."""
         told = self.report(at)
-        return {"id": instance, "backend": self.service, "address": self.name, "zone": self.zone,
-                "revision": "v1", "slots": self.traits.slots, "state": state, "warmupLeftMs": 0,
-                "stage": told["stage"], "models": told["models"]}
+        return {
+            "id": instance,
+            "backend": self.service,
+            "address": self.name,
+            "zone": self.zone,
+            "revision": "v1",
+            "slots": self.traits.slots,
+            "state": state,
+            "warmupLeftMs": 0,
+            "stage": told["stage"],
+            "models": told["models"],
+        }
 
     # requests ---------------------------------------------
 
@@ -493,13 +536,15 @@
             refused = 421
         else:
             run = self._read(connection, message, id, model)
-            if (run is None or run.model not in self.models or self.busy == run.model
-                    or sum(n for _, n in run.prompt) + run.out > self.traits.kv_tokens
-                    or (len(self.waiting) >= self.traits.queue
-                        and (self.waiting or len(self.running) >= self.traits.slots))):
+            if (
+                run is None
+                or run.model not in self.models
+                or self.busy == run.model
+                or sum(n for _, n in run.prompt) + run.out > self.traits.kv_tokens
+                or (len(self.waiting) >= self.traits.queue and (self.waiting or len(self.running) >= self.traits.slots))
+            ):
                 refused = 400 if run is None else 503
-        self.facts.append(Reached(self.now(), id, self.instance_id, self.service, other(connection.stream),
-                                  refused))
+        self.facts.append(Reached(self.now(), id, self.instance_id, self.service, other(connection.stream), refused))
         if refused:
             return await self._turn_away(connection, id, refused)
         keep = False
@@ -517,8 +562,12 @@
     def _read(self, connection: Connection, message: Message, id: str, model: str) -> Run | None:
         try:
             counts = [int(n) for n in field_of(message, b"token-count").split(",") if n]
-            prompt = [(name, int(tokens)) for name, _, tokens in (
-                part.partition(":") for part in field_of(message, b"prompt-prefix").split(",") if part)]
+            prompt = [
+                (name, int(tokens))
+                for name, _, tokens in (
+                    part.partition(":") for part in field_of(message, b"prompt-prefix").split(",") if part
+                )
+            ]
         except ValueError:
             return None
         size, out = counts if len(counts) == 2 else (0, 1)
@@ -526,10 +575,20 @@
             prompt.append((f"own-{id}", size - kept))
         left = number_of(message, b"deadline-remaining", 60_000) / 1000
         self.numbers += 1
-        return Run(id, message, connection.stream, model or next(iter(self.models), ""),
-                   field_of(message, b"tenant-name"), field_of(message, b"cache-salt"), prompt, out,
-                   number_of(message, b"last-event-id"), self.now() + left,
-                   number_of(message, b"priority", DEFAULT_PRIORITY), self.numbers)
+        return Run(
+            id,
+            message,
+            connection.stream,
+            model or next(iter(self.models), ""),
+            field_of(message, b"tenant-name"),
+            field_of(message, b"cache-salt"),
+            prompt,
+            out,
+            number_of(message, b"last-event-id"),
+            self.now() + left,
+            number_of(message, b"priority", DEFAULT_PRIORITY),
+            self.numbers,
+        )
 
     async def _turn_away(self, connection: Connection, id: str, status: int) -> bool:
         fields = [*self._fields(), NOT_EXECUTED]
@@ -560,7 +619,7 @@
             hits = self.cache.prefix(run.model, run.salt, run.prompt)
             for part in hits:
                 self.cache.pin(part)
-            need = sum(n for _, n in run.prompt[len(hits):]) + run.out
+            need = sum(n for _, n in run.prompt[len(hits) :]) + run.out
             if not self.cache.reserve(need):
                 for part in hits:
                     self.cache.unpin(part)
@@ -579,15 +638,44 @@
         method, target = message.method.decode(), message.target.decode("latin-1")
         run.of = digest_of(method, target, message.body)
         run.stamp = f"{digest_of(self.instance_id)}.{run.number:x}.{digest_of(run.id)}"
-        self.facts.append(Began(now, run.id, self.instance_id, self.service, run.name, run.stamp,
-                                field_of(message, b"host"), method, target, message.body, run.tenant,
-                                field_of(message, b"authorization"), run.model, run.revision, run.since))
+        self.facts.append(
+            Began(
+                now,
+                run.id,
+                self.instance_id,
+                self.service,
+                run.name,
+                run.stamp,
+                field_of(message, b"host"),
+                method,
+                target,
+                message.body,
+                run.tenant,
+                field_of(message, b"authorization"),
+                run.model,
+                run.revision,
+                run.since,
+            )
+        )
         self._hits(run, run.pinned)
 
     def _hits(self, run: Run, parts: list[Part]) -> None:
-        self.facts += [CacheHit(self.now(), run.id, self.instance_id, run.model, run.revision, run.tenant,
-                                run.salt, part.key[2], part.revision, part.tenant, part.tokens)
-                       for part in parts]
+        self.facts += [
+            CacheHit(
+                self.now(),
+                run.id,
+                self.instance_id,
+                run.model,
+                run.revision,
+                run.tenant,
+                run.salt,
+                part.key[2],
+                part.revision,
+                part.tenant,
+                part.tokens,
+            )
+            for part in parts
+        ]
 
     def _leave(self, run: Run) -> None:
         """Gives back what a run held, however it ended."""
@@ -623,7 +711,7 @@
     async def _prefill(self, run: Run) -> None:
         if source := field_of(run.message, b"kv-fetch"):
             await self._fetch(run, source)
-        left = run.prompt[len(run.pinned):]
+        left = run.prompt[len(run.pinned) :]
         tokens = sum(n for _, n in left)
         await self.host.pause((self.traits.prefill_base + self.traits.prefill * tokens) * self.slowed)
         if self.models[run.model] != run.revision:  # loaded meanwhile: what it read is of the old weights
@@ -674,10 +762,19 @@
         self.facts.append(Moved(self.now(), run.id, self.instance_id, source, tokens, bad))
 
     async def _stream(self, connection: Connection, run: Run) -> bool:
-        head = b"\r\n".join([
-            b"HTTP/1.1 200 OK", f"Request-Id: {run.id}".encode(), f"Response-Seal: {run.stamp}".encode(),
-            f"Versions: {run.told}".encode(), b"Content-Type: text/event-stream", *self._fields(),
-            b"Transfer-Encoding: chunked", b"", b""])
+        head = b"\r\n".join(
+            [
+                b"HTTP/1.1 200 OK",
+                f"Request-Id: {run.id}".encode(),
+                f"Response-Seal: {run.stamp}".encode(),
+                f"Versions: {run.told}".encode(),
+                b"Content-Type: text/event-stream",
+                *self._fields(),
+                b"Transfer-Encoding: chunked",
+                b"",
+                b"",
+            ]
+        )
         garbling = ""
         if self.garbling[1]:
             garbling, left = self.garbling
@@ -705,8 +802,9 @@
                 run.how = "failed"
                 return False
             if at < run.out:
-                await self.host.pause(self.traits.gap * self.slowed * (
-                    1 + self.traits.crowding * (len(self.running) - 1)))
+                await self.host.pause(
+                    self.traits.gap * self.slowed * (1 + self.traits.crowding * (len(self.running) - 1))
+                )
         run.how = "done"
         if garbling == "lost":
             run.how = "answer lost"
@@ -734,8 +832,18 @@
         body = body if isinstance(body, dict) else {}
         status = 421 if self._unexpected(message) else self._take_order(body)
         if status not in (400, 421):
-            self.facts.append(Ordered(self.now(), self.instance_id, body["leaseHolder"], body["fenceToken"],
-                                      status, body["operation"], body["model"], body["revision"]))
+            self.facts.append(
+                Ordered(
+                    self.now(),
+                    self.instance_id,
+                    body["leaseHolder"],
+                    body["fenceToken"],
+                    status,
+                    body["operation"],
+                    body["model"],
+                    body["revision"],
+                )
+            )
         if self.lost_orders and self.chance.random() < self.lost_orders:
             reset(connection.stream)
             return False
@@ -743,11 +851,18 @@
         return not self.draining
 
     def _take_order(self, body: dict[str, Any]) -> int:
-        holder, fence, model, revision = (
-            body.get(name) for name in ("leaseHolder", "fenceToken", "model", "revision"))
-        if not (holder and isinstance(holder, str) and type(fence) is int and type(revision) is int
-                and body.get("operation") == "revision" and isinstance(model, str) and model in self.models
-                and body.get("method") in METHODS and 1 <= revision <= self.registry.newest.get(model, 1)):
+        holder, fence, model, revision = (body.get(name) for name in ("leaseHolder", "fenceToken", "model", "revision"))
+        if not (
+            holder
+            and isinstance(holder, str)
+            and type(fence) is int
+            and type(revision) is int
+            and body.get("operation") == "revision"
+            and isinstance(model, str)
+            and model in self.models
+            and body.get("method") in METHODS
+            and 1 <= revision <= self.registry.newest.get(model, 1)
+        ):
             return 400
         if self.traits.fencing and fence < self.fence:
             return 412
--- a/rowanshift/standins/http.py
+++ b/rowanshift/standins/http.py
@@ -14,8 +14,13 @@
 
 BACKLOG = 512
 REMEMBERED = 20_000  # hand-offs and misses that the stand-ins know of at once
-REASONS = {200: b"OK", 404: b"Not Found", 400: b"Bad Request", 500: b"Internal Server Error",
-           503: b"Service Unavailable"}
+REASONS = {
+    200: b"OK",
+    404: b"Not Found",
+    400: b"Bad Request",
+    500: b"Internal Server Error",
+    503: b"Service Unavailable",
+}
 
 
 def sent_at(stream: Stream, now: float) -> float:
--- a/rowanshift/standins/patrons.py
+++ b/rowanshift/standins/patrons.py
@@ -136,8 +136,9 @@
             self.attempt.versions.append(int(lines[b"versions"]))
         try:
             data = orjson.loads(lines[b"data"])
-            piece = Piece(self.now(), self.attempt.id, data["first"], int(lines[b"id"]), data["of"],
-                          data["run"], data["final"])
+            piece = Piece(
+                self.now(), self.attempt.id, data["first"], int(lines[b"id"]), data["of"], data["run"], data["final"]
+            )
         except (KeyError, ValueError, TypeError):
             piece = Piece(self.now(), self.attempt.id, -1, -1, "", "")  # no event that a server made
         self.attempt.pieces.append(piece)
@@ -151,8 +152,16 @@
 class Patron:
     """A client. With ``keeps``, a connection is used again after a whole answer."""
 
-    def __init__(self, host: Host, name: str, clock: Callable[[], float], facts: list[Fact],
-                 fronts: Sequence[Address], chance: random.Random, keeps: bool = False) -> None:
+    def __init__(
+        self,
+        host: Host,
+        name: str,
+        clock: Callable[[], float],
+        facts: list[Fact],
+        fronts: Sequence[Address],
+        chance: random.Random,
+        keeps: bool = False,
+    ) -> None:
         self.host, self.name, self.now, self.facts = host, name, clock, facts
         self.fronts, self.chance, self.keeps = list(fronts), chance, keeps
         self.ids = self.calls = 0
@@ -166,8 +175,9 @@
         for n in range(tries):
             front = self.chance.choice(self.fronts)
             last = await self.ask(work, front, since, ends - self.now(), call, fresh=n > 0)
-            again = (work.repeatable or work.resumable or (last.how == "whole" and last.status in PROMISES)
-                     or not last.taken)
+            again = (
+                work.repeatable or work.resumable or (last.how == "whole" and last.status in PROMISES) or not last.taken
+            )
             if last.done() or last.status in NO_MORE or not again or n + 1 == tries:
                 break
             if work.resumable and last.pieces:
@@ -179,16 +189,36 @@
                 break
         return last
 
-    async def ask(self, work: Work, front: Address | None = None, since: int = 0, left: float | None = None,
-                  call: str = "", fresh: bool = False) -> Try:
+    async def ask(
+        self,
+        work: Work,
+        front: Address | None = None,
+        since: int = 0,
+        left: float | None = None,
+        call: str = "",
+        fresh: bool = False,
+    ) -> Try:
         """One try under an id of its own, at one router."""
         self.ids += 1
         front = front or self.chance.choice(self.fronts)
         attempt = Try(f"{self.name}.{self.ids}", front, self.now())
         self.tries.append(attempt)
-        self.facts.append(Asked(self.now(), attempt.id, work.host, work.method, work.target, work.body,
-                                work.tenant, work.key, work.repeatable or work.resumable, since,
-                                "{}:{}".format(*front), call))
+        self.facts.append(
+            Asked(
+                self.now(),
+                attempt.id,
+                work.host,
+                work.method,
+                work.target,
+                work.body,
+                work.tenant,
+                work.key,
+                work.repeatable or work.resumable,
+                since,
+                "{}:{}".format(*front),
+                call,
+            )
+        )
         left = work.within if left is None else left
         reader, stream = StreamReader(attempt, self.now, self.facts), None
         try:
@@ -227,7 +257,8 @@
                 continue
             if n == 0:
                 if reader.headed and not {b"content-length", b"transfer-encoding"} & {
-                        name for name, _ in reader.attempt.fields}:
+                    name for name, _ in reader.attempt.fields
+                }:
                     reader.whole = True  # it ends with its connection
                     break
                 reader.attempt.how = "broken" if reader.headed else "closed"
@@ -242,8 +273,17 @@
             attempt.taken = taken()
         if reader.headed:
             echoed = attempt.field(b"request-id")
-            self.facts.append(Answered(now, attempt.id, attempt.status, attempt.stamp, echoed,
-                                       attempt.how == "whole", attempt.how == "left"))
+            self.facts.append(
+                Answered(
+                    now,
+                    attempt.id,
+                    attempt.status,
+                    attempt.stamp,
+                    echoed,
+                    attempt.how == "whole",
+                    attempt.how == "left",
+                )
+            )
         else:
             self.facts.append(Lost(now, attempt.id, attempt.how))
         if reader.surplus:
@@ -271,14 +311,23 @@
         return None
 
     def _request(self, work: Work, id: str, since: int, left: float) -> bytes:
-        lines = [f"{work.method} {work.target} HTTP/1.1", f"Host: {work.host}", f"Request-Id: {id}",
-                 f"Deadline-Remaining: {int(left * 1000)}", f"Content-Length: {len(work.body)}", *work.fields]
+        lines = [
+            f"{work.method} {work.target} HTTP/1.1",
+            f"Host: {work.host}",
+            f"Request-Id: {id}",
+            f"Deadline-Remaining: {int(left * 1000)}",
+            f"Content-Length: {len(work.body)}",
+            *work.fields,
+        ]
         if since:
             lines.append(f"Last-Event-Id: {since}")
         if work.model:
             parts = ",".join(f"{name}:{tokens}" for name, tokens in work.prompt)
-            lines += [f"Model-Name: {work.model}", f"Prompt-Prefix: {parts}",
-                      f"Token-Count: {sum(tokens for _, tokens in work.prompt)},{work.out}"]
+            lines += [
+                f"Model-Name: {work.model}",
+                f"Prompt-Prefix: {parts}",
+                f"Token-Count: {sum(tokens for _, tokens in work.prompt)},{work.out}",
+            ]
         if work.key:
             lines.append(f"Authorization: Bearer {work.key}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + work.body
@@ -306,17 +355,23 @@
 class Operator:
     """Calls whoever serves ``control``: follows 307 twice, moves on after a failure, an error or silence."""
 
-    def __init__(self, host: Host, name: str, clock: Callable[[], float], facts: list[Fact],
-                 controls: Sequence[Address], chance: random.Random,
-                 registry: Registry | None = None) -> None:
+    def __init__(
+        self,
+        host: Host,
+        name: str,
+        clock: Callable[[], float],
+        facts: list[Fact],
+        controls: Sequence[Address],
+        chance: random.Random,
+        registry: Registry | None = None,
+    ) -> None:
         self.host, self.name, self.now, self.facts = host, name, clock, facts
         self.controls, self.chance, self.registry = list(controls), chance, registry
         self.memory = Memory(4096)
         self.silence = 1.0  # seconds after which it moves on; longer for large bodies
         self.calls = 0
 
-    async def put_config(self, config: dict[str, Any], base: int, within: float = 10.0,
-                         valid: bool = True) -> int:
+    async def put_config(self, config: dict[str, Any], base: int, within: float = 10.0, valid: bool = True) -> int:
         """Sends a configuration until it is settled; its status, 0 if that stayed unclear for ``within``
         seconds."""
         self.calls += 1
@@ -363,8 +418,9 @@
             backoff = min(2 * backoff, LONGEST_BACKOFF)
         return Reply(0)
 
-    async def _follow(self, address: Address, method: str, target: str, body: bytes, fields: Sequence[str],
-                      ends: float) -> Reply:
+    async def _follow(
+        self, address: Address, method: str, target: str, body: bytes, fields: Sequence[str], ends: float
+    ) -> Reply:
         silence = self.silence + len(body) / 1e6
         for _ in range(MOST_REDIRECTS + 1):
             message = None
@@ -381,14 +437,23 @@
                 return Reply(0)
         return Reply(0)
 
-    async def _once(self, address: Address, method: str, target: str, body: bytes,
-                    fields: Sequence[str]) -> Message | None:
+    async def _once(
+        self, address: Address, method: str, target: str, body: bytes, fields: Sequence[str]
+    ) -> Message | None:
         try:
             connection = Connection(self.host.stream(), httptools.HttpResponseParser, self.memory)
         except OSError:
             return None
-        lines = [f"{method} {target} HTTP/1.1", "Host: {}:{}".format(*address), "Connection: close",
-                 "Content-Type: application/json", f"Content-Length: {len(body)}", *fields, "", ""]
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            "Host: {}:{}".format(*address),
+            "Connection: close",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            *fields,
+            "",
+            "",
+        ]
         try:
             await connect(connection.stream, address)
             await send_all(connection.stream, "\r\n".join(lines).encode() + body)
--- a/rowanshift/standins/platform.py
+++ b/rowanshift/standins/platform.py
@@ -19,8 +19,16 @@
 class PlatformList(HttpServer):
     """Shows each change ``lag_ms`` after it was made, and the servers' versions as old as that."""
 
-    def __init__(self, host: Host, address: Address, rate_per_s: float, lag_ms: float,
-                 clock: Callable[[], float], facts: list[Fact], page: int = 50) -> None:
+    def __init__(
+        self,
+        host: Host,
+        address: Address,
+        rate_per_s: float,
+        lag_ms: float,
+        clock: Callable[[], float],
+        facts: list[Fact],
+        page: int = 50,
+    ) -> None:
         super().__init__(host, address, clock, Events(clock))
         self.rate, self.lag, self.facts, self.page = rate_per_s, lag_ms / 1000, facts, page
         self.changes: list[tuple[float, str, ModelServer | None, str]] = []  # shown at, id, server, state
--- a/rowanshift/standins/servers.py
+++ b/rowanshift/standins/servers.py
@@ -100,8 +100,18 @@
 class Server(HttpServer):
     """What caches and the origin share."""
 
-    def __init__(self, host: Host, address: Address, now: Callable[[], float], events: Events, name: str,
-                 kind: Kind, ledger: Ledger, chance: random.Random, zone: int = 0) -> None:
+    def __init__(
+        self,
+        host: Host,
+        address: Address,
+        now: Callable[[], float],
+        events: Events,
+        name: str,
+        kind: Kind,
+        ledger: Ledger,
+        chance: random.Random,
+        zone: int = 0,
+    ) -> None:
         super().__init__(host, address, now, events)
         self.name, self.kind, self.ledger, self.chance, self.zone = name, kind, ledger, chance, zone
         self.idle_for = kind.idle_for
@@ -196,8 +206,14 @@
         if way == "error":
             await self.reply(connection, 500, b"no\n")
             return True
-        await self.send(connection, {"half": whole[:-max(1, len(body) // 2)], "noise": b"\x83\x00" + whole,
-                                     "behind": whole + answer(200, b"stale\n")}[way])
+        await self.send(
+            connection,
+            {
+                "half": whole[: -max(1, len(body) // 2)],
+                "noise": b"\x83\x00" + whole,
+                "behind": whole + answer(200, b"stale\n"),
+            }[way],
+        )
         if way == "behind":
             return True
         if way == "half" and self.chance.random() < 0.5:
@@ -208,8 +224,15 @@
 class Cache(Server):
     """Keeps what it was filled with; one that lacks a key says so."""
 
-    def __init__(self, *args, came_up: float = 0.0, start_share: float = 0.15, warm_within: float = 20.0,
-                 fall: Callable[["Cache"], None] = lambda cache: None, keeps: int = 10_000) -> None:
+    def __init__(
+        self,
+        *args,
+        came_up: float = 0.0,
+        start_share: float = 0.15,
+        warm_within: float = 20.0,
+        fall: Callable[["Cache"], None] = lambda cache: None,
+        keeps: int = 10_000,
+    ) -> None:
         super().__init__(*args)
         self.came_up, self.start_share, self.warm_within = came_up, start_share, warm_within
         self.fall, self.keeps = fall, keeps  # the last: keys; beyond them the oldest goes
--- a/rowanshift/standins/whole.py
+++ b/rowanshift/standins/whole.py
@@ -38,13 +38,31 @@
 MODEL, HOST, PREFIX, KEY = "demo-model", "demo.example", "/chat/", "demo-key"
 CONFIG: dict[str, Any] = {
     "revision": 1,
-    "routes": [{"name": "chat", "hostname": HOST, "pathPrefix": PREFIX, "routeType": "streaming",
-                "timeoutMs": 5000, "targetLatencyMs": 600, "priority": 1, "backend": "chat", "retries": 2,
-                "sticky": True, "resumable": True, "gap_aim_ms": 250}],
-    "backends": [{"name": "chat", "healthCheck": "/health", "maxConnections": 360,
-                  "engine": {"slots": 4, "models": [{"name": MODEL}]}}],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000,
-               "idleTimeoutMs": 15000},
+    "routes": [
+        {
+            "name": "chat",
+            "hostname": HOST,
+            "pathPrefix": PREFIX,
+            "routeType": "streaming",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 600,
+            "priority": 1,
+            "backend": "chat",
+            "retries": 2,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 250,
+        }
+    ],
+    "backends": [
+        {
+            "name": "chat",
+            "healthCheck": "/health",
+            "maxConnections": 360,
+            "engine": {"slots": 4, "models": [{"name": MODEL}]},
+        }
+    ],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "demo", "apiKeys": [KEY]}],
 }
 PROMPT, OUT = "a1:40,b2:10", 20  # parts with their tokens; tokens out
@@ -96,8 +114,10 @@
         self.chance = random.Random()
         common = clock, self.facts
         self.platform = PlatformList(self.host, (f"{net}{PLATFORM}", LIST), LIST_RATE, LIST_LAG_MS, *common)
-        self.servers = [ModelServer(self.host, (f"{net}{n}", SERVER), f"server-{n}", "chat", *common,
-                                    self.registry, {MODEL: 1}) for n in SERVERS]
+        self.servers = [
+            ModelServer(self.host, (f"{net}{n}", SERVER), f"server-{n}", "chat", *common, self.registry, {MODEL: 1})
+            for n in SERVERS
+        ]
         self.desks = [Desk(load_boot(self.settings("core", n)), self.host) for n in CORE]
         self.counters = [Counter(load_boot(self.settings("edge", n)), self.host) for n in COUNTERS]
         self.controls = [(f"{net}{n}", CONTROL) for n in CORE]
@@ -107,13 +127,24 @@
     def settings(self, kind: str, number: int) -> Path:
         """Writes the settings file of a machine, as the platform does."""
         ip = f"{self.net}{number}"
-        listen = ({"controlPlane": f"{ip}:{CONTROL}"} if kind == "core"
-                  else {"frontend": f"{ip}:{FRONT}", "readiness": f"{ip}:{READINESS}"})
-        made = {"nodeName": f"{kind}-{number}", "machineClass": kind, "ip": ip, "zone": "z1", "region": "r1",
-                "listenAddresses": listen, "internalPorts": INNER, "bootstrap": kind == "core",
-                "seedNodes": [f"{self.net}{n}:{CONTROL}" for n in CORE], "faultTolerance": {"machines": 1},
-                "cloudApi": {"address": f"{self.net}{PLATFORM}:{LIST}", "ratePerS": LIST_RATE,
-                             "maxLagMs": LIST_LAG_MS}}
+        listen = (
+            {"controlPlane": f"{ip}:{CONTROL}"}
+            if kind == "core"
+            else {"frontend": f"{ip}:{FRONT}", "readiness": f"{ip}:{READINESS}"}
+        )
+        made = {
+            "nodeName": f"{kind}-{number}",
+            "machineClass": kind,
+            "ip": ip,
+            "zone": "z1",
+            "region": "r1",
+            "listenAddresses": listen,
+            "internalPorts": INNER,
+            "bootstrap": kind == "core",
+            "seedNodes": [f"{self.net}{n}:{CONTROL}" for n in CORE],
+            "faultTolerance": {"machines": 1},
+            "cloudApi": {"address": f"{self.net}{PLATFORM}:{LIST}", "ratePerS": LIST_RATE, "maxLagMs": LIST_LAG_MS},
+        }
         if kind == "core":
             made["dataDir"] = str(self.folder / f"core-{number}")
         path = self.folder / f"{kind}-{number}.json"
@@ -166,9 +197,11 @@
     attempt = Try("demo-1", front, now())
     reader = Printed(attempt, now, system.facts)
     body, sock, space = b"{}", system.host.stream(), memoryview(bytearray(1 << 16))
-    head = (f"POST {PREFIX}hello HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {attempt.id}\r\n"
-            f"Authorization: Bearer {KEY}\r\nModel-Name: {MODEL}\r\nToken-Count: 50,{OUT}\r\n"
-            f"Prompt-Prefix: {PROMPT}\r\nDeadline-Remaining: 5000\r\nContent-Length: {len(body)}\r\n\r\n")
+    head = (
+        f"POST {PREFIX}hello HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {attempt.id}\r\n"
+        f"Authorization: Bearer {KEY}\r\nModel-Name: {MODEL}\r\nToken-Count: 50,{OUT}\r\n"
+        f"Prompt-Prefix: {PROMPT}\r\nDeadline-Remaining: 5000\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
     try:
         await connect(sock, front)
         await send_all(sock, head.encode() + body)
@@ -190,12 +223,16 @@
 
 async def show(system: SmallSystem) -> None:
     began = trio.current_time()
-    say(f"{len(CORE)} core machines, {len(COUNTERS)} counters, {len(SERVERS)} stand-in model servers and the "
-        f"platform's list start at {system.net}x")
+    say(
+        f"{len(CORE)} core machines, {len(COUNTERS)} counters, {len(SERVERS)} stand-in model servers and the "
+        f"platform's list start at {system.net}x"
+    )
     desk = await system.primary()
     record = desk.node.ledger.record
-    say(f"Primary: {desk.boot.ip}, epoch {record.number}; in sync: {', '.join(map(ip_of, record.in_sync))}; "
-        f"witnesses: {', '.join(map(ip_of, record.witnesses))}")
+    say(
+        f"Primary: {desk.boot.ip}, epoch {record.number}; in sync: {', '.join(map(ip_of, record.in_sync))}; "
+        f"witnesses: {', '.join(map(ip_of, record.witnesses))}"
+    )
     status = await system.operator.put_config(CONFIG, 0)
     if status != 200:
         raise ConnectionRefusedError(f"the configuration was answered {status}")
@@ -213,11 +250,13 @@
 def hints(system: SmallSystem) -> str:
     controls = ",".join("{}:{}".format(*control) for control in system.controls)
     ip, port = system.fronts[1]
-    return ("It goes on until Ctrl-C. In another shell:\n"
-            f"  curl -N -d '{{}}' -H 'Host: {HOST}' -H 'Request-Id: 2' -H 'Authorization: Bearer {KEY}' "
-            f"-H 'Model-Name: {MODEL}' -H 'Token-Count: 50,{OUT}' -H 'Prompt-Prefix: {PROMPT}' "
-            f"http://{ip}:{port}{PREFIX}hello\n"
-            f"  rowanshift status --at {controls}\n  rowanshift duties --at {controls}")
+    return (
+        "It goes on until Ctrl-C. In another shell:\n"
+        f"  curl -N -d '{{}}' -H 'Host: {HOST}' -H 'Request-Id: 2' -H 'Authorization: Bearer {KEY}' "
+        f"-H 'Model-Name: {MODEL}' -H 'Token-Count: 50,{OUT}' -H 'Prompt-Prefix: {PROMPT}' "
+        f"http://{ip}:{port}{PREFIX}hello\n"
+        f"  rowanshift status --at {controls}\n  rowanshift duties --at {controls}"
+    )
 
 
 async def end_on_sigterm(scope: trio.CancelScope, task_status=trio.TASK_STATUS_IGNORED) -> None:
--- a/rowanshift/stock/index.py
+++ b/rowanshift/stock/index.py
@@ -52,8 +52,10 @@
         """Takes all that it keeps, from ``/kv-list``."""
         try:
             boot, since = int(answer["bootEpoch"]), int(answer["nextToken"])
-            held = [(mark_of(self.at, str(model), str(salt), str(id)), int(tokens))
-                    for salt, id, tokens, model in answer["held"]]
+            held = [
+                (mark_of(self.at, str(model), str(salt), str(id)), int(tokens))
+                for salt, id, tokens, model in answer["held"]
+            ]
         except (KeyError, TypeError, ValueError) as error:
             raise BadEvents(repr(error)) from error
         self.boot, self.since = boot, since
@@ -63,8 +65,10 @@
         """Takes what changed, from ``/kv-events``; False if there is a gap: then the list is wanted."""
         try:
             boot, since, lost = int(answer["bootEpoch"]), int(answer["nextToken"]), bool(answer["lost"])
-            events = [(sign, mark_of(self.at, str(model), str(salt), str(id)), int(tokens))
-                      for _, sign, salt, id, tokens, model in answer["events"]]
+            events = [
+                (sign, mark_of(self.at, str(model), str(salt), str(id)), int(tokens))
+                for _, sign, salt, id, tokens, model in answer["events"]
+            ]
         except (KeyError, TypeError, ValueError) as error:
             raise BadEvents(repr(error)) from error
         if boot != self.boot or lost:
@@ -112,8 +116,7 @@
         for number, mark, kept in self.changes:
             if number > serial:
                 net[mark] = kept
-        return (False, [mark for mark, kept in net.items() if kept],
-                [mark for mark, kept in net.items() if not kept])
+        return (False, [mark for mark, kept in net.items() if kept], [mark for mark, kept in net.items() if not kept])
 
 
 def packed(marks: list[int]) -> bytes:
@@ -121,4 +124,4 @@
 
 
 def unpacked(data: bytes) -> tuple[int, ...]:
-    return unpack(f">{len(data) // 8}Q", data[:len(data) // 8 * 8])
+    return unpack(f">{len(data) // 8}Q", data[: len(data) // 8 * 8])
--- a/rowanshift/virtual/command.py
+++ b/rowanshift/virtual/command.py
@@ -93,8 +93,16 @@
     return seeds
 
 
-def simulate(file: Path | None, seeds: str, seed: int | None, size: str, workers: int, events: Path | None,
-             shrink: Path | None, as_json: bool) -> int:
+def simulate(
+    file: Path | None,
+    seeds: str,
+    seed: int | None,
+    size: str,
+    workers: int,
+    events: Path | None,
+    shrink: Path | None,
+    as_json: bool,
+) -> int:
     """Plays what is asked for; the exit status. Raises ``UsageError``."""
     if size not in SIZES:
         raise UsageError(f"--size is {size!r}, not one of {', '.join(SIZES)}")
@@ -133,12 +141,13 @@
         say(f"{given.name}: {len(given.trouble)} troubles")
         for trouble in given.trouble:
             who = ",".join(trouble.who) if isinstance(trouble.who, list) else trouble.who
-            say(f"  {trouble.at_s:8.3f} s  {trouble.what:12} {who:8} for {trouble.for_s:g} s, "
-                f"{trouble.value:g}")
+            say(f"  {trouble.at_s:8.3f} s  {trouble.what:12} {who:8} for {trouble.for_s:g} s, {trouble.value:g}")
         _tell(run, sys.stdout)
-        say(f"{run.items} work items in {run.seconds:.1f} simulated seconds, {run.finished:.4f} "
+        say(
+            f"{run.items} work items in {run.seconds:.1f} simulated seconds, {run.finished:.4f} "
             f"finished in time, p99 {run.p99:.3f} s; {run.seconds / run.wall:.1f} simulated seconds a "
-            f"second; digest {run.digest}")
+            f"second; digest {run.digest}"
+        )
     if (run.broken or run.error) and shrink is not None:
         least = Shrinker(lambda one: _fails_alike(run, play(one)), lambda line: print(line, file=sys.stderr))
         why = f"cut down from {given.name}\n" + "\n".join(map(str, run.broken[:1]))
@@ -165,9 +174,16 @@
 
 
 def _as_object(run: Run) -> dict[str, Any]:
-    return {"seed": run.seed, "digest": run.digest, "work_items": run.items, "seconds": run.seconds,
-            "finished_in_time": run.finished, "p99_s": run.p99, "error": run.error,
-            "broken": [{"rule": b.rule, "at": b.at, "who": b.who, "why": b.why} for b in run.broken]}
+    return {
+        "seed": run.seed,
+        "digest": run.digest,
+        "work_items": run.items,
+        "seconds": run.seconds,
+        "finished_in_time": run.finished,
+        "p99_s": run.p99,
+        "error": run.error,
+        "broken": [{"rule": b.rule, "at": b.at, "who": b.who, "why": b.why} for b in run.broken],
+    }
 
 
 def _many(seeds: range, size: str, workers: int, as_json: bool) -> int:
@@ -189,9 +205,18 @@
                     print(f"{n} of {len(seeds)} seeds", file=sys.stderr)
     wall = time.perf_counter() - began
     told = ", ".join(f"rule {rule}: {n}" for rule, n in sorted(rules.items())) or "none"
-    last = {"seeds": len(seeds), "failed": failed, "work_items": items, "broken_rules": dict(rules),
-            "simulated_s_a_wall_s": round(simulated / wall, 1), "digest": digest.hexdigest()}
-    say(orjson.dumps(last, option=orjson.OPT_NON_STR_KEYS).decode() if as_json else
-        f"{len(seeds)} seeds, {items} work items, {failed} seeds failed (broken rules: {told}), "
-        f"{simulated / wall:.1f} simulated seconds a second, digest {digest.hexdigest()}")
+    last = {
+        "seeds": len(seeds),
+        "failed": failed,
+        "work_items": items,
+        "broken_rules": dict(rules),
+        "simulated_s_a_wall_s": round(simulated / wall, 1),
+        "digest": digest.hexdigest(),
+    }
+    say(
+        orjson.dumps(last, option=orjson.OPT_NON_STR_KEYS).decode()
+        if as_json
+        else f"{len(seeds)} seeds, {items} work items, {failed} seeds failed (broken rules: {told}), "
+        f"{simulated / wall:.1f} simulated seconds a second, digest {digest.hexdigest()}"
+    )
     return 1 if failed else 0
