--- a/tests/test_stock.py
+++ b/tests/test_stock.py
@@ -61,15 +61,18 @@
         self.assertEqual(self.source.marks(), {mark("a", "v2."), there(AT)})
 
     def test_events(self):
-        events = [[6, "+", "v1.", "c", 10, "m"], [7, "-", "v1.", "a", 0, "m"],
-                  [8, "-", "v1.", "none", 0, "m"]]
+        events = [[6, "+", "v1.", "c", 10, "m"], [7, "-", "v1.", "a", 0, "m"], [8, "-", "v1.", "none", 0, "m"]]
         self.assertTrue(self.source.take_events(told(events)))
         self.assertEqual(self.source.marks(), {mark("b"), mark("c"), there(AT)})
         self.assertEqual(self.source.since, 9)
 
     def test_events_in_their_order(self):
-        events = [[6, "-", "v1.", "a", 0, "m"], [7, "+", "v1.", "a", 8, "m"], [8, "+", "v1.", "c", 8, "m"],
-                  [9, "-", "v1.", "c", 0, "m"]]
+        events = [
+            [6, "-", "v1.", "a", 0, "m"],
+            [7, "+", "v1.", "a", 8, "m"],
+            [8, "+", "v1.", "c", 8, "m"],
+            [9, "-", "v1.", "c", 0, "m"],
+        ]
         self.assertTrue(self.source.take_events(told(events)))
         self.assertEqual(self.source.marks(), {mark("a"), mark("b"), there(AT)})
 
@@ -82,16 +85,52 @@
             self.assertEqual(self.source.marks(), {mark("c"), there(AT)})
 
     def test_marks_tell_all_apart(self):
-        self.assertEqual(len({mark_of(*fields) for fields in (
-            (AT, "m", "v1.", "a"), ("b:1", "m", "v1.", "a"), (AT, "n", "v1.", "a"), (AT, "m", "v2.", "a"),
-            (AT, "m", "v1.x", "a"), (AT, "m", "v1.", "b"))}), 6)
+        self.assertEqual(
+            len(
+                {
+                    mark_of(*fields)
+                    for fields in (
+                        (AT, "m", "v1.", "a"),
+                        ("b:1", "m", "v1.", "a"),
+                        (AT, "n", "v1.", "a"),
+                        (AT, "m", "v2.", "a"),
+                        (AT, "m", "v1.x", "a"),
+                        (AT, "m", "v1.", "b"),
+                    )
+                }
+            ),
+            6,
+        )
 
     def test_junk_is_refused_and_changes_nothing(self):
-        junk = [None, 1, "x", [], {}, {"bootEpoch": 1}, listed(None), listed([1]), listed([[]]), listed("ab"),
-                listed([["v", "a", "x", "m"]]), listed([["v", "a", 1]]), listed([], boot="x"),
-                listed([], following=None), listed([["v", "a", None, "m"]]), listed([["v", "a", [], "m"]])]
-        events = [told(None), told([1]), told([[]]), told([[1, "+", "v", "a", "x", "m"]]), told([["+"]]),
-                  told([], boot=None), told([], following={}), {"bootEpoch": 1, "nextToken": 1, "events": []}]
+        junk = [
+            None,
+            1,
+            "x",
+            [],
+            {},
+            {"bootEpoch": 1},
+            listed(None),
+            listed([1]),
+            listed([[]]),
+            listed("ab"),
+            listed([["v", "a", "x", "m"]]),
+            listed([["v", "a", 1]]),
+            listed([], boot="x"),
+            listed([], following=None),
+            listed([["v", "a", None, "m"]]),
+            listed([["v", "a", [], "m"]]),
+        ]
+        events = [
+            told(None),
+            told([1]),
+            told([[]]),
+            told([[1, "+", "v", "a", "x", "m"]]),
+            told([["+"]]),
+            told([], boot=None),
+            told([], following={}),
+            {"bootEpoch": 1, "nextToken": 1, "events": []},
+        ]
         before = self.source.marks()
         for take, answers in ((self.source.take_list, junk), (self.source.take_events, junk + events)):
             for answer in answers:
@@ -223,9 +262,15 @@
         return Front(state, None, SimpleNamespace(), None, None, None, None)
 
     def request(self, prefix):
-        return request_of(Message(b"POST", b"/v1", fields=[
-            (b"request-id", b"r"), (b"host", b"h"), (b"model-name", b"m"), (b"prompt-prefix", prefix)],
-            body=b"{}"), 0.0)
+        return request_of(
+            Message(
+                b"POST",
+                b"/v1",
+                fields=[(b"request-id", b"r"), (b"host", b"h"), (b"model-name", b"m"), (b"prompt-prefix", prefix)],
+                body=b"{}",
+            ),
+            0.0,
+        )
 
     def sent(self, stored, prefix, home, tenant=None):
         request = self.request(prefix)
@@ -239,10 +284,14 @@
         chance = random.Random(1)
         home = Engine("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
         every = [there(at) for at in self.STORES] + [
-            index.mark_of(at, "m", salt, id) for at in self.STORES for salt in ("v3.", "v2.", "v3.t")
-            for id in ("a", "b", "c")]
+            index.mark_of(at, "m", salt, id)
+            for at in self.STORES
+            for salt in ("v3.", "v2.", "v3.t")
+            for id in ("a", "b", "c")
+        ]
         allowed = {b"Kv-Fetch: " + at.encode() for at in (*self.STORES, home.address)} | {
-            b"Kv-Save: " + at.encode() for at in self.STORES}
+            b"Kv-Save: " + at.encode() for at in self.STORES
+        }
         for prefix in (b"a:100,b:64,c:7", b"a:1,b:2", b"a:9", b""):
             plain, _ = self.sent(set(), prefix, None)
             seen = set()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -171,8 +171,10 @@
             self.record = b"%d " % number + draw.randbytes(draw.choice((10, 3000, 30_000)))
             before = len(images)
             store.write(self.record)
-            self.assertEqual([name for name, _, _ in images[before:]],
-                             ["before begin", "before put", "after put", "before commit", "after commit"])
+            self.assertEqual(
+                [name for name, _, _ in images[before:]],
+                ["before begin", "before put", "after put", "before commit", "after commit"],
+            )
             allowed = {self.record}
         store.close()
         for number, (name, image, records) in enumerate(images):
@@ -194,7 +196,7 @@
             store.write(record)
             after = (self.path / DATA_FILE).read_bytes()
             before += bytes(len(after) - len(before))
-            pages = [at for at in range(0, len(after), PAGE) if before[at:at + PAGE] != after[at:at + PAGE]]
+            pages = [at for at in range(0, len(after), PAGE) if before[at : at + PAGE] != after[at : at + PAGE]]
             metas = [at for at in pages if at < METAS * PAGE]
             self.assertEqual(len(metas), 1)
             for _ in range(10):
@@ -395,7 +397,7 @@
     def test_cut_short(self) -> None:
         self.written(bytes(50_000))
         data = (self.path / DATA_FILE).read_bytes()
-        (self.path / DATA_FILE).write_bytes(data[:3 * PAGE])
+        (self.path / DATA_FILE).write_bytes(data[: 3 * PAGE])
         self.assertIn("cut short", self.unchanged())
 
 
--- a/tests/test_system_virtual.py
+++ b/tests/test_system_virtual.py
@@ -87,6 +87,7 @@
     def through(self, trouble, least=0.9, rest=3.0, seed="f", **given):
         """Plays a trouble: rules are kept, ``least`` of what was asked meanwhile is answered whole, and
         nearly all that is asked in the last seconds."""
+
         async def main(fleet):
             await begun(fleet)
             since = fleet.now()
@@ -130,12 +131,21 @@
 
     def test_a_seed_replays_in_another_process(self):
         """Whatever the hashes of strings are."""
-        text = ("import test_system_virtual as t, hashlib; t.setUpModule(); "
-                "print(hashlib.sha256(repr(t.play(t.replayed, 'a')[1].facts).encode()).hexdigest())")
+        text = (
+            "import test_system_virtual as t, hashlib; t.setUpModule(); "
+            "print(hashlib.sha256(repr(t.play(t.replayed, 'a')[1].facts).encode()).hexdigest())"
+        )
         path = os.pathsep.join([os.path.dirname(__file__), *sys.path])
-        told = [subprocess.run([sys.executable, "-c", text], env={**os.environ, "PYTHONHASHSEED": seed,
-                                                                  "PYTHONPATH": path},
-                               capture_output=True, text=True, check=True).stdout for seed in "14"]
+        told = [
+            subprocess.run(
+                [sys.executable, "-c", text],
+                env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": path},
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+            for seed in "14"
+        ]
         self.assertEqual(told[0], told[1])
 
     def test_a_seed_replays(self):
@@ -462,8 +472,9 @@
             await fleet.start()
             fleet.crowd(3)
             await trio.sleep(1)
-            seen = [await fleet.race(config_of(n, limits={"maxBodyBytes": 70_000}), config_of(n + 1))
-                    for n in (10, 20, 30)]
+            seen = [
+                await fleet.race(config_of(n, limits={"maxBodyBytes": 70_000}), config_of(n + 1)) for n in (10, 20, 30)
+            ]
             got = await fleet.operator.read_config()
             return seen, got["revision"], fleet.revision
 
@@ -533,6 +544,7 @@
 
     def test_power_goes_in_the_middle_of_a_change(self):
         """What is read back is the last that was acknowledged, or one that was sent after it."""
+
         async def main(fleet, after, lost):
             async def change():
                 while True:
@@ -651,8 +663,7 @@
             fleet.crowd(9)
             await trio.sleep(2)
 
-        self.found("WALL", scenario, mock.patch.object(
-            requests, "salt_of", lambda tenant, version: b"v%d" % version))
+        self.found("WALL", scenario, mock.patch.object(requests, "salt_of", lambda tenant, version: b"v%d" % version))
 
     def test_a_counter_keeps_its_first_configuration(self):
         true = channel.Channel._take
@@ -675,8 +686,13 @@
             await trio.sleep(0.5)
             await fleet.release(fleet.servers[1], 6.0)
 
-        self.found("DRAIN", scenario, mock.patch.object(
-            channel, "engine_of", lambda row: true(replace(row, state=row.state & ~channel.DRAINING))))
+        self.found(
+            "DRAIN",
+            scenario,
+            mock.patch.object(
+                channel, "engine_of", lambda row: true(replace(row, state=row.state & ~channel.DRAINING))
+            ),
+        )
 
     def test_a_version_is_never_rolled_out(self):
         async def scenario(fleet):
@@ -699,8 +715,9 @@
         def dumps(data):
             return orjson.dumps(data | {"fenceToken": 7})
 
-        self.found("ONE", scenario, mock.patch.object(
-            duties, "orjson", SimpleNamespace(dumps=dumps, loads=orjson.loads)))
+        self.found(
+            "ONE", scenario, mock.patch.object(duties, "orjson", SimpleNamespace(dumps=dumps, loads=orjson.loads))
+        )
 
 
 class Disks(unittest.TestCase):
@@ -734,8 +751,9 @@
         async def main(machine):
             seen = set()
             for _ in range(40):
-                disk = machine.drive = VirtualDisk(machine.network.clock.current_time,
-                                                   random.Random(f"{machine.network.clock.time}"))
+                disk = machine.drive = VirtualDisk(
+                    machine.network.clock.current_time, random.Random(f"{machine.network.clock.time}")
+                )
                 disk.open()
                 await machine.in_thread(partial(disk.write, b"one"))
                 disk.write(b"two")  # its sync has not ended
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -25,9 +25,14 @@
     def inside(times, start):
         return bisect_right(times, start + window) - bisect_left(times, start)
 
-    return max((inside(repeats, start) - RATIO * max(inside(requests, start - back)
-                                                     for back in (0.0, window / 2, window))
-                for at in repeats for start in (at, at - window)), default=0.0)
+    return max(
+        (
+            inside(repeats, start) - RATIO * max(inside(requests, start - back) for back in (0.0, window / 2, window))
+            for at in repeats
+            for start in (at, at - window)
+        ),
+        default=0.0,
+    )
 
 
 def worst(requests, repeats, window=WINDOW, ends=(False, True)):
@@ -91,7 +96,7 @@
         """Whatever the rate: what a counter spent when it sends one more is worth its own requests."""
         for seed in range(4):
             chance = random.Random(seed)
-            budget, = budgets(1)
+            (budget,) = budgets(1)
             requests, repeats, now = [], [], 0.0
             for _ in range(500):
                 now += chance.choice((0.0, 0.003, 0.05, 0.4, 3.0)) * chance.random()
@@ -110,7 +115,7 @@
 
     def broken_off(self, late):
         """A thousand requests in a second, and all the repeats that are allowed some time later."""
-        budget, = budgets(1)
+        (budget,) = budgets(1)
         requests, repeats = [n / 1000 for n in range(1000)], []
         for at in requests:
             budget.request(at)
@@ -130,8 +135,7 @@
 
     def test_a_rate_that_falls_to_a_tenth(self):
         for count in (1, 80):
-            requests, repeats = self.run_all(budgets(count), count,
-                                             lambda now: 60.0 if now % 20 < 10 else 6.0)
+            requests, repeats = self.run_all(budgets(count), count, lambda now: 60.0 if now % 20 < 10 else 6.0)
             self.assertLessEqual(worst(requests, repeats), SLACK, f"{count} counters")
 
 
@@ -142,7 +146,7 @@
             self.assertNotIn(True, taken)
 
     def test_own_requests_count_while_members_are_not_known(self):
-        budget, = budgets(1, 0)
+        (budget,) = budgets(1, 0)
         for _ in range(100):
             budget.request(1.0)
         self.assertEqual(sum(budget.take(1.0) for _ in range(100)), int(SURE * RATIO * 100 + 1e-9))
@@ -154,7 +158,7 @@
 
     def test_members_that_change(self):
         """A part follows the members known; what was taken before counts on."""
-        budget, = budgets(1)
+        (budget,) = budgets(1)
         self.assertEqual(sum(budget.take(1.0) for _ in range(20)), int(SURE * SLACK))
         budget.members = 2
         self.assertFalse(budget.take(2.0))
@@ -184,7 +188,7 @@
 
 class Ageing(Case):
     def test_requests_leave_the_window(self):
-        budget, = budgets(1, slack=0.0)
+        (budget,) = budgets(1, slack=0.0)
         for _ in range(100):
             budget.request(0.25)
         self.assertTrue(budget.take(WINDOW))
@@ -192,14 +196,14 @@
         self.assertFalse(budget.asked)
 
     def test_repeats_leave_it_later_than_requests(self):
-        budget, = budgets(1)
+        (budget,) = budgets(1)
         while budget.take(0.25):
             pass
         self.assertFalse(budget.take(0.25 + WINDOW))
         self.assertTrue(budget.take(1.5 + WINDOW))
 
     def test_what_is_kept_is_bounded(self):
-        budget, = budgets(1)
+        (budget,) = budgets(1)
         for n in range(4000):
             budget.request(n / 20)
             budget.take(n / 20)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -46,12 +46,19 @@
 
 NAMED = sorted(Path(__file__).parent.parent.glob("examples/scenarios/*.toml"))
 FOUND = {  # a seed at which each planted fault breaks a rule, and which
-    "answers_twice": (0, 1), "sends_after_the_grace": (1, 3), "resends_an_exclusive_one": (12, 2),
-    "resends_a_ticketed_one_anywhere": (5, 2), "defers_what_may_have_run": (5, 2),
-    "holds_to_the_expiry": (23, 1), "loses_what_it_held_at_a_reload": (2, 5),
+    "answers_twice": (0, 1),
+    "sends_after_the_grace": (1, 3),
+    "resends_an_exclusive_one": (12, 2),
+    "resends_a_ticketed_one_anywhere": (5, 2),
+    "defers_what_may_have_run": (5, 2),
+    "holds_to_the_expiry": (23, 1),
+    "loses_what_it_held_at_a_reload": (2, 5),
     "keeps_a_connection_with_bytes_left_over": (5, 1),
-    "leaks_a_descriptor": (5, 5), "trusts_an_old_generation": (57, 3), "answers_and_goes_on": (0, 1),
-    "sends_a_second_copy": (0, 2), "keeps_exchanges_of_gone_clients": (13, 5),
+    "leaks_a_descriptor": (5, 5),
+    "trusts_an_old_generation": (57, 3),
+    "answers_and_goes_on": (0, 1),
+    "sends_a_second_copy": (0, 2),
+    "keeps_exchanges_of_gone_clients": (13, 5),
     "forgets_to_give_memory_back": (0, 5),
 }
 NOT_YET = {"ignores_cold_room", "has_no_origin_gate", "dials_on_after_a_drain"}
@@ -115,15 +122,17 @@
             while len(got) < len(sent):
                 await theirs.wait_readable()
                 space = bytearray(100)
-                got += space[:theirs.recv_into(memoryview(space))]
+                got += space[: theirs.recv_into(memoryview(space))]
         return bytes(got), network.clock.time
 
     got, took = virtually(main, window=window, partial=partial)
     assert got == sent and (took > 0.2) == (window < 65536)
 
 
-@pytest.mark.parametrize(("what", "failed", "at_least"), [
-    ("nobody listens", errno.ECONNREFUSED, 0.02), ("backlog", 0, 1.0), ("cut", 0, 1.0), ("away", None, 9.0)])
+@pytest.mark.parametrize(
+    ("what", "failed", "at_least"),
+    [("nobody listens", errno.ECONNREFUSED, 0.02), ("backlog", 0, 1.0), ("cut", 0, 1.0), ("away", None, 9.0)],
+)
 def test_dials_are_refused_late_or_never_come_up(what, failed, at_least):
     async def main(network, one, other):
         if what != "nobody listens":
@@ -148,9 +157,17 @@
     assert result == failed and took >= at_least
 
 
-@pytest.mark.parametrize(("how", "result"), [
-    ("close", b""), ("close unread", errno.ECONNRESET), ("kill", errno.ECONNRESET), ("vanish", "silence"),
-    ("cut", "silence"), ("half close", b"")])
+@pytest.mark.parametrize(
+    ("how", "result"),
+    [
+        ("close", b""),
+        ("close unread", errno.ECONNRESET),
+        ("kill", errno.ECONNRESET),
+        ("vanish", "silence"),
+        ("cut", "silence"),
+        ("half close", b""),
+    ],
+)
 def test_an_end_is_seen_as_real_systems_show_it(how, result):
     async def main(network, one, other):
         ours, theirs, _ = await pair(network, one, other)
@@ -160,8 +177,14 @@
         if how == "cut":
             network.cut(0, 1)
             theirs.close()
-        actions = {"close": theirs.close, "close unread": theirs.close, "kill": other.kill,
-                   "vanish": other.vanish, "half close": theirs.end, "cut": int}
+        actions = {
+            "close": theirs.close,
+            "close unread": theirs.close,
+            "kill": other.kill,
+            "vanish": other.vanish,
+            "half close": theirs.end,
+            "cut": int,
+        }
         actions[how]()
         with trio.move_on_after(5):
             await ours.wait_readable()
@@ -217,8 +240,10 @@
     assert virtually(main) == [("reads", False, 3.0), ("waits", True, 3.0)]
 
 
-@pytest.mark.parametrize(("paths", "least", "most"), [
-    ({"lost": 1.0}, 0, 0), ({"doubled": 1.0}, 40, 40), ({"lost": 0.5}, 3, 17), ({"late": 1.0}, 20, 20)])
+@pytest.mark.parametrize(
+    ("paths", "least", "most"),
+    [({"lost": 1.0}, 0, 0), ({"doubled": 1.0}, 40, 40), ({"lost": 0.5}, 3, 17), ({"late": 1.0}, 20, 20)],
+)
 def test_datagrams_are_lost_doubled_and_late(paths, least, most):
     async def main(network, one, other):
         out, into = one.port((one.address, 9)), other.port((other.address, 9))
@@ -239,9 +264,14 @@
 
 # the rules --------------------------------------------------
 
-TERMS = Terms({"read": Category(1, 0.5, Semantics.RERUNNABLE, "", 0.0),
-               "save": Category(1, 0.5, Semantics.TICKETED, "zone", 2.0),
-               "order": Category(1, 0.5, Semantics.EXCLUSIVE, "", 0.0)}, 0.5)
+TERMS = Terms(
+    {
+        "read": Category(1, 0.5, Semantics.RERUNNABLE, "", 0.0),
+        "save": Category(1, 0.5, Semantics.TICKETED, "zone", 2.0),
+        "order": Category(1, 0.5, Semantics.EXCLUSIVE, "", 0.0),
+    },
+    0.5,
+)
 
 
 def ask(category, at=0.0):
@@ -256,41 +286,47 @@
     return at, "answered", "t", status, at, made
 
 
-@pytest.mark.parametrize(("facts", "rule"), [
-    ([ask("read"), reach(0.1), (0.2, "replied", "t", "c0", "served", 0.2), answer(0.2)], None),
-    ([ask("read"), reach(0.1), answer(0.2, made=False)], 1),
-    ([ask("read"), reach(0.1), answer(0.2), answer(0.3)], 1),
-    ([ask("read"), reach(0.1), (0.2, "withdrawn", "t", "c0"), answer(0.2), reach(0.3, "c1")], 1),
-    ([ask("read"), (3.0, "trouble", "", "")], 1),
-    ([ask("read"), answer(1.9, 503)], 1), ([ask("read"), answer(0.2, 503)], None),
-    ([ask("read"), (0.1, "stalled", "r0"), (5.0, "went_on", "r0"), answer(5.05)], None),
-    ([ask("read"), (0.1, "stalled", "r0"), (5.0, "went_on", "r0"), (5.3, "trouble", "", "")], 1),
-    ([ask("read"), (0.1, "down", "r0", "killed"), (0.2, "ended", "t", "lost")], None),
-    ([ask("read"), (0.1, "ended", "t", "lost")], 1),
-    ([ask("read"), (0.1, "ended", "t", "crossed"), ask("read", 0.2), answer(0.3)], None),
-    ([ask("read"), reach(0.1), reach(0.2, "c1")], 2),
-    ([ask("read"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.2, "c1")], None),
-    # a server that stood still reads late what was taken back before the next hand-off, or was not
-    ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.4, "given_up", "t", "c0", 0.29)], None),
-    ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.4, "given_up", "t", "c0", 0.31)], 2),
-    ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.5, "replied", "t", "c0", "miss", 0.5)], 2),
-    ([ask("order"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.2, "c1")], 2),
-    ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "away", 0.2), reach(0.3, "c1")], None),
-    ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "error", 0.2), answer(0.3, 503)], 2),
-    ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "error", 0.2), answer(0.3, 502)], None),
-    ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.3, "c1", 0)], None),
-    ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.3, "c1", 1)], 2),
-    ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), answer(0.3, 503)], 2),
-    ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(0.54)], None),
-    ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(0.6)], 3),
-    ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(1.5, first_at=0.3)], None),
-    ([(0.0, "told", "r0", "c0", "dead"), (0.1, "told", "r0", "c0", "live"), ask("read"), reach(0.9)],
-     None),
-    ([(0.0, "fell", "c0", 0.3)], 4), ([(0.0, "fell", "c0", 1.0)], None),
-    ([(0.0, "stopped", "origin", 0.6)], 4), ([(0.0, "stopped", "origin", 0.4)], None),
-    ([(0.0, "left_over", "r0", "descriptors", 1)], 5), ([(0.0, "left_over", "r0", "descriptors", 0)], None),
-    ([(0.0, "down", "r0", "crashed")], 1),
-])
+@pytest.mark.parametrize(
+    ("facts", "rule"),
+    [
+        ([ask("read"), reach(0.1), (0.2, "replied", "t", "c0", "served", 0.2), answer(0.2)], None),
+        ([ask("read"), reach(0.1), answer(0.2, made=False)], 1),
+        ([ask("read"), reach(0.1), answer(0.2), answer(0.3)], 1),
+        ([ask("read"), reach(0.1), (0.2, "withdrawn", "t", "c0"), answer(0.2), reach(0.3, "c1")], 1),
+        ([ask("read"), (3.0, "trouble", "", "")], 1),
+        ([ask("read"), answer(1.9, 503)], 1),
+        ([ask("read"), answer(0.2, 503)], None),
+        ([ask("read"), (0.1, "stalled", "r0"), (5.0, "went_on", "r0"), answer(5.05)], None),
+        ([ask("read"), (0.1, "stalled", "r0"), (5.0, "went_on", "r0"), (5.3, "trouble", "", "")], 1),
+        ([ask("read"), (0.1, "down", "r0", "killed"), (0.2, "ended", "t", "lost")], None),
+        ([ask("read"), (0.1, "ended", "t", "lost")], 1),
+        ([ask("read"), (0.1, "ended", "t", "crossed"), ask("read", 0.2), answer(0.3)], None),
+        ([ask("read"), reach(0.1), reach(0.2, "c1")], 2),
+        ([ask("read"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.2, "c1")], None),
+        # a server that stood still reads late what was taken back before the next hand-off, or was not
+        ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.4, "given_up", "t", "c0", 0.29)], None),
+        ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.4, "given_up", "t", "c0", 0.31)], 2),
+        ([ask("read"), reach(0.3, "c1"), reach(0.4, first_at=0.1), (0.5, "replied", "t", "c0", "miss", 0.5)], 2),
+        ([ask("order"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.2, "c1")], 2),
+        ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "away", 0.2), reach(0.3, "c1")], None),
+        ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "error", 0.2), answer(0.3, 503)], 2),
+        ([ask("order"), reach(0.1), (0.2, "replied", "t", "c0", "error", 0.2), answer(0.3, 502)], None),
+        ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.3, "c1", 0)], None),
+        ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), reach(0.3, "c1", 1)], 2),
+        ([ask("save"), reach(0.1), (0.2, "withdrawn", "t", "c0"), answer(0.3, 503)], 2),
+        ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(0.54)], None),
+        ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(0.6)], 3),
+        ([(0.0, "told", "r0", "c0", "quiescing"), ask("read"), reach(1.5, first_at=0.3)], None),
+        ([(0.0, "told", "r0", "c0", "dead"), (0.1, "told", "r0", "c0", "live"), ask("read"), reach(0.9)], None),
+        ([(0.0, "fell", "c0", 0.3)], 4),
+        ([(0.0, "fell", "c0", 1.0)], None),
+        ([(0.0, "stopped", "origin", 0.6)], 4),
+        ([(0.0, "stopped", "origin", 0.4)], None),
+        ([(0.0, "left_over", "r0", "descriptors", 1)], 5),
+        ([(0.0, "left_over", "r0", "descriptors", 0)], None),
+        ([(0.0, "down", "r0", "crashed")], 1),
+    ],
+)
 def test_each_rule_is_broken_by_just_what_breaks_it(facts, rule):
     rules = Rules(TERMS)
     for fact in facts:
@@ -309,7 +345,7 @@
     for n in range(int(1.5 * PARTS)):
         for _ in range(10):
             told.append(meter.add((n + 0.5) / PARTS, 2.0 * rate * 3 / PARTS / 10, 3.0))
-    assert any(told) == over and not any(told[:10 * PARTS])
+    assert any(told) == over and not any(told[: 10 * PARTS])
 
 
 # scenarios --------------------------------------------------
@@ -329,16 +365,22 @@
     assert set(DRAWN) == set(WHAT) == {name[4:] for name in dir(World) if name.startswith("_do_")}
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("seconds = 0", "Expected `float` >= 1"), ("speed = 1", "unknown field `speed`"), ("seed = ", "not TOML"),
-    ("[[trouble]]\nat_s = 1\nwhat = 'dance'", r"trouble\[0\]: what is 'dance'"),
-    ("[[trouble]]\nat_s = 99\nwhat = 'void'", "after the end"),
-    ("[[trouble]]\nat_s = 9\nwhat = 'kill'\nwho = 'r7'", "the fleet does not have"),
-    ("[[trouble]]\nat_s = 9\nwhat = 'cut'\nwho = '0-9'", "not two sites"),
-    ("[fleet]\nslowest = 9", "above fleet.fastest"), ("[work]\nrate = -1", r"\$.work.rate"),
-    ("[[category]]\nname = 'a'\nshare = 1\ndue_s = 3\nexpiry_s = 1", "due_s is above"),
-    ("[[category]]\nname = 'A b'\nshare = 1\ndue_s = 1\nexpiry_s = 1", "category"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("seconds = 0", "Expected `float` >= 1"),
+        ("speed = 1", "unknown field `speed`"),
+        ("seed = ", "not TOML"),
+        ("[[trouble]]\nat_s = 1\nwhat = 'dance'", r"trouble\[0\]: what is 'dance'"),
+        ("[[trouble]]\nat_s = 99\nwhat = 'void'", "after the end"),
+        ("[[trouble]]\nat_s = 9\nwhat = 'kill'\nwho = 'r7'", "the fleet does not have"),
+        ("[[trouble]]\nat_s = 9\nwhat = 'cut'\nwho = '0-9'", "not two sites"),
+        ("[fleet]\nslowest = 9", "above fleet.fastest"),
+        ("[work]\nrate = -1", r"\$.work.rate"),
+        ("[[category]]\nname = 'a'\nshare = 1\ndue_s = 3\nexpiry_s = 1", "due_s is above"),
+        ("[[category]]\nname = 'A b'\nshare = 1\ndue_s = 1\nexpiry_s = 1", "category"),
+    ],
+)
 def test_a_bad_scenario_is_one_message_and_exit_code_2(text, says, tmp_path):
     path = tmp_path / "s.toml"
     path.write_text(text)
@@ -363,12 +405,21 @@
 
 
 def test_a_seed_replays_in_another_process_with_other_hashes_and_other_seeds_before_it():
-    code = ("import sys; sys.path.insert(0, 'tests'); from test_virtual import digest_of\n"
-            "for seed in sys.argv[1:]: print(digest_of(int(seed)))")
+    code = (
+        "import sys; sys.path.insert(0, 'tests'); from test_virtual import digest_of\n"
+        "for seed in sys.argv[1:]: print(digest_of(int(seed)))"
+    )
     args = [["3"], ["12", "3"]]
-    got = [subprocess.run([sys.executable, "-c", code, *seeds], capture_output=True, text=True, check=True,
-                          env=os.environ | {"PYTHONHASHSEED": str(n), "PYTHONPATH": "."}).stdout.split()[-1]
-           for n, seeds in enumerate(args, 1)]
+    got = [
+        subprocess.run(
+            [sys.executable, "-c", code, *seeds],
+            capture_output=True,
+            text=True,
+            check=True,
+            env=os.environ | {"PYTHONHASHSEED": str(n), "PYTHONPATH": "."},
+        ).stdout.split()[-1]
+        for n, seeds in enumerate(args, 1)
+    ]
     assert got[0] == got[1] == digest_of(3) != digest_of(12)
 
 
@@ -404,16 +455,21 @@
     return run, [fact[1:4] for fact in facts if fact[1] in ("down", "signalled", "trouble", "stalled")]
 
 
-@pytest.mark.parametrize(("name", "happened"), [
-    ("four-troubles", ("trouble", "cut", "0-1")),
-    ("drain-with-lost-messages", ("trouble", "drain_lost", "c1,c4")),
-    ("new-id-at-an-old-address", ("trouble", "moved", "c3")), ("router-killed", ("down", "r1", "killed")),
-    ("sigterm-while-the-origin-is-stopped", ("down", "r2", "ended")),
-    ("list-goes-back", ("trouble", "list_over", "")),
-    ("router-stands-still", ("stalled", "r0"))])
+@pytest.mark.parametrize(
+    ("name", "happened"),
+    [
+        ("four-troubles", ("trouble", "cut", "0-1")),
+        ("drain-with-lost-messages", ("trouble", "drain_lost", "c1,c4")),
+        ("new-id-at-an-old-address", ("trouble", "moved", "c3")),
+        ("router-killed", ("down", "r1", "killed")),
+        ("sigterm-while-the-origin-is-stopped", ("down", "r2", "ended")),
+        ("list-goes-back", ("trouble", "list_over", "")),
+        ("router-stands-still", ("stalled", "r0")),
+    ],
+)
 def test_the_hard_cases_keep_the_rules(name, happened, named_runs):
     run, facts = next(value for path, value in named_runs.items() if path.stem == name)
-    assert happened in [fact[:len(happened)] for fact in facts]
+    assert happened in [fact[: len(happened)] for fact in facts]
     assert run.broken == [] and not run.error and run.items > 1000 and run.finished > 0.8
 
 
@@ -451,8 +507,14 @@
         return "cut" in kinds and "kill" in kinds and one.fleet.caches >= 3 and one.seconds >= 9.5
 
     rows = [Trouble(1.0 * n, what) for n, what in enumerate(["void", "cut", "shift", "kill", "grow", "lose"])]
-    first = Scenario("s", 1, 60.0, Fleet(routers=5, caches=20, sites=3, queue=8), trouble=rows,
-                     category=[CategoryRow("read", 1.0, 0.5, 2.0)])
+    first = Scenario(
+        "s",
+        1,
+        60.0,
+        Fleet(routers=5, caches=20, sites=3, queue=8),
+        trouble=rows,
+        category=[CategoryRow("read", 1.0, 0.5, 2.0)],
+    )
     least = Shrinker(fails).shrink(first)
     assert [t.what for t in least.trouble] == ["cut", "kill"] and fails(least)
     assert (least.fleet.caches, least.fleet.routers, least.fleet.queue) == (3, 1, Fleet().queue)
@@ -484,8 +546,12 @@
 
 
 def test_the_demo_runs_a_router_between_stand_ins_on_real_sockets():
-    done = subprocess.run([sys.executable, "-m", "rowanshift", "demo", "--router", "--no-stay"],
-                          capture_output=True, text=True, timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-m", "rowanshift", "demo", "--router", "--no-stay"],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
     lines = done.stdout.splitlines()
     assert done.returncode == 0 and len(lines) == 8 and all(" 200 " in line for line in lines)
     assert "from the origin" in lines[0] and "hit" in lines[1] and lines[7].endswith("hello v1")
@@ -493,8 +559,9 @@
 
 def test_the_demo_without_a_router_leaves_the_stand_ins_to_routers_beside_it():
     # guards against a trial of a replaced process whose servers end with the first router
-    with subprocess.Popen([sys.executable, "-m", "rowanshift", "demo", "--no-router"], stdout=subprocess.PIPE,
-                          text=True) as demo:
+    with subprocess.Popen(
+        [sys.executable, "-m", "rowanshift", "demo", "--no-router"], stdout=subprocess.PIPE, text=True
+    ) as demo:
         try:
             first = demo.stdout.readline()
             for _ in range(200):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -24,14 +24,17 @@
     assert run('{"wall_us":1,"parts":[]}') == [{"parts": []}]
 
 
-@pytest.mark.parametrize(("line", "says"), [
-    ("nonsense", "line 1: not JSON"),
-    ('{"parts":[]}', "line 1: not a batch"),
-    (batch(["strange"]), "unknown event 'strange'"),
-    (batch(["order", 1]), "order before its start"),
-    (batch(["start", 1, {}]), "the settings lack 'limits'"),
-    (batch(["start", 1, None]), "a setting can't be used"),
-])
+@pytest.mark.parametrize(
+    ("line", "says"),
+    [
+        ("nonsense", "line 1: not JSON"),
+        ('{"parts":[]}', "line 1: not a batch"),
+        (batch(["strange"]), "unknown event 'strange'"),
+        (batch(["order", 1]), "order before its start"),
+        (batch(["start", 1, {}]), "the settings lack 'limits'"),
+        (batch(["start", 1, None]), "a setting can't be used"),
+    ],
+)
 def test_bad_input_is_named(line, says):
     with pytest.raises(WireError, match=says):
         run(line)
@@ -44,29 +47,43 @@
 
 OLD = {
     "categories": [{"credit": 1.0, "due_time_us": 500000, "semantics": "safe"}],
-    "replicas_of_me": 3, "ordinal": 0, "registry_mode": "push",
+    "replicas_of_me": 3,
+    "ordinal": 0,
+    "registry_mode": "push",
     "limits": {"peers": False, "retry_after": False, "max_hand_offs": 4},
-    "guarantees": {"ask_within_us": 1, "overload_factor": 3, "overload_for_us": 1, "start_capacity": 0.2,
-                   "warm_within_us": 1},
+    "guarantees": {
+        "ask_within_us": 1,
+        "overload_factor": 3,
+        "overload_for_us": 1,
+        "start_capacity": 0.2,
+        "warm_within_us": 1,
+    },
 }
 
 
-@pytest.mark.parametrize(("new", "cancelling", "slow_end", "miss_share"), [
-    ({}, True, 0.0, 0.0), ({"objective_mix": {"slow_end": 0.2, "miss_share": 0.02}}, True, 0.2, 0.02),
-    ({"objective_mix": {"whole": 1.0}, "limits": OLD["limits"] | {"cancelling": False}}, False, 0.0, 0.0)])
+@pytest.mark.parametrize(
+    ("new", "cancelling", "slow_end", "miss_share"),
+    [
+        ({}, True, 0.0, 0.0),
+        ({"objective_mix": {"slow_end": 0.2, "miss_share": 0.02}}, True, 0.2, 0.02),
+        ({"objective_mix": {"whole": 1.0}, "limits": OLD["limits"] | {"cancelling": False}}, False, 0.0, 0.0),
+    ],
+)
 def test_settings_of_the_new_shape_are_optional(new, cancelling, slow_end, miss_share):
     got = settings_of(OLD | new)
     assert (got.cancelling, got.slow_end, got.miss_share) == (cancelling, slow_end, miss_share)
 
 
-@pytest.mark.parametrize(("data", "path", "says"), [
-    ({"objective_mix": {"slow_end": 2}}, "objective_mix.slow_end",
-     "objective_mix.slow_end: a number from 0 to 1"),
-    ({"objective_mix": {"slow_end": True}}, "objective_mix.slow_end", "slow_end: a number .* not True"),
-    ({"objective_mix": {"slow_end": float("nan")}}, "objective_mix.slow_end", "not nan"),
-    ({"objective_mix": []}, "objective_mix.slow_end", "slow_end stands in what is no object"),
-    ({"limits": {"cancelling": 1}}, "limits.cancelling", "limits.cancelling: true or false expected"),
-])
+@pytest.mark.parametrize(
+    ("data", "path", "says"),
+    [
+        ({"objective_mix": {"slow_end": 2}}, "objective_mix.slow_end", "objective_mix.slow_end: a number from 0 to 1"),
+        ({"objective_mix": {"slow_end": True}}, "objective_mix.slow_end", "slow_end: a number .* not True"),
+        ({"objective_mix": {"slow_end": float("nan")}}, "objective_mix.slow_end", "not nan"),
+        ({"objective_mix": []}, "objective_mix.slow_end", "slow_end stands in what is no object"),
+        ({"limits": {"cancelling": 1}}, "limits.cancelling", "limits.cancelling: true or false expected"),
+    ],
+)
 def test_a_setting_that_can_not_be_used_is_named_by_its_whole_path(data, path, says):
     with pytest.raises(SettingsError, match=says):
         optional(data, path)
