--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make demo: a small whole system between stand-ins on loopback; make demo-router: the router for caches;
 # make test: lint and the tests. Each makes what it needs.
 PYTHON ?= python3
+WORKERS ?= 8
 
 .venv/requirements.txt: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -19,5 +20,6 @@
 	.venv/bin/python -m rowanshift demo --router
 
 test: .venv/requirements-dev.txt
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n $(WORKERS) --dist loadgroup
--- a/rowanshift/capacity/child.py
+++ b/rowanshift/capacity/child.py
@@ -55,9 +55,9 @@
         channel = real_channel(host, address)
         nursery.start_soon(channel.run)
         while (command := await told(pipe)) != "stop":
-            roster, mark = command
+            registry, mark = command
             with trio.fail_after(WITHIN):
-                while channel.roster < roster or channel.mark != mark:
+                while channel.registry < registry or channel.mark != mark:
                     await channel.changed(0.5)
             pipe.send(figures(host))
         nursery.cancel_scope.cancel()
--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -11,18 +11,18 @@
 import orjson
 import trio
 
-from rowanshift.boot import boot_of
 from rowanshift.capacity.meter import Loopback, free_port
-from rowanshift.counter.channel import Channel
-from rowanshift.ledger.duties import LIST_EVERY
-from rowanshift.ledger.node import NotConfirmed, NotPrimary, OutcomeUnknown
-from rowanshift.ledger.roster import Known, known_of
-from rowanshift.ledger.service import Desk
-from rowanshift.ledger.sheet import put_config, put_version, unpack
+from rowanshift.controlplane.control_state import put_config, put_version, unpack
+from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown
+from rowanshift.controlplane.server_registry import Known, known_of
+from rowanshift.controlplane.service import ControlPlaneService
+from rowanshift.controlplane.singleton_tasks import LIST_EVERY
+from rowanshift.dataplane.control_client import ControlClient
 from rowanshift.net.ring import Ring
 from rowanshift.net.transport import Address, connect, receive, send_all
-from rowanshift.records.codec import Frames
-from rowanshift.records.delivery import CODEC, Poll, Update
+from rowanshift.node_settings import node_settings_of
+from rowanshift.wire.codec import Frames
+from rowanshift.wire.delivery import CODEC, Poll, Update
 
 MACHINE = 127 << 24 | 1 << 16  # the first hollow router's
 SERVES_WITHIN = 10.0  # seconds for the ledger to be primary
@@ -145,8 +145,8 @@
     def __init__(self, host: Loopback, servers: int, tenants: int, routes: int, pools: int, zones: int = 10) -> None:
         port, control = free_port(), free_port()
         self.host = host
-        self.desk = Desk(
-            boot_of(
+        self.core_service = ControlPlaneService(
+            node_settings_of(
                 {
                     "nodeName": "hollow",
                     "machineClass": "core",
@@ -168,37 +168,41 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Returns once it is primary and filled."""
-        nursery.start_soon(self.desk.run)
+        nursery.start_soon(self.core_service.run)
         with trio.fail_after(SERVES_WITHIN):
-            while not hasattr(self.desk, "duties") or not self.desk.node.holds():
+            while not hasattr(self.core_service, "tasks") or not self.core_service.replica_host.holds():
                 await trio.sleep(0.02)
         await self.put(self.config)
         for name in self.models:
             await self.change(lambda raw, name=name: named(raw, name))
         nursery.start_soon(self.fill)
-        while not self.desk.duties.roster.serial:
+        while not self.core_service.tasks.registry.serial:
             await trio.sleep(0.02)
 
     async def fill(self) -> None:
         """Takes the list in where it is not known: at first, and after the primacy was lost."""
         while True:
-            self.desk.refresh()
-            if not self.desk.duties.roster.serial and self.desk.node.holds():
-                self.desk.duties.roster.take(self.known())
-                self.desk._tell()
-            await trio.sleep(LIST_EVERY if self.desk.duties.roster.serial else 0.1)
+            self.core_service.refresh()
+            if not self.core_service.tasks.registry.serial and self.core_service.replica_host.holds():
+                self.core_service.tasks.registry.take(self.known())
+                self.core_service._tell()
+            await trio.sleep(LIST_EVERY if self.core_service.tasks.registry.serial else 0.1)
 
     def state(self) -> dict[str, Any]:
         """What routers are to know now, and how often the primacy was taken."""
-        desk, number = self.desk, self.desk.node.ledger.record.number
-        return {"roster": (number, desk.duties.roster.serial), "mark": desk.mark, "epoch": number >> 32}
+        core_service, number = self.core_service, self.core_service.replica_host.replica.record.number
+        return {
+            "registry": (number, core_service.tasks.registry.serial),
+            "mark": core_service.mark,
+            "epoch": number >> 32,
+        }
 
     async def change(self, made: Callable[[bytes], bytes | None]) -> None:
         """A change, again while the ledger is not primary: one whose loop stood still loses its lease."""
         with trio.fail_after(CHANGE_WITHIN):
             while True:
                 try:
-                    await self.desk.node.change(made, CHANGE_WITHIN)
+                    await self.core_service.replica_host.change(made, CHANGE_WITHIN)
                     return
                 except (NotPrimary, NotConfirmed, OutcomeUnknown):
                     await trio.sleep(AGAIN)
@@ -224,21 +228,21 @@
         """One server's state turns, as the next reading of the list shows it."""
         entry = self.entries[0]
         entry["state"] = "up" if entry["state"] == "draining" else "draining"
-        if self.desk.duties.roster.take(self.known()):
-            self.desk._tell()
+        if self.core_service.tasks.registry.take(self.known()):
+            self.core_service._tell()
 
     async def read_list(self) -> None:
         """A reading of the list that shows nothing new, without the calls: decoding and comparing."""
         entries = []
         for body in self.pages or pages(self.entries):
             entries += [known_of(entry) for entry in orjson.loads(body)["instances"]]
-        self.desk.duties.roster.take(entries)
+        self.core_service.tasks.registry.take(entries)
 
     async def nothing(self) -> None:
         """For what a command costs by itself."""
 
     def stop(self) -> None:
-        self.desk.told_to_stop.set()
+        self.core_service.told_to_stop.set()
 
 
 UNPACKED: dict[bytes, Any] = {}  # answers that many routers of this process get alike
@@ -272,8 +276,8 @@
         return self.has["mark"]
 
     @property
-    def roster(self) -> tuple[int, int]:
-        return self.has["roster"]
+    def registry(self) -> tuple[int, int]:
+        return self.has["registry"]
 
     async def run(self, most: int | None = None) -> None:
         """Polls, ``most`` times if that is given."""
@@ -307,7 +311,7 @@
 
     def __init__(self, host: Loopback, address: Address, count: int) -> None:
         self.routers = [HollowRouter(host, i, address, self._heard) for i in range(count)]
-        self.goal: Callable[[HollowRouter], bool] = lambda router: bool(router.mark and router.roster[1])
+        self.goal: Callable[[HollowRouter], bool] = lambda router: bool(router.mark and router.registry[1])
         self.pending = set(self.routers)
         self.all = trio.Event()
         self.log: list[Update] | None = None  # of all answers, if it is given
@@ -345,6 +349,6 @@
         return sum(router.answers for router in self.routers)
 
 
-def real_channel(host: Loopback, address: Address) -> Channel:
+def real_channel(host: Loopback, address: Address) -> ControlClient:
     """A router's whole knowledge: the real channel, which reads the configuration and lays the rings."""
-    return Channel(host, MACHINE, address[1], lambda: [address], 8.0, random.Random(1), lambda engine: None)
+    return ControlClient(host, MACHINE, address[1], lambda: [address], 8.0, random.Random(1), lambda engine: None)
--- a/rowanshift/capacity/roles.py
+++ b/rowanshift/capacity/roles.py
@@ -7,11 +7,11 @@
 from rowanshift.capacity.hollow import listing
 from rowanshift.capacity.results import Results, Sweep
 from rowanshift.capacity.sizes import BUDGET, DAY, TARGET, Size
-from rowanshift.counter.channel import HOLD
-from rowanshift.ledger.duties import LIST_EVERY, MOST_PAGES
-from rowanshift.ledger.protocol import HEARTBEAT
-from rowanshift.ledger.service import LINKS
-from rowanshift.records.codec import HEAD, LARGEST
+from rowanshift.controlplane.protocol import HEARTBEAT
+from rowanshift.controlplane.service import LINKS
+from rowanshift.controlplane.singleton_tasks import LIST_EVERY, MOST_PAGES
+from rowanshift.dataplane.control_client import HOLD
+from rowanshift.wire.codec import HEAD, LARGEST
 
 PAGE = 50  # servers of a page of the list, as the benches' sites have it
 MARK = 8  # bytes of a kept part on the wire
@@ -62,7 +62,7 @@
 
 
 def load_changes(size: Size) -> float:
-    """Changes of the roster that one version of every model makes: begun and loaded, at each server."""
+    """Changes of the registry that one version of every model makes: begun and loaded, at each server."""
     return 2 * size.servers
 
 
@@ -95,11 +95,11 @@
         "B/s",
         BUDGET.traffic,
     )
-    add("router", "one roster", f"{sizes.update(core)} + {row:.0f} servers", whole, "bytes")
+    add("router", "one registry", f"{sizes.update(core)} + {row:.0f} servers", whole, "bytes")
     add(
         "router",
         "rosters by failures, whole",
-        "roster changes a day / 86,400",
+        "registry changes a day / 86,400",
         whole * changes / DAY,
         "B/s",
         BUDGET.traffic,
@@ -143,7 +143,7 @@
         "descriptors",
         LINKS,
     )
-    add("primary", "one roster to all", "routers (roster)", size.routers * whole, "bytes")
+    add("primary", "one registry to all", "routers (registry)", size.routers * whole, "bytes")
     add("primary", "kept parts' events to all", "8 events routers", MARK * size.events * size.routers, "B/s")
     beat = sizes.confirm(core // 2 + 1, core) + sizes.confirmed()
     add("primary", "heartbeats", "2 (core - 1) / HEARTBEAT", 2 * (core - 1) / HEARTBEAT, "messages/s")
@@ -209,7 +209,7 @@
         "bytes",
         BUDGET.memory,
     )
-    add("router", "CPU of a roster", "router-servers", "roster_cpu_s", size.servers, "s")
+    add("router", "CPU of a registry", "router-servers", "roster_cpu_s", size.servers, "s")
     add(
         "router",
         "CPU, rosters by failures",
@@ -284,10 +284,10 @@
         changes,
         " changes/s",
     )
-    add("primary", "one roster to 10 routers, CPU", "servers", "roster_cpu_s", size.servers, "s")
+    add("primary", "one registry to 10 routers, CPU", "servers", "roster_cpu_s", size.servers, "s")
     add(
         "primary",
-        "one roster to all, CPU",
+        "one registry to all, CPU",
         "servers",
         "roster_cpu_s",
         size.servers,
--- a/rowanshift/capacity/sizes.py
+++ b/rowanshift/capacity/sizes.py
@@ -1,13 +1,13 @@
 """The stated size, the budgets, and the exact lengths of records on the wire. No I/O.
 
-A change to ``rowanshift.records`` that changes a length fails ``tests/test_capacity.py`` until it is here.
+A change to ``rowanshift.wire`` that changes a length fails ``tests/test_capacity.py`` until it is here.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from rowanshift.records.codec import HEAD
-from rowanshift.records.delivery import CODEC, KINDS, Poll, Update
+from rowanshift.wire.codec import HEAD
+from rowanshift.wire.delivery import CODEC, KINDS, Poll, Update
 
 DAY = 86400  # seconds
 FIXED = {"q": 8, "?": 1, "d": 8, "p": 16, "s": 2, "b": 4, "t": 2, "v": 2, "o": 4}  # bytes of a field, empty
--- a/rowanshift/capacity/sweep.py
+++ b/rowanshift/capacity/sweep.py
@@ -171,7 +171,7 @@
             metrics["list_cpu_s"] = after["own_cpu_s"]
 
             for name, command, goal in (
-                ("roster", "change_roster", lambda now, router: router.roster >= now["roster"]),
+                ("roster", "change_roster", lambda now, router: router.registry >= now["registry"]),
                 ("config", "change_config", lambda now, router: router.mark == now["mark"]),
             ):
                 say(name)
@@ -207,7 +207,7 @@
 
             async def known() -> dict[str, Any]:
                 state = hollow.state()
-                return await router.do((state["roster"], state["mark"]))
+                return await router.do((state["registry"], state["mark"]))
 
             at = trio.current_time()
             first = await known()
--- a/rowanshift/capacity/takeover.py
+++ b/rowanshift/capacity/takeover.py
@@ -1,6 +1,6 @@
 """How long nobody holds the primary's duties: the ledger's own decisions, played on a virtual clock by seed.
 
-Machines are the real ``Ledger``; messages take a drawn share of ``DELAY``, saves one of ``SAVE``.
+Machines are the real ``Replica``; messages take a drawn share of ``DELAY``, saves one of ``SAVE``.
 """
 
 import random
@@ -12,9 +12,9 @@
 from itertools import count, pairwise
 from typing import Any
 
-from rowanshift.ledger.protocol import Committed, Ledger, Save, Send
+from rowanshift.controlplane.protocol import Committed, Replica, Save, Send
 from rowanshift.policy.ring import HashRing, stable
-from rowanshift.records.table import CODEC
+from rowanshift.wire.table import CODEC
 
 TICK = 0.05  # seconds
 DUTY_WAIT = 3.3  # seconds: the service's lease of 3 s and its margin
@@ -38,7 +38,7 @@
     sent: Counter[str] = field(default_factory=Counter)  # messages by kind
     bytes: int = 0  # their frames
     saves: int = 0
-    ledgers: dict[int, Ledger] = field(default_factory=dict)
+    ledgers: dict[int, Replica] = field(default_factory=dict)
     cut: set[int] = field(default_factory=set)
     committed: list[float] = field(default_factory=list)
     chance: random.Random = field(init=False)
@@ -49,7 +49,7 @@
         self.chance, self.order, self.due = random.Random(self.seed), count(), []
         names = tuple(range(1, self.machines + 1))
         for me in names:
-            self.ledgers[me] = Ledger(me, self.f, names, True, None, 0.0, self.chance.random, DUTY_WAIT)
+            self.ledgers[me] = Replica(me, self.f, names, True, None, 0.0, self.chance.random, DUTY_WAIT)
             self.at(self.chance.random() * TICK, self.tick, me)
             self.act(me)
 
--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -15,6 +15,7 @@
     from rowanshift.net.config import Config
     from rowanshift.staff import Shown
 
+Command = Callable[[argparse.Namespace], int | None]
 UNUSABLE = 2  # exit status: an input that can't be used, as argparse has it
 INTERRUPTED = 130
 
@@ -114,10 +115,10 @@
 def demo(arguments: argparse.Namespace) -> int:
     """Run a small whole system, or a router for caches, between stand-ins on loopback and show requests."""
     if arguments.router is None and arguments.config is None:
-        from rowanshift.standins.whole import demo
+        from rowanshift.emulation.cluster import demo
 
         return demo(arguments.stay)
-    from rowanshift.standins.demo import demo
+    from rowanshift.emulation.demo import demo
 
     file = arguments.config or Path("examples/config.json")
     return demo(file, arguments.stay, arguments.router is not False)
@@ -125,7 +126,7 @@
 
 def simulate(arguments: argparse.Namespace) -> int:
     """Play fleets with their troubles on a virtual clock and check the rules after every step."""
-    from rowanshift.virtual.command import UsageError, simulate
+    from rowanshift.simulation.command import UsageError, simulate
 
     try:
         return simulate(
@@ -142,14 +143,17 @@
         arguments.parser.error(str(error))
 
 
-def counter(arguments: argparse.Namespace) -> int | None:
-    """Run the data plane: the role of the edge machines."""
-    return run_role("counter", arguments)
+def dataplane(arguments: argparse.Namespace) -> int | None:
+    """Run a router of the data plane: the role of the edge machines."""
+    return run_role("dataplane", arguments)
 
 
-def ledger(arguments: argparse.Namespace) -> int | None:
-    """Run the control state and its takeovers: the role of the core machines."""
-    return run_role("ledger", arguments)
+def controlplane(arguments: argparse.Namespace) -> int | None:
+    """Run a replica of the control plane: the role of the core machines."""
+    return run_role("controlplane", arguments)
+
+
+FORMER_ROLES = {"counter": dataplane, "ledger": controlplane}  # their names until 0.2: aliases for one release
 
 
 def show(command: Callable[..., "Shown"], *given: object) -> int:
@@ -183,7 +187,7 @@
 
 
 def members(arguments: argparse.Namespace) -> int:
-    """List the counters of a running system that hold a lease."""
+    """List the routers of a running system that hold a lease."""
     return asking("members")(arguments)
 
 
@@ -198,17 +202,17 @@
 
 
 def config_check(arguments: argparse.Namespace) -> int:
-    """Check a configuration as the ledger would, without one."""
+    """Check a configuration as the control plane would, without one."""
     from rowanshift import staff
 
     return show(staff.config_check, arguments.file)
 
 
-def ledger_check(arguments: argparse.Namespace) -> int:
+def store_check(arguments: argparse.Namespace) -> int:
     """Say what a core machine's disk holds; change nothing."""
     from rowanshift import staff
 
-    return show(staff.ledger_check, arguments.folder)
+    return show(staff.store_check, arguments.folder)
 
 
 def capacity(arguments: argparse.Namespace) -> int:
@@ -219,12 +223,13 @@
 
 
 def run_role(name: str, arguments: argparse.Namespace) -> int | None:
-    from rowanshift.boot import BootError, load_boot
+    from rowanshift.node_settings import NodeSettingsError, load_node_settings
 
     try:
-        boot = load_boot(arguments.boot)
-        return import_module(f"rowanshift.{name}.service").run(boot, arguments.level)
-    except BootError as error:
+        boot = load_node_settings(arguments.boot)
+        service = import_module(f"rowanshift.{name}.service")
+        return service.run(boot, arguments.level, arguments.role if arguments.role != name else "")
+    except NodeSettingsError as error:
         fail(error, UNUSABLE)
 
 
@@ -284,24 +289,26 @@
     )
     commands = top.add_subparsers(title="commands", metavar="COMMAND")
 
-    def add(command) -> argparse.ArgumentParser:
+    def add(command: Command, name: str = "") -> argparse.ArgumentParser:
         under = commands.add_parser(
-            command.__name__, help=command.__doc__, description=command.__doc__, allow_abbrev=False
+            name or command.__name__, help=command.__doc__, description=command.__doc__, allow_abbrev=False
         )
         under.set_defaults(run=command, parser=under)
         return under
 
-    for command in (counter, ledger):
-        under = add(command)
+    roles = {dataplane.__name__: dataplane, controlplane.__name__: controlplane}
+    for name, command in (roles | FORMER_ROLES).items():
+        under = add(command, name)
+        under.set_defaults(role=name)
         add_file(under, "--boot", variable="ROWANSHIFT_BOOT", what="the process's settings, as JSON")
         add_level(under)
-        if command is ledger:
+        if command is controlplane:
             more = under.add_subparsers(title="commands", metavar="[COMMAND]")
             tool = more.add_parser(
-                "check", help=ledger_check.__doc__, description=ledger_check.__doc__, allow_abbrev=False
+                "check", help=store_check.__doc__, description=store_check.__doc__, allow_abbrev=False
             )
             tool.add_argument("folder", type=Path, metavar="DIR", help="its data directory")
-            tool.set_defaults(run=ledger_check, parser=tool)
+            tool.set_defaults(run=store_check, parser=tool)
     for command in (status, members, duties):
         under = add(command)
         add_at(under)
--- a/rowanshift/ledger/api.py
+++ b/rowanshift/controlplane/api.py
@@ -4,13 +4,13 @@
 
 import orjson
 
-from rowanshift.ledger.node import Node, NotConfirmed, NotPrimary, OutcomeUnknown
-from rowanshift.ledger.operator import InvalidConfiguration, StaleMatch
-from rowanshift.ledger.protocol import SHEET_LIMIT, SheetTooLarge
-from rowanshift.ledger.sheet import InvalidVersion, Sheet, put_config, put_version, unpack
+from rowanshift.controlplane.configuration import InvalidConfiguration, StaleMatch
+from rowanshift.controlplane.control_state import ControlState, InvalidVersion, put_config, put_version, unpack
+from rowanshift.controlplane.protocol import STATE_LIMIT, StateTooLarge
+from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown, ReplicaHost
 from rowanshift.net.calls import Answer, said
 from rowanshift.net.connection import Message
-from rowanshift.records.machines import ip_of
+from rowanshift.wire.machines import ip_of
 
 WITHIN = 2.5  # seconds for a change to be on all disks that are wanted
 LOCATION = b"Location"
@@ -19,14 +19,14 @@
 class OnPrimary:
     """A resource that only the primary serves; others say where it is."""
 
-    def __init__(self, node: Node, port: int) -> None:
-        self.node, self.port = node, port
+    def __init__(self, node: ReplicaHost, port: int) -> None:
+        self.replica_host, self.port = node, port
 
     async def call(self, message: Message) -> Answer:
         try:
             return await self.served(message)
         except NotPrimary as error:
-            if error.hint and error.hint != self.node.machine:
+            if error.hint and error.hint != self.replica_host.machine:
                 at = f"http://{ip_of(error.hint)}:{self.port}".encode() + message.target
                 return Answer(307, b"", [(LOCATION, at)])
             return Answer(503, said("no primary is known"), [(b"Retry-After", b"0.3")])
@@ -38,8 +38,8 @@
             return Answer(
                 503, said("not on enough disks in time: it may or may not be in force"), [(b"Retry-After", b"0.3")]
             )
-        except SheetTooLarge:
-            return Answer(413, said(f"with it the control state would be over {SHEET_LIMIT} bytes"))
+        except StateTooLarge:
+            return Answer(413, said(f"with it the control state would be over {STATE_LIMIT} bytes"))
 
     async def served(self, message: Message) -> Answer:
         raise NotImplementedError
@@ -48,7 +48,7 @@
 class ConfigResource(OnPrimary):
     async def served(self, message: Message) -> Answer:
         if message.method == b"GET":
-            sheet = unpack(await self.node.read())
+            sheet = unpack(await self.replica_host.read())
             return Answer(200, sheet.config) if sheet.revision else Answer(404, said("no configuration yet"))
         if message.method != b"PUT":
             return Answer(405, said("GET and PUT"))
@@ -59,7 +59,7 @@
             return None if changed is None else changed[0].pack()
 
         try:
-            sheet = unpack(await self.node.change(made, WITHIN))
+            sheet = unpack(await self.replica_host.change(made, WITHIN))
         except InvalidConfiguration as error:
             return Answer(400, said(str(error)))
         except StaleMatch as error:
@@ -82,7 +82,7 @@
             return None if changed is None else changed.pack()
 
         try:
-            await self.node.change(made, WITHIN)
+            await self.replica_host.change(made, WITHIN)
         except InvalidVersion as error:
             return Answer(400, said(str(error)))
         return Answer(200, b"{}")
@@ -98,4 +98,4 @@
         return Answer(200, orjson.dumps(self.status()))
 
 
-__all__ = ["ConfigResource", "Sheet", "StatusResource", "VersionResource"]
+__all__ = ["ConfigResource", "ControlState", "StatusResource", "VersionResource"]
--- a/rowanshift/ledger/sheet.py
+++ b/rowanshift/controlplane/control_state.py
@@ -14,7 +14,7 @@
 from struct import error as StructError
 from typing import Any
 
-from rowanshift.ledger.operator import (
+from rowanshift.controlplane.configuration import (
     MOST_REVISION,
     Configuration,
     check_change,
@@ -32,7 +32,7 @@
 MOST_NAME = 65535  # bytes
 
 
-class BadSheet(ValueError):
+class BadControlState(ValueError):
     """Bytes that are no sheet; the text says why."""
 
 
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Sheet:
+class ControlState:
     """The control state. It and what it holds are never changed in place.
 
     ``config`` is the operator's body as it was sent, ``versions`` the newest named version of each model, and
@@ -71,39 +71,39 @@
         return b"".join(parts)
 
 
-def unpack(packed: bytes) -> Sheet:
-    """The sheet in ``packed``. Raises ``BadSheet``."""
+def unpack(packed: bytes) -> ControlState:
+    """The sheet in ``packed``. Raises ``BadControlState``."""
     if not packed:
-        return Sheet()
+        return ControlState()
     try:
         magic, version, revision, length, named, recent = HEAD.unpack_from(packed)
         if magic != MAGIC or version != FORMAT:
-            raise BadSheet(f"magic {magic!r} and format {version}")
+            raise BadControlState(f"magic {magic!r} and format {version}")
         at = HEAD.size + length
         if at > len(packed):
-            raise BadSheet("the configuration is cut short")
+            raise BadControlState("the configuration is cut short")
         config, versions, taken = bytes(packed[HEAD.size : at]), {}, []
         for _ in range(named):
             size, number = VERSION.unpack_from(packed, at)
             at += VERSION.size + size
             if at > len(packed):
-                raise BadSheet("a model's name is cut short")
+                raise BadControlState("a model's name is cut short")
             versions[bytes(packed[at - size : at]).decode()] = number
         for _ in range(recent):
             taken.append(TAKEN.unpack_from(packed, at))
             at += TAKEN.size
     except (StructError, UnicodeDecodeError) as error:
-        raise BadSheet(f"{len(packed)} bytes: {error}") from error
+        raise BadControlState(f"{len(packed)} bytes: {error}") from error
     if at != len(packed):
-        raise BadSheet(f"{len(packed) - at} bytes too many")
+        raise BadControlState(f"{len(packed) - at} bytes too many")
     if len(versions) != named:
-        raise BadSheet("a model is named twice")
+        raise BadControlState("a model is named twice")
     if recent > MOST_TAKEN:
-        raise BadSheet(f"{recent} configurations taken, {MOST_TAKEN} at most")
-    return Sheet(revision, config, versions, tuple(taken))
+        raise BadControlState(f"{recent} configurations taken, {MOST_TAKEN} at most")
+    return ControlState(revision, config, versions, tuple(taken))
 
 
-def put_config(sheet: Sheet, if_match: str | None, body: bytes) -> tuple[Sheet, Configuration] | None:
+def put_config(sheet: ControlState, if_match: str | None, body: bytes) -> tuple[ControlState, Configuration] | None:
     """The sheet with the configuration in ``body``, and that configuration; ``None`` if it was taken already.
 
     A retry of one that was taken is known by its digest, whatever its ``If-Match`` and whatever followed it.
@@ -120,7 +120,7 @@
     return replace(sheet, revision=config.revision, config=bytes(body), taken=taken), config
 
 
-def put_version(sheet: Sheet, model: Any, revision: Any) -> Sheet | None:
+def put_version(sheet: ControlState, model: Any, revision: Any) -> ControlState | None:
     """The sheet with a ``revision`` named for ``model``; ``None`` if that or a newer one is named already.
 
     Raises ``InvalidVersion``.
--- a/rowanshift/ledger/explorer.py
+++ b/rowanshift/controlplane/explorer.py
@@ -1,8 +1,8 @@
-"""Drives `protocol.Ledger` itself through orders of events that a real day seldom has; checks what must hold.
+"""Drives `protocol.Replica` itself through orders of events that a real day seldom has; checks what must hold.
 
-    python -m rowanshift.ledger.explorer walks --seeds 200 --steps 6000 --machines 3 --f 1
-    python -m rowanshift.ledger.explorer breadth --states 20000
-    python -m rowanshift.ledger.explorer faults
+    python -m rowanshift.controlplane.explorer walks --seeds 200 --steps 6000 --machines 3 --f 1
+    python -m rowanshift.controlplane.explorer breadth --states 20000
+    python -m rowanshift.controlplane.explorer faults
 
 A walk draws every choice from its seed: which message in flight comes next, is lost or comes twice, which
 save lands, who is killed, loses power or its disk, stands still, is cut off or has a clock that runs fast.
@@ -20,9 +20,9 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from rowanshift.ledger import protocol as p
+from rowanshift.controlplane import protocol as p
 
-Sheet = bytes
+ControlState = bytes
 
 
 class Broken(Exception):
@@ -35,17 +35,19 @@
 
 
 class Invariants:
-    """What is checked over the whole of a run, whoever lives or dies; named as in docs/ledger.md."""
+    """What is checked over the whole of a run, whoever lives or dies; named as in docs/control-plane.md."""
 
     def __init__(self, first: p.EpochRecord) -> None:
         self.last = first  # the newest record in force
-        self.values: dict[p.Stamp, Sheet] = {}
-        self.proposed: dict[int, Sheet] = {}  # token -> sheet
-        self.commits: dict[p.Stamp, Sheet] = {(0, 0): b""}  # committed, by the stamp it was committed under
-        self.longest: Sheet = b""
-        self.offices: dict[int, Sheet] = {}  # epoch number -> sheet it began with
-        self.reads: dict[int, Sheet] = {}  # token -> the longest sheet committed before it was asked
-        self.observed: list[Sheet] = []
+        self.values: dict[p.StateVersion, ControlState] = {}
+        self.proposed: dict[int, ControlState] = {}  # token -> sheet
+        self.commits: dict[p.StateVersion, ControlState] = {
+            (0, 0): b""
+        }  # committed, by the stamp it was committed under
+        self.longest: ControlState = b""
+        self.offices: dict[int, ControlState] = {}  # epoch number -> sheet it began with
+        self.reads: dict[int, ControlState] = {}  # token -> the longest sheet committed before it was asked
+        self.observed: list[ControlState] = []
         self.fence = 0
 
     def durable(self, durable: p.Durable) -> None:
@@ -53,7 +55,7 @@
         if durable.promised < durable.accepted.number:
             raise Broken("PROMISE: a record is accepted above the promise")
 
-    def value(self, stamp: p.Stamp, sheet: Sheet) -> None:
+    def value(self, stamp: p.StateVersion, sheet: ControlState) -> None:
         if self.values.setdefault(stamp, sheet) != sheet:
             raise Broken(f"ONE-VALUE: two sheets under {stamp}")
 
@@ -75,7 +77,7 @@
         if not held:
             raise Broken(f"DURABLE: {type(message).__name__} is sent before it is on disk")
 
-    def office(self, record: p.EpochRecord, sheet: Sheet, accepted: dict[int, int]) -> None:
+    def office(self, record: p.EpochRecord, sheet: ControlState, accepted: dict[int, int]) -> None:
         """`accepted`: the number of the record on each machine's disk; of a lost one a high number."""
         number = record.number
         if number in self.offices:
@@ -90,7 +92,7 @@
         self.offices[number] = sheet
         self.committed((number, 0), sheet)
 
-    def committed(self, stamp: p.Stamp, sheet: Sheet) -> None:
+    def committed(self, stamp: p.StateVersion, sheet: ControlState) -> None:
         """Whatever is committed under a lower stamp is part of it, and it is part of what comes after."""
         for other, value in self.commits.items():
             low, high = (value, sheet) if other <= stamp else (sheet, value)
@@ -102,7 +104,7 @@
             if not (sheet.startswith(value) or value.startswith(sheet)):
                 raise Broken("READ: a read gave what was never committed")
 
-    def read(self, token: int, sheet: Sheet) -> None:
+    def read(self, token: int, sheet: ControlState) -> None:
         if not sheet.startswith(self.reads.pop(token)):
             raise Broken("READ: older than a commit that was complete when it was asked")
         for value in self.commits.values():
@@ -122,9 +124,9 @@
 
 @dataclass
 class Host:
-    """A machine: its disk survives a crash, its Ledger doesn't."""
+    """A machine: its disk survives a crash, its Replica doesn't."""
 
-    ledger: p.Ledger | None
+    replica: p.Replica | None
     disk: p.Durable | None = None
     save: p.Save | None = None
     rate: float = 1.0  # of its steady clock
@@ -160,15 +162,15 @@
 
     def highest(self) -> p.EpochRecord:
         """The newest record in force or on its way, as a machine that is up would see it."""
-        records = [h.ledger.record for h in self.hosts.values() if h.ledger is not None]
+        records = [h.replica.record for h in self.hosts.values() if h.replica is not None]
         records += [h.disk.accepted for h in self.hosts.values() if h.disk is not None and not h.gone]
         return max(records, key=lambda record: record.number, default=p.NO_RECORD)
 
     def collect(self, me: int) -> None:
         """Take what machine `me` has decided, and check it."""
         host = self.hosts[me]
-        ledger = host.ledger
-        for action in ledger.drain():
+        replica = host.replica
+        for action in replica.drain():
             match action:
                 case p.Send(to, message):
                     self.checks.sent(message, host.disk)
@@ -183,29 +185,29 @@
                     self.committed += 1
                     sheet = self.checks.proposed[token]
                     stamp = next(s for s, value in reversed(self.checks.values.items()) if value == sheet)
-                    self.checks.committed(max(stamp, (ledger.record.number, 0)), sheet)
+                    self.checks.committed(max(stamp, (replica.record.number, 0)), sheet)
                 case p.ReadConfirmed(token):
-                    self.checks.read(token, ledger.committed_sheet)
-        if ledger.is_primary and ledger.record.number not in self.checks.offices:
+                    self.checks.read(token, replica.committed_state)
+        if replica.is_primary and replica.record.number not in self.checks.offices:
             self.offices += 1
             accepted = {
                 m: p.NUMBER_LIMIT if h.lost or h.disk is None else h.disk.accepted.number for m, h in self.hosts.items()
             }
-            self.checks.office(ledger.record, ledger.committed_sheet, accepted)
+            self.checks.office(replica.record, replica.committed_state, accepted)
 
     def check_leases(self) -> None:
         holders = []
         for me, host in self.hosts.items():
-            if host.ledger is not None and host.ledger.is_primary:
+            if host.replica is not None and host.replica.is_primary:
                 clock = self.clock(host)
-                if host.ledger.lease_until(clock) > clock:
-                    holders.append((host.ledger.record.number, me))
+                if host.replica.lease_until(clock) > clock:
+                    holders.append((host.replica.record.number, me))
         self.checks.leases(holders)
 
     def deliver(self, index: int, keep: bool = False) -> None:
         sender, to, message = self.net[index] if keep else self.net.pop(index)
         host = self.hosts[to]
-        host.ledger.receive(sender, message, self.clock(host))
+        host.replica.receive(sender, message, self.clock(host))
         self.collect(to)
 
     def sync(self, me: int, ok: bool = True) -> None:
@@ -213,14 +215,14 @@
         save, host.save = host.save, None
         if ok:
             host.disk = save.durable
-            host.ledger.saved(save.token, self.clock(host))
+            host.replica.saved(save.token, self.clock(host))
         else:
-            host.ledger.save_failed(save.token, self.clock(host))
+            host.replica.save_failed(save.token, self.clock(host))
         self.collect(me)
 
     def tick(self, me: int) -> None:
         host = self.hosts[me]
-        host.ledger.tick(self.clock(host))
+        host.replica.tick(self.clock(host))
         self.collect(me)
 
     def crash(self, me: int, landed: bool) -> None:
@@ -228,16 +230,16 @@
         host = self.hosts[me]
         if landed and host.save is not None:
             host.disk = host.save.durable
-        host.ledger = host.save = None
+        host.replica = host.save = None
 
     def propose(self, me: int) -> None:
         host = self.hosts[me]
         self.tokens += 1
         token = self.tokens
-        sheet = host.ledger.committed_sheet + token.to_bytes(4, "big")
+        sheet = host.replica.committed_state + token.to_bytes(4, "big")
         try:
-            host.ledger.propose(token, sheet, self.clock(host))
-        except p.LedgerError:
+            host.replica.propose(token, sheet, self.clock(host))
+        except p.ReplicationError:
             return
         self.checks.proposed[token] = sheet
         self.collect(me)
@@ -247,8 +249,8 @@
         self.tokens += 1
         self.checks.reads[self.tokens] = self.checks.longest
         try:
-            host.ledger.confirm_read(self.tokens, self.clock(host))
-        except p.LedgerError:
+            host.replica.confirm_read(self.tokens, self.clock(host))
+        except p.ReplicationError:
             return
         self.collect(me)
 
@@ -289,7 +291,7 @@
 class Walk:
     """A drawn walk. `spares` machines beyond the seeds wait for a place."""
 
-    def __init__(self, seed: int, machines: int, f: int, spares: int = 0, make: type[p.Ledger] = p.Ledger) -> None:
+    def __init__(self, seed: int, machines: int, f: int, spares: int = 0, make: type[p.Replica] = p.Replica) -> None:
         self.seed, self.make = seed, make
         self.constants = CONTENDED if seed % 2 else {}
         self.draw = draw = random.Random(seed)
@@ -314,13 +316,13 @@
     def start(self, me: int, bootstrap: bool = False) -> None:
         world, host = self.world, self.world.hosts[me]
         now = world.clock(host)
-        host.ledger = self.make(me, world.f, world.seeds, bootstrap, host.disk, now, self.draw.random)
+        host.replica = self.make(me, world.f, world.seeds, bootstrap, host.disk, now, self.draw.random)
         world.collect(me)
 
     def heal(self) -> None:
         """A lost disk is made good once its machine remembers and the in-sync machines hold the sheet."""
         world = self.world
-        if world.now < world.lost_at + 2 * p.RECALL_WAIT:
+        if world.now < world.lost_at + 2 * p.RECOVERY_WAIT:
             return
         record = world.highest()
         if record.number not in world.checks.offices:
@@ -331,7 +333,7 @@
                 return
         voters = {*record.witnesses, *record.former, *record.in_sync}
         for me, host in world.hosts.items():
-            if host.lost and (me not in voters if host.gone else host.disk and not host.disk.forgotten):
+            if host.lost and (me not in voters if host.gone else host.disk and not host.disk.amnesic):
                 host.lost = False
 
     def may_lose(self, me: int) -> bool:
@@ -343,11 +345,11 @@
         world, draw = self.world, self.draw
         me = draw.choice(sorted(world.hosts))
         host = world.hosts[me]
-        primaries = [m for m, h in world.hosts.items() if h.ledger is not None and h.ledger.is_primary]
+        primaries = [m for m, h in world.hosts.items() if h.replica is not None and h.replica.is_primary]
         if primaries and draw.random() < 0.4:
             me = draw.choice(primaries)
             host = world.hosts[me]
-        if host.gone or host.ledger is None:
+        if host.gone or host.replica is None:
             return
         kind = draw.choice(self.kinds if draw.random() < 0.8 else KINDS)
         span = draw.choice([0.05, 0.5, 1.5, 4.0])
@@ -356,11 +358,11 @@
             host.down_until = world.now + span
         elif kind == "stand":  # its timer fires now, and nobody minds
             me = draw.choice(world.highest().in_sync or [me])
-            ledger = world.hosts[me].ledger
-            up = ledger is not None and world.now >= world.hosts[me].paused_until
-            if up and not (ledger.is_primary or ledger.is_forgotten or ledger._candidacy):
-                ledger._stand()
-                ledger._enter("prepare")
+            replica = world.hosts[me].replica
+            up = replica is not None and world.now >= world.hosts[me].paused_until
+            if up and not (replica.is_primary or replica.is_amnesic or replica._candidacy):
+                replica._stand()
+                replica._enter("prepare")
                 world.tick(me)
         elif kind == "power":  # a machine with a save outstanding
             me = draw.choice([m for m, h in world.hosts.items() if h.save is not None] or [me])
@@ -368,7 +370,7 @@
             world.hosts[me].down_until = world.now + draw.choice([0.02, span])
         elif kind == "quake":  # all but one end and start again soon
             for other, h in world.hosts.items():
-                if other != me and h.ledger is not None and draw.random() < 0.9:
+                if other != me and h.replica is not None and draw.random() < 0.9:
                     world.crash(other, landed=draw.random() < 0.5)
                     h.down_until = world.now + 0.1 * draw.random()
             if draw.random() < 0.7:
@@ -409,21 +411,21 @@
         now = world.now
         world.check_leases()
         for me, host in world.hosts.items():
-            if host.ledger is None and not host.gone and now >= host.down_until:
+            if host.replica is None and not host.gone and now >= host.down_until:
                 self.start(me)
         if now >= self.next_tick:
             self.next_tick = now + 0.05
             for me, host in world.hosts.items():
-                if host.ledger is not None and now >= host.paused_until and draw.random() < 0.9:
+                if host.replica is not None and now >= host.paused_until and draw.random() < 0.9:
                     world.tick(me)
         if not self.calm and draw.random() < self.trouble:
             self.upset()
         for me, host in world.hosts.items():
-            up = host.ledger is not None and now >= host.paused_until
+            up = host.replica is not None and now >= host.paused_until
             chance = 0.002 if now < host.slow_until and not self.calm else 0.3
             if up and host.save is not None and draw.random() < chance:
                 world.sync(me)
-            if up and host.ledger.is_primary and draw.random() < 0.05:
+            if up and host.replica.is_primary and draw.random() < 0.05:
                 (world.propose if draw.random() < 0.5 else world.read)(me)
         for _ in range(3):
             self.carry()
@@ -448,7 +450,7 @@
                 self.put_off(index)
         elif world.now < host.paused_until:
             self.put_off(index, until=host.paused_until)
-        elif host.ledger is None:
+        elif host.replica is None:
             if fate < 0.1:
                 world.net.pop(index)
             else:
@@ -488,18 +490,18 @@
         return Outcome(self.seed, self.steps, "", world.committed, world.offices, stalled)
 
     def ailing(self) -> str:
-        forgotten = [m for m, h in self.world.hosts.items() if h.ledger is not None and h.ledger.is_forgotten]
-        return f"{forgotten} have forgotten" if forgotten else ""
+        amnesic = [m for m, h in self.world.hosts.items() if h.replica is not None and h.replica.is_amnesic]
+        return f"{amnesic} have amnesic" if amnesic else ""
 
 
 # --- breadth first
 
 
-def settled(make: type[p.Ledger] = p.Ledger) -> World:
+def settled(make: type[p.Replica] = p.Replica) -> World:
     """Three machines, one primary in office, one commit complete, one proposed and one read asked."""
     world = World({me: Host(None) for me in (1, 2, 3)}, 1, (1, 2, 3))
     for me, host in world.hosts.items():
-        host.ledger = make(me, 1, world.seeds, True, None, 0.0, half)
+        host.replica = make(me, 1, world.seeds, True, None, 0.0, half)
         world.collect(me)
     proposed = False
     for _ in range(400):
@@ -508,7 +510,7 @@
         elif saving := [me for me, host in world.hosts.items() if host.save is not None]:
             world.sync(saving[0])
         else:
-            primaries = [me for me, host in world.hosts.items() if host.ledger.is_primary]
+            primaries = [me for me, host in world.hosts.items() if host.replica.is_primary]
             if primaries and world.committed:
                 world.propose(primaries[0])
                 world.read(primaries[0])
@@ -536,29 +538,29 @@
     found: list[tuple] = []
     seen = set()
     for index, entry in enumerate(world.net):
-        if entry not in seen and world.hosts[entry[1]].ledger is not None:
+        if entry not in seen and world.hosts[entry[1]].replica is not None:
             seen.add(entry)
             found.append(("deliver", index))
     for me, host in world.hosts.items():
         if host.save is not None:
             found.append(("sync", me))
-        if host.ledger is None:
+        if host.replica is None:
             found.append(("start", me))
         elif budget["crash"]:
             found.append(("crash", me, False))
             if host.save is not None:
                 found.append(("crash", me, True))
-        if host.ledger is not None and budget["empty"]:
+        if host.replica is not None and budget["empty"]:
             found.append(("empty", me))
-        if host.ledger is not None and host.ledger.is_primary and budget["read"]:
+        if host.replica is not None and host.replica.is_primary and budget["read"]:
             found.append(("read", me))
-        if host.ledger is not None and host.ledger.is_primary and budget["propose"]:
+        if host.replica is not None and host.replica.is_primary and budget["propose"]:
             found.append(("propose", me))
     found.extend(("later", span) for span in (0.25, 1.4))
     return found
 
 
-def apply(world: World, budget: dict[str, int], event: tuple, make: type[p.Ledger]) -> None:
+def apply(world: World, budget: dict[str, int], event: tuple, make: type[p.Replica]) -> None:
     kind, *what = event
     if kind in budget:
         budget[kind] -= 1
@@ -574,17 +576,17 @@
             world.hosts[what[0]].disk = None
         case "start":
             host = world.hosts[what[0]]
-            host.ledger = make(what[0], world.f, world.seeds, False, host.disk, world.now, half)
+            host.replica = make(what[0], world.f, world.seeds, False, host.disk, world.now, half)
             world.collect(what[0])
         case "later":
             world.now = round(world.now + what[0], 3)
             for me, host in world.hosts.items():
-                if host.ledger is not None:
+                if host.replica is not None:
                     world.tick(me)
     world.check_leases()
 
 
-def breadth(states: int, make: type[p.Ledger] = p.Ledger) -> Breadth:
+def breadth(states: int, make: type[p.Replica] = p.Replica) -> Breadth:
     """All orders of events from `settled`, nearest first, until `states` different states have been seen."""
     began = time.monotonic()
     start = settled(make)
@@ -611,7 +613,7 @@
 
 
 def digest(world: World, budget: dict[str, int]) -> int:
-    hosts = [(host.disk, host.save, host.ledger and vars(host.ledger)) for host in world.hosts.values()]
+    hosts = [(host.disk, host.save, host.replica and vars(host.replica)) for host in world.hosts.values()]
     checks = (world.checks.commits, world.checks.reads, world.checks.fence)
     return hash((repr(hosts), repr(sorted(map(repr, world.net))), world.now, repr(checks), repr(budget)))
 
@@ -619,7 +621,7 @@
 # --- planted faults: a protocol with one thing wrong, which the walks must find
 
 
-class AcknowledgesAlone(p.Ledger):
+class AcknowledgesAlone(p.Replica):
     """The primary commits when its own disk has the sheet."""
 
     def _on_stored(self, sender, message):
@@ -629,67 +631,67 @@
             self._commit()
 
 
-class EmptyDiskVotes(p.Ledger):
+class EmptyDiskVotes(p.Replica):
     """A machine that lost its disk starts as if it were the first start."""
 
     def __init__(self, me, f, seeds, bootstrap, durable, now, chance, duty_wait=0.0):
         super().__init__(me, f, seeds, True, durable, now, chance, duty_wait)
 
 
-class AcceptsBeforeSave(p.Ledger):
+class AcceptsBeforeSave(p.Replica):
     def _send_saved(self, to, message):
         (self._send if isinstance(message, p.Accepted) else super()._send_saved)(to, message)
 
 
-class PromiseNotDurable(p.Ledger):
+class PromiseNotDurable(p.Replica):
     def _send_saved(self, to, message):
         (self._send if isinstance(message, p.Promised) else super()._send_saved)(to, message)
 
 
-class CommitsBeforeOwnSave(p.Ledger):
+class CommitsBeforeOwnSave(p.Replica):
     """What is stored is acknowledged before it is on the disk of the one that stored it."""
 
     def _send_saved(self, to, message):
         (self._send if isinstance(message, p.Stored) else super()._send_saved)(to, message)
 
 
-class OutOfSyncGoesOn(p.Ledger):
+class OutOfSyncGoesOn(p.Replica):
     """A candidate goes on although it isn't in sync."""
 
-    def _has_sheet(self, record):
+    def _has_state(self, record):
         return True
 
 
-class LostSheetGoesOn(p.Ledger):
+class LostSheetGoesOn(p.Replica):
     """An in-sync machine stands although its disk was lost since."""
 
-    def _has_sheet(self, record):
+    def _has_state(self, record):
         return self.me in record.in_sync
 
 
-class ReadsUnconfirmed(p.Ledger):
+class ReadsUnconfirmed(p.Replica):
     def confirm_read(self, token, now):
         if self._epoch is None:
             raise p.NotPrimary(0)
         self._actions.append(p.ReadConfirmed(token))
 
 
-class ReadsProposed(p.Ledger):
+class ReadsProposed(p.Replica):
     """A read gives the sheet that is proposed and not committed."""
 
     def _send_proposal(self):
-        self.committed_sheet = self._proposal.sheet
+        self.committed_state = self._proposal.sheet
         super()._send_proposal()
 
 
-class AcceptsLowerNumber(p.Ledger):
+class AcceptsLowerNumber(p.Replica):
     def _on_accept(self, sender, message):
         self._adopt(message.record)
         self._hold(sender)
         self._send_saved(sender, p.Accepted(message.number, True, message.number))
 
 
-class IgnoresRecordsRead(p.Ledger):
+class IgnoresRecordsRead(p.Replica):
     """A candidate goes by the record it knew before."""
 
     def _on_promised(self, sender, message):
@@ -697,7 +699,7 @@
         super()._on_promised(sender, p.Promised(message.number, message.ok, message.promised, own))
 
 
-class NewSetAlone(p.Ledger):
+class NewSetAlone(p.Replica):
     """A change of witnesses is decided by the new set, and the record names no former one."""
 
     def _deciding(self, c):
@@ -707,7 +709,7 @@
         return super()._next_witnesses(c)[0], ()
 
 
-class OldSetAlone(p.Ledger):
+class OldSetAlone(p.Replica):
     """A change of witnesses is decided by the old set, and the record names no former one."""
 
     def _deciding(self, c):
@@ -717,14 +719,14 @@
         return super()._next_witnesses(c)[0], ()
 
 
-class LeaseNotAwaited(p.Ledger):
+class LeaseNotAwaited(p.Replica):
     """A witness promises to a candidate at any time."""
 
     def _blocked(self, candidate):
         return False
 
 
-class RestartedDoesNotWait(p.Ledger):
+class RestartedDoesNotWait(p.Replica):
     """A witness that was started anew promises at once."""
 
     def __init__(self, *args, **options):
@@ -733,7 +735,7 @@
         self._stand_at = self._now
 
 
-class StoresBelowPromise(p.Ledger):
+class StoresBelowPromise(p.Replica):
     def _on_store(self, sender, message):
         if message.stamp > self._durable.stamp:
             promised = max(self._durable.promised, message.number)
@@ -741,16 +743,16 @@
         self._send_saved(sender, p.Stored(message.number, message.stamp, True, message.number))
 
 
-class RecallsFromOne(p.Ledger):
+class RecallsFromOne(p.Replica):
     """One answer is enough to vote again after the disk was lost."""
 
-    def _on_recalled(self, sender, message):
-        if self._durable.forgotten and not message.forgotten and message.serial == self._recall_serial:
-            self._change(promised=message.promised, accepted=message.accepted, forgotten=False)
+    def _on_recoveryreply(self, sender, message):
+        if self._durable.amnesic and not message.amnesic and message.serial == self._recovery_serial:
+            self._change(promised=message.promised, accepted=message.accepted, amnesic=False)
             self._start_save()
 
 
-class CountsAnyStored(p.Ledger):
+class CountsAnyStored(p.Replica):
     """An answer to an earlier Store counts for the present proposal."""
 
     def _on_stored(self, sender, message):
@@ -759,7 +761,7 @@
         super()._on_stored(sender, message)
 
 
-class CountsAnyConfirmed(p.Ledger):
+class CountsAnyConfirmed(p.Replica):
     """An answer to an earlier Confirm counts for the round last asked."""
 
     def _on_confirmed(self, sender, message):
@@ -768,12 +770,12 @@
         )
 
 
-class KeepsLeaseHandingOver(p.Ledger):
+class KeepsLeaseHandingOver(p.Replica):
     """A primary with a slow disk nominates its backups and stays."""
 
     def _hand_over(self):
         for member in sorted({*self._epoch.witnesses, *self._epoch.in_sync} - {self.me}):
-            self._send(member, p.Nominate(self._epoch.number))
+            self._send(member, p.TransferLeadership(self._epoch.number))
 
 
 @dataclass(frozen=True)
@@ -787,7 +789,7 @@
     kinds: tuple[str, ...] = ()  # of trouble; drawn by the seed if none are given
 
 
-FAULTS: dict[type[p.Ledger], Hunt] = {
+FAULTS: dict[type[p.Replica], Hunt] = {
     AcknowledgesAlone: Hunt(0),
     EmptyDiskVotes: Hunt(2),
     AcceptsBeforeSave: Hunt(0, 5, 1, 0, ("stand", "power", "power", "deaf")),
@@ -811,7 +813,7 @@
 }
 
 
-def find(fault: type[p.Ledger], seeds, steps: int = 8000) -> Outcome | None:
+def find(fault: type[p.Replica], seeds, steps: int = 8000) -> Outcome | None:
     """The first walk that finds the planted fault."""
     hunt = FAULTS[fault]
     for seed in seeds:
--- a/rowanshift/ledger/protocol.py
+++ b/rowanshift/controlplane/protocol.py
@@ -1,4 +1,4 @@
-"""What a core machine decides: a primary-backup store whose epochs are agreed by witnesses (docs/ledger.md).
+"""What a core machine decides: a primary-backup store whose epochs are agreed by witnesses (docs/control-plane.md).
 
 Events go in, with `now` in steady seconds, and actions come out of `drain()`. Nothing here waits, reads a
 clock, writes a file or opens a connection. The caller carries each `Send`, writes each `Save` whole and
@@ -19,7 +19,7 @@
 RETRY = 0.2  # seconds until an unanswered message is sent again
 ROUND = 0.5  # seconds for each step of a candidacy
 STAND_LIMIT = 2.0  # seconds from a number's first Prepare to its effect: later it is given up for good
-RECALL_WAIT = STAND_LIMIT * 1.25  # seconds: votes given before a disk was lost are counted or void by then
+RECOVERY_WAIT = STAND_LIMIT * 1.25  # seconds: votes given before a disk was lost are counted or void by then
 BACKUP_SILENCE = 0.6  # seconds without an answer after which a backup is replaced
 SLOW_SAVE = 0.8  # seconds a primary's own save may take before it hands over
 WITNESS_SILENCE = 2.0  # seconds without an answer after which a witness is replaced, if there is a spare
@@ -30,16 +30,16 @@
 JOIN_GAP = 1.0  # seconds between a spare's Joins
 REST = 3.0  # seconds that a primary which handed over, or a backup that was too slow, is left aside
 NUMBER_LIMIT = 1 << 53  # epoch numbers stay exact as doubles
-SHEET_LIMIT = 16 * 1024 * 1024 - 4096  # bytes: a Store fits into one frame
+STATE_LIMIT = 16 * 1024 * 1024 - 4096  # bytes: a Store fits into one frame
 
-Stamp = tuple[int, int]
+StateVersion = tuple[int, int]
 
 
-class LedgerError(Exception):
-    """The ledger can't do what was asked of it."""
+class ReplicationError(Exception):
+    """The replica can't do what was asked of it."""
 
 
-class NotPrimary(LedgerError):
+class NotPrimary(ReplicationError):
     """Asked of a machine that is not primary. Nothing was begun; `hint` is the primary's address or 0."""
 
     def __init__(self, hint: int) -> None:
@@ -47,12 +47,12 @@
         self.hint = hint
 
 
-class Busy(LedgerError):
-    """A proposal is under way: the caller proposes one at a time, each made from `committed_sheet`."""
+class Busy(ReplicationError):
+    """A proposal is under way: the caller proposes one at a time, each made from `committed_state`."""
 
 
-class SheetTooLarge(LedgerError):
-    """The sheet is over SHEET_LIMIT bytes."""
+class StateTooLarge(ReplicationError):
+    """The sheet is over STATE_LIMIT bytes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,9 +82,9 @@
 
     promised: int
     accepted: EpochRecord
-    stamp: Stamp
+    stamp: StateVersion
     sheet: bytes
-    forgotten: bool
+    amnesic: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,14 +114,14 @@
 @dataclass(frozen=True, slots=True)
 class Store:
     number: int
-    stamp: Stamp
+    stamp: StateVersion
     sheet: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Stored:
     number: int
-    stamp: Stamp
+    stamp: StateVersion
     ok: bool
     promised: int
 
@@ -154,29 +154,29 @@
     serial: int
     ok: bool
     promised: int
-    stamp: Stamp
+    stamp: StateVersion
 
 
 @dataclass(frozen=True, slots=True)
-class Nominate:
+class TransferLeadership:
     """Stand yourself. From the primary of epoch `number` it also gives up that epoch and its lease."""
 
     number: int
 
 
 @dataclass(frozen=True, slots=True)
-class Recall:
-    """Asked by a machine that has forgotten; `serial` keeps answers to an earlier life apart."""
+class RecoveryRequest:
+    """Asked by a machine that has amnesic; `serial` keeps answers to an earlier life apart."""
 
     serial: int
 
 
 @dataclass(frozen=True, slots=True)
-class Recalled:
+class RecoveryReply:
     serial: int
     promised: int
     accepted: EpochRecord
-    forgotten: bool
+    amnesic: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +186,7 @@
 
 Message = (
     PreVote | PreVoted | Prepare | Promised | Store | Stored | Accept | Accepted
-    | Confirm | Confirmed | Nominate | Recall | Recalled | Join
+    | Confirm | Confirmed | TransferLeadership | RecoveryRequest | RecoveryReply | Join
 )  # fmt: skip
 
 
@@ -216,7 +216,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadConfirmed:
-    """`committed_sheet` as it is now holds whatever had been committed anywhere when the read was asked."""
+    """`committed_state` as it is now holds whatever had been committed anywhere when the read was asked."""
 
     token: int
 
@@ -264,7 +264,7 @@
 class Proposal:
     token: int
     sheet: bytes
-    stamp: Stamp | None = None  # None until it is sent
+    stamp: StateVersion | None = None  # None until it is sent
     stored: set[int] = field(default_factory=set)
     started: float = 0.0  # seconds
     sent: float = 0.0  # seconds
@@ -285,7 +285,7 @@
     then: list[Send]  # to be sent once synced
 
 
-class Ledger:
+class Replica:
     """One machine's part. All state is plain data, so that an explorer can copy it."""
 
     def __init__(
@@ -307,7 +307,7 @@
         self._on_disk = durable
         if durable is None:
             first = EpochRecord(0, 0, seeds, seeds) if bootstrap else NO_RECORD
-            durable = Durable(0, first, (0, 0), b"", forgotten=not bootstrap)
+            durable = Durable(0, first, (0, 0), b"", amnesic=not bootstrap)
         self._durable = durable
         self._writing: Writing | None = None
         self._waiting: list[Send] = []  # until the save after the one outstanding
@@ -325,15 +325,15 @@
         self._seen = durable.promised  # the highest number heard of
         self._stand_at = now + SILENCE_DRAW * chance() + (BLOCK if record.number else 0.0)
         self._candidacy: Candidacy | None = None
-        self._recall_serial = 1 + int(chance() * (1 << 31))
-        self._recalls: dict[int, Recalled] = {}
-        self._asked_recall = float("-inf")
+        self._recovery_serial = 1 + int(chance() * (1 << 31))
+        self._recovery_replies: dict[int, RecoveryReply] = {}
+        self._asked_recovery = float("-inf")
         self._joined = float("-inf")
         # of a primary
         self._epoch: EpochRecord | None = None
         self._effective = float("-inf")
         self.duty_from = float("inf")
-        self.committed_sheet = b""
+        self.committed_state = b""
         self._sequence = 0
         self._proposal: Proposal | None = None
         self._reads: list[Read] = []
@@ -356,8 +356,8 @@
         return self._epoch is not None
 
     @property
-    def is_forgotten(self) -> bool:
-        return self._durable.forgotten
+    def is_amnesic(self) -> bool:
+        return self._durable.amnesic
 
     @property
     def record(self) -> EpochRecord:
@@ -379,7 +379,7 @@
 
     def next_wake(self, now: float) -> float:
         """The steady time by which `tick` should be called."""
-        if self._epoch or self._candidacy or self._durable.forgotten or self._on_disk is not self._durable:
+        if self._epoch or self._candidacy or self._durable.amnesic or self._on_disk is not self._durable:
             return now + 0.05
         return max(now, min(self._stand_at, now + JOIN_GAP))
 
@@ -393,9 +393,11 @@
         self._now = max(self._now, now)
         if sender != self.me:
             self.known.add(sender)
-            if not isinstance(message, Recall) and not (isinstance(message, Recalled) and message.forgotten):
+            if not isinstance(message, RecoveryRequest) and not (
+                isinstance(message, RecoveryReply) and message.amnesic
+            ):
                 self._heard[sender] = self._now
-        if self._durable.forgotten and not isinstance(message, Recall | Recalled | Join):
+        if self._durable.amnesic and not isinstance(message, RecoveryRequest | RecoveryReply | Join):
             return  # it doesn't know what it promised
         self._dispatch(sender, message)
         self._settle()
@@ -429,8 +431,8 @@
         dirty = self._on_disk is not self._durable and self._writing is None
         if dirty and now >= self._save_failed + RETRY:
             self._start_save()
-        if self._durable.forgotten:
-            self._tick_recall()
+        if self._durable.amnesic:
+            self._tick_recovery()
         else:
             if self._epoch is not None:
                 self._tick_primary()
@@ -446,14 +448,14 @@
         self._settle()
 
     def propose(self, token: int, sheet: bytes, now: float) -> None:
-        """Make `sheet`, made from `committed_sheet`, the next one: `Committed` or `Failed` follows."""
+        """Make `sheet`, made from `committed_state`, the next one: `Committed` or `Failed` follows."""
         self._now = max(self._now, now)
         if self._epoch is None:
             raise NotPrimary(self.primary_hint)
         if self._proposal is not None:
             raise Busy
-        if len(sheet) > SHEET_LIMIT:
-            raise SheetTooLarge
+        if len(sheet) > STATE_LIMIT:
+            raise StateTooLarge
         self._proposal = Proposal(token, sheet)
         if self._candidacy is None:
             self._send_proposal()
@@ -535,10 +537,10 @@
 
     def _put_off(self, seconds: float) -> None:
         record = self._durable.accepted
-        behind = 0.0 if self._has_sheet(record) else ROUND
+        behind = 0.0 if self._has_state(record) else ROUND
         self._stand_at = max(self._stand_at, self._now + seconds + behind + SILENCE_DRAW * self._chance())
 
-    def _has_sheet(self, record: EpochRecord) -> bool:
+    def _has_state(self, record: EpochRecord) -> bool:
         """Whether this machine holds all that `record` builds on: in sync, and its disk not lost since."""
         return self.me in record.in_sync and self._durable.stamp[0] >= record.number
 
@@ -589,7 +591,7 @@
             return
         self._adopt(message.record)
         self._hold(sender)
-        ok = self.me not in message.record.in_sync or self._has_sheet(message.record)
+        ok = self.me not in message.record.in_sync or self._has_state(message.record)
         disk, d = self._on_disk, self._durable
         answer = Confirmed(message.number, message.serial, ok, d.promised, d.stamp)
         known = disk is not None and (disk.promised, disk.accepted) == (d.promised, d.accepted)
@@ -598,7 +600,7 @@
         else:
             self._send_saved(sender, answer)
 
-    def _on_nominate(self, sender: int, message: Nominate) -> None:
+    def _on_transferleadership(self, sender: int, message: TransferLeadership) -> None:
         d = self._durable
         self._seen = max(self._seen, message.number)
         if sender == self._holder and message.number == d.accepted.number:
@@ -606,43 +608,43 @@
             self._slow[sender] = self._now + REST
         if self._epoch is not None or self._candidacy is not None or self._blocked(self.me):
             return
-        if self._has_sheet(d.accepted):
+        if self._has_state(d.accepted):
             self._stand_at = self._now + (SILENCE_DRAW / 2 * self._chance() if self.f > 1 else 0.0)
 
     # --- after the disk was lost, and as a spare
 
-    def _on_recall(self, sender: int, message: Recall) -> None:
+    def _on_recoveryrequest(self, sender: int, message: RecoveryRequest) -> None:
         d = self._durable
-        self._send_saved(sender, Recalled(message.serial, d.promised, d.accepted, d.forgotten))
+        self._send_saved(sender, RecoveryReply(message.serial, d.promised, d.accepted, d.amnesic))
 
     def _on_join(self, sender: int, message: Join) -> None:
         self._spares[message.machine] = self._now
         if self._epoch is None:
             d = self._durable
-            self._send_saved(sender, Recalled(0, d.promised, d.accepted, d.forgotten))
+            self._send_saved(sender, RecoveryReply(0, d.promised, d.accepted, d.amnesic))
 
-    def _on_recalled(self, sender: int, message: Recalled) -> None:
+    def _on_recoveryreply(self, sender: int, message: RecoveryReply) -> None:
         self.known |= {*message.accepted.in_sync, *message.accepted.witnesses} - {self.me}
         self._seen = max(self._seen, message.promised)
-        if not self._durable.forgotten or message.forgotten or message.serial != self._recall_serial:
+        if not self._durable.amnesic or message.amnesic or message.serial != self._recovery_serial:
             return
-        self._recalls[sender] = message
-        newest = max((m.accepted for m in self._recalls.values()), key=lambda record: record.number)
+        self._recovery_replies[sender] = message
+        newest = max((m.accepted for m in self._recovery_replies.values()), key=lambda record: record.number)
         for members in newest.sets():
-            others = sum(member in self._recalls for member in members)
+            others = sum(member in self._recovery_replies for member in members)
             if others < len(members) - majority(members) + 1:
                 return
-        promised = max(m.promised for m in self._recalls.values())
+        promised = max(m.promised for m in self._recovery_replies.values())
         self._holder, self._held = newest.primary, self._now
         self._stand_at = self._now + BLOCK
-        self._change(promised=promised, accepted=newest, forgotten=False)
+        self._change(promised=promised, accepted=newest, amnesic=False)
         self._start_save()
 
-    def _tick_recall(self) -> None:
-        if self._now >= max(self._started + RECALL_WAIT, self._asked_recall + RETRY):
-            self._asked_recall = self._now
+    def _tick_recovery(self) -> None:
+        if self._now >= max(self._started + RECOVERY_WAIT, self._asked_recovery + RETRY):
+            self._asked_recovery = self._now
             for machine in sorted(self.known):
-                self._send(machine, Recall(self._recall_serial))
+                self._send(machine, RecoveryRequest(self._recovery_serial))
 
     # --- as a candidate
 
@@ -690,8 +692,8 @@
             if c.phase == "store":
                 for member in set(c.backups) - c.votes:
                     self._slow[member] = now + REST
-            if c.phase != "pre-vote" and not self._has_sheet(c.base):
-                self._nominate(c)
+            if c.phase != "pre-vote" and not self._has_state(c.base):
+                self._transfer_leadership(c)
             self._end_candidacy(0.1)
         elif now >= c.sent + RETRY:
             self._send_phase()
@@ -747,8 +749,8 @@
     def _choose(self) -> None:
         """The records of a majority of every set concerned are read; `base` is the newest."""
         c = self._candidacy
-        if not self._has_sheet(c.base):
-            self._nominate(c)
+        if not self._has_state(c.base):
+            self._transfer_leadership(c)
             self._end_candidacy(0.8)
             return
         alive = {m for m, heard in self._heard.items() if self._now < heard + FRESH} | c.votes
@@ -762,10 +764,10 @@
         c.backups = tuple(order[: self.f])
         self._enter("store")
 
-    def _nominate(self, c: Candidacy) -> None:
+    def _transfer_leadership(self, c: Candidacy) -> None:
         for member in c.base.in_sync:
             if member != self.me:
-                self._send(member, Nominate(c.number))
+                self._send(member, TransferLeadership(c.number))
 
     def _on_stored(self, sender: int, message: Stored) -> None:
         proposal, epoch = self._proposal, self._epoch
@@ -818,7 +820,7 @@
         if self._proposal is not None and self._proposal.stamp is not None:
             self._commit()  # it is part of the sheet that every in-sync machine holds under the new number
         else:
-            self.committed_sheet = self._durable.sheet
+            self.committed_state = self._durable.sheet
             if self._proposal is not None:
                 self._send_proposal()
         for read in self._reads:
@@ -847,7 +849,7 @@
             self._held = float("-inf")
         self._put_off(REST)
         for member in sorted({*epoch.witnesses, *epoch.former, *epoch.in_sync} - {self.me}):
-            self._send(member, Nominate(epoch.number))
+            self._send(member, TransferLeadership(epoch.number))
 
     def _send_proposal(self) -> None:
         proposal, epoch = self._proposal, self._epoch
@@ -860,7 +862,7 @@
 
     def _commit(self) -> None:
         proposal, self._proposal = self._proposal, None
-        self.committed_sheet = proposal.sheet
+        self.committed_state = proposal.sheet
         self._actions.append(Committed(proposal.token))
 
     def _ask_confirm(self) -> None:
@@ -881,7 +883,7 @@
                 self._refused |= sender in epoch.in_sync or sender in epoch.witnesses
             elif sender in epoch.in_sync and self._candidacy is None and self._proposal is None:
                 stamp = (epoch.number, self._sequence)  # it lost its disk: it gets the sheet anew
-                self._send(sender, Store(epoch.number, stamp, self.committed_sheet))
+                self._send(sender, Store(epoch.number, stamp, self.committed_state))
             return
         self._acked[sender] = max(self._acked.get(sender, 0), message.serial)
         self._confirmed[sender] = self._now
--- a/rowanshift/ledger/node.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -1,4 +1,4 @@
-"""A core machine's part of the ledger on a Host: records to and from the others, saves to the disk, time."""
+"""A core machine's part of the replica on a Host: records to and from the others, saves to the disk, time."""
 
 from collections.abc import Callable
 from functools import partial
@@ -8,25 +8,25 @@
 import trio
 from loguru import logger
 
-from rowanshift.ledger.protocol import (
+from rowanshift.controlplane.protocol import (
     Became,
     Busy,
     Committed,
     Durable,
     Failed,
-    Ledger,
     NotPrimary,
     ReadConfirmed,
     ReadFailed,
+    Replica,
     Save,
     Send,
 )
-from rowanshift.ledger.store import StoreError
+from rowanshift.controlplane.store import StoreError
 from rowanshift.net.links import Inbox, LinkFailed, Sender
 from rowanshift.net.transport import Disk, Host, Nursery
-from rowanshift.records.codec import HEAD, BadRecord
-from rowanshift.records.machines import ip_of
-from rowanshift.records.table import CODEC, Hello
+from rowanshift.wire.codec import HEAD, BadRecord
+from rowanshift.wire.machines import ip_of
+from rowanshift.wire.table import CODEC, Hello
 
 TICK = 0.05  # seconds
 UNHEARD = 0.9  # seconds without a word from a machine, after which its connection is dialled anew
@@ -42,19 +42,19 @@
     """Nobody could confirm that this machine is the primary."""
 
 
-class Node:
+class ReplicaHost:
     def __init__(
         self,
         host: Host,
         machine: int,
         port: int,
-        ledger: Ledger,
+        replica: Replica,
         store: Disk | None,
         nursery: Nursery,
         became: Callable[[bool], None],
         committed: Callable[[], None],
     ) -> None:
-        self.host, self.machine, self.port, self.ledger, self.store = host, machine, port, ledger, store
+        self.host, self.machine, self.port, self.replica, self.store = host, machine, port, replica, store
         self.nursery, self.became, self.committed = nursery, became, committed
         self.senders: dict[int, Sender] = {}
         self.heard: dict[int, float] = {}
@@ -70,13 +70,13 @@
         """The sheet, confirmed to be the newest when it was asked for. ``NotPrimary``, ``NotConfirmed``."""
         token, wait = self._wait()
         try:
-            self.ledger.confirm_read(token, trio.current_time())
+            self.replica.confirm_read(token, trio.current_time())
             self.act()
             if not await self._outcome(wait):
                 raise NotConfirmed
         finally:
             del self.waits[token]
-        return self.ledger.committed_sheet
+        return self.replica.committed_state
 
     async def change(self, made: Callable[[bytes], bytes | None], within: float) -> bytes:
         """Makes the next sheet from the newest, once it is on all disks that are wanted; None changes
@@ -85,10 +85,10 @@
             async with self.turn:
                 sheet = made(await self.read())
                 if sheet is None:
-                    return self.ledger.committed_sheet
+                    return self.replica.committed_state
                 token, wait = self._wait()
                 try:
-                    self.ledger.propose(token, sheet, trio.current_time())
+                    self.replica.propose(token, sheet, trio.current_time())
                     self.act()
                     if await self._outcome(wait):
                         return sheet
@@ -101,7 +101,7 @@
     def holds(self) -> float:
         """Seconds for which this machine may still act as the single holder; 0 if it may not."""
         now = trio.current_time()
-        return max(0.0, self.ledger.lease_until(now) - now) if self.ledger.is_primary else 0.0
+        return max(0.0, self.replica.lease_until(now) - now) if self.replica.is_primary else 0.0
 
     def _wait(self) -> tuple[int, tuple[trio.Event, list[bool]]]:
         token = next(self.tokens)
@@ -117,13 +117,13 @@
 
     async def run(self) -> None:
         while True:
-            self.ledger.tick(trio.current_time())
+            self.replica.tick(trio.current_time())
             self.act()
             await self.host.pause(TICK)
 
     def act(self) -> None:
         """Carries out what the protocol wants done."""
-        for action in self.ledger.drain():
+        for action in self.replica.drain():
             match action:
                 case Send(to, message):
                     self._sender(to, message)
@@ -140,8 +140,8 @@
                     logger.info(
                         "event={} epoch={} in_sync={}",
                         "primary" if primary else "no_primary",
-                        self.ledger.record.number,
-                        ",".join(map(ip_of, self.ledger.record.in_sync)),
+                        self.replica.record.number,
+                        ",".join(map(ip_of, self.replica.record.in_sync)),
                     )
                     self.became(primary)
 
@@ -161,7 +161,7 @@
         now = trio.current_time()
         self.saves += 1
         self.save_seconds += now - at
-        (self.ledger.saved if well else self.ledger.save_failed)(token, now)
+        (self.replica.saved if well else self.replica.save_failed)(token, now)
         self.act()
 
     def _sender(self, to: int, message: Any) -> None:
@@ -187,7 +187,7 @@
             _, message = await inbox.next()
             now = trio.current_time()
             self.heard[hello.machine] = now
-            self.ledger.receive(hello.machine, message, now)
+            self.replica.receive(hello.machine, message, now)
             self.act()
 
 
@@ -201,4 +201,4 @@
     return CODEC.unpack(kind, record[HEAD.size :])
 
 
-__all__ = ["BadRecord", "LinkFailed", "Node", "NotConfirmed", "NotPrimary", "OutcomeUnknown", "durable_of"]
+__all__ = ["BadRecord", "LinkFailed", "NotConfirmed", "NotPrimary", "OutcomeUnknown", "ReplicaHost", "durable_of"]
--- a/rowanshift/ledger/roster.py
+++ b/rowanshift/controlplane/server_registry.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from rowanshift.records.delivery import DRAINING, LOADING, UP, Row
+from rowanshift.wire.delivery import DRAINING, LOADING, UP, Row
 
 AT_ONCE = 0.4  # part of a service's servers that may load at once, one at least
 MOST_TEXT, MOST_NUMBER = 1024, 1 << 53  # characters of a name; what numbers stay under
@@ -61,7 +61,7 @@
 
 
 @dataclass(slots=True)
-class Roster:
+class ServerRegistry:
     servers: dict[str, Known] = field(default_factory=dict)
     serial: int = 0  # of its changes; 0: the list was not read yet
 
--- a/rowanshift/ledger/duties.py
+++ b/rowanshift/controlplane/singleton_tasks.py
@@ -10,12 +10,12 @@
 import trio
 from loguru import logger
 
-from rowanshift.ledger.node import Node
-from rowanshift.ledger.roster import BadList, Known, Roster, known_of
+from rowanshift.controlplane.replica_host import ReplicaHost
+from rowanshift.controlplane.server_registry import BadList, Known, ServerRegistry, known_of
+from rowanshift.kv_index.index import BadEvents, KvIndex, Source
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import CallFailed, Line, call
 from rowanshift.net.transport import Address, Host, Nursery
-from rowanshift.stock.index import BadEvents, Source, Stock
 
 LIST_EVERY = 0.8  # seconds between readings of the list
 LIST_WITHIN = 1.0  # seconds for a page
@@ -35,41 +35,41 @@
 SPARE = 0.1  # seconds of the lease that must be left beyond a call's time
 
 
-class Duties:
+class SingletonTasks:
     def __init__(
         self,
         host: Host,
         memory: Memory,
-        node: Node,
+        node: ReplicaHost,
         cloud: Address | None,
         name: str,
         named: Callable[[], dict[str, int]],
         changed: Callable[[], None],
     ) -> None:
-        self.host, self.memory, self.node, self.cloud, self.name = host, memory, node, cloud, name
+        self.host, self.memory, self.replica_host, self.cloud, self.name = host, memory, node, cloud, name
         self.named, self.changed = named, changed
-        self.roster, self.stock = Roster(), Stock()
+        self.registry, self.stock = ServerRegistry(), KvIndex()
         self.sources: dict[Address, Source] = {}
         self.calls = 0
         self.orders = 0
 
     def forget(self) -> None:
         """Another machine is primary, or this one has just become it: the list is read anew."""
-        self.roster, self.stock = Roster(), Stock()
+        self.registry, self.stock = ServerRegistry(), KvIndex()
 
     # the list ---------------------------------------------
 
     async def read_list(self) -> None:
         while True:
             at = trio.current_time()
-            if self.cloud is not None and self.node.holds():
+            if self.cloud is not None and self.replica_host.holds():
                 try:
                     entries = await self._pages()
-                    if self.node.holds() and self.roster.take(entries):
+                    if self.replica_host.holds() and self.registry.take(entries):
                         self.changed()
                 except (CallFailed, BadList) as error:
                     logger.info("event=list_failed why={!r}", str(error))
-            every = LIST_EVERY if self.node.holds() else 0.1
+            every = LIST_EVERY if self.replica_host.holds() else 0.1
             await self.host.pause(max(0.05, at + every - trio.current_time()))
 
     async def _pages(self) -> list[Known]:
@@ -95,7 +95,7 @@
     async def follow_stores(self, nursery: Nursery, named: Callable[[], set[Address]]) -> None:
         """Follows the events of each store that the configuration names, while this machine is primary."""
         while True:
-            wanted = named() if self.node.holds() else set()
+            wanted = named() if self.replica_host.holds() else set()
             for address in wanted - self.sources.keys():
                 self.sources[address] = Source("{}:{}".format(*address))
                 nursery.start_soon(self._follow, address, self.sources[address])
@@ -139,20 +139,20 @@
 
     def _may_order(self) -> bool:
         """Whether an order may go out now and still arrive while this machine is the only holder."""
-        return self.node.ledger.duty_from <= trio.current_time() and self.node.holds() > SPARE
+        return self.replica_host.replica.duty_from <= trio.current_time() and self.replica_host.holds() > SPARE
 
     async def roll_out(self, nursery: Nursery) -> None:
         while True:
             if self._may_order():
-                due = self.roster.next_load(self.named(), trio.current_time())
+                due = self.registry.next_load(self.named(), trio.current_time())
                 if due is not None:
-                    self.roster.begin(due[0])
+                    self.registry.begin(due[0])
                     self.changed()
-                    nursery.start_soon(self._load, self.roster, *due)
+                    nursery.start_soon(self._load, self.registry, *due)
                     continue
             await self.host.pause(LOOK)
 
-    async def _load(self, roster: Roster, known: Known, model: str, version: int) -> None:
+    async def _load(self, registry: ServerRegistry, known: Known, model: str, version: int) -> None:
         """Brings one server to a version."""
         well = False
         try:
@@ -160,16 +160,16 @@
             well = await self._ordered(known, model, version)
         except CallFailed as error:
             logger.info("event=order_failed server={} why={!r}", known.id, str(error))
-        if roster is self.roster:
+        if registry is self.registry:
             if well:
-                roster.loaded(known.id, model, version)
+                registry.loaded(known.id, model, version)
                 logger.info("event=loaded server={} model={} version={}", known.id, model, version)
             else:
-                roster.failed(known.id, trio.current_time())
+                registry.failed(known.id, trio.current_time())
             self.changed()
 
     async def _left_alone(self, known: Known) -> None:
-        """Waits until the streams that run there have ended, as the counters send no more: only where they
+        """Waits until the streams that run there have ended, as the routers send no more: only where they
         are few, since what waits elsewhere meanwhile loses more than they do, and not for long."""
         until = trio.current_time() + DRAIN_WITHIN
         while trio.current_time() < until:
@@ -204,7 +204,7 @@
                 "revision": version,
                 "method": "retain",
                 "leaseHolder": self.name,
-                "fenceToken": self.node.ledger.record.number,
+                "fenceToken": self.replica_host.replica.record.number,
             }
         )
         expected = [(b"Expect-Instance", known.id.encode())]
@@ -218,7 +218,7 @@
                 b"/order",
                 order,
                 expected,
-                min(ORDER_WITHIN, self.node.holds()),
+                min(ORDER_WITHIN, self.replica_host.holds()),
             )
             status = answer.status
         except CallFailed as error:
@@ -231,7 +231,7 @@
         if status not in (0, 202, 409):
             return False
         until, unheard = trio.current_time() + LOAD_WITHIN, 0
-        while trio.current_time() < until and self.node.holds() and known.id in self.roster.servers:
+        while trio.current_time() < until and self.replica_host.holds() and known.id in self.registry.servers:
             await self.host.pause(REPORT_EVERY)
             report = await self._report(known)
             if report is None:
--- a/rowanshift/ledger/check.py
+++ b/rowanshift/controlplane/store_check.py
@@ -6,7 +6,7 @@
 
 import lmdb
 
-from rowanshift.ledger.store import (
+from rowanshift.controlplane.store import (
     DATA_FILE,
     FORMAT,
     Copy,
--- a/rowanshift/counter/channel.py
+++ b/rowanshift/dataplane/control_client.py
@@ -1,4 +1,4 @@
-"""What a counter knows of the whole: sheet and roster, asked of the ledger with the version that it has."""
+"""What a router knows of the whole: sheet and registry, asked of the ledger with the version that it has."""
 
 import random
 import zlib
@@ -7,13 +7,13 @@
 import trio
 from loguru import logger
 
-from rowanshift.counter.book import BadSheet, Book, book_of
-from rowanshift.counter.engines import Engine, Engines
+from rowanshift.dataplane.endpoints import Endpoint, Endpoints
+from rowanshift.dataplane.routing_table import BadControlState, RoutingTable, routing_table_of
+from rowanshift.kv_index.index import unpacked
 from rowanshift.net.links import Caller, LinkFailed
 from rowanshift.net.transport import Address, Host
-from rowanshift.records.delivery import CODEC, DRAINING, LOADING, Elsewhere, Poll, Row, Update
-from rowanshift.records.machines import ip_of, machine_of
-from rowanshift.stock.index import unpacked
+from rowanshift.wire.delivery import CODEC, DRAINING, LOADING, Elsewhere, Poll, Row, Update
+from rowanshift.wire.machines import ip_of, machine_of
 
 HOLD = 1.0  # seconds that the ledger holds a poll
 ANSWER_WITHIN = 1.6  # seconds
@@ -23,7 +23,7 @@
 VERSION_EARLY = 2.0  # seconds before its bound, from which only a named version is used
 
 
-class Channel:
+class ControlClient:
     """Polls the ledger for good; ``State`` for the front."""
 
     def __init__(
@@ -34,13 +34,13 @@
         seeds: Callable[[], Iterable[Address]],
         version_within: float,
         chance: random.Random,
-        gone: Callable[[Engine], None],
+        gone: Callable[[Endpoint], None],
     ) -> None:
         self.host, self.machine, self.port, self.seeds = host, machine, port, seeds
         self.version_within, self.chance, self.gone = version_within, chance, gone
         self.started = chance.getrandbits(63)
-        self.book, self.servers = Book(), Engines(chance)
-        self.stamp, self.mark, self.roster, self.stock = (0, 0), 0, (0, 0), (0, 0)
+        self.routing_table, self.servers = RoutingTable(), Endpoints(chance)
+        self.stamp, self.mark, self.registry, self.stock = (0, 0), 0, (0, 0), (0, 0)
         self.peers, self.machines = (0, 0), ()  # the members
         self.met: Callable[[tuple[int, ...]], None] = lambda machines: None
         self.stored: set[int] = set()  # marks of parts that a store keeps
@@ -57,13 +57,13 @@
         """The least version that a server must have: the named one, once its time comes near."""
         if now < self.named_at.get(model, 0.0) + max(0.5, self.version_within - VERSION_EARLY):
             return 0
-        return self.book.versions.get(model, 0)
+        return self.routing_table.versions.get(model, 0)
 
     async def fresh(self, left: float) -> None:
         """Waits while what is known may be old, or nothing is known yet; ``left`` is what the client has."""
         if self.unsure_since is None:
             return
-        longest = FRESH_WITHIN if self.book.revision else max(FRESH_WITHIN, START_PART * left)
+        longest = FRESH_WITHIN if self.routing_table.revision else max(FRESH_WITHIN, START_PART * left)
         until = trio.current_time() + min(longest, START_WITHIN)
         while self.unsure_since is not None and (left := until - trio.current_time()) > 0:
             await self.changed(left)
@@ -74,7 +74,7 @@
             await news.wait()
 
     def ready(self) -> bool:
-        return bool(self.book.revision and self.servers.engines and self.unsure_since is None)
+        return bool(self.routing_table.revision and self.servers.engines and self.unsure_since is None)
 
     def doubt(self) -> None:
         """The process stood still: what it knows may be old until a poll is answered."""
@@ -103,7 +103,7 @@
                 self.started,
                 self.stamp,
                 self.mark * sure,
-                self.roster if sure else (0, 0),
+                self.registry if sure else (0, 0),
                 self.stock,
                 self.peers,
             )
@@ -141,19 +141,23 @@
     def _take(self, update: Update) -> None:
         self.members, self.core = update.members or self.members, update.core or self.core
         self.stamp = update.stamp
-        if update.has_sheet:
+        if update.has_state:
             try:
-                book = book_of(update.revision, zlib.decompress(update.config), update.versions)
-            except (BadSheet, zlib.error) as error:
+                routing_table = routing_table_of(update.revision, zlib.decompress(update.config), update.versions)
+            except (BadControlState, zlib.error) as error:
                 logger.error("event=bad_sheet stamp={} why={!r}", update.stamp, str(error))
                 return
             now = trio.current_time()
-            for model, version in book.versions.items():
-                if version > self.book.versions.get(model, 0):
+            for model, version in routing_table.versions.items():
+                if version > self.routing_table.versions.get(model, 0):
                     self.named_at[model] = now
-            if book.revision != self.book.revision:
-                logger.info("event=config revision={} routes={}", book.revision, sum(map(len, book.routes.values())))
-            self.book, self.mark = book, update.mark
+            if routing_table.revision != self.routing_table.revision:
+                logger.info(
+                    "event=config revision={} routes={}",
+                    routing_table.revision,
+                    sum(map(len, routing_table.routes.values())),
+                )
+            self.routing_table, self.mark = routing_table, update.mark
             self._tell()
         if update.has_peers:
             self.peers, self.machines = update.peers, update.machines
@@ -164,8 +168,8 @@
         else:
             self.stored.update(unpacked(update.kept))
             self.stored.difference_update(unpacked(update.dropped))
-        if update.has_rows and update.roster >= self.roster:
-            self.roster = update.roster
+        if update.has_rows and update.registry >= self.registry:
+            self.registry = update.registry
             for engine in self.servers.update([engine_of(row) for row in update.rows]):
                 self.gone(engine)
             for engine in self.servers.engines.values():
@@ -174,8 +178,8 @@
             self._tell()
 
 
-def engine_of(row: Row) -> Engine:
-    return Engine(
+def engine_of(row: Row) -> Endpoint:
+    return Endpoint(
         row.id,
         row.service,
         row.address,
--- a/rowanshift/counter/engines.py
+++ b/rowanshift/dataplane/endpoints.py
@@ -1,4 +1,4 @@
-"""The servers that a counter knows of, as the roster names them; state only. Times in seconds."""
+"""The servers that a counter knows of, as the registry names them; state only. Times in seconds."""
 
 import random
 from dataclasses import dataclass
@@ -7,7 +7,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Engine:
+class Endpoint:
     """What a counter knows of one server."""
 
     id: str
@@ -36,21 +36,21 @@
         self.heard_at, self.strikes, self.silent_until = now, 0, 0.0
 
 
-class Engines:
+class Endpoints:
     """All servers by their id, and the pool of each service."""
 
     def __init__(self, chance: random.Random) -> None:
         self.chance = chance
         self.pools: dict[str, Pool] = {}
-        self.engines: dict[str, Engine] = {}
+        self.engines: dict[str, Endpoint] = {}
 
     def pool(self, service: str) -> Pool:
         if service not in self.pools:
             self.pools[service] = Pool(self.chance)
         return self.pools[service]
 
-    def update(self, engines: list[Engine]) -> list[Engine]:
-        """Takes the whole roster in; the engines that are gone or are somewhere else now."""
+    def update(self, engines: list[Endpoint]) -> list[Endpoint]:
+        """Takes the whole registry in; the engines that are gone or are somewhere else now."""
         gone = []
         for engine in engines:
             known = self.engines.get(engine.id)
@@ -68,7 +68,7 @@
             engine.listed = False
             gone.append(engine)
             del self.engines[engine.id]
-        services: dict[str, list[Engine]] = {service: [] for service in self.pools}
+        services: dict[str, list[Endpoint]] = {service: [] for service in self.pools}
         for engine in self.engines.values():
             if not engine.draining:
                 services.setdefault(engine.service, []).append(engine)
--- a/rowanshift/counter/front.py
+++ b/rowanshift/dataplane/frontend.py
@@ -10,20 +10,20 @@
 import trio
 from loguru import logger
 
-from rowanshift.counter.back import Back, Link, Outcome, SendFailed
-from rowanshift.counter.book import Book, Route, Tenant
-from rowanshift.counter.engines import Engine, Engines
-from rowanshift.counter.loads import Loads
-from rowanshift.counter.requests import Request, priority_of, request_of, salt_of, written
+from rowanshift.dataplane.endpoints import Endpoint, Endpoints
+from rowanshift.dataplane.load_index import LoadIndex
+from rowanshift.dataplane.requests import Request, priority_of, request_of, salt_of, written
+from rowanshift.dataplane.routing_table import Route, RoutingTable, Tenant
+from rowanshift.dataplane.upstream import Link, Outcome, SendFailed, Upstream
+from rowanshift.kv_index.index import mark_of as part_mark
+from rowanshift.kv_index.index import store_for, there
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import REASONS, said
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.flow import LAST_CHUNK
 from rowanshift.net.transport import Listener, Nursery, Stream
 from rowanshift.policy.placement import Pool, back_off, is_open, lighter, mark_of
-from rowanshift.stock.index import mark_of as part_mark
-from rowanshift.stock.index import store_for, there
-from rowanshift.tally import RetryBudget
+from rowanshift.retry_budget import RetryBudget
 
 BACKLOG, AT_ONCE = 1024, 16
 TAKE_WITHIN = 10.0  # seconds in which a client takes some of its answer
@@ -64,8 +64,8 @@
 class State(Protocol):
     """What the front is told by the channel."""
 
-    book: Book
-    servers: Engines
+    routing_table: RoutingTable
+    servers: Endpoints
     stored: set[int]  # marks of the parts that a store keeps
 
     def version(self, model: str, now: float) -> int: ...  # the least that a server must have
@@ -155,16 +155,16 @@
     resumed: int = 0
 
 
-class Front:
+class Frontend:
     def __init__(
         self,
         state: State,
-        back: Back,
+        back: Upstream,
         budget: Budget,
         memory: Memory,
         retries: Callable[[str], RetryBudget],
         draw: Callable[[], float],
-        loads: Loads,
+        loads: LoadIndex,
     ) -> None:
         self.state, self.back, self.budget, self.memory = state, back, budget, memory
         self.retries, self.draw, self.loads = retries, draw, loads
@@ -211,7 +211,9 @@
     # one connection ---------------------------------------
 
     async def serve(self, stream: Stream) -> None:
-        connection = Connection(stream, httptools.HttpRequestParser, self.memory, largest=self.state.book.largest_body)
+        connection = Connection(
+            stream, httptools.HttpRequestParser, self.memory, largest=self.state.routing_table.largest_body
+        )
         client = Client(connection)
         try:
             while True:
@@ -232,16 +234,16 @@
 
     async def _request(self, client: Client) -> Message | None:
         """The next request, whole; None when the client has ended or says nothing for too long."""
-        connection, book = client.connection, self.state.book
-        connection.largest = book.largest_body
-        until, began = trio.current_time() + book.idle_for, 0.0
+        connection, routing_table = client.connection, self.state.routing_table
+        connection.largest = routing_table.largest_body
+        until, began = trio.current_time() + routing_table.idle_for, 0.0
         while True:
             if (message := connection.next()) is not None:
                 return message
             now = trio.current_time()
             if connection.partial:
                 began = began or now
-                until = began + (book.header_within if connection.in_head else BODY_WITHIN)
+                until = began + (routing_table.header_within if connection.in_head else BODY_WITHIN)
                 self.idle.pop(client, None)
             elif not connection.pending():
                 self.idle[client] = None
@@ -306,15 +308,15 @@
 
     def _allowed(self, request: Request) -> tuple[Route, Tenant | None]:
         """Its route and tenant by the configuration that is in force now; ``Refusal`` otherwise."""
-        book = self.state.book
-        if not book.revision:
+        routing_table = self.state.routing_table
+        if not routing_table.revision:
             raise Refusal(503, "no configuration yet", 0.5)
-        route = book.match(request.host, request.path)
+        route = routing_table.match(request.host, request.path)
         if route is None:
             raise Refusal(404, "no route")
         tenant = None
-        if book.tenants is not None:
-            tenant = book.tenants.get(request.key) if request.key is not None else None
+        if routing_table.tenants is not None:
+            tenant = routing_table.tenants.get(request.key) if request.key is not None else None
             if tenant is None and not route.public:
                 raise Refusal(401, "the key is not known")
         return route, tenant
@@ -415,7 +417,7 @@
         route: Route,
         tenant: Tenant | None,
         had: int,
-        engine: Engine,
+        engine: Endpoint,
         data: bytes,
         out: Out,
         until: float,
@@ -441,7 +443,7 @@
             engine.ended()
             await self.loads.done(told)
 
-    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Engine, out: set[str]) -> Engine:
+    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Endpoint, out: set[str]) -> Endpoint:
         """The server picked, or another that serves as well and has far less to read, over all counters."""
         others = pool.others(mark, trio.current_time(), request.model, first, out)
         if not request.parts or not others:
@@ -451,7 +453,7 @@
         return lighter(first, others, waiting, shared)
 
     def _moves(
-        self, request: Request, tenant: Tenant | None, version: int, home: Engine | None, now: float
+        self, request: Request, tenant: Tenant | None, version: int, home: Endpoint | None, now: float
     ) -> tuple[bytes | None, bytes | None]:
         """Where the server may take the shared parts from, and the store that it is to give them to."""
         shared = request.parts[:-1]
@@ -459,7 +461,7 @@
             return None, None
         near = home.address.encode() if home is not None else None
         stored = self.state.stored
-        stores = [service.store for service in self.state.book.services.values() if service.store]
+        stores = [service.store for service in self.state.routing_table.services.values() if service.store]
         store = store_for((at for at in stores if there(at) in stored), shared[-1][0].decode("latin-1"))
         if store is None or sum(size for _, size in shared) < LEAST_MOVED:
             return near, None
@@ -476,7 +478,7 @@
         return fetch, address
 
     def _moved(
-        self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Engine, begun: bool
+        self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Endpoint, begun: bool
     ) -> bool:
         """Whether what was decided no longer holds once the connection is up."""
         if not engine.listed or engine.draining or engine.loading or engine.versions.get(request.model, 0) != had:
--- a/rowanshift/counter/loads.py
+++ b/rowanshift/dataplane/load_index.py
@@ -1,6 +1,6 @@
-"""How much each server still has to read, summed over all counters, by datagrams.
+"""How much each server still has to read, summed over all routers, by datagrams.
 
-Each server has one counter that keeps its sum: the holder of its id by rendezvous hashing over the members.
+Each server has one router that keeps its sum: the holder of its id by rendezvous hashing over the members.
 Others tell it what they send there and when its first event came, and ask before they send. All of it are
 hints: a datagram that is lost, late or foreign makes a choice worse and breaks nothing. Nothing is kept for
 longer than ``KEPT``.
@@ -17,16 +17,16 @@
 from loguru import logger
 
 from rowanshift.net.transport import Address, Host, Port
+from rowanshift.ownership import holder
 from rowanshift.policy.ring import stable
-from rowanshift.records.machines import ip_of
-from rowanshift.rota import holder
+from rowanshift.wire.machines import ip_of
 
 RECORD = Struct(">2sBBIQI")  # magic, format, kind, call, server's mark, tokens
 MAGIC, FORMAT = b"RL", 1
 ASK, TOLD, ADD, DONE = range(4)
 ASK_WITHIN = 0.006  # seconds that an answer is waited for
 KEPT = 4.0  # seconds that what was told of a request counts, if nothing is heard of its end
-MOST_KEPT = 20_000  # requests that one counter keeps of others; the oldest goes
+MOST_KEPT = 20_000  # requests that one router keeps of others; the oldest goes
 MOST_TOKENS = 0xFFFFFFFF
 
 
@@ -58,7 +58,7 @@
         return self.tokens.get(server, 0)
 
 
-class Loads:
+class LoadIndex:
     def __init__(self, host: Host, address: Address, machine: int) -> None:
         self.host, self.address, self.machine = host, address, machine
         self.port: Port | None = None
@@ -71,7 +71,7 @@
         self.lost = 0  # questions without an answer
 
     def meet(self, peers: tuple[int, ...]) -> None:
-        """All members now; without this counter among them nothing is shared."""
+        """All members now; without this router among them nothing is shared."""
         if peers != self.peers:
             self.peers = peers if self.machine in peers else ()
             self.holder.cache_clear()
--- a/rowanshift/counter/requests.py
+++ b/rowanshift/dataplane/requests.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from rowanshift.counter.book import Route, Tenant
+from rowanshift.dataplane.routing_table import Route, Tenant
 from rowanshift.net.connection import BadMessage, Fields, Message
 
 OURS = frozenset(
--- a/rowanshift/counter/book.py
+++ b/rowanshift/dataplane/routing_table.py
@@ -11,7 +11,7 @@
 STREAMING, IDEMPOTENT = "streaming", "idempotent"
 
 
-class BadSheet(ValueError):
+class BadControlState(ValueError):
     """A configuration that a counter can't read."""
 
 
@@ -65,7 +65,7 @@
 
 
 @dataclass(slots=True)
-class Book:
+class RoutingTable:
     revision: int = 0
     routes: dict[bytes, list[Route]] = field(default_factory=dict)  # by host, the longest prefix first
     tenants: dict[bytes, Tenant] | None = None  # by key; None: keys are not asked for
@@ -82,15 +82,15 @@
         return None
 
 
-def book_of(revision: int, config: bytes, versions: dict[str, int]) -> Book:
-    """``BadSheet`` if the bytes hold no configuration."""
+def routing_table_of(revision: int, config: bytes, versions: dict[str, int]) -> RoutingTable:
+    """``BadControlState`` if the bytes hold no configuration."""
     if not config:
-        return Book(versions=dict(versions))
+        return RoutingTable(versions=dict(versions))
     try:
         data = orjson.loads(config)
         limits = data.get("limits") or {}
         tenants = data.get("tenants")
-        book = Book(
+        routing_table = RoutingTable(
             revision,
             {},
             None if tenants is None else {},
@@ -100,18 +100,18 @@
             idle_for=float(limits.get("idleTimeoutMs") or 15000) / 1000,
         )
         for row in data.get("backends") or ():
-            book.services[row["name"]] = service_of(row)
+            routing_table.services[row["name"]] = service_of(row)
         for row in data.get("routes") or ():
             route = route_of(row)
-            book.routes.setdefault(route.host, []).append(route)
+            routing_table.routes.setdefault(route.host, []).append(route)
         for row in tenants or ():
             tenant = Tenant(row["name"].encode(), row.get("priority"), bool(row.get("isolated")))
-            book.tenants.update(dict.fromkeys((key.encode() for key in row.get("apiKeys") or ()), tenant))
+            routing_table.tenants.update(dict.fromkeys((key.encode() for key in row.get("apiKeys") or ()), tenant))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadSheet(repr(error)) from error
-    for routes in book.routes.values():
+        raise BadControlState(repr(error)) from error
+    for routes in routing_table.routes.values():
         routes.sort(key=lambda route: -len(route.prefix))
-    return book
+    return routing_table
 
 
 def service_of(row: dict[str, Any]) -> Service:
--- a/rowanshift/counter/service.py
+++ b/rowanshift/dataplane/service.py
@@ -1,4 +1,4 @@
-"""A counter as a service: its phases from start to exit."""
+"""A router as a service: its phases from start to exit."""
 
 import random
 import signal
@@ -7,18 +7,18 @@
 import trio
 from loguru import logger
 
-from rowanshift.boot import Boot, BootError, load_boot
-from rowanshift.counter.back import Back
-from rowanshift.counter.channel import Channel
-from rowanshift.counter.front import BACKLOG, Front
-from rowanshift.counter.loads import Loads
+from rowanshift.dataplane.control_client import ControlClient
+from rowanshift.dataplane.frontend import BACKLOG, Frontend
+from rowanshift.dataplane.load_index import LoadIndex
+from rowanshift.dataplane.upstream import Upstream
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import Answer, CallServer
 from rowanshift.net.connection import Message
 from rowanshift.net.transport import SYSTEM, Host
-from rowanshift.records.machines import machine_of
-from rowanshift.tally import RetryBudget
+from rowanshift.node_settings import NodeSettings, NodeSettingsError, load_node_settings
+from rowanshift.retry_budget import RetryBudget
+from rowanshift.wire.machines import machine_of
 
 BEAT, STOOD_STILL = 0.25, 0.5  # seconds
 SWEEP = 0.5  # seconds between sweeps of idle connections
@@ -28,10 +28,13 @@
 MEMORY_PART = 0.5  # of the limit, for bodies and what carries them
 
 
+ROLE = "dataplane"
+
+
 class Readiness:
     """Whether new connections may come."""
 
-    def __init__(self, service: "Counter") -> None:
+    def __init__(self, service: "DataPlaneService") -> None:
         self.service = service
 
     async def call(self, message: Message) -> Answer:
@@ -39,8 +42,8 @@
         return Answer(200 if ready else 503, b'{"ready":%s}' % (b"true" if ready else b"false"))
 
 
-class Counter:
-    def __init__(self, boot: Boot, host: Host = SYSTEM, seed: int | None = None) -> None:
+class DataPlaneService:
+    def __init__(self, boot: NodeSettings, host: Host = SYSTEM, seed: int | None = None) -> None:
         self.boot, self.host = boot, host
         self.chance = random.Random(seed)
         self.leaving = False
@@ -49,14 +52,14 @@
         self.joined_at: float | None = None
 
     def ready(self) -> bool:
-        return not self.leaving and self.channel.ready()
+        return not self.leaving and self.control_client.ready()
 
     def seeds(self) -> list[tuple[str, int]]:
         """The seeds as the settings name them now."""
         if self.boot.path is not None and self.boot.path.exists():
             try:
-                self.boot = load_boot(self.boot.path)
-            except BootError as error:
+                self.boot = load_node_settings(self.boot.path)
+            except NodeSettingsError as error:
                 logger.warning("event=settings_kept why={!r}", str(error))
         return self.boot.seeds
 
@@ -67,10 +70,10 @@
                 bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.retry_window_s
             )
         budget, now = self.budgets[service], trio.current_time()
-        if self.joined_at is None and self.channel.members:
+        if self.joined_at is None and self.control_client.members:
             self.joined_at = now
         long = self.joined_at is not None and now - self.joined_at > bounds.retry_window_s
-        budget.members = self.channel.members if long else 0
+        budget.members = self.control_client.members if long else 0
         return budget
 
     async def run(self) -> None:
@@ -79,8 +82,8 @@
             async with host.nursery() as nursery:
                 memory = Memory(boot.limits.memory_mb * MEMORY_PART)
                 budget = Budget(host.descriptors(boot.limits.max_fds), FILES)
-                self.back = Back(host, budget, memory)
-                self.channel = Channel(
+                self.back = Upstream(host, budget, memory)
+                self.control_client = ControlClient(
                     host,
                     machine_of(boot.ip),
                     boot.inner[1],
@@ -89,21 +92,21 @@
                     self.chance,
                     self.back.leave,
                 )
-                self.loads = Loads(host, boot.inner, machine_of(boot.ip))
-                self.channel.met = self.loads.meet
-                self.front = Front(
-                    self.channel, self.back, budget, memory, self.retries, self.chance.random, self.loads
+                self.loads = LoadIndex(host, boot.inner, machine_of(boot.ip))
+                self.control_client.met = self.loads.meet
+                self.front = Frontend(
+                    self.control_client, self.back, budget, memory, self.retries, self.chance.random, self.loads
                 )
                 nursery.start_soon(self.loads.run)
                 readiness = CallServer({b"/readiness": Readiness(self)}, memory)
                 nursery.start_soon(self._heed, signals)
                 nursery.start_soon(readiness.serve, host.listen(boot.want("readiness"), 64), nursery, host.pause)
-                nursery.start_soon(self.channel.run)
+                nursery.start_soon(self.control_client.run)
                 nursery.start_soon(self._watch)
                 listener = host.listen(boot.want("frontend"), BACKLOG)
                 nursery.start_soon(self.front.accept, listener, nursery, host.pause)
                 host.settled()
-                logger.info("event=started role=counter name={}", boot.name)
+                logger.info("event=started role=dataplane name={}", boot.name)
                 await self.told_to_stop.wait()
 
                 self.leaving = self.front.leaving = True
@@ -133,20 +136,22 @@
             now = trio.current_time()
             if now - at - BEAT > STOOD_STILL:
                 logger.warning("event=stood_still seconds={:.2f}", now - at - BEAT)
-                self.channel.doubt()
+                self.control_client.doubt()
             if now - swept > SWEEP:
                 swept = now
                 self.back.sweep(now)
 
 
-def run(boot: Boot, level: str = "INFO") -> int:
-    """Serves until SIGTERM; the exit code."""
+def run(boot: NodeSettings, level: str = "INFO", former_role: str = "") -> int:
+    """Serve until SIGTERM and return the exit code; ``former_role`` is the withdrawn name it was started by."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     log_to_stderr(level)
+    if former_role:
+        logger.warning("event=former_role_name name={} now={}", former_role, ROLE)
     code = 0
     try:
-        trio.run(Counter(boot).run)
-    except* (OSError, BootError) as group:
+        trio.run(DataPlaneService(boot).run)
+    except* (OSError, NodeSettingsError) as group:
         logger.error("event=ended why={!r}", str(group.exceptions[0]))
         code = 1
     return code
--- a/rowanshift/counter/back.py
+++ b/rowanshift/dataplane/upstream.py
@@ -8,7 +8,7 @@
 import httptools
 import trio
 
-from rowanshift.counter.engines import Engine
+from rowanshift.dataplane.endpoints import Endpoint
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.transport import Host
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True, eq=False)
 class Link:
-    engine: Engine
+    engine: Endpoint
     connection: Connection
     since: float = 0.0  # idle
     idle_for: float = IDLE_FOR
@@ -47,20 +47,20 @@
     pooled: bool = False  # it is idle, or was closed after a whole answer
 
 
-class Back:
+class Upstream:
     def __init__(self, host: Host, budget: Budget, memory: Memory) -> None:
         self.host, self.budget, self.memory = host, budget, memory
-        self.idle: dict[Engine, list[Link]] = {}
+        self.idle: dict[Endpoint, list[Link]] = {}
         self.dials = self.sends = 0
         budget.idle_servers = self.drop_idle
 
-    def address(self, engine: Engine) -> tuple[str, int]:
+    def address(self, engine: Endpoint) -> tuple[str, int]:
         host, _, port = engine.address.rpartition(":")
         return host, int(port)
 
     # connections ------------------------------------------
 
-    def leave(self, engine: Engine) -> None:
+    def leave(self, engine: Endpoint) -> None:
         """Closes what is idle to a server that is gone or draining."""
         for link in self.idle.pop(engine, []):
             self.close(link)
@@ -91,7 +91,7 @@
         """Whether an idle connection has ended, or its server may end it at any moment."""
         return now - link.since > link.idle_for or link.connection.stream.readable()
 
-    def kept(self, engine: Engine, now: float) -> Link | None:
+    def kept(self, engine: Endpoint, now: float) -> Link | None:
         """The idle connection that was used last, if one is whole."""
         links = self.idle.get(engine)
         while links:
@@ -103,7 +103,7 @@
             return link
         return None
 
-    async def dial(self, engine: Engine, until: float) -> Link:
+    async def dial(self, engine: Endpoint, until: float) -> Link:
         """A new connection; ``SendFailed`` with UNSENT if it doesn't come up."""
         if not self.budget.take_server():
             raise SendFailed(Outcome.UNSENT, "no descriptor is left")
--- a/rowanshift/standins/clients.py
+++ b/rowanshift/emulation/clients.py
@@ -14,11 +14,11 @@
 import httptools
 import trio
 
+from rowanshift.emulation.http import field_of, sent_at
+from rowanshift.invariants.events import Events
 from rowanshift.net.budget import Memory
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.transport import Address, Host, Nursery, connect, send_all
-from rowanshift.rules.events import Events
-from rowanshift.standins.http import field_of, sent_at
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 DIAL_WITHIN = 1.0
--- a/rowanshift/standins/whole.py
+++ b/rowanshift/emulation/cluster.py
@@ -1,6 +1,6 @@
 """``rowanshift demo``: a small whole system on loopback in one process, and one streamed request shown.
 
-Three core machines, two counters, three stand-in model servers and the platform's list, each at an address
+Three core machines, two routers, three stand-in model servers and the platform's list, each at an address
 of its own within 127.0.0.0/8, so that they can have the same ports as machines have.
 """
 
@@ -21,18 +21,18 @@
 import trio
 from loguru import logger
 
-from rowanshift.boot import load_boot
-from rowanshift.counter.service import Counter
-from rowanshift.ledger.service import Desk
+from rowanshift.controlplane.service import ControlPlaneService
+from rowanshift.dataplane.service import DataPlaneService
+from rowanshift.emulation.model_server import ModelServer, Registry
+from rowanshift.emulation.platform import PlatformList
+from rowanshift.emulation.system_clients import Operator, StreamReader, Try
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.transport import Address, Listener, Stream, System, connect, send_all
-from rowanshift.records.machines import ip_of
-from rowanshift.standins.engine import ModelServer, Registry
-from rowanshift.standins.patrons import Operator, StreamReader, Try
-from rowanshift.standins.platform import PlatformList
+from rowanshift.node_settings import load_node_settings
+from rowanshift.wire.machines import ip_of
 
 NET = "127.0.0."  # the addresses' beginning
-CORE, COUNTERS, SERVERS, PLATFORM = (1, 2, 3), (11, 12), (21, 22, 23), 31  # their last numbers
+CORE, ROUTERS, SERVERS, PLATFORM = (1, 2, 3), (11, 12), (21, 22, 23), 31  # their last numbers
 INNER, CONTROL, FRONT, READINESS, SERVER, LIST = (7400, 7401), 8500, 8080, 8081, 8082, 8083  # ports
 LIST_RATE, LIST_LAG_MS = 4.0, 100.0
 MODEL, HOST, PREFIX, KEY = "demo-model", "demo.example", "/chat/", "demo-key"
@@ -118,10 +118,12 @@
             ModelServer(self.host, (f"{net}{n}", SERVER), f"server-{n}", "chat", *common, self.registry, {MODEL: 1})
             for n in SERVERS
         ]
-        self.desks = [Desk(load_boot(self.settings("core", n)), self.host) for n in CORE]
-        self.counters = [Counter(load_boot(self.settings("edge", n)), self.host) for n in COUNTERS]
+        self.core_services = [
+            ControlPlaneService(load_node_settings(self.settings("core", n)), self.host) for n in CORE
+        ]
+        self.routers = [DataPlaneService(load_node_settings(self.settings("edge", n)), self.host) for n in ROUTERS]
         self.controls = [(f"{net}{n}", CONTROL) for n in CORE]
-        self.fronts = [(f"{net}{n}", FRONT) for n in COUNTERS]
+        self.fronts = [(f"{net}{n}", FRONT) for n in ROUTERS]
         self.operator = Operator(self.host, "operator", *common, self.controls, self.chance, self.registry)
 
     def settings(self, kind: str, number: int) -> Path:
@@ -154,29 +156,29 @@
     async def run(self) -> None:
         try:
             async with trio.open_nursery() as nursery:
-                for part in (self.platform, *self.servers, *self.desks, *self.counters):
+                for part in (self.platform, *self.servers, *self.core_services, *self.routers):
                     nursery.start_soon(part.run)
                 for server in self.servers:
                     self.platform.add(server)
         finally:
-            for desk in self.desks:
-                if (node := getattr(desk, "node", None)) is not None and node.store is not None:
+            for core_service in self.core_services:
+                if (node := getattr(core_service, "replica_host", None)) is not None and node.store is not None:
                     node.store.close()
             self.host.close()
 
     # what to wait for -------------------------------------
 
-    async def primary(self) -> Desk:
+    async def primary(self) -> ControlPlaneService:
         """The core machine that is primary, once there is one that may also order."""
         while True:
-            for desk in self.desks:
-                if (node := getattr(desk, "node", None)) is not None and node.holds():
-                    return desk
+            for core_service in self.core_services:
+                if (node := getattr(core_service, "replica_host", None)) is not None and node.holds():
+                    return core_service
             await trio.sleep(LOOK)
 
     async def serving(self) -> None:
-        """Until each counter is ready: it has a configuration and knows of servers."""
-        while not all(hasattr(counter, "channel") and counter.ready() for counter in self.counters):
+        """Until each router is ready: it has a configuration and knows of servers."""
+        while not all(hasattr(router, "control_client") and router.ready() for router in self.routers):
             await trio.sleep(LOOK)
 
 
@@ -192,7 +194,7 @@
 
 
 async def stream(system: SmallSystem, front: Address) -> Try:
-    """One streamed request at a counter, printed event by event."""
+    """One streamed request at a router, printed event by event."""
     now = trio.current_time
     attempt = Try("demo-1", front, now())
     reader = Printed(attempt, now, system.facts)
@@ -212,7 +214,7 @@
             except BlockingIOError:
                 continue
             if not n:
-                raise ConnectionResetError("the counter ended the connection")
+                raise ConnectionResetError("the router ended the connection")
             reader.feed(bytes(space[:n]))
     except httptools.HttpParserError as error:
         raise ConnectionResetError(f"no answer that can be read: {error}") from error
@@ -224,13 +226,13 @@
 async def show(system: SmallSystem) -> None:
     began = trio.current_time()
     say(
-        f"{len(CORE)} core machines, {len(COUNTERS)} counters, {len(SERVERS)} stand-in model servers and the "
+        f"{len(CORE)} core machines, {len(ROUTERS)} routers, {len(SERVERS)} stand-in model servers and the "
         f"platform's list start at {system.net}x"
     )
-    desk = await system.primary()
-    record = desk.node.ledger.record
+    core_service = await system.primary()
+    record = core_service.replica_host.replica.record
     say(
-        f"Primary: {desk.boot.ip}, epoch {record.number}; in sync: {', '.join(map(ip_of, record.in_sync))}; "
+        f"Primary: {core_service.boot.ip}, epoch {record.number}; in sync: {', '.join(map(ip_of, record.in_sync))}; "
         f"witnesses: {', '.join(map(ip_of, record.witnesses))}"
     )
     status = await system.operator.put_config(CONFIG, 0)
--- a/rowanshift/standins/demo.py
+++ b/rowanshift/emulation/demo.py
@@ -10,15 +10,15 @@
 import httptools
 import trio
 
+from rowanshift.emulation.discovery import Agent, row_of
+from rowanshift.emulation.http import Ledger, field_of
+from rowanshift.emulation.servers import Cache, Kind, Origin
+from rowanshift.invariants.events import Events
 from rowanshift.net.budget import Memory
 from rowanshift.net.config import ConfigError, load
 from rowanshift.net.connection import Connection, Message
 from rowanshift.net.service import Phase, Service
 from rowanshift.net.transport import SYSTEM, Address, connect, send_all
-from rowanshift.rules.events import Events
-from rowanshift.standins.discovery import Agent, row_of
-from rowanshift.standins.http import Ledger, field_of
-from rowanshift.standins.servers import Cache, Kind, Origin
 
 CACHES, ORIGIN = (9001, 9002, 9003), 9000
 KEYS = ("hello", "hello", "perfume", "hello", "perfume", "lamp")
--- a/rowanshift/standins/discovery.py
+++ b/rowanshift/emulation/discovery.py
@@ -6,10 +6,10 @@
 import orjson
 import trio
 
+from rowanshift.emulation.http import HttpServer, deserted
+from rowanshift.invariants.events import Events
 from rowanshift.net.connection import Connection, Message
 from rowanshift.net.transport import Address, Host
-from rowanshift.rules.events import Events
-from rowanshift.standins.http import HttpServer, deserted
 
 EMPTY_LINE_EVERY = 2.0
 TICK = 0.25
--- a/rowanshift/standins/http.py
+++ b/rowanshift/emulation/http.py
@@ -7,10 +7,10 @@
 import httptools
 import trio
 
+from rowanshift.invariants.events import Events
 from rowanshift.net.budget import Memory
 from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.transport import Address, Host, Stream, accepted
-from rowanshift.rules.events import Events
 
 BACKLOG = 512
 REMEMBERED = 20_000  # hand-offs and misses that the stand-ins know of at once
--- a/rowanshift/standins/engine.py
+++ b/rowanshift/emulation/model_server.py
@@ -15,11 +15,9 @@
 import orjson
 import trio
 
-from rowanshift.net.connection import Connection, Message
-from rowanshift.net.flow import LAST_CHUNK, framed
-from rowanshift.net.transport import Address, Host, Nursery, Stream
-from rowanshift.rules.events import Events
-from rowanshift.rules.system import (
+from rowanshift.emulation.http import HttpServer, answer, field_of, other
+from rowanshift.invariants.events import Events
+from rowanshift.invariants.system import (
     Began,
     CacheHit,
     Fact,
@@ -31,7 +29,9 @@
     Reached,
     digest_of,
 )
-from rowanshift.standins.http import HttpServer, answer, field_of, other
+from rowanshift.net.connection import Connection, Message
+from rowanshift.net.flow import LAST_CHUNK, framed
+from rowanshift.net.transport import Address, Host, Nursery, Stream
 
 JSON = b"Content-Type: application/json"
 NOT_EXECUTED = b"Not-Executed: 1"
--- a/rowanshift/standins/platform.py
+++ b/rowanshift/emulation/platform.py
@@ -6,12 +6,12 @@
 
 import orjson
 
+from rowanshift.emulation.http import HttpServer, other
+from rowanshift.emulation.model_server import ModelServer, query_of
+from rowanshift.invariants.events import Events
+from rowanshift.invariants.system import Fact, Listed, Listing
 from rowanshift.net.connection import Connection, Message
 from rowanshift.net.transport import Address, Host
-from rowanshift.rules.events import Events
-from rowanshift.rules.system import Fact, Listed, Listing
-from rowanshift.standins.engine import ModelServer, query_of
-from rowanshift.standins.http import HttpServer, other
 
 JSON = b"Content-Type: application/json"
 
--- a/rowanshift/standins/servers.py
+++ b/rowanshift/emulation/servers.py
@@ -9,10 +9,10 @@
 
 import trio
 
+from rowanshift.emulation.http import HttpServer, Ledger, answer, body_of, deserted, field_of, other
+from rowanshift.invariants.events import Events
 from rowanshift.net.connection import Connection, Message
 from rowanshift.net.transport import Address, Host
-from rowanshift.rules.events import Events
-from rowanshift.standins.http import HttpServer, Ledger, answer, body_of, deserted, field_of, other
 
 PARTS = 5  # an overload lasts once so many equal parts of its time in a row were over
 MISS_WORK = 0.25  # of a read's, that a miss takes
--- a/rowanshift/standins/patrons.py
+++ b/rowanshift/emulation/system_clients.py
@@ -10,10 +10,9 @@
 import orjson
 import trio
 
-from rowanshift.net.budget import Memory
-from rowanshift.net.connection import BadMessage, Connection, Message
-from rowanshift.net.transport import Address, Host, Stream, connect, send_all
-from rowanshift.rules.system import (
+from rowanshift.emulation.http import field_of
+from rowanshift.emulation.model_server import Registry
+from rowanshift.invariants.system import (
     Answered,
     Asked,
     ConfigAnswered,
@@ -25,8 +24,9 @@
     Surplus,
     VersionNamed,
 )
-from rowanshift.standins.engine import Registry
-from rowanshift.standins.http import field_of
+from rowanshift.net.budget import Memory
+from rowanshift.net.connection import BadMessage, Connection, Message
+from rowanshift.net.transport import Address, Host, Stream, connect, send_all
 
 DIAL_WITHIN = 1.0
 PROMISES = (408, 421, 429, 503)
--- a/rowanshift/stock/index.py
+++ b/rowanshift/kv_index/index.py
@@ -88,7 +88,7 @@
 
 
 @dataclass(slots=True)
-class Stock:
+class KvIndex:
     """What is told on: the marks that a store keeps, and their changes by serial."""
 
     serial: int = 1
--- a/rowanshift/net/links.py
+++ b/rowanshift/net/links.py
@@ -9,7 +9,7 @@
 
 from rowanshift.net.ring import Ring
 from rowanshift.net.transport import Address, Host, Stream, connect, receive, send_all
-from rowanshift.records.codec import BadRecord, Codec, Frames
+from rowanshift.wire.codec import BadRecord, Codec, Frames
 
 DIAL_WITHIN = 0.4  # seconds
 DIAL_PAUSE = 0.1  # seconds between dials
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -1,7 +1,7 @@
 """Streams, listeners, datagram ports, and the machine that a router runs on: nothing else touches sockets.
 
 Everything above asks a ``Host`` for what the system gives, so that the same code runs on real sockets
-(``System``) and in the virtual network (``rowanshift.virtual``). A ``Stream`` never blocks: ``send`` and
+(``System``) and in the virtual network (``rowanshift.simulation``). A ``Stream`` never blocks: ``send`` and
 ``recv_into`` do what can be done in the turn that decides it and raise ``BlockingIOError`` otherwise, and
 the waits tell when to try again. On real sockets a stream is the socket itself, with a few methods more:
 the seam costs nothing where bytes move.
@@ -80,7 +80,7 @@
 
 class Disk(Protocol):
     """One record on a machine's disk. Its calls block, so they are made in ``Host.in_thread``; they raise
-    what ``rowanshift/ledger/store.py`` tells of."""
+    what ``rowanshift/controlplane/store.py`` tells of."""
 
     damage: str  # what the last read found, empty if nothing
 
@@ -263,7 +263,7 @@
         return trio.to_thread.run_sync(work)
 
     def disk(self, path: Path) -> Disk:
-        from rowanshift.ledger.store import Store  # only a ledger has a disk, and needs lmdb
+        from rowanshift.controlplane.store import Store  # only a ledger has a disk, and needs lmdb
 
         return Store(path)
 
--- a/rowanshift/boot.py
+++ b/rowanshift/node_settings.py
@@ -10,7 +10,7 @@
 LARGEST = 1 << 20  # bytes of the file
 
 
-class BootError(ValueError):
+class NodeSettingsError(ValueError):
     """A settings file that can't be used; the text names the place and the reason."""
 
     def __init__(self, place: str, reason: str) -> None:
@@ -74,7 +74,7 @@
     cloud_api: CloudApi | None = None
 
 
-class Boot:
+class NodeSettings:
     """What a process is told at its start. Addresses are pairs of an IP and a port."""
 
     def __init__(self, file: File, path: Path | None = None) -> None:
@@ -92,7 +92,7 @@
     def want(self, name: str) -> Address:
         """One of the listen addresses that this role can't do without."""
         if name not in self.listen:
-            raise BootError(f"listenAddresses.{name}", "missing, and this role needs it")
+            raise NodeSettingsError(f"listenAddresses.{name}", "missing, and this role needs it")
         return self.listen[name]
 
 
@@ -100,31 +100,31 @@
     host, colon, port = text.rpartition(":")
     plain = port.isascii() and port.isdigit() and len(port) <= 5
     if not colon or not host or not plain or not 0 < int(port) < 65536:
-        raise BootError(place, f"IP:PORT expected, not {text[:64]!r}")
+        raise NodeSettingsError(place, f"IP:PORT expected, not {text[:64]!r}")
     return host, int(port)
 
 
-def load_boot(path: str | Path | None) -> Boot:
-    """Reads the file; ``BootError`` if it can't be used."""
+def load_node_settings(path: str | Path | None) -> NodeSettings:
+    """Reads the file; ``NodeSettingsError`` if it can't be used."""
     if not path:
-        raise BootError("ROWANSHIFT_BOOT", "names no settings file")
+        raise NodeSettingsError("ROWANSHIFT_BOOT", "names no settings file")
     try:
         data = Path(path).read_bytes()
     except OSError as error:
-        raise BootError(str(path), error.strerror or "can't be read") from error
+        raise NodeSettingsError(str(path), error.strerror or "can't be read") from error
     if len(data) > LARGEST:
-        raise BootError(str(path), f"over {LARGEST} bytes")
-    return boot_of(data, path)
+        raise NodeSettingsError(str(path), f"over {LARGEST} bytes")
+    return node_settings_of(data, path)
 
 
-def boot_of(data: bytes | dict[str, Any], path: str | Path = "settings") -> Boot:
+def node_settings_of(data: bytes | dict[str, Any], path: str | Path = "settings") -> NodeSettings:
     try:
         decoded = msgspec.json.decode(data) if isinstance(data, bytes) else data
         file = msgspec.convert(decoded, File)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise BootError(str(path), str(error)) from error
+        raise NodeSettingsError(str(path), str(error)) from error
     if not 0 < file.internal_ports[0] <= file.internal_ports[1] < 65536:
-        raise BootError("internalPorts", "two rising ports expected")
+        raise NodeSettingsError("internalPorts", "two rising ports expected")
     if file.fault_tolerance.machines < 0:
-        raise BootError("faultTolerance.machines", "0 or more expected")
-    return Boot(file, Path(path))
+        raise NodeSettingsError("faultTolerance.machines", "0 or more expected")
+    return NodeSettings(file, Path(path))
--- a/rowanshift/virtual/command.py
+++ b/rowanshift/simulation/command.py
@@ -15,12 +15,12 @@
 import orjson
 from rich.progress import Progress
 
-from rowanshift.rules.checks import Broken
-from rowanshift.rules.events import Fact, named
+from rowanshift.invariants.checks import Broken
+from rowanshift.invariants.events import Fact, named
 from rowanshift.scenario import Scenario, ScenarioError, dump, load
-from rowanshift.virtual.draw import SIZES, scenario
-from rowanshift.virtual.shrink import Shrinker
-from rowanshift.virtual.world import World
+from rowanshift.simulation.draw import SIZES, scenario
+from rowanshift.simulation.shrink import Shrinker
+from rowanshift.simulation.world import World
 
 MOST_SHOWN = 3  # broken rules of one seed
 
--- a/rowanshift/virtual/disk.py
+++ b/rowanshift/simulation/disk.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable
 
-from rowanshift.ledger.store import DamagedRecord, StoreClosed, StoreWriteFailed
+from rowanshift.controlplane.store import DamagedRecord, StoreClosed, StoreWriteFailed
 
 TAKES = 0.002  # seconds for a write with its sync, half of it before the bytes are handed over
 KEPT = 0.4  # probability that what was not synced outlasts a loss of power all the same
--- a/rowanshift/virtual/fleet.py
+++ b/rowanshift/simulation/fleet.py
@@ -1,4 +1,4 @@
-"""The whole system in the virtual network: the ledger on its core machines and the counters, as they are,
+"""The whole system in the virtual network: the ledger on its core machines and the routers, as they are,
 between stand-ins of the platform, the model servers, the clients and the operator; the troubles that befall
 them; and what the rules say of it. Times are in seconds by the network's clock.
 
@@ -17,20 +17,20 @@
 import trio
 from loguru import logger
 
-from rowanshift.boot import boot_of
-from rowanshift.counter.service import Counter
-from rowanshift.ledger.service import Desk
+from rowanshift.controlplane.service import ControlPlaneService
+from rowanshift.dataplane.service import DataPlaneService
+from rowanshift.emulation.model_server import ModelServer, Registry, Traits
+from rowanshift.emulation.platform import PlatformList
+from rowanshift.emulation.system_clients import Operator, Patron, Work
+from rowanshift.invariants import system as rules
+from rowanshift.invariants.system import Answered, Asked, Breach, Fact, Ordered
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import CallFailed, call
-from rowanshift.records.machines import machine_of
-from rowanshift.rules import system as rules
-from rowanshift.rules.system import Answered, Asked, Breach, Fact, Ordered
-from rowanshift.standins.engine import ModelServer, Registry, Traits
-from rowanshift.standins.patrons import Operator, Patron, Work
-from rowanshift.standins.platform import PlatformList
-from rowanshift.virtual.clock import Determined, VirtualClock
-from rowanshift.virtual.machine import Machine
-from rowanshift.virtual.network import Network, Paths
+from rowanshift.node_settings import node_settings_of
+from rowanshift.simulation.clock import Determined, VirtualClock
+from rowanshift.simulation.machine import Machine
+from rowanshift.simulation.network import Network, Paths
+from rowanshift.wire.machines import machine_of
 
 T = TypeVar("T")
 
@@ -41,7 +41,7 @@
 KEYS = {"t1": ("key-1", "key-1b"), "t2": ("key-2",), "t3": ("key-3",)}  # of tenants; t2 is isolated
 ISOLATED = ("t2",)
 CATALOGUES = 5  # prompts that are shared
-PROBE, MISSES = 0.4, 2  # seconds between looks whether a counter is ready, and failures in a row
+PROBE, MISSES = 0.4, 2  # seconds between looks whether a router is ready, and failures in a row
 START_APART = 0.3  # seconds in which all start
 AGAIN = 0.5  # seconds until a process that ended is started again
 REACH = 0.3  # seconds after a thaw or a join in which late orders arrive
@@ -62,7 +62,7 @@
 
 @dataclass(slots=True)
 class Trouble:
-    """From ``since`` to ``until`` a machine was not as it should be. One of the core matters to all counters
+    """From ``since`` to ``until`` a machine was not as it should be. One of the core matters to all routers
     while it is slow, and at the moments in which it goes, comes back or is cut off, but not in between."""
 
     what: str
@@ -70,7 +70,7 @@
     core: bool
     since: float
     until: float
-    unsettles: bool = True  # a counter, or the whole core
+    unsettles: bool = True  # a router, or the whole core
 
 
 @dataclass(slots=True, eq=False)
@@ -147,7 +147,7 @@
         nursery: trio.Nursery,
         clock: VirtualClock,
         seed: str,
-        counters: int = 2,
+        routers: int = 2,
         cores: int = 3,
         servers: int = 3,
         f: int = 1,
@@ -174,11 +174,11 @@
         machines = [self.network.machine(f"core-{n}", n % zones) for n in range(cores)]
         seeds = [f"{machine.address}:{CONTROL}" for machine in machines[:3]]
         self.cores = [self._unit(machine, True, seeds) for machine in machines]
-        self.counters = [
-            self._unit(self.network.machine(f"counter-{n}", n % zones), False, seeds) for n in range(counters)
+        self.routers = [
+            self._unit(self.network.machine(f"router-{n}", n % zones), False, seeds) for n in range(routers)
         ]
-        self.units = [*self.cores, *self.counters]
-        self.fronts = [(unit.machine.address, FRONT) for unit in self.counters]
+        self.units = [*self.cores, *self.routers]
+        self.fronts = [(unit.machine.address, FRONT) for unit in self.routers]
         self.ready = list(self.fronts)
         self.servers: list[ModelServer] = []
         for _ in range(servers):
@@ -274,10 +274,10 @@
         """Starts all on empty disks, and gives the first configuration; ready when this returns."""
         for unit in self.units:
             self.nursery.start_soon(self._live, unit, START_APART * self.chance.random())
-        for unit in self.counters:
+        for unit in self.routers:
             self.nursery.start_soon(self._probe, unit)
         await self.put(config or config_of(1))
-        await self.until(lambda: all(unit.program and unit.program.ready() for unit in self.counters))
+        await self.until(lambda: all(unit.program and unit.program.ready() for unit in self.routers))
         for unit in self.units:
             unit.boot["bootstrap"] = False
 
@@ -288,10 +288,10 @@
                 unit.asleep = trio.Event()
                 await unit.asleep.wait()
             unit.lives += 1
-            boot = boot_of(orjson.dumps(unit.boot))
+            boot = node_settings_of(orjson.dumps(unit.boot))
             boot.path = None
             seed = random.Random(f"{self.seed}/{unit.name}/{unit.lives}").getrandbits(32)
-            unit.program = (Desk if unit.core else Counter)(boot, unit.machine, seed)
+            unit.program = (ControlPlaneService if unit.core else DataPlaneService)(boot, unit.machine, seed)
             why = "it returned"
             try:
                 killed = await unit.machine.run(unit.program.run) is None
@@ -303,7 +303,7 @@
             await trio.sleep(AGAIN)
 
     async def _probe(self, unit: Unit) -> None:
-        """The platform's balancer: new connections go only to counters that say that they are ready."""
+        """The platform's balancer: new connections go only to routers that say that they are ready."""
         address, front, missed = (unit.machine.address, READY), (unit.machine.address, FRONT), 0
         while True:
             await trio.sleep(PROBE)
@@ -325,8 +325,8 @@
                 for unit in self.cores
                 if unit.machine.running
                 and not unit.machine.away
-                and hasattr(unit.program, "node")
-                and unit.program.node.ledger.is_primary
+                and hasattr(unit.program, "replica_host")
+                and unit.program.replica_host.replica.is_primary
             ),
             None,
         )
@@ -334,7 +334,7 @@
     def backups(self) -> list[Unit]:
         """The other machines in sync with the primary, and then the rest."""
         primary = self.primary()
-        in_sync = primary.program.node.ledger.record.in_sync if primary else ()
+        in_sync = primary.program.replica_host.replica.record.in_sync if primary else ()
         return sorted(
             (unit for unit in self.cores if unit is not primary),
             key=lambda unit: machine_of(unit.machine.address) not in in_sync,
@@ -602,18 +602,18 @@
 
     # what the rules say -----------------------------------
 
-    def out_of_touch(self, counter: str, since: float, until: float) -> bool:
-        """Whether a counter, or the core as a whole, was unsettled within this or ``CONTACT`` before."""
+    def out_of_touch(self, router: str, since: float, until: float) -> bool:
+        """Whether a router, or the core as a whole, was unsettled within this or ``CONTACT`` before."""
         return any(
-            trouble.unsettles and (trouble.core or trouble.machine == counter) for trouble in self._met(since, until)
+            trouble.unsettles and (trouble.core or trouble.machine == router) for trouble in self._met(since, until)
         )
 
-    def adrift(self, counter: str, since: float, until: float) -> bool:
-        """Whether the counter, or more of the core than may be lost, met trouble within this or ``CONTACT``
+    def adrift(self, router: str, since: float, until: float) -> bool:
+        """Whether the router, or more of the core than may be lost, met trouble within this or ``CONTACT``
         before."""
         met = list(self._met(since, until))
         return (
-            any(trouble.machine == counter for trouble in met)
+            any(trouble.machine == router for trouble in met)
             or len({trouble.machine for trouble in met if trouble.core}) > self.f
         )
 
@@ -630,15 +630,15 @@
             and any(holder == fact.holder and at <= fact.at <= at + REACH for at, holder in self.thawed)
         }
         facts = [fact for fact in self.facts if id(fact) not in late]
-        front = {f"{unit.machine.address}:{FRONT}": unit.name for unit in self.counters}
+        front = {f"{unit.machine.address}:{FRONT}": unit.name for unit in self.routers}
         through = {fact.id: front[fact.front] for fact in facts if type(fact) is Asked}
         spans = {"CONFIG": APPLY, "VERSION": VERSION, "DRAIN": DRAIN}
 
         def excused(breach: Breach, excuse: Callable[[str, float, float], bool], more: float = 0.0) -> bool:
-            counter = next((through[id] for id in breach.ids if id in through), None)
-            if breach.rule not in spans or counter is None:
+            router = next((through[id] for id in breach.ids if id in through), None)
+            if breach.rule not in spans or router is None:
                 return False
-            return excuse(counter, breach.at - spans[breach.rule] - more, breach.at)
+            return excuse(router, breach.at - spans[breach.rule] - more, breach.at)
 
         found = [
             breach
--- a/rowanshift/virtual/machine.py
+++ b/rowanshift/simulation/machine.py
@@ -20,10 +20,10 @@
 from trio.lowlevel import Abort
 
 from rowanshift.net.transport import Address, Listener, Port, Stream
-from rowanshift.virtual.disk import VirtualDisk
+from rowanshift.simulation.disk import VirtualDisk
 
 if TYPE_CHECKING:
-    from rowanshift.virtual.network import Network
+    from rowanshift.simulation.network import Network
 
 Trap = Any  # what a coroutine of trio's yields
 
--- a/rowanshift/virtual/network.py
+++ b/rowanshift/simulation/network.py
@@ -16,8 +16,8 @@
 import trio
 
 from rowanshift.net.transport import Address
-from rowanshift.virtual.clock import VirtualClock
-from rowanshift.virtual.machine import Machine, Slot
+from rowanshift.simulation.clock import VirtualClock
+from rowanshift.simulation.machine import Machine, Slot
 
 EPOCH = 1_700_000_000.0  # Unix time at which every run starts
 WINDOW = 64 * 1024  # bytes that may be sent and not yet read
--- a/rowanshift/virtual/world.py
+++ b/rowanshift/simulation/world.py
@@ -16,20 +16,20 @@
 from loguru import logger
 
 from rowanshift.choice import Router
+from rowanshift.emulation.clients import Asked, Crowd, Door, Habits
+from rowanshift.emulation.discovery import Agent, row_of
+from rowanshift.emulation.http import Ledger
+from rowanshift.emulation.servers import Cache, Kind, Origin, Server, Spoiling
+from rowanshift.invariants.checks import Broken, Rules, Terms
+from rowanshift.invariants.events import Events, Fact
 from rowanshift.net.config import config_of, entry_of
 from rowanshift.net.service import Phase, Service
 from rowanshift.policy.ring import stable
-from rowanshift.rules.checks import Broken, Rules, Terms
-from rowanshift.rules.events import Events, Fact
 from rowanshift.scenario import Scenario, Trouble
 from rowanshift.settings import settings_of
-from rowanshift.standins.clients import Asked, Crowd, Door, Habits
-from rowanshift.standins.discovery import Agent, row_of
-from rowanshift.standins.http import Ledger
-from rowanshift.standins.servers import Cache, Kind, Origin, Server, Spoiling
-from rowanshift.virtual.clock import Determined, VirtualClock
-from rowanshift.virtual.machine import Machine
-from rowanshift.virtual.network import EPOCH, Network, Paths
+from rowanshift.simulation.clock import Determined, VirtualClock
+from rowanshift.simulation.machine import Machine
+from rowanshift.simulation.network import EPOCH, Network, Paths
 
 PORT, PEERS, AGENT = 8080, 9100, 9500
 NOTICED = 1.5, 3.4  # seconds until clients know that a router died
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -14,13 +14,13 @@
 import orjson
 import trio
 
-from rowanshift.boot import Boot, BootError, address_of, load_boot
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import CallFailed, call
 from rowanshift.net.connection import Fields, Message
 from rowanshift.net.transport import SYSTEM, Address, Host
-from rowanshift.records.delivery import DRAINING, LOADING
-from rowanshift.records.machines import machine_of
+from rowanshift.node_settings import NodeSettings, NodeSettingsError, address_of, load_node_settings
+from rowanshift.wire.delivery import DRAINING, LOADING
+from rowanshift.wire.machines import machine_of
 
 T = TypeVar("T")
 
@@ -75,7 +75,7 @@
     """The addresses in ``IP:PORT[,IP:PORT...]``."""
     try:
         return [address_of(part.strip(), "--at") for part in text.split(",")]
-    except BootError as error:
+    except NodeSettingsError as error:
         raise UnusableInput(str(error)) from error
 
 
@@ -99,7 +99,7 @@
             place, slash, path = place.partition(b"/")
             try:
                 address, target = address_of(place.decode("latin-1"), "Location"), slash + path
-            except BootError as error:
+            except NodeSettingsError as error:
                 raise CallFailed(str(error), True) from error
         raise CallFailed(f"sent on more than {MOST_REDIRECTS} times", True)
 
@@ -233,7 +233,7 @@
                 row["leaseS"],
                 f"{milliseconds:.1f}",
                 "-" if row["revision"] is None else row["revision"],
-                "its disk was lost" if row["forgotten"] else "",
+                "its disk was lost" if row["amnesic"] else "",
             )
         )
     head = ("machine", "name", "role", "epoch", "primary", "in sync", "lease s", "save ms", "revision", "note")
@@ -241,11 +241,11 @@
 
 
 def members(at: str) -> Shown:
-    """The counters that hold a lease, by the primary."""
+    """The routers that hold a lease, by the primary."""
     row = primary_of(asked(at, Control.statuses))
     ages = row["memberAgeS"]
-    lines = table(("counter", "heard s ago"), [(ip, f"{ages[ip]:.1f}") for ip in sorted(ages, key=place_of)])
-    return Shown([*lines, f"{len(ages)} counters hold a lease of {row['machine']}"])
+    lines = table(("router", "heard s ago"), [(ip, f"{ages[ip]:.1f}") for ip in sorted(ages, key=place_of)])
+    return Shown([*lines, f"{len(ages)} routers hold a lease of {row['machine']}"])
 
 
 def duties(at: str) -> Shown:
@@ -305,7 +305,7 @@
 
 def config_put(at: str, file: Path, if_match: int | None) -> Shown:
     """Puts a configuration on top of ``if_match``, or of the revision in force now."""
-    from rowanshift.ledger.operator import InvalidConfiguration, load
+    from rowanshift.controlplane.configuration import InvalidConfiguration, load
 
     body = read(file)
     try:
@@ -336,7 +336,7 @@
 
 def config_check(file: Path) -> Shown:
     """The ledger's own checks, without a ledger."""
-    from rowanshift.ledger.operator import Configuration
+    from rowanshift.controlplane.configuration import Configuration
 
     config: Configuration = parsed(file, read(file))
     tenants = "no keys are checked" if config.tenants is None else f"{len(config.tenants)} tenants"
@@ -349,7 +349,7 @@
 
 
 def parsed(place: object, body: bytes) -> Any:
-    from rowanshift.ledger.operator import InvalidConfiguration, parse
+    from rowanshift.controlplane.configuration import InvalidConfiguration, parse
 
     try:
         return parse(body)
@@ -468,10 +468,10 @@
 # files ------------------------------------------------------
 
 
-def ledger_check(folder: Path) -> Shown:
+def store_check(folder: Path) -> Shown:
     """What the store in a folder holds, or in ``ledger`` within it, where a core machine keeps it."""
-    from rowanshift.ledger.check import report
-    from rowanshift.ledger.store import DATA_FILE
+    from rowanshift.controlplane.store import DATA_FILE
+    from rowanshift.controlplane.store_check import report
 
     if not (folder / DATA_FILE).is_file() and (folder / "ledger" / DATA_FILE).is_file():
         folder = folder / "ledger"
@@ -483,52 +483,54 @@
 
 def durable_told(record: bytes) -> str:
     """Lines about what a core machine's disk holds. ``DamagedRecord`` if it can't be read."""
-    from rowanshift.ledger.node import durable_of
-    from rowanshift.ledger.protocol import Durable
-    from rowanshift.ledger.sheet import BadSheet, unpack
-    from rowanshift.ledger.store import DamagedRecord
-    from rowanshift.records.codec import BadRecord
-    from rowanshift.records.machines import ip_of
+    from rowanshift.controlplane.control_state import BadControlState, unpack
+    from rowanshift.controlplane.protocol import Durable
+    from rowanshift.controlplane.replica_host import durable_of
+    from rowanshift.controlplane.store import DamagedRecord
+    from rowanshift.wire.codec import BadRecord
+    from rowanshift.wire.machines import ip_of
 
     try:
         durable = durable_of(record)
         if not isinstance(durable, Durable):
             raise BadRecord(f"{type(durable).__name__} where a Durable belongs")
         sheet = unpack(durable.sheet)
-    except (BadRecord, BadSheet) as error:
+    except (BadRecord, BadControlState) as error:
         raise DamagedRecord(f"the record can't be read: {error}") from error
     accepted = durable.accepted
 
     def told(machines: Iterable[int]) -> str:
         return ", ".join(map(ip_of, machines)) or "none"
 
-    lost = "; has lost its disk and not recalled yet" if durable.forgotten else ""
+    lost = "; has lost its disk and not recovered yet" if durable.amnesic else ""
     config = f"revision {sheet.revision}, {len(sheet.config)} bytes" if sheet.revision else "no configuration yet"
     lines = [
         f"promised {durable.promised}{lost}",
         f"epoch {accepted.number}, primary {ip_of(accepted.primary) if accepted.primary else 'none'}",
         f"in sync: {told(accepted.in_sync)}; witnesses: {told(accepted.witnesses)}"
         + (f"; former witnesses: {told(accepted.former)}" if accepted.former else ""),
-        "sheet of epoch {}, sequence {}: ".format(*durable.stamp) + config,
+        "state of epoch {}, sequence {}: ".format(*durable.stamp) + config,
     ]
     lines += [f"named: {model} version {version}" for model, version in sorted(sheet.versions.items())]
     return "\n".join(lines)
 
 
-ROLES = {"edge": ("counter", ("frontend", "readiness")), "core": ("ledger", ("controlPlane",))}
+ROLES = {"edge": ("dataplane", ("frontend", "readiness")), "core": ("controlplane", ("controlPlane",))}
 
 
 def boot_check(file: Path) -> Shown:
     """Reads a settings file as a process does at its start, and says what is in it."""
     try:
-        boot = load_boot(file)
+        boot = load_node_settings(file)
         role, wanted = ROLES.get(boot.file.machine_class, ("", ()))
         if not role:
-            raise BootError("machineClass", f"one of {', '.join(ROLES)} expected, not {boot.file.machine_class!r}")
+            raise NodeSettingsError(
+                "machineClass", f"one of {', '.join(ROLES)} expected, not {boot.file.machine_class!r}"
+            )
         for name in wanted:
             boot.want(name)
         numbers(boot)
-    except BootError as error:
+    except NodeSettingsError as error:
         raise UnusableInput(str(error)) from error
     listens = ", ".join(f"{name} {ip}:{port}" for name, (ip, port) in boot.listen.items())
     lines = [
@@ -538,7 +540,7 @@
         f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
         f"{boot.file.fault_tolerance.machines} machines may be lost",
     ]
-    if role == "ledger":
+    if role == "controlplane":
         lines.append(
             f"data {boot.data or 'nowhere: what it holds ends with the process'}; "
             f"{'a first start' if boot.file.bootstrap else 'no first start'}; list at "
@@ -547,9 +549,9 @@
     return Shown(lines)
 
 
-def numbers(boot: Boot) -> None:
-    """Raise ``BootError`` if a machine's address is no IPv4 address."""
+def numbers(boot: NodeSettings) -> None:
+    """Raise ``NodeSettingsError`` if a machine's address is no IPv4 address."""
     for place, ip in (("ip", boot.ip), *((f"seedNodes[{n}]", seed[0]) for n, seed in enumerate(boot.seeds))):
         parts = ip.split(".")
         if len(parts) != 4 or not all(part.isdigit() and int(part) < 256 for part in parts):
-            raise BootError(place, f"an IPv4 address expected, not {ip[:64]!r}")
+            raise NodeSettingsError(place, f"an IPv4 address expected, not {ip[:64]!r}")
--- a/rowanshift/records/delivery.py
+++ b/rowanshift/wire/delivery.py
@@ -1,8 +1,8 @@
-"""What counters and the ledger say to each other."""
+"""What routers and the ledger say to each other."""
 
 from dataclasses import dataclass, field
 
-from rowanshift.records.codec import Codec
+from rowanshift.wire.codec import Codec
 
 UP, DRAINING = 1, 2  # states of a server
 LOADING = 4  # it takes new weights
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Row:
-    """One server as the roster names it."""
+    """One server as the registry names it."""
 
     id: str
     service: str
@@ -23,38 +23,38 @@
 
 @dataclass(slots=True, frozen=True)
 class Poll:
-    """A counter asks with what it has, and renews its lease with that."""
+    """A router asks with what it has, and renews its lease with that."""
 
     machine: int  # its IP as a number
     started: int  # drawn at its start
     stamp: tuple[int, int]  # of the sheet that it has; (0, 0): none
     mark: int  # of the sheet's text
-    roster: tuple[int, int]  # epoch and serial of the roster that it has
+    registry: tuple[int, int]  # epoch and serial of the registry that it has
     stock: tuple[int, int]  # the same of what stores keep
     peers: tuple[int, int]  # and of the members
 
 
 @dataclass(slots=True, frozen=True)
 class Update:
-    """The answer: whatever is newer than what the counter has."""
+    """The answer: whatever is newer than what the router has."""
 
     stamp: tuple[int, int]
     mark: int
-    has_sheet: bool  # else the counter has this very one
+    has_state: bool  # else the router has this very one
     revision: int
     config: bytes  # compressed
     versions: dict[str, int]  # named, of each model
-    roster: tuple[int, int]
+    registry: tuple[int, int]
     has_rows: bool
     rows: tuple[Row, ...] = field(default=())
-    members: int = 1  # counters that share budgets; 0: not known yet
+    members: int = 1  # routers that share budgets; 0: not known yet
     stock: tuple[int, int] = (0, 0)
     stock_whole: bool = False  # else what changed
     kept: bytes = b""  # marks of parts that stores keep, 8 bytes each
     dropped: bytes = b""  # and of those that they no longer do
     peers: tuple[int, int] = (0, 0)
     has_peers: bool = False
-    machines: tuple[int, ...] = ()  # counters that are members now
+    machines: tuple[int, ...] = ()  # routers that are members now
     core: tuple[int, ...] = ()  # machines of the core that may be asked next time
 
 
@@ -68,4 +68,4 @@
 
 KINDS: dict[int, tuple[type, str]] = {1: (Poll, "qqpqppp"), 2: (Update, "pq?qbvp?oqp?bbp?tt"), 3: (Elsewhere, "qt")}
 NESTED: dict[str, tuple[type, str]] = {"o": (Row, "ssssqqv")}
-CODEC = Codec(KINDS, NESTED)  # all that a counter needs
+CODEC = Codec(KINDS, NESTED)  # all that a router needs
--- a/rowanshift/records/table.py
+++ b/rowanshift/wire/table.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from rowanshift.ledger import protocol
-from rowanshift.records import delivery
-from rowanshift.records.codec import Codec
+from rowanshift.controlplane import protocol
+from rowanshift.wire import delivery
+from rowanshift.wire.codec import Codec
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,9 +26,9 @@
     24: (protocol.Accepted, "q?q"),
     25: (protocol.Confirm, "qqr"),
     26: (protocol.Confirmed, "qq?qp"),
-    27: (protocol.Nominate, "q"),
-    28: (protocol.Recall, "q"),
-    29: (protocol.Recalled, "qqr?"),
+    27: (protocol.TransferLeadership, "q"),
+    28: (protocol.RecoveryRequest, "q"),
+    29: (protocol.RecoveryReply, "qqr?"),
     30: (protocol.Join, "q"),
     64: (protocol.Durable, "qrpb?"),
 }
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -7,14 +7,14 @@
 import trio
 from helpers import ORIGIN
 
+from rowanshift.emulation.demo import ask
+from rowanshift.emulation.discovery import Agent, row_of
+from rowanshift.emulation.http import Ledger
+from rowanshift.emulation.servers import Cache, Kind, Origin
+from rowanshift.invariants.events import Events
 from rowanshift.net.config import config_of
 from rowanshift.net.service import Phase, Service
 from rowanshift.net.transport import SYSTEM
-from rowanshift.rules.events import Events
-from rowanshift.standins.demo import ask
-from rowanshift.standins.discovery import Agent, row_of
-from rowanshift.standins.http import Ledger
-from rowanshift.standins.servers import Cache, Kind, Origin
 
 RAW = {
     "categories": [
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,11 +27,11 @@
 from rowanshift.capacity.sweep import Shape
 from rowanshift.capacity.takeover import Play
 from rowanshift.cli import main
-from rowanshift.ledger.operator import parse
-from rowanshift.ledger.protocol import Confirm, Confirmed, EpochRecord, Store, Stored
-from rowanshift.ledger.sheet import unpack
-from rowanshift.records.delivery import Update
-from rowanshift.records.table import CODEC
+from rowanshift.controlplane.configuration import parse
+from rowanshift.controlplane.control_state import unpack
+from rowanshift.controlplane.protocol import Confirm, Confirmed, EpochRecord, Store, Stored
+from rowanshift.wire.delivery import Update
+from rowanshift.wire.table import CODEC
 
 ROUTERS, SERVERS, TENANTS, ROUTES, POOLS = 3, 5, 4, 3, 2
 
@@ -54,7 +54,7 @@
                 await fleet.until(None, 10)
                 await ledger.change_config()
                 await ledger.change_roster()
-        sheet = ledger.desk.node.ledger.committed_sheet
+        sheet = ledger.core_service.replica_host.replica.committed_state
         counts = {
             "log": fleet.log,
             "polls": fleet.polls,
@@ -90,7 +90,7 @@
 
     def test_the_small_run_carried_what_it_is_to_prove(self) -> None:
         log = self.run_["log"]
-        self.assertEqual(sum(answer.has_sheet for answer in log), 2 * ROUTERS)
+        self.assertEqual(sum(answer.has_state for answer in log), 2 * ROUTERS)
         self.assertEqual(sum(answer.has_rows for answer in log), 2 * ROUTERS)
         self.assertEqual({len(answer.rows) for answer in log}, {0, SERVERS})
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,12 +12,14 @@
 
 from helpers import invoke
 
-from rowanshift import __version__, boot
-from rowanshift.virtual.draw import SIZES
+from rowanshift import __version__, node_settings
+from rowanshift.simulation.draw import SIZES
 
 ROOT = Path(__file__).parents[1]
 EXAMPLE = ROOT / "examples" / "config.json"
 OPTIONS = {
+    "dataplane": ["--boot", "--level", "ROWANSHIFT_BOOT"],
+    "controlplane": ["--boot", "--level", "ROWANSHIFT_BOOT"],
     "counter": ["--boot", "--level", "ROWANSHIFT_BOOT"],
     "ledger": ["--boot", "--level", "ROWANSHIFT_BOOT"],
     "serve": ["--config", "-c", "--level", "BALANCER_CONFIG"],
@@ -31,6 +33,12 @@
     "demo": ["--config", "-c", "--stay", "--no-stay", "--router", "--no-router"],
     "simulate": ["file", "--seeds", "--seed", "--size", "--workers", "--events", "--shrink", "--json", *SIZES],
 }
+MODULES = {
+    "dataplane": "dataplane",
+    "controlplane": "controlplane",
+    "counter": "dataplane",
+    "ledger": "controlplane",
+}  # the package that serves each role, former names of roles among them
 LARGE = ("asyncio", "httptools", "loguru", "lmdb", "msgspec", "orjson", "rich", "serde", "trio")
 
 
@@ -63,7 +71,7 @@
         status, said = invoke("--help")
         self.assertEqual(status, 0)
         for command in OPTIONS:
-            self.assertRegex(said, rf"(?m)^ +{command} +\S")
+            self.assertRegex(said, rf"(?m)^ +{command}\s+\S")
 
     def test_no_command_is_no_success(self) -> None:
         self.assertEqual(invoke(), (2, invoke("--help")[1]))
@@ -105,6 +113,8 @@
                 ("demo", "-c"),
                 ("migrate", "-o", "x"),
                 ("simulate",),
+                ("dataplane", "--boot"),
+                ("controlplane", "--boot"),
                 ("counter", "--boot"),
                 ("ledger", "--boot"),
             ):
@@ -141,6 +151,8 @@
                 for command, variable in (
                     ("serve", "BALANCER_CONFIG"),
                     ("check", "BALANCER_CONFIG"),
+                    ("dataplane", "ROWANSHIFT_BOOT"),
+                    ("controlplane", "ROWANSHIFT_BOOT"),
                     ("counter", "ROWANSHIFT_BOOT"),
                     ("ledger", "ROWANSHIFT_BOOT"),
                 ):
@@ -158,27 +170,31 @@
         with (
             without("ROWANSHIFT_BOOT"),
             mock.patch.dict(os.environ, environment),
-            mock.patch.object(boot, "load_boot", side_effect=lambda path: f"boot of {path}"),
-            mock.patch.dict(sys.modules, {f"rowanshift.{role}.service": service}),
+            mock.patch.object(node_settings, "load_node_settings", side_effect=lambda path: f"boot of {path}"),
+            mock.patch.dict(sys.modules, {f"rowanshift.{MODULES[role]}.service": service}),
         ):
             return invoke(role, *arguments), service.run.mock_calls
 
     def test_a_service_gets_what_the_file_says_and_its_status_is_the_end(self) -> None:
-        for role in ("counter", "ledger"):
+        for role, module in MODULES.items():
+            former = role if role != module else ""
             for outcome, status in ((None, 0), (0, 0), (1, 1), (3, 3)):
                 with self.subTest(role, outcome=outcome):
                     self.assertEqual(
                         self.called(role, outcome, "--boot", "a", "--level", "debug"),
-                        ((status, ""), [mock.call("boot of a", "DEBUG")]),
+                        ((status, ""), [mock.call("boot of a", "DEBUG", former)]),
                     )
-            self.assertEqual(self.called(role, None, ROWANSHIFT_BOOT="b"), ((0, ""), [mock.call("boot of b", "INFO")]))
             self.assertEqual(
-                self.called(role, None, "--boot", "a", ROWANSHIFT_BOOT="b")[1], [mock.call("boot of a", "INFO")]
+                self.called(role, None, ROWANSHIFT_BOOT="b"), ((0, ""), [mock.call("boot of b", "INFO", former)])
+            )
+            self.assertEqual(
+                self.called(role, None, "--boot", "a", ROWANSHIFT_BOOT="b")[1], [mock.call("boot of a", "INFO", former)]
             )
 
     def test_a_setting_that_the_service_can_not_use(self) -> None:
         self.assertEqual(
-            self.called("ledger", boot.BootError("dataDir", "missing"))[0], (2, "rowanshift: dataDir: missing\n")
+            self.called("controlplane", node_settings.NodeSettingsError("dataDir", "missing"))[0],
+            (2, "rowanshift: dataDir: missing\n"),
         )
 
 
@@ -193,7 +209,7 @@
         ) as process:
             process.stdout.close()
             self.assertEqual((process.wait(60), process.stderr.read()), (1, ""))
-        with mock.patch("rowanshift.virtual.command.simulate", side_effect=KeyboardInterrupt):
+        with mock.patch("rowanshift.simulation.command.simulate", side_effect=KeyboardInterrupt):
             self.assertEqual(invoke("simulate", "--seed", 1), (130, ""))
 
 
@@ -215,10 +231,10 @@
                         "lmdb",
                         "serde",
                         "rowanshift.migrate",
-                        "rowanshift.virtual",
-                        "rowanshift.standins",
-                        "rowanshift.counter",
-                        "rowanshift.ledger",
+                        "rowanshift.simulation",
+                        "rowanshift.emulation",
+                        "rowanshift.dataplane",
+                        "rowanshift.controlplane",
                     )
                 )
             ],
--- a/tests/test_operator_config.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from rowanshift.ledger.operator import (
+from rowanshift.controlplane.configuration import (
     InvalidConfiguration,
     StaleMatch,
     check_change,
--- a/tests/test_sheet.py
+++ b/tests/test_control_state.py
@@ -7,12 +7,12 @@
 
 import orjson
 
-from rowanshift.ledger.operator import InvalidConfiguration, StaleMatch, digest
-from rowanshift.ledger.sheet import (
+from rowanshift.controlplane.configuration import InvalidConfiguration, StaleMatch, digest
+from rowanshift.controlplane.control_state import (
     MOST_TAKEN,
-    BadSheet,
+    BadControlState,
+    ControlState,
     InvalidVersion,
-    Sheet,
     put_config,
     put_version,
     unpack,
@@ -30,17 +30,17 @@
     )
 
 
-def after(sheet: Sheet, if_match: str | None, sent: bytes) -> Sheet:
+def after(sheet: ControlState, if_match: str | None, sent: bytes) -> ControlState:
     """The sheet after a change that is neither refused nor taken already."""
     made = put_config(sheet, if_match, sent)
     assert made is not None
     return made[0]
 
 
-def drawn(draw: random.Random) -> Sheet:
+def drawn(draw: random.Random) -> ControlState:
     names = ["", "m", "é" * 40, "x" * 3000, *(f"model-{draw.randrange(50)}" for _ in range(20))]
     recent = draw.randrange(MOST_TAKEN + 1)
-    return Sheet(
+    return ControlState(
         revision=draw.choice((0, 1, 2**63 - 1, draw.randrange(2**40))),
         config=draw.randbytes(draw.choice((0, 1, 5000))),
         versions={draw.choice(names): draw.randrange(1, 2**63) for _ in range(draw.randrange(12))},
@@ -56,20 +56,20 @@
             self.assertEqual(unpack(sheet.pack()), sheet)
 
     def test_no_bytes_are_the_empty_sheet(self) -> None:
-        self.assertEqual(unpack(b""), Sheet())
-        self.assertEqual(unpack(Sheet().pack()), Sheet())
+        self.assertEqual(unpack(b""), ControlState())
+        self.assertEqual(unpack(ControlState().pack()), ControlState())
 
     def test_equal_sheets_have_equal_bytes(self) -> None:
-        one, two = Sheet(versions={"a": 1, "b": 2}), Sheet(versions={"b": 2, "a": 1})
+        one, two = ControlState(versions={"a": 1, "b": 2}), ControlState(versions={"b": 2, "a": 1})
         self.assertEqual(one.pack(), two.pack())
 
     def test_cut_short_or_too_long(self) -> None:
-        sheet = Sheet(7, b"{}", {"m": 2, "né": 3}, ((5, bytes(32)), (7, b"\1" * 32)))
+        sheet = ControlState(7, b"{}", {"m": 2, "né": 3}, ((5, bytes(32)), (7, b"\1" * 32)))
         packed = sheet.pack()
         for length in range(1, len(packed)):
-            with self.assertRaises(BadSheet):
+            with self.assertRaises(BadControlState):
                 unpack(packed[:length])
-        with self.assertRaises(BadSheet):
+        with self.assertRaises(BadControlState):
             unpack(packed + b"\0")
 
     def test_any_bytes_are_read_or_refused(self) -> None:
@@ -81,22 +81,22 @@
                 packed[draw.randrange(min(len(packed), 60))] = draw.randrange(256)
             try:
                 unpack(bytes(packed))
-            except BadSheet:
+            except BadControlState:
                 refused += 1
         self.assertGreater(refused, 2000)
 
     def test_what_no_sheet_holds(self) -> None:
-        twice = bytearray(Sheet(versions={"a": 1, "b": 2}).pack())
+        twice = bytearray(ControlState(versions={"a": 1, "b": 2}).pack())
         twice[twice.index(b"b")] = ord("a")
-        many = Sheet(taken=tuple((n, bytes(32)) for n in range(MOST_TAKEN + 1))).pack()
-        for packed in (bytes(twice), many, b"RSSH", b"\0" * 40, b"XXXX" + Sheet().pack()[4:]):
-            with self.assertRaises(BadSheet):
+        many = ControlState(taken=tuple((n, bytes(32)) for n in range(MOST_TAKEN + 1))).pack()
+        for packed in (bytes(twice), many, b"RSSH", b"\0" * 40, b"XXXX" + ControlState().pack()[4:]):
+            with self.assertRaises(BadControlState):
                 unpack(packed)
 
 
 class Configurations(unittest.TestCase):
     def test_one_after_the_other(self) -> None:
-        first = after(Sheet(), "0", body(3))
+        first = after(ControlState(), "0", body(3))
         self.assertEqual((first.revision, first.config), (3, body(3)))
         self.assertEqual(first.taken, ((3, digest(body(3))),))
         made = put_config(first, "3", body(9))
@@ -106,41 +106,41 @@
         self.assertEqual(first.revision, 3)  # the sheet before is as it was
 
     def test_a_retry_of_one_taken(self) -> None:
-        sheet = after(after(Sheet(), "0", body(3)), "3", body(4))
+        sheet = after(after(ControlState(), "0", body(3)), "3", body(4))
         for sent in (body(3), body(4), orjson.dumps(orjson.loads(body(3)), option=orjson.OPT_INDENT_2)):
             for if_match in ("0", "3", "4", None):
                 self.assertIsNone(put_config(sheet, if_match, sent))
 
     def test_another_under_a_number_that_was_taken(self) -> None:
-        sheet = after(Sheet(), "0", body(3))
+        sheet = after(ControlState(), "0", body(3))
         with self.assertRaises(StaleMatch):
             put_config(sheet, "0", body(3, colour=1))
         with self.assertRaises(InvalidConfiguration):
             put_config(sheet, "3", body(3, colour=1))
 
     def test_one_of_two_on_top_of_the_same_wins(self) -> None:
-        sheet = after(Sheet(), "0", body(3))
+        sheet = after(ControlState(), "0", body(3))
         won = after(sheet, "3", body(5))
         with self.assertRaises(StaleMatch) as caught:
             put_config(won, "3", body(6))
         self.assertEqual(caught.exception.current, 5)
 
     def test_invalid_goes_before_stale(self) -> None:
-        sheet = after(Sheet(), "0", body(3))
+        sheet = after(ControlState(), "0", body(3))
         with self.assertRaises(InvalidConfiguration):
             put_config(sheet, "0", body(5, backends=[]))
         with self.assertRaises(InvalidConfiguration):
             put_config(sheet, "3", body(5)[:-1])
 
     def test_revision_not_above(self) -> None:
-        sheet = after(Sheet(), "0", body(3))
+        sheet = after(ControlState(), "0", body(3))
         for revision in (1, 2):
             with self.assertRaises(InvalidConfiguration) as caught:
                 put_config(sheet, "3", body(revision))
             self.assertEqual(caught.exception.place, "revision")
 
     def test_so_many_are_remembered(self) -> None:
-        sheet = Sheet()
+        sheet = ControlState()
         for revision in range(1, MOST_TAKEN + 3):
             sheet = after(sheet, str(revision - 1), body(revision))
         self.assertEqual([number for number, _ in sheet.taken], list(range(3, MOST_TAKEN + 3)))
@@ -150,14 +150,14 @@
         self.assertEqual(unpack(sheet.pack()), sheet)
 
     def test_named_versions_stay(self) -> None:
-        sheet = put_version(Sheet(), "m", 4)
+        sheet = put_version(ControlState(), "m", 4)
         assert sheet is not None
         self.assertEqual(after(sheet, "0", body(1)).versions, {"m": 4})
 
 
 class Versions(unittest.TestCase):
     def test_they_rise(self) -> None:
-        sheet = Sheet()
+        sheet = ControlState()
         for revision in (1, 2, 9):
             before, old = sheet, copy.deepcopy(sheet)
             made = put_version(sheet, "m", revision)
@@ -170,18 +170,18 @@
         self.assertEqual(other.versions, {"m": 9, "n": 1})
 
     def test_that_or_a_newer_one_already(self) -> None:
-        sheet = Sheet(versions={"m": 5})
+        sheet = ControlState(versions={"m": 5})
         for revision in (1, 4, 5):
             self.assertIsNone(put_version(sheet, "m", revision))
 
     def test_refused(self) -> None:
         for model in (None, 5, b"m", [], "", "x" * 70_000, "\ud800"):
             with self.subTest(model=model), self.assertRaises(InvalidVersion) as caught:
-                put_version(Sheet(), model, 1)
+                put_version(ControlState(), model, 1)
             self.assertEqual((caught.exception.place, caught.exception.status), ("model", 400))
         for revision in (None, 0, -1, "1", 1.0, True, 2**63, []):
             with self.subTest(revision=revision), self.assertRaises(InvalidVersion) as caught:
-                put_version(Sheet(), "m", revision)
+                put_version(ControlState(), "m", revision)
             self.assertEqual(caught.exception.place, "revision")
 
 
--- a/tests/test_standins_system.py
+++ b/tests/test_emulation_system.py
@@ -8,12 +8,13 @@
 import httptools
 import trio
 
-from rowanshift.net.budget import Memory
-from rowanshift.net.connection import Connection
-from rowanshift.net.transport import SYSTEM, connect, send_all
-from rowanshift.rules import system as rules
-from rowanshift.rules.events import Events
-from rowanshift.rules.system import (
+from rowanshift.emulation.http import HttpServer, field_of
+from rowanshift.emulation.model_server import KvStore, ModelServer, Registry, Traits
+from rowanshift.emulation.platform import PlatformList
+from rowanshift.emulation.system_clients import Operator, Patron, Work
+from rowanshift.invariants import system as rules
+from rowanshift.invariants.events import Events
+from rowanshift.invariants.system import (
     Began,
     CacheHit,
     ConfigAnswered,
@@ -27,12 +28,11 @@
     by_id,
     of_kind,
 )
-from rowanshift.standins.engine import KvStore, ModelServer, Registry, Traits
-from rowanshift.standins.http import HttpServer, field_of
-from rowanshift.standins.patrons import Operator, Patron, Work
-from rowanshift.standins.platform import PlatformList
-from rowanshift.virtual.clock import Determined, VirtualClock
-from rowanshift.virtual.network import Network, Paths
+from rowanshift.net.budget import Memory
+from rowanshift.net.connection import Connection
+from rowanshift.net.transport import SYSTEM, connect, send_all
+from rowanshift.simulation.clock import Determined, VirtualClock
+from rowanshift.simulation.network import Network, Paths
 
 PORT = 8080
 TRAITS = dict(
@@ -447,7 +447,7 @@
             report = (await world.fetch(server, "GET", "/report"))[2]
             server.restart()
             await trio.sleep(0.5)
-            got.append(await world.order(server, fenceToken=1))  # it has forgotten, and has the weights
+            got.append(await world.order(server, fenceToken=1))  # it has amnesic, and has the weights
             return got, report, server.instance_id, len(world.of(Ordered)), len(world.of(Loaded))
 
         got, report, instance, orders, loads = self.play(main)
--- a/tests/test_rules_system.py
+++ b/tests/test_invariants_system.py
@@ -3,8 +3,8 @@
 import unittest
 from dataclasses import replace
 
-from rowanshift.rules import system as rules
-from rowanshift.rules.system import (
+from rowanshift.invariants import system as rules
+from rowanshift.invariants.system import (
     Answered,
     Asked,
     Began,
--- a/tests/test_stock.py
+++ b/tests/test_kv_index.py
@@ -4,24 +4,24 @@
 import unittest
 from types import SimpleNamespace
 
-from rowanshift.counter.book import Book, Service, Tenant
-from rowanshift.counter.engines import Engine
-from rowanshift.counter.front import Front
-from rowanshift.counter.requests import request_of, written
-from rowanshift.net.connection import Message
-from rowanshift.stock import index
-from rowanshift.stock.index import (
+from rowanshift.dataplane.endpoints import Endpoint
+from rowanshift.dataplane.frontend import Frontend
+from rowanshift.dataplane.requests import request_of, written
+from rowanshift.dataplane.routing_table import RoutingTable, Service, Tenant
+from rowanshift.kv_index import index
+from rowanshift.kv_index.index import (
     MOST_CHANGES,
     MOST_PARTS,
     BadEvents,
+    KvIndex,
     Source,
-    Stock,
     mark_of,
     packed,
     store_for,
     there,
     unpacked,
 )
+from rowanshift.net.connection import Message
 
 AT = "10.0.0.1:9000"
 
@@ -178,7 +178,7 @@
         return set(kept) if whole else (had | set(kept)) - set(dropped)
 
     def test_nothing_changed(self):
-        stock = Stock()
+        stock = KvIndex()
         self.assertTrue(stock.update({1, 2}))
         serial = stock.serial
         self.assertFalse(stock.update({2, 1}))
@@ -186,7 +186,7 @@
         self.assertEqual(stock.since(serial), (False, [], []))
 
     def test_one_who_has_none_or_an_unknown_one_gets_the_whole(self):
-        stock = Stock()
+        stock = KvIndex()
         self.assertEqual(stock.since(0), (True, [], []))
         stock.update({3, 1})
         for serial in (0, stock.serial + 1, 2**60):
@@ -194,7 +194,7 @@
 
     def test_every_serial(self):
         for seed, many in ((1, 3), (2, 40), (3, 400)):
-            chance, stock = random.Random(seed), Stock()
+            chance, stock = random.Random(seed), KvIndex()
             past = {stock.serial: set()}
             for _ in range(120):
                 held = set(stock.held)
@@ -211,7 +211,7 @@
 
     def test_one_change_larger_than_what_is_kept(self):
         for size in (MOST_CHANGES - 1, MOST_CHANGES, MOST_CHANGES + 1, 3 * MOST_CHANGES):
-            stock, before = Stock(), set(range(5))
+            stock, before = KvIndex(), set(range(5))
             stock.update(before)
             serial = stock.serial
             stock.update(set(range(100, 100 + size)))
@@ -219,7 +219,7 @@
             self.assertEqual(self.through(stock, set(), serial - 1), stock.held)
 
     def test_the_net_of_what_came_and_went(self):
-        stock = Stock()
+        stock = KvIndex()
         stock.update({1})
         serial = stock.serial
         stock.update({1, 2})
@@ -258,8 +258,8 @@
 
     def front(self, stored):
         services = {at: Service(at, b"", 8, at, 64) for at in self.STORES}
-        state = SimpleNamespace(book=Book(1, services=services), stored=stored, servers=None)
-        return Front(state, None, SimpleNamespace(), None, None, None, None)
+        state = SimpleNamespace(routing_table=RoutingTable(1, services=services), stored=stored, servers=None)
+        return Frontend(state, None, SimpleNamespace(), None, None, None, None)
 
     def request(self, prefix):
         return request_of(
@@ -282,7 +282,7 @@
 
     def test_any_index_changes_only_those_headers(self):
         chance = random.Random(1)
-        home = Engine("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
+        home = Endpoint("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
         every = [there(at) for at in self.STORES] + [
             index.mark_of(at, "m", salt, id)
             for at in self.STORES
@@ -319,7 +319,7 @@
         self.assertEqual(front._moves(request, None, 0, None, 40.0), (None, None))
 
     def test_a_part_is_fetched_from_the_store_that_keeps_it(self):
-        address, home = self.STORES[0].encode(), Engine("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
+        address, home = self.STORES[0].encode(), Endpoint("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
         stored = {there(self.STORES[0]), index.mark_of(self.STORES[0], "m", "v3.", "a")}
         front = self.front(stored)
         self.assertEqual(front._moves(self.request(b"a:100,b:1"), None, 3, None, 1.0), (address, None))
--- a/tests/test_loads.py
+++ b/tests/test_load_index.py
@@ -6,7 +6,7 @@
 import trio
 from loguru import logger
 
-from rowanshift.counter.loads import (
+from rowanshift.dataplane.load_index import (
     ADD,
     ASK,
     ASK_WITHIN,
@@ -18,14 +18,14 @@
     MOST_TOKENS,
     RECORD,
     TOLD,
-    Loads,
+    LoadIndex,
     Sums,
 )
+from rowanshift.ownership import holder
 from rowanshift.policy.ring import stable
-from rowanshift.records.machines import ip_of, machine_of
-from rowanshift.rota import holder
-from rowanshift.virtual.clock import Determined, VirtualClock
-from rowanshift.virtual.network import Network, Paths
+from rowanshift.simulation.clock import Determined, VirtualClock
+from rowanshift.simulation.network import Network, Paths
+from rowanshift.wire.machines import ip_of, machine_of
 
 PORT = 7002
 PLAIN = dict(within=0.001, across=0.001, jitter=0.0, partial=0.0, lost=0.0, doubled=0.0, late=0.0)
@@ -132,7 +132,7 @@
 
         async def all_of():
             machines = [network.machine(f"c{n}", n) for n in range(count)]
-            loads = [Loads(machine, (machine.address, PORT), machine_of(machine.address)) for machine in machines]
+            loads = [LoadIndex(machine, (machine.address, PORT), machine_of(machine.address)) for machine in machines]
             async with trio.open_nursery() as nursery:
                 for machine, one in zip(machines, loads, strict=True):
                     one.meet(tuple(other.machine for other in loads))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,6 +15,8 @@
 from helpers import entry, settings
 from rig import free
 
+from rowanshift.emulation.discovery import Agent, row_of
+from rowanshift.invariants.events import Events
 from rowanshift.model import Answer, Results, Verdict
 from rowanshift.net.budget import CLIENTS, OWN, Budget, Memory
 from rowanshift.net.clients import Clients, exchange_of
@@ -31,8 +33,6 @@
 from rowanshift.net.servers import Servers, verdict_of
 from rowanshift.net.service import Phase, Service
 from rowanshift.net.transport import SYSTEM, Socket
-from rowanshift.rules.events import Events
-from rowanshift.standins.discovery import Agent, row_of
 
 NAMES = Names({b"read": 0, b"write": 1}, {b"demo": 0, b"other": 1}, {"here": 0, "there": 1}, {"cache": 0, "origin": 1})
 FIELDS = {"Host": "a", "X-Txn": "1", "X-Lane": "read", "X-Org": "other", "X-Remaining-Ms": "480"}
--- a/tests/test_boot.py
+++ b/tests/test_node_settings.py
@@ -7,7 +7,14 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from rowanshift.boot import LARGEST, Boot, BootError, address_of, boot_of, load_boot
+from rowanshift.node_settings import (
+    LARGEST,
+    NodeSettings,
+    NodeSettingsError,
+    address_of,
+    load_node_settings,
+    node_settings_of,
+)
 
 GOOD = {
     "nodeName": "c1",
@@ -45,8 +52,8 @@
         with TemporaryDirectory() as folder:
             path = Path(folder, "boot.json")
             path.write_text(json.dumps(GOOD))
-            boot = load_boot(path)
-            self.assertEqual(load_boot(str(path)).file, boot.file)
+            boot = load_node_settings(path)
+            self.assertEqual(load_node_settings(str(path)).file, boot.file)
         self.assertEqual((boot.name, boot.ip, boot.zone, boot.region), ("c1", "10.0.0.1", "z1", "r"))
         self.assertEqual(boot.want("clients"), ("10.0.0.1", 8080))
         self.assertEqual(boot.inner, ("10.0.0.1", 7000))
@@ -58,28 +65,28 @@
         self.assertEqual(boot.file.fault_tolerance.machines, 1)
 
     def test_what_may_be_missing(self):
-        boot = boot_of({name: GOOD[name] for name in NEEDED})
-        self.assertIsInstance(boot, Boot)
+        boot = node_settings_of({name: GOOD[name] for name in NEEDED})
+        self.assertIsInstance(boot, NodeSettings)
         self.assertIsNone(boot.cloud)
         self.assertIsNone(boot.data)
         self.assertEqual((boot.file.heartbeat_ms, boot.bounds.retry_window_s), (1000, 10))
 
     def test_unknown_fields_are_ignored(self):
-        expected = boot_of(GOOD).file
+        expected = node_settings_of(GOOD).file
         for place in ((), ("limits",), ("bounds",), ("faultTolerance",), ("cloudApi",)):
             for value in (None, 1, "x", [], {"a": [{}]}):
-                self.assertEqual(boot_of(changed(value, *place, "somethingNew")).file, expected)
+                self.assertEqual(node_settings_of(changed(value, *place, "somethingNew")).file, expected)
 
     def test_the_first_and_the_last_port(self):
-        self.assertEqual(boot_of(changed([1, 65535], "internalPorts")).inner, ("10.0.0.1", 1))
-        self.assertEqual(boot_of(changed([7, 7], "internalPorts")).inner, ("10.0.0.1", 7))
+        self.assertEqual(node_settings_of(changed([1, 65535], "internalPorts")).inner, ("10.0.0.1", 1))
+        self.assertEqual(node_settings_of(changed([7, 7], "internalPorts")).inner, ("10.0.0.1", 7))
         self.assertEqual([address_of(f"h:{port}", "x")[1] for port in (1, 65535)], [1, 65535])
 
 
 class Wrong(unittest.TestCase):
     def error(self, data):
-        with self.assertRaises(BootError) as caught:
-            boot_of(data)
+        with self.assertRaises(NodeSettingsError) as caught:
+            node_settings_of(data)
         self.assertTrue(str(caught.exception).startswith(caught.exception.place))
         return str(caught.exception)
 
@@ -136,8 +143,8 @@
         self.assertIn("faultTolerance.machines", self.error(changed(-1, "faultTolerance", "machines")))
 
     def test_an_address_that_a_role_needs(self):
-        with self.assertRaises(BootError) as caught:
-            boot_of(GOOD).want("nowhere")
+        with self.assertRaises(NodeSettingsError) as caught:
+            node_settings_of(GOOD).want("nowhere")
         self.assertEqual(caught.exception.place, "listenAddresses.nowhere")
 
 
@@ -149,20 +156,20 @@
 
     def refused(self, data):
         self.path.write_bytes(data)
-        with self.assertRaises(BootError) as caught:
-            load_boot(self.path)
+        with self.assertRaises(NodeSettingsError) as caught:
+            load_node_settings(self.path)
         self.assertIn(str(self.path), str(caught.exception))
 
     def test_none_named(self):
         for path in (None, ""):
-            with self.assertRaises(BootError) as caught:
-                load_boot(path)
+            with self.assertRaises(NodeSettingsError) as caught:
+                load_node_settings(path)
             self.assertEqual(caught.exception.place, "ROWANSHIFT_BOOT")
 
     def test_missing_or_no_file(self):
         for path in (self.path, self.folder.name, self.path / "below"):
-            with self.assertRaises(BootError) as caught:
-                load_boot(path)
+            with self.assertRaises(NodeSettingsError) as caught:
+                load_node_settings(path)
             self.assertEqual(caught.exception.place, str(path))
 
     def test_too_large(self):
@@ -178,14 +185,14 @@
     def test_cut_short_anywhere(self):
         data = json.dumps(GOOD).encode()
         for end in range(0, len(data), 7):
-            with self.assertRaises(BootError):
-                boot_of(data[:end])
+            with self.assertRaises(NodeSettingsError):
+                node_settings_of(data[:end])
 
     def test_random_bytes(self):
         chance = random.Random(1)
         for _ in range(2000):
-            with self.assertRaises(BootError):
-                boot_of(chance.randbytes(chance.randrange(60)))
+            with self.assertRaises(NodeSettingsError):
+                node_settings_of(chance.randbytes(chance.randrange(60)))
 
     def test_single_bytes_changed(self):
         chance, data = random.Random(2), json.dumps(GOOD).encode()
@@ -193,8 +200,8 @@
             spoilt = bytearray(data)
             spoilt[chance.randrange(len(spoilt))] = chance.randrange(256)
             try:
-                boot_of(bytes(spoilt))
-            except BootError as error:
+                node_settings_of(bytes(spoilt))
+            except NodeSettingsError as error:
                 self.assertTrue(error.place and error.reason)
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from itertools import count
 
-from rowanshift.counter.engines import Engine, Engines
+from rowanshift.dataplane.endpoints import Endpoint, Endpoints
 from rowanshift.policy.hotness import EVIDENCE, HOT_EPOCHS, LEASE
 from rowanshift.policy.placement import (
     BACK_OFF,
@@ -27,11 +27,11 @@
 
 
 def engine(n, version=1, service=SERVICE, **more):
-    return Engine(f"i-{n}", service, f"10.0.0.{n}:80", "z", 4, {MODEL: version}, **more)
+    return Endpoint(f"i-{n}", service, f"10.0.0.{n}:80", "z", 4, {MODEL: version}, **more)
 
 
-def roster(many=6, seed=1, **more):
-    made = Engines(random.Random(seed))
+def registry(many=6, seed=1, **more):
+    made = Endpoints(random.Random(seed))
     made.update([engine(n, **more) for n in range(many)])
     return made
 
@@ -47,7 +47,7 @@
 
 class Case(unittest.TestCase):
     def setUp(self):
-        self.engines = roster()
+        self.engines = registry()
         self.pool = self.engines.pool(SERVICE)
         self.mark = mark_of(MODEL, b"prefix")
         self.walk = self.pool.ring.walk(self.mark, 6)
@@ -62,7 +62,7 @@
         self.assertIs(self.pick(), self.pool.home(self.mark))
 
     def test_each_counter_has_the_same(self):
-        other = Engines(random.Random(9))
+        other = Endpoints(random.Random(9))
         other.update([engine(n) for n in reversed(range(6))])
         for mark in marks():
             self.assertEqual(other.pool(SERVICE).pick(mark, 0.0, MODEL, 1, ()).id, self.pick(mark).id)
@@ -142,7 +142,7 @@
         self.assertIsNone(self.engines.pool("unknown").home(self.mark))
 
     def test_beyond_the_walk_the_one_with_the_least_open(self):
-        self.engines = roster(WALK + 4)
+        self.engines = registry(WALK + 4)
         self.pool = self.engines.pool(SERVICE)
         walk = self.pool.ring.walk(self.mark, WALK + 4)
         for server in walk[:WALK]:
