--- a/tests/test_ledger_protocol.py
+++ b/tests/test_replication.py
@@ -5,9 +5,9 @@
 import unittest
 from collections.abc import Callable
 
-from rowanshift.ledger import explorer
-from rowanshift.ledger import protocol as p
-from rowanshift.ledger.explorer import Host, World, half
+from rowanshift.controlplane import explorer
+from rowanshift.controlplane import protocol as p
+from rowanshift.controlplane.explorer import Host, World, half
 
 ME, OTHER, THIRD, FOURTH = 1, 2, 3, 4
 
@@ -33,7 +33,7 @@
 
     def start(self, me: int, bootstrap: bool = False) -> None:
         host, world = self.world.hosts[me], self.world
-        ledger = p.Ledger(me, world.f, world.seeds, bootstrap, host.disk, world.now, half, self.duty_wait)
+        ledger = p.Replica(me, world.f, world.seeds, bootstrap, host.disk, world.now, half, self.duty_wait)
         drain = ledger.drain
 
         def noted() -> list[p.Action]:
@@ -42,7 +42,7 @@
             return actions
 
         ledger.drain = noted
-        host.ledger = ledger
+        host.replica = ledger
         world.collect(me)
 
     def settle(self) -> None:
@@ -52,7 +52,7 @@
             moving = [i for i, entry in enumerate(world.net) if entry[1] not in self.paused]
             if moving:
                 sender, to, message = world.net[moving[0]]
-                if world.hosts[to].ledger is None or self.drop(sender, to, message):
+                if world.hosts[to].replica is None or self.drop(sender, to, message):
                     world.net.pop(moving[0])
                 else:
                     world.deliver(moving[0])
@@ -70,20 +70,20 @@
         while self.world.now < began + seconds and not until():
             self.world.now += 0.05
             for me, host in self.world.hosts.items():
-                if host.ledger is not None and me not in self.paused:
+                if host.replica is not None and me not in self.paused:
                     self.world.tick(me)
             self.settle()
         return self.world.now - began
 
-    def ledger(self, me: int) -> p.Ledger:
-        return self.world.hosts[me].ledger
+    def ledger(self, me: int) -> p.Replica:
+        return self.world.hosts[me].replica
 
     def primary(self) -> int:
         """The machine that is primary by the highest number, or 0."""
         found = [
-            (h.ledger.record.number, me)
+            (h.replica.record.number, me)
             for me, h in self.world.hosts.items()
-            if h.ledger is not None and h.ledger.is_primary
+            if h.replica is not None and h.replica.is_primary
         ]
         return max(found, default=(0, 0))[1]
 
@@ -102,13 +102,13 @@
         return [event for event in self.events if isinstance(event[2], kind)]
 
 
-def answers(ledger: p.Ledger) -> list[p.Message]:
+def answers(ledger: p.Replica) -> list[p.Message]:
     return [action.message for action in ledger.drain() if isinstance(action, p.Send)]
 
 
-def single(durable: p.Durable | None = None, bootstrap: bool = True, now: float = 0.0) -> p.Ledger:
+def single(durable: p.Durable | None = None, bootstrap: bool = True, now: float = 0.0) -> p.Replica:
     """One machine of three, its first save landed."""
-    ledger = p.Ledger(ME, 1, (ME, OTHER, THIRD), bootstrap, durable, now, half)
+    ledger = p.Replica(ME, 1, (ME, OTHER, THIRD), bootstrap, durable, now, half)
     for action in ledger.drain():
         if isinstance(action, p.Save):
             ledger.saved(action.token, now)
@@ -167,7 +167,7 @@
 
 
 class Witness(unittest.TestCase):
-    def ask(self, ledger: p.Ledger, message: p.Message, now: float, sender: int = THIRD) -> p.Message:
+    def ask(self, ledger: p.Replica, message: p.Message, now: float, sender: int = THIRD) -> p.Message:
         ledger.receive(sender, message, now)
         actions = ledger.drain()
         for action in actions:
@@ -209,9 +209,9 @@
     def test_a_primary_that_hands_over_gives_up_its_lease(self):
         ledger = single(HELD)
         self.ask(ledger, p.Confirm(RECORD.number, 1, RECORD), 10.0, OTHER)
-        self.ask(ledger, p.Nominate(RECORD.number - 1), 10.0, OTHER)
+        self.ask(ledger, p.TransferLeadership(RECORD.number - 1), 10.0, OTHER)
         self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 10.1).ok)
-        self.ask(ledger, p.Nominate(RECORD.number), 10.1, OTHER)
+        self.ask(ledger, p.TransferLeadership(RECORD.number), 10.1, OTHER)
         self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 10.2).ok)
 
     def test_a_forgotten_one_takes_part_in_nothing(self):
@@ -220,27 +220,27 @@
         record = p.EpochRecord(high, THIRD, (ME, THIRD), (ME, OTHER, THIRD))
         for message in (
             p.PreVote(high), p.Prepare(high), p.Store(high, (high, 0), b""), p.Accept(high, record),
-            p.Confirm(high, 1, record), p.Nominate(high),
+            p.Confirm(high, 1, record), p.TransferLeadership(high),
         ):  # fmt: skip
             self.assertIsNone(self.ask(ledger, message, 1.0), message)
-        self.assertTrue(ledger.is_forgotten)
+        self.assertTrue(ledger.is_amnesic)
 
-    def recalled(self, ledger: p.Ledger, now: float) -> int:
+    def recalled(self, ledger: p.Replica, now: float) -> int:
         """Tick; the serial it asks with, or 0."""
         ledger.tick(now)
-        return next((m.serial for m in answers(ledger) if isinstance(m, p.Recall)), 0)
+        return next((m.serial for m in answers(ledger) if isinstance(m, p.RecoveryRequest)), 0)
 
     def test_it_remembers_once_two_of_three_others_answered(self):
         ledger = single(bootstrap=False)
-        self.assertEqual(0, self.recalled(ledger, p.RECALL_WAIT - 0.1))
-        serial = self.recalled(ledger, p.RECALL_WAIT)
-        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
-        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
-        self.ask(ledger, p.Recalled(serial + 1, number(4, THIRD), RECORD, False), 3.0, THIRD)
-        self.ask(ledger, p.Recalled(serial, number(4, THIRD), RECORD, True), 3.0, THIRD)
-        self.assertTrue(ledger.is_forgotten)
-        self.ask(ledger, p.Recalled(serial, number(5, THIRD), p.NO_RECORD, False), 3.0, THIRD)
-        self.assertFalse(ledger.is_forgotten)
+        self.assertEqual(0, self.recalled(ledger, p.RECOVERY_WAIT - 0.1))
+        serial = self.recalled(ledger, p.RECOVERY_WAIT)
+        self.ask(ledger, p.RecoveryReply(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
+        self.ask(ledger, p.RecoveryReply(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
+        self.ask(ledger, p.RecoveryReply(serial + 1, number(4, THIRD), RECORD, False), 3.0, THIRD)
+        self.ask(ledger, p.RecoveryReply(serial, number(4, THIRD), RECORD, True), 3.0, THIRD)
+        self.assertTrue(ledger.is_amnesic)
+        self.ask(ledger, p.RecoveryReply(serial, number(5, THIRD), p.NO_RECORD, False), 3.0, THIRD)
+        self.assertFalse(ledger.is_amnesic)
         self.assertFalse(self.ask(ledger, p.Prepare(number(4, OTHER)), 9.0, OTHER).ok)
         self.assertEqual(RECORD, self.ask(ledger, p.Prepare(number(6, OTHER)), 9.0, OTHER).accepted)
 
@@ -267,12 +267,12 @@
         rig = Rig(duty_wait=4.0)
         first = rig.elect()
         rig.commit()
-        kept = rig.ledger(first).committed_sheet
+        kept = rig.ledger(first).committed_state
         rig.world.crash(first, landed=False)
         took = rig.run(5, lambda: bool(rig.primary()))
         self.assertLess(took, 2.0)
         second = rig.ledger(rig.primary())
-        self.assertEqual(kept, second.committed_sheet)
+        self.assertEqual(kept, second.committed_state)
         self.assertAlmostEqual(rig.world.now + 4.0, second.duty_from, delta=0.01)
         self.assertEqual(2, rig.commit())
 
@@ -368,10 +368,10 @@
         rig.world.hosts[backup].disk = None
         rig.start(backup)
         rig.run(6)
-        self.assertFalse(rig.ledger(backup).is_forgotten)
+        self.assertFalse(rig.ledger(backup).is_amnesic)
         record = rig.ledger(primary).record
         for member in record.in_sync:
-            self.assertEqual(rig.ledger(primary).committed_sheet, rig.world.hosts[member].disk.sheet)
+            self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[member].disk.sheet)
 
     def test_an_in_sync_machine_that_lost_its_disk_gets_the_sheet_anew(self):
         rig = Rig()
@@ -384,13 +384,13 @@
         rig.start(backup)
         rig.run(0.5)
         self.assertEqual(record, rig.ledger(primary).record)
-        self.assertEqual(rig.ledger(primary).committed_sheet, rig.world.hosts[backup].disk.sheet)
+        self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[backup].disk.sheet)
 
     def test_a_witness_that_is_gone_is_replaced_by_a_spare(self):
         rig = Rig(spares=1)
         primary = rig.elect()
         rig.run(4)
-        self.assertFalse(rig.ledger(FOURTH).is_forgotten)
+        self.assertFalse(rig.ledger(FOURTH).is_amnesic)
         gone = next(m for m in (1, 2, 3) if m not in rig.ledger(primary).record.in_sync)
         rig.world.crash(gone, landed=False)
         rig.run(5)
@@ -417,12 +417,12 @@
         self.assertEqual(primary, caught.exception.hint)
         with self.assertRaises(p.NotPrimary):
             rig.ledger(other).confirm_read(1, rig.world.now)
-        with self.assertRaises(p.SheetTooLarge):
-            rig.ledger(primary).propose(1, bytes(p.SHEET_LIMIT + 1), rig.world.now)
+        with self.assertRaises(p.StateTooLarge):
+            rig.ledger(primary).propose(1, bytes(p.STATE_LIMIT + 1), rig.world.now)
         rig.ledger(primary).propose(1, b"aaaa", rig.world.now)
         with self.assertRaises(p.Busy):
             rig.ledger(primary).propose(2, b"bbbb", rig.world.now)
-        self.assertEqual(b"", rig.ledger(primary).committed_sheet)
+        self.assertEqual(b"", rig.ledger(primary).committed_state)
 
 
 class Explored(unittest.TestCase):
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests as a counter reads them and passes them on, by the book of routes, tenants and services."""
+"""Requests as a counter reads them and passes them on, by the routing_table of routes, tenants and services."""
 
 import random
 import unittest
@@ -6,8 +6,7 @@
 
 import orjson
 
-from rowanshift.counter.book import BadSheet, Book, Tenant, book_of
-from rowanshift.counter.requests import (
+from rowanshift.dataplane.requests import (
     LONGEST_MS,
     parts_of,
     priority_of,
@@ -16,6 +15,7 @@
     tokens_of,
     written,
 )
+from rowanshift.dataplane.routing_table import BadControlState, RoutingTable, Tenant, routing_table_of
 from rowanshift.net.connection import BadMessage, Message
 
 SHEET = {
@@ -56,8 +56,8 @@
 ID = (b"request-id", b"r-1")
 
 
-def book(sheet=SHEET):
-    return book_of(3, orjson.dumps(sheet), {"m": 2})
+def routing_table(sheet=SHEET):
+    return routing_table_of(3, orjson.dumps(sheet), {"m": 2})
 
 
 def read(*fields, target=b"/v1/chat", method=b"POST", body=b"{}", now=100.0):
@@ -80,23 +80,23 @@
             (b"/v2", "root"),
             (b"/", "root"),
         ):
-            self.assertEqual(book().match(b"h.example", path).name, name)
+            self.assertEqual(routing_table().match(b"h.example", path).name, name)
 
     def test_the_order_of_routes_does_not_matter(self):
         chance = random.Random(1)
         for _ in range(50):
             rows = chance.sample(SHEET["routes"], len(SHEET["routes"]))
-            made = book({**SHEET, "routes": rows})
+            made = routing_table({**SHEET, "routes": rows})
             self.assertEqual(made.match(b"h.example", b"/v1/chat/x").name, "deep")
             self.assertEqual(made.match(b"h.example", b"/v1").name, "v1")
 
     def test_no_route(self):
-        self.assertIsNone(book().match(b"o.example", b"/y"))
-        self.assertIsNone(book().match(b"none", b"/"))
-        self.assertIsNone(book().match(b"h.example", b""))
+        self.assertIsNone(routing_table().match(b"o.example", b"/y"))
+        self.assertIsNone(routing_table().match(b"none", b"/"))
+        self.assertIsNone(routing_table().match(b"h.example", b""))
 
     def test_all_fields(self):
-        made = book()
+        made = routing_table()
         route = made.match(b"h.example", b"/v1/chat")
         self.assertEqual((route.timeout, route.aim, route.servers, route.priority), (1.5, 0.2, 3, 4))
         self.assertTrue(route.streaming and route.repeatable and not route.public)
@@ -116,14 +116,14 @@
             ("", True, False),
         ):
             row = {"hostname": "h", "pathPrefix": "/", "backend": "a", "routeType": kind, "resumable": resumable}
-            self.assertEqual(book({"routes": [row]}).match(b"h", b"/").repeatable, expected)
+            self.assertEqual(routing_table({"routes": [row]}).match(b"h", b"/").repeatable, expected)
 
     def test_without_tenants_no_key_is_asked_for(self):
-        self.assertIsNone(book({}).tenants)
-        self.assertEqual(book({"tenants": []}).tenants, {})
+        self.assertIsNone(routing_table({}).tenants)
+        self.assertEqual(routing_table({"tenants": []}).tenants, {})
 
     def test_weights(self):
-        route = book().match(b"h.example", b"/v1")
+        route = routing_table().match(b"h.example", b"/v1")
         self.assertEqual([route.service(n / 1000) for n in range(1000)].count("a"), 750)
         self.assertEqual((route.service(0.0), route.service(1.0)), ("a", "b"))
 
@@ -131,12 +131,12 @@
         for weights in ((0, 1, 0), (0, 0, 2), (5, 0, 0)):
             split = [{"backend": name, "weight": weight} for name, weight in zip("xyz", weights, strict=True)]
             row = {"hostname": "h", "pathPrefix": "/", "trafficSplit": split}
-            route = book({"routes": [row]}).match(b"h", b"/")
+            route = routing_table({"routes": [row]}).match(b"h", b"/")
             only = "xyz"[[weight > 0 for weight in weights].index(True)]
             self.assertEqual({route.service(n / 100) for n in range(101)}, {only})
 
     def test_priority(self):
-        route = book().match(b"h.example", b"/v1/chat")
+        route = routing_table().match(b"h.example", b"/v1/chat")
         for tenant, expected in (
             (None, 4),
             (Tenant(b"t", None, False), 4),
@@ -147,7 +147,7 @@
             self.assertEqual(priority_of(route, tenant), expected)
 
     def test_no_configuration(self):
-        self.assertEqual(book_of(9, b"", {"m": 1}), Book(versions={"m": 1}))
+        self.assertEqual(routing_table_of(9, b"", {"m": 1}), RoutingTable(versions={"m": 1}))
 
     def test_junk(self):
         for data in (
@@ -165,14 +165,14 @@
             b'{"tenants": 1}',
             b'{"backends": [{"name": "a", "maxConnections": "x"}]}',
         ):
-            with self.assertRaises(BadSheet, msg=data):
-                book_of(1, data, {})
+            with self.assertRaises(BadControlState, msg=data):
+                routing_table_of(1, data, {})
         chance, good = random.Random(2), orjson.dumps(SHEET)
         for _ in range(3000):
             spoilt = bytearray(good)
             spoilt[chance.randrange(len(spoilt))] = chance.randrange(256)
-            with suppress(BadSheet):
-                book_of(1, bytes(spoilt), {})
+            with suppress(BadControlState):
+                routing_table_of(1, bytes(spoilt), {})
 
 
 class Reading(unittest.TestCase):
--- a/tests/test_roster.py
+++ b/tests/test_server_registry.py
@@ -1,10 +1,10 @@
-"""The roster of servers as the primary keeps it, and which of them loads next."""
+"""The registry of servers as the primary keeps it, and which of them loads next."""
 
 import random
 import unittest
 
-from rowanshift.ledger.roster import AGAIN, AT_ONCE, BadList, Known, Roster, known_of
-from rowanshift.records.delivery import CODEC, DRAINING, LOADING, UP, Row, Update
+from rowanshift.controlplane.server_registry import AGAIN, AT_ONCE, BadList, Known, ServerRegistry, known_of
+from rowanshift.wire.delivery import CODEC, DRAINING, LOADING, UP, Row, Update
 
 
 def entry(id="i-0-1", version=1, service="s", **more):
@@ -24,8 +24,8 @@
     return Known(id, service, f"10.0.0.1:{id[-1]}", "z", 1, draining, {"m": version}, **more)
 
 
-def roster(*servers):
-    made = Roster()
+def registry(*servers):
+    made = ServerRegistry()
     made.take(list(servers))
     return made
 
@@ -93,7 +93,7 @@
         self.assertGreater(refused, 500)
 
     def test_what_is_taken_can_be_told_on(self):
-        """A row that has no record would keep the whole roster from every counter."""
+        """A row that has no record would keep the whole registry from every counter."""
         for junk in (
             entry(slots=-1),
             entry(slots=2**64),
@@ -112,18 +112,18 @@
 
 class Lists(unittest.TestCase):
     def test_a_list_is_taken(self):
-        made = roster(known("a"), known("b"))
+        made = registry(known("a"), known("b"))
         self.assertEqual([row.id for row in made.rows()], ["a", "b"])
         self.assertEqual(made.serial, 1)
 
     def test_an_empty_first_list_counts_as_read(self):
-        made = Roster()
+        made = ServerRegistry()
         self.assertTrue(made.take([]))
         self.assertEqual(made.serial, 1)
         self.assertFalse(made.take([]))
 
     def test_the_same_list_changes_nothing(self):
-        made = roster(known("a"), known("b"))
+        made = registry(known("a"), known("b"))
         self.assertFalse(made.take([known("b"), known("a")]))
         self.assertEqual(made.serial, 1)
 
@@ -135,12 +135,12 @@
             [known("a"), known("b", draining=True)],
             [known("a"), known("b", service="t")],
         ):
-            made = roster(known("a"), known("b"))
+            made = registry(known("a"), known("b"))
             self.assertTrue(made.take(servers))
             self.assertEqual(made.serial, 2)
 
     def test_versions_never_go_back_for_an_incarnation(self):
-        made = roster(known("a", 3))
+        made = registry(known("a", 3))
         self.assertFalse(made.take([known("a", 2)]))
         self.assertEqual(made.servers["a"].versions, {"m": 3})
         made.loaded("a", "m", 5)
@@ -153,7 +153,7 @@
         self.assertEqual(made.servers["a"].versions, {"m": 2})
 
     def test_versions_never_go_back_whatever_comes(self):
-        chance, made, best = random.Random(2), Roster(), {}
+        chance, made, best = random.Random(2), ServerRegistry(), {}
         for _ in range(2000):
             id, version = chance.choice("abc"), chance.randrange(50)
             if chance.random() < 0.5:
@@ -165,14 +165,14 @@
                 best[each] = server.versions["m"]
 
     def test_a_model_that_the_list_lost_stays(self):
-        made = roster(known("a", 3))
+        made = registry(known("a", 3))
         one = known("a")
         one.versions = {}
         made.take([one])
         self.assertEqual(made.servers["a"].versions, {"m": 3})
 
     def test_what_a_load_left_outlives_a_list(self):
-        made = roster(known("a"))
+        made = registry(known("a"))
         made.begin(made.servers["a"])
         made.take([known("a")])
         self.assertTrue(made.servers["a"].loading)
@@ -182,13 +182,13 @@
         self.assertEqual((server.loading, server.not_before, server.failures), (False, 10.0 + AGAIN, 1))
 
     def test_ends_of_loads_of_servers_that_are_gone(self):
-        made = roster(known("a"))
+        made = registry(known("a"))
         made.failed("gone", 1.0)
         made.loaded("gone", "m", 2)
         self.assertEqual((made.serial, set(made.servers)), (1, {"a"}))
 
 
-class Loads(unittest.TestCase):
+class LoadIndex(unittest.TestCase):
     def begun(self, made, version=2, now=0.0):
         ids = []
         while (order := made.next_load({"m": version}, now)) is not None:
@@ -199,15 +199,15 @@
 
     def test_at_most_a_part_at_once_and_one_at_least(self):
         for count in range(1, 30):
-            made = roster(*(known(f"i{n:02}") for n in range(count)))
+            made = registry(*(known(f"i{n:02}") for n in range(count)))
             self.assertEqual(len(self.begun(made)), max(1, int(AT_ONCE * count)))
 
     def test_each_service_has_its_own_part(self):
-        made = roster(*(known(f"{service}{n}", service=service) for service in "st" for n in range(5)))
+        made = registry(*(known(f"{service}{n}", service=service) for service in "st" for n in range(5)))
         self.assertEqual(sorted(self.begun(made)), ["s0", "s1", "t0", "t1"])
 
     def test_all_have_it_in_the_end(self):
-        made, rounds = roster(*(known(f"i{n:02}") for n in range(17))), 0
+        made, rounds = registry(*(known(f"i{n:02}") for n in range(17))), 0
         while ids := self.begun(made):
             rounds += 1
             self.assertLessEqual(len(ids), int(AT_ONCE * 17))
@@ -217,23 +217,23 @@
         self.assertEqual(rounds, 3)
 
     def test_nothing_is_behind(self):
-        made = roster(known("a", 2), known("b", 3))
+        made = registry(known("a", 2), known("b", 3))
         self.assertIsNone(made.next_load({"m": 2}, 0.0))
         self.assertIsNone(made.next_load({}, 0.0))
         self.assertIsNone(made.next_load({"other": 9}, 0.0))
-        self.assertIsNone(Roster().next_load({"m": 2}, 0.0))
+        self.assertIsNone(ServerRegistry().next_load({"m": 2}, 0.0))
 
     def test_none_that_drains(self):
-        made = roster(known("a", draining=True), known("b"))
+        made = registry(known("a", draining=True), known("b"))
         self.assertEqual(self.begun(made), ["b"])
-        self.assertEqual(self.begun(roster(known("a", draining=True))), [])
+        self.assertEqual(self.begun(registry(known("a", draining=True))), [])
 
     def test_those_that_drain_do_not_count_as_fellows(self):
-        made = roster(*(known(f"d{n}", draining=True) for n in range(10)), known("a"), known("b"))
+        made = registry(*(known(f"d{n}", draining=True) for n in range(10)), known("a"), known("b"))
         self.assertEqual(self.begun(made), ["a"])
 
     def test_failures_come_last(self):
-        made = roster(known("a"), known("b"), known("c"))
+        made = registry(known("a"), known("b"), known("c"))
         for id in "aab":
             made.failed(id, 0.0)
         order = []
@@ -244,7 +244,7 @@
         self.assertEqual(order, ["c", "b", "a"])
 
     def test_not_before_its_time(self):
-        made = roster(known("a"))
+        made = registry(known("a"))
         made.begin(made.servers["a"])
         made.failed("a", 5.0)
         self.assertIsNone(made.next_load({"m": 2}, 5.0))
@@ -252,7 +252,7 @@
         self.assertEqual(made.next_load({"m": 2}, 5.0 + AGAIN)[0].id, "a")
 
     def test_a_failed_load_lets_another_begin(self):
-        made = roster(known("a"), known("b"))
+        made = registry(known("a"), known("b"))
         self.assertEqual(self.begun(made), ["a"])
         made.failed("a", 0.0)
         self.assertEqual(self.begun(made), ["b"])
@@ -260,7 +260,7 @@
     def test_a_second_model(self):
         one = known("a", 2)
         one.versions["n"] = 1
-        found = roster(one).next_load({"m": 2, "n": 4}, 0.0)
+        found = registry(one).next_load({"m": 2, "n": 4}, 0.0)
         self.assertEqual((found[0].id, *found[1:]), ("a", "n", 4))
 
 
--- a/tests/test_virtual.py
+++ b/tests/test_simulation.py
@@ -20,10 +20,11 @@
 from msgspec.structs import replace
 from trio._core import _run
 
+from rowanshift.emulation.servers import PARTS, Meter
+from rowanshift.invariants.checks import Rules, Terms
+from rowanshift.invariants.events import KINDS, Events, named
 from rowanshift.model import Category, Semantics
 from rowanshift.net.transport import connect, send_all
-from rowanshift.rules.checks import Rules, Terms
-from rowanshift.rules.events import KINDS, Events, named
 from rowanshift.scenario import (
     WHAT,
     CategoryRow,
@@ -35,14 +36,13 @@
     load,
     scenario_of,
 )
-from rowanshift.standins.servers import PARTS, Meter
-from rowanshift.virtual.clock import MOST_IDLE, Determined, Standstill, VirtualClock
-from rowanshift.virtual.command import _one, play
-from rowanshift.virtual.draw import KINDS as DRAWN
-from rowanshift.virtual.draw import scenario
-from rowanshift.virtual.network import Network, Paths
-from rowanshift.virtual.shrink import Shrinker
-from rowanshift.virtual.world import World
+from rowanshift.simulation.clock import MOST_IDLE, Determined, Standstill, VirtualClock
+from rowanshift.simulation.command import _one, play
+from rowanshift.simulation.draw import KINDS as DRAWN
+from rowanshift.simulation.draw import scenario
+from rowanshift.simulation.network import Network, Paths
+from rowanshift.simulation.shrink import Shrinker
+from rowanshift.simulation.world import World
 
 NAMED = sorted(Path(__file__).parent.parent.glob("examples/scenarios/*.toml"))
 FOUND = {  # a seed at which each planted fault breaks a rule, and which
@@ -406,7 +406,7 @@
 
 def test_a_seed_replays_in_another_process_with_other_hashes_and_other_seeds_before_it():
     code = (
-        "import sys; sys.path.insert(0, 'tests'); from test_virtual import digest_of\n"
+        "import sys; sys.path.insert(0, 'tests'); from test_simulation import digest_of\n"
         "for seed in sys.argv[1:]: print(digest_of(int(seed)))"
     )
     args = [["3"], ["12", "3"]]
@@ -545,6 +545,7 @@
 # the stand-ins on real sockets ------------------------------
 
 
+@pytest.mark.xdist_group("demo_ports")
 def test_the_demo_runs_a_router_between_stand_ins_on_real_sockets():
     done = subprocess.run(
         [sys.executable, "-m", "rowanshift", "demo", "--router", "--no-stay"],
@@ -557,6 +558,7 @@
     assert "from the origin" in lines[0] and "hit" in lines[1] and lines[7].endswith("hello v1")
 
 
+@pytest.mark.xdist_group("demo_ports")
 def test_the_demo_without_a_router_leaves_the_stand_ins_to_routers_beside_it():
     # guards against a trial of a replaced process whose servers end with the first router
     with subprocess.Popen(
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -21,21 +21,21 @@
 from helpers import invoke
 from loguru import logger
 
-from rowanshift import boot, staff
-from rowanshift.ledger.api import ConfigResource
-from rowanshift.ledger.protocol import SheetTooLarge
-from rowanshift.ledger.store import Store
+from rowanshift import node_settings, staff
+from rowanshift.controlplane.api import ConfigResource
+from rowanshift.controlplane.protocol import StateTooLarge
+from rowanshift.controlplane.store import Store
+from rowanshift.emulation import cluster
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import Answer, CallServer
 from rowanshift.net.connection import Message
-from rowanshift.records.table import CODEC, Hello
-from rowanshift.standins import whole
+from rowanshift.wire.table import CODEC, Hello
 
 ROOT = Path(__file__).parents[1]
 WITHIN = 30.0  # seconds for anything that is waited for
 LOOK = 0.02  # seconds between looks
-WHERE_LIMITS = "counter/*.py", "ledger/*.py", "net/links.py", "net/calls.py", "tally.py"
-WHERE_EVENTS = "counter/*.py", "ledger/*.py", "net/links.py", "net/calls.py"
+WHERE_LIMITS = "dataplane/*.py", "controlplane/*.py", "net/links.py", "net/calls.py", "retry_budget.py"
+WHERE_EVENTS = "dataplane/*.py", "controlplane/*.py", "net/links.py", "net/calls.py"
 
 
 def net() -> str:
@@ -100,8 +100,8 @@
         cls.addClassCleanup(made.cleanup)
         cls.folder = Path(made.name)
 
-        async def start(nursery: trio.Nursery) -> whole.SmallSystem:
-            system = whole.SmallSystem(cls.folder / "machines", net())
+        async def start(nursery: trio.Nursery) -> cluster.SmallSystem:
+            system = cluster.SmallSystem(cls.folder / "machines", net())
             nursery.start_soon(system.run)
             await system.primary()
             return system
@@ -135,7 +135,7 @@
 
     def newer(self, **changes) -> dict:
         """A configuration that can be put next."""
-        return whole.CONFIG | {"revision": self.revision() + 1} | changes
+        return cluster.CONFIG | {"revision": self.revision() + 1} | changes
 
     def revision(self) -> int:
         return next((row["revision"] for row in self.statuses() if row["primary"]), 0)
@@ -172,7 +172,7 @@
         self.assertEqual(row["primaryHint"], row["machine"])
 
     def test_a_machine_that_does_not_answer_is_told_and_the_others_are_asked(self) -> None:
-        gone = f"{self.system.net}99:{whole.CONTROL}"
+        gone = f"{self.system.net}99:{cluster.CONTROL}"
         code, said = self.ask("status", at=f"{gone},{self.controls[0]}")
         self.assertEqual(code, 0, said)
         self.assertRegex(said, rf"(?m)^{self.system.net}99 .*no answer.*REFUSED")
@@ -182,30 +182,34 @@
             code, said = self.ask(*command, at=gone)
             self.assertEqual((code, said[:12], said.count("\n")), (1, "rowanshift: ", 1), command)
 
-    def test_counters_that_hold_a_lease(self) -> None:
+    def test_routers_that_hold_a_lease(self) -> None:
         self.until(
-            lambda: all(counter.channel.members == 2 for counter in self.system.counters if hasattr(counter, "channel"))
+            lambda: all(
+                router.control_client.members == 2
+                for router in self.system.routers
+                if hasattr(router, "control_client")
+            )
         )
         code, said = self.ask("members")
         self.assertEqual(code, 0, said)
         self.assertEqual(
-            [line.split()[0] for line in said.splitlines()[1:3]], [f"{self.system.net}{n}" for n in whole.COUNTERS]
+            [line.split()[0] for line in said.splitlines()[1:3]], [f"{self.system.net}{n}" for n in cluster.ROUTERS]
         )
-        self.assertRegex(said, r"2 counters hold a lease of 127\.")
+        self.assertRegex(said, r"2 routers hold a lease of 127\.")
 
     def test_duties_and_a_version_that_is_rolled_out(self) -> None:
-        self.until(lambda: any(desk.duties.roster.rows() for desk in self.system.desks))
+        self.until(lambda: any(core_service.tasks.registry.rows() for core_service in self.system.core_services))
         code, said = self.ask("duties")
         self.assertEqual(code, 0, said)
         self.assertRegex(said, r"(?m)^reads the list  127\.\S+ +\d+ calls")
         self.assertRegex(said, r"fence \d+; the lease holds for \d+\.\d+ s; 3 servers listed")
 
         self.system.servers[2].traits.load = 1.5  # it is loaded last, and not too soon to be seen behind
-        self.assertEqual(self.thread.ask(self.system.operator.name_version, whole.MODEL, 2), 200)
-        said = self.ask_until(rf"{whole.MODEL} version 2: 2 of 3 servers; behind: server-23 \(1\)")
+        self.assertEqual(self.thread.ask(self.system.operator.name_version, cluster.MODEL, 2), 200)
+        said = self.ask_until(rf"{cluster.MODEL} version 2: 2 of 3 servers; behind: server-23 \(1\)")
         self.assertIn("loading: server-23", self.ask_until("loading: server"))
-        said = self.ask_until(rf"{whole.MODEL} version 2: 3 of 3")
-        self.assertRegex(said, rf"(?m)^{whole.MODEL} version 2: 3 of 3 servers$")
+        said = self.ask_until(rf"{cluster.MODEL} version 2: 3 of 3")
+        self.assertRegex(said, rf"(?m)^{cluster.MODEL} version 2: 3 of 3 servers$")
         self.assertRegex(said, r"(?m)^orders +127\.\S+ +[3-9] orders")
         self.assertIn("3 of 3 servers", self.ask_until("loading: none"))  # the list may tell first
 
@@ -222,14 +226,14 @@
         self.assertEqual((code, kept.read_bytes()), (0, path.read_bytes()))
         self.assertEqual(kept.stat().st_mode & 0o777, 0o600)
         self.assertIn(f"revision {config['revision']}", said)
-        self.assertNotIn(whole.KEY, said)
+        self.assertNotIn(cluster.KEY, said)
         later = self.write("later.json", self.newer(routes=[]))
         self.assertEqual(self.ask("config", "put", later)[0], 0)
         code, said = self.ask("config", "put", path)  # an old one again is no way back
         self.assertEqual(code, 1)
         self.assertIn(f"revision {config['revision']} was taken earlier", said)
 
-    def test_a_put_that_is_refused_tells_the_ledgers_reason(self) -> None:
+    def test_a_put_that_is_refused_tells_the_control_planes_reason(self) -> None:
         self.assertEqual(self.ask("config", "put", self.write("a.json", self.newer()))[0], 0)
         current = self.revision()
         path = self.write("b.json", self.newer(limits={}))
@@ -289,7 +293,7 @@
 
     def put(self, *more):
         path = folder(self) / "c.json"
-        path.write_bytes(orjson.dumps(whole.CONFIG | {"revision": 9}))
+        path.write_bytes(orjson.dumps(cluster.CONFIG | {"revision": 9}))
         return invoke("config", "put", path, "--at", self.at, *more)
 
     def test_two_redirects_are_followed_and_no_third(self) -> None:
@@ -334,7 +338,7 @@
 
 class TooLarge(unittest.TestCase):
     def test_a_configuration_that_the_control_state_has_no_room_for(self) -> None:
-        node = mock.Mock(change=mock.AsyncMock(side_effect=SheetTooLarge))
+        node = mock.Mock(change=mock.AsyncMock(side_effect=StateTooLarge))
         put = Message(b"PUT", b"/config", fields=[(b"if-match", b"0")], body=b"{}")
         answer = trio.run(ConfigResource(node, 8500).call, put)
         self.assertEqual(answer.status, 413)
@@ -355,13 +359,13 @@
             self.assertEqual(invoke("status")[0], 2)
         self.assertEqual(invoke("config")[0], 2)
 
-    def test_a_configuration_is_checked_as_the_ledger_does(self) -> None:
+    def test_a_configuration_is_checked_as_the_control_plane_does(self) -> None:
         path = folder(self) / "c.json"
-        path.write_bytes(orjson.dumps(whole.CONFIG))
+        path.write_bytes(orjson.dumps(cluster.CONFIG))
         self.assertEqual(
             invoke("config", "check", path), (0, f"{path}: revision 1 can be put: 1 routes, 1 services, 1 tenants\n")
         )
-        path.write_bytes(orjson.dumps(whole.CONFIG | {"backends": []}))
+        path.write_bytes(orjson.dumps(cluster.CONFIG | {"backends": []}))
         self.assertEqual(
             invoke("config", "check", path), (2, f"rowanshift: {path}: routes[0].backend: unknown service 'chat'\n")
         )
@@ -374,19 +378,19 @@
         self.assertEqual(invoke("config", "check", path.parent / "none")[0], 2)
 
     def test_differences_name_everything_and_no_key(self) -> None:
-        route = whole.CONFIG["routes"][0]
-        service = whole.CONFIG["backends"][0]
-        after = whole.CONFIG | {
+        route = cluster.CONFIG["routes"][0]
+        service = cluster.CONFIG["backends"][0]
+        after = cluster.CONFIG | {
             "routes": [
                 route | {"timeoutMs": 100, "note": "key-0", "trafficSplit": [{"backend": "chat", "weight": 1}]},
                 route | {"hostname": "New.example"},
             ],
             "backends": [service | {"engine": service["engine"] | {"slots": 9}}, {"name": "more"}],
-            "limits": whole.CONFIG["limits"] | {"maxBodyBytes": 5},
+            "limits": cluster.CONFIG["limits"] | {"maxBodyBytes": 5},
             "tenants": [{"name": "other", "apiKeys": ["key-1"]}, {"name": "demo", "apiKeys": ["key-2", "key-3"]}],
         }
         self.assertEqual(
-            staff.differences(whole.CONFIG, after),
+            staff.differences(cluster.CONFIG, after),
             [
                 "+ route new.example /chat/",
                 "~ route demo.example /chat/: timeoutMs 5000 -> 100, note differs, trafficSplit absent -> [chat:1]",
@@ -397,10 +401,10 @@
                 "~ limits: maxBodyBytes 1048576 -> 5",
             ],
         )
-        said = "\n".join(staff.differences(after, whole.CONFIG) + staff.differences({}, after))
+        said = "\n".join(staff.differences(after, cluster.CONFIG) + staff.differences({}, after))
         for line in ("- route new.example /chat/", "- tenant other", "- service more"):
             self.assertIn(line, said)
-        for key in ("key-0", "key-1", "key-2", "key-3", whole.KEY):
+        for key in ("key-0", "key-1", "key-2", "key-3", cluster.KEY):
             self.assertNotIn(key, said)
         self.assertEqual(
             staff.differences(after, after | {"tenants": None})[0], "~ tenants: keys are no longer checked"
@@ -408,11 +412,11 @@
         self.assertEqual(staff.differences({}, {"tenants": []}), ["~ tenants: keys are checked from now on"])
 
     def test_what_a_disk_holds_is_told_and_left_as_it_is(self) -> None:
-        from rowanshift.ledger.protocol import Durable, EpochRecord
-        from rowanshift.ledger.sheet import put_config, put_version
-        from rowanshift.ledger.sheet import unpack as unpacked
+        from rowanshift.controlplane.control_state import put_config, put_version
+        from rowanshift.controlplane.control_state import unpack as unpacked
+        from rowanshift.controlplane.protocol import Durable, EpochRecord
 
-        sheet = put_version(put_config(unpacked(b""), "0", orjson.dumps(whole.CONFIG))[0], "m", 7)
+        sheet = put_version(put_config(unpacked(b""), "0", orjson.dumps(cluster.CONFIG))[0], "m", 7)
         a, b, c = 1 << 24, 2 << 24, 3 << 24
         durable = Durable(43, EpochRecord(41, a, (a, b), (a, b, c)), (41, 3), sheet.pack(), True)
         data = folder(self)
@@ -422,23 +426,23 @@
         store.close()
         before = {path: path.read_bytes() for path in data.rglob("*") if path.is_file()}
         for place in (data, data / "ledger"):
-            code, said = invoke("ledger", "check", place)
+            code, said = invoke("controlplane", "check", place)
             self.assertEqual(code, 0, said)
             for part in (
                 "promised 43; has lost its disk",
                 "epoch 41, primary 1.0.0.0",
                 "in sync: 1.0.0.0, 2.0.0.0",
                 "witnesses: 1.0.0.0, 2.0.0.0, 3.0.0.0",
-                "sheet of epoch 41, sequence 3: revision 1",
+                "state of epoch 41, sequence 3: revision 1",
                 "named: m version 7",
             ):
                 self.assertIn(part, said)
-            self.assertNotIn(whole.KEY, said)
+            self.assertNotIn(cluster.KEY, said)
         self.assertEqual({path: path.read_bytes() for path in data.rglob("*") if path.is_file()}, before)
 
     def test_disks_that_hold_nothing_or_nothing_of_use(self) -> None:
         data = folder(self)
-        code, said = invoke("ledger", "check", data)
+        code, said = invoke("controlplane", "check", data)
         self.assertEqual((code, said), (2, f"rowanshift: {data}: no store here (data.mdb is absent)\n"))
         for record, says in ((CODEC.pack(Hello(1)), "Hello where a Durable belongs"), (b"noise", "cut short")):
             with self.subTest(says):
@@ -446,36 +450,41 @@
                 store.open()
                 store.write(record)
                 store.close()
-                code, said = invoke("ledger", "check", data)
+                code, said = invoke("controlplane", "check", data)
                 self.assertEqual(code, 1)
                 self.assertIn(says, said)
         (data / "data.mdb").write_bytes(b"no store")
-        code, said = invoke("ledger", "check", data)
+        code, said = invoke("controlplane", "check", data)
         self.assertEqual(code, 1)
         self.assertIn("can't be opened", said)
 
-    def test_the_role_ledger_starts_without_a_word_more(self) -> None:
+    def test_the_role_controlplane_starts_without_a_word_more(self) -> None:
         service = mock.Mock(run=mock.Mock(return_value=0))
         with (
-            mock.patch.object(boot, "load_boot", return_value="boot"),
-            mock.patch.dict(sys.modules, {"rowanshift.ledger.service": service}),
+            mock.patch.object(node_settings, "load_node_settings", return_value="boot"),
+            mock.patch.dict(sys.modules, {"rowanshift.controlplane.service": service}),
         ):
-            self.assertEqual(invoke("ledger", "--boot", "a"), (0, ""))
-        self.assertEqual(service.run.mock_calls, [mock.call("boot", "INFO")])
+            self.assertEqual(invoke("controlplane", "--boot", "a"), (0, ""))
+        self.assertEqual(service.run.mock_calls, [mock.call("boot", "INFO", "")])
 
     def test_settings_files(self) -> None:
         data = folder(self)
-        system = whole.SmallSystem(data, net(), lambda: 0.0)
+        system = cluster.SmallSystem(data, net(), lambda: 0.0)
         core, edge = data / "core-1.json", data / "edge-11.json"
         code, said = invoke("check", "--boot", core)
         self.assertEqual(code, 0, said)
-        for part in ("core-1: ledger at", f"controlPlane {system.net}1:8500", "up to 1 machines", "a first start"):
+        for part in (
+            "core-1: controlplane at",
+            f"controlPlane {system.net}1:8500",
+            "up to 1 machines",
+            "a first start",
+        ):
             self.assertIn(part, said)
         code, said = invoke("check", "--boot", edge)
-        self.assertEqual((code, said[:20]), (0, "edge-11: counter at "))
+        self.assertEqual((code, said[:22]), (0, "edge-11: dataplane at "))
         good = orjson.loads(core.read_bytes())
         for change, says in (
-            ({"machineClass": "desk"}, "machineClass: one of edge, core expected, not 'desk'"),
+            ({"machineClass": "core_service"}, "machineClass: one of edge, core expected, not 'core_service'"),
             ({"machineClass": "edge"}, "listenAddresses.frontend: missing, and this role needs it"),
             ({"ip": "::1"}, "ip: an IPv4 address expected, not '::1'"),
             ({"seedNodes": ["host:1"]}, "seedNodes[0]: an IPv4 address expected, not 'host'"),
@@ -500,14 +509,14 @@
         self.assertEqual(told, events | {"primary", "no_primary"})
 
     def test_each_limit_in_the_code_has_its_row_and_value(self) -> None:
-        rows = re.findall(r"(?m)^\| `([a-z.]+)` \| `([A-Z_]+)` \| (\S+) \| (\S+) \|", self.text)
+        rows = re.findall(r"(?m)^\| `([a-z._]+)` \| `([A-Z_]+)` \| (\S+) \| (\S+) \|", self.text)
         told = {(module, name): float(value) for module, name, value, _ in rows}
         self.assertEqual(len(told), len(rows))
         found = {}
         for where in WHERE_LIMITS:
             for path in (ROOT / "rowanshift").glob(where):
                 module = ".".join(path.relative_to(ROOT / "rowanshift").with_suffix("").parts)
-                if module == "ledger.explorer":
+                if module == "controlplane.explorer":
                     continue
                 body = ast.parse(path.read_text()).body
                 names = {
@@ -530,8 +539,8 @@
 class Demo(unittest.TestCase):
     def test_one_streamed_request_is_shown_and_it_ends(self) -> None:
         said = []
-        with mock.patch.object(whole, "say", said.append):
-            trio.run(whole.play, folder(self), False, net())
+        with mock.patch.object(cluster, "say", said.append):
+            trio.run(cluster.play, folder(self), False, net())
         text = "\n".join(said)
         self.assertRegex(text, r"Primary: 127\.\S+, epoch \d+; in sync: 127\.\S+, 127\.\S+; witnesses: ")
         self.assertIn("PUT /config: 200; revision 1 is on 2 disks", text)
@@ -548,7 +557,7 @@
                     [
                         sys.executable,
                         "-c",
-                        f"from rowanshift.standins.whole import demo; raise SystemExit(demo(True, {net()!r}))",
+                        f"from rowanshift.emulation.cluster import demo; raise SystemExit(demo(True, {net()!r}))",
                     ],
                     cwd=ROOT,
                     env=os.environ | {"TMPDIR": temporary},
@@ -569,12 +578,12 @@
 
     def test_an_address_in_use_is_told(self) -> None:
         place = net()
-        with socket.create_server((f"{place}1", whole.CONTROL)):
+        with socket.create_server((f"{place}1", cluster.CONTROL)):
             done = subprocess.run(
                 [
                     sys.executable,
                     "-c",
-                    f"from rowanshift.standins.whole import demo; raise SystemExit(demo(False, {place!r}))",
+                    f"from rowanshift.emulation.cluster import demo; raise SystemExit(demo(False, {place!r}))",
                 ],
                 cwd=ROOT,
                 capture_output=True,
@@ -582,13 +591,13 @@
                 timeout=60,
             )
         self.assertEqual(done.returncode, 1, done.stderr)
-        self.assertRegex(done.stderr, rf"rowanshift: .*{place}1:{whole.CONTROL}")
+        self.assertRegex(done.stderr, rf"rowanshift: .*{place}1:{cluster.CONTROL}")
 
     def test_which_demo_is_run(self) -> None:
         old = mock.Mock(return_value=0)
         with (
-            mock.patch.object(whole, "demo", return_value=0) as new,
-            mock.patch.dict(sys.modules, {"rowanshift.standins.demo": mock.Mock(demo=old)}),
+            mock.patch.object(cluster, "demo", return_value=0) as new,
+            mock.patch.dict(sys.modules, {"rowanshift.emulation.demo": mock.Mock(demo=old)}),
         ):
             invoke("demo", "--no-stay")
             invoke("demo")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,9 +10,8 @@
 
 import lmdb
 
-from rowanshift.ledger import store as store_module
-from rowanshift.ledger.check import check
-from rowanshift.ledger.store import (
+from rowanshift.controlplane import store as store_module
+from rowanshift.controlplane.store import (
     DATA_FILE,
     HEADER,
     KEYS,
@@ -23,6 +22,7 @@
     StoreWriteFailed,
     encoded,
 )
+from rowanshift.controlplane.store_check import check
 
 PAGE = 4096
 METAS = 2  # lmdb's first pages; one of them is written last, and says which pages count
--- a/tests/test_system_virtual.py
+++ b/tests/test_system_simulation.py
@@ -16,19 +16,19 @@
 import trio
 from loguru import logger
 
-from rowanshift.boot import load_boot
-from rowanshift.counter import channel, front, requests
-from rowanshift.counter.book import Route
-from rowanshift.ledger import duties
-from rowanshift.ledger.protocol import Ledger
-from rowanshift.ledger.service import Desk
-from rowanshift.ledger.store import DamagedRecord, StoreClosed, StoreWriteFailed
+from rowanshift.controlplane import singleton_tasks
+from rowanshift.controlplane.protocol import Replica
+from rowanshift.controlplane.service import ControlPlaneService
+from rowanshift.controlplane.store import DamagedRecord, StoreClosed, StoreWriteFailed
+from rowanshift.dataplane import control_client, frontend, requests
+from rowanshift.dataplane.routing_table import Route
+from rowanshift.invariants import system as rules
+from rowanshift.invariants.system import Answered, Began, Loaded, Ordered, VersionNamed
 from rowanshift.net.transport import connect
-from rowanshift.rules import system as rules
-from rowanshift.rules.system import Answered, Began, Loaded, Ordered, VersionNamed
-from rowanshift.virtual.clock import Determined, VirtualClock
-from rowanshift.virtual.disk import VirtualDisk
-from rowanshift.virtual.fleet import (
+from rowanshift.node_settings import load_node_settings
+from rowanshift.simulation.clock import Determined, VirtualClock
+from rowanshift.simulation.disk import VirtualDisk
+from rowanshift.simulation.fleet import (
     APPLY,
     DRAIN,
     ONCE,
@@ -41,7 +41,7 @@
     play,
     routes_of,
 )
-from rowanshift.virtual.network import Network, Paths
+from rowanshift.simulation.network import Network, Paths
 
 
 def setUpModule():
@@ -132,7 +132,7 @@
     def test_a_seed_replays_in_another_process(self):
         """Whatever the hashes of strings are."""
         text = (
-            "import test_system_virtual as t, hashlib; t.setUpModule(); "
+            "import test_system_simulation as t, hashlib; t.setUpModule(); "
             "print(hashlib.sha256(repr(t.play(t.replayed, 'a')[1].facts).encode()).hexdigest())"
         )
         path = os.pathsep.join([os.path.dirname(__file__), *sys.path])
@@ -168,7 +168,7 @@
         return self.through(trouble, least, **given)
 
     def test_a_counter_is_killed(self):
-        self.gone("kill", lambda fleet: fleet.counters[0], 0.7)
+        self.gone("kill", lambda fleet: fleet.routers[0], 0.7)
 
     def test_the_primary_is_killed(self):
         self.gone("kill", Fleet.primary, 0.97)
@@ -177,7 +177,7 @@
         self.gone("kill", lambda fleet: fleet.backups()[0], 0.97)
 
     def test_a_counter_loses_power(self):
-        self.gone("cut_power", lambda fleet: fleet.counters[0], 0.5)
+        self.gone("cut_power", lambda fleet: fleet.routers[0], 0.5)
 
     def test_the_primary_loses_power(self):
         self.gone("cut_power", Fleet.primary, 0.97)
@@ -207,7 +207,7 @@
 
     def test_a_counter_is_told_to_stop(self):
         async def trouble(fleet):
-            unit = fleet.counters[0]
+            unit = fleet.routers[0]
             fleet.terminate(unit)
             await trio.sleep(7.5)
             self.assertFalse(unit.machine.running)
@@ -220,7 +220,7 @@
         self.assertEqual([id for id in lost + broken if not self.unready(fleet, id)], [])
 
     def unready(self, fleet, id):
-        """Whether a try came to a counter that took no new connections any more."""
+        """Whether a try came to a router that took no new connections any more."""
         return any(fact.id == id and fact.how == "no way" for fact in fleet.of(rules.Lost))
 
     def test_the_primary_is_told_to_stop(self):
@@ -253,7 +253,7 @@
         self.still(lambda fleet: fleet.backups()[0], 0.97)
 
     def test_a_counter_stands_still(self):
-        self.still(lambda fleet: fleet.counters[0], 0.5)
+        self.still(lambda fleet: fleet.routers[0], 0.5)
 
 
 class Cuts(Case):
@@ -277,7 +277,7 @@
         self.parted(Fleet.primary, 0.97, ways="in")
 
     def test_a_counter_is_cut_off_from_the_core(self):
-        self.parted(lambda fleet: fleet.counters[0], 0.8)
+        self.parted(lambda fleet: fleet.routers[0], 0.8)
 
     def test_the_primary_and_a_backup_lose_each_other(self):
         async def trouble(fleet):
@@ -374,17 +374,17 @@
             with NamedTemporaryFile() as file:
                 file.write(orjson.dumps(unit.boot))
                 file.flush()
-                desk = Desk(load_boot(file.name), unit.machine, 1)
+                core_service = ControlPlaneService(load_node_settings(file.name), unit.machine, 1)
                 ends = []
 
                 async def run():
-                    ends.append(await unit.machine.run(desk.run))
+                    ends.append(await unit.machine.run(core_service.run))
 
                 fleet.nursery.start_soon(run)
                 await trio.sleep(0.5)
                 unit.machine.signal(number)
                 await trio.sleep(2)
-            return ends, desk.node is not None
+            return ends, core_service.replica_host is not None
 
         return play(main)[0]
 
@@ -599,7 +599,7 @@
         self.assertIn(rule, {breach.rule for breach in breaches})
 
     def test_a_change_is_acknowledged_before_the_backup_has_stored_it(self):
-        true = Ledger._on_stored
+        true = Replica._on_stored
 
         def eager(ledger, sender, message):
             true(ledger, sender, message)
@@ -617,7 +617,7 @@
             fleet.back(*fleet.cores)
             await fleet.operator.read_config(20.0)
 
-        self.found("CONFIG", scenario, mock.patch.object(Ledger, "_on_stored", eager))
+        self.found("CONFIG", scenario, mock.patch.object(Replica, "_on_stored", eager))
 
     async def crashes(self, fleet):
         for n in range(6):
@@ -636,15 +636,15 @@
         self.found("TWICE", self.crashes, mock.patch.object(Route, "repeatable", True))
 
     def test_what_may_have_run_is_refused(self):
-        true = front.Out.refuse
+        true = frontend.Out.refuse
 
         async def refuse(out, refusal):
-            await true(out, front.Refusal(503, refusal.why) if refusal.status == 502 else refusal)
+            await true(out, frontend.Refusal(503, refusal.why) if refusal.status == 502 else refusal)
 
-        self.found("REFUSED", self.crashes, mock.patch.object(front.Out, "refuse", refuse))
+        self.found("REFUSED", self.crashes, mock.patch.object(frontend.Out, "refuse", refuse))
 
     def test_a_stream_is_taken_up_from_its_start(self):
-        true = front.written
+        true = frontend.written
 
         def written(request, tenant, instance, left, version, after, *more):
             return true(request, tenant, instance, left, version, None, *more)
@@ -656,7 +656,7 @@
                 server.garble("break", 2)
             await trio.sleep(2)
 
-        self.found("ORDER", scenario, mock.patch.object(front, "written", written))
+        self.found("ORDER", scenario, mock.patch.object(frontend, "written", written))
 
     def test_an_isolated_tenant_shares_its_cache(self):
         async def scenario(fleet):
@@ -666,20 +666,20 @@
         self.found("WALL", scenario, mock.patch.object(requests, "salt_of", lambda tenant, version: b"v%d" % version))
 
     def test_a_counter_keeps_its_first_configuration(self):
-        true = channel.Channel._take
+        true = control_client.ControlClient._take
 
         def take(self, update):
-            true(self, update if not self.book.revision else replace(update, has_sheet=False))
+            true(self, update if not self.routing_table.revision else replace(update, has_state=False))
 
         async def scenario(fleet):
             fleet.client("c", REPEATED, "key-1b")
             await fleet.put(config_of(2, {"t1": ["key-1"]}))
             await trio.sleep(APPLY + 1)
 
-        self.found("CONFIG", scenario, mock.patch.object(channel.Channel, "_take", take))
+        self.found("CONFIG", scenario, mock.patch.object(control_client.ControlClient, "_take", take))
 
     def test_a_server_that_leaves_gets_more(self):
-        true = channel.engine_of
+        true = control_client.engine_of
 
         async def scenario(fleet):
             fleet.crowd(6)
@@ -690,7 +690,7 @@
             "DRAIN",
             scenario,
             mock.patch.object(
-                channel, "engine_of", lambda row: true(replace(row, state=row.state & ~channel.DRAINING))
+                control_client, "engine_of", lambda row: true(replace(row, state=row.state & ~control_client.DRAINING))
             ),
         )
 
@@ -700,8 +700,8 @@
             await fleet.name_version(2)
             await trio.sleep(VERSION + 1)
 
-        patch = mock.patch.multiple(channel.Channel, version=lambda self, model, now: 0)
-        with mock.patch.object(duties.Duties, "_may_order", lambda duties: False):
+        patch = mock.patch.multiple(control_client.ControlClient, version=lambda self, model, now: 0)
+        with mock.patch.object(singleton_tasks.SingletonTasks, "_may_order", lambda duties: False):
             self.found("VERSION", scenario, patch)
 
     def test_the_fence_never_rises(self):
@@ -716,7 +716,9 @@
             return orjson.dumps(data | {"fenceToken": 7})
 
         self.found(
-            "ONE", scenario, mock.patch.object(duties, "orjson", SimpleNamespace(dumps=dumps, loads=orjson.loads))
+            "ONE",
+            scenario,
+            mock.patch.object(singleton_tasks, "orjson", SimpleNamespace(dumps=dumps, loads=orjson.loads)),
         )
 
 
--- a/tests/test_records.py
+++ b/tests/test_wire_records.py
@@ -5,9 +5,9 @@
 from contextlib import suppress
 from dataclasses import dataclass, fields
 
-from rowanshift.ledger import protocol
-from rowanshift.records import delivery, table
-from rowanshift.records.codec import FORMAT, HEAD, LARGEST, MAGIC, BadRecord, Codec, Frames
+from rowanshift.controlplane import protocol
+from rowanshift.wire import delivery, table
+from rowanshift.wire.codec import FORMAT, HEAD, LARGEST, MAGIC, BadRecord, Codec, Frames
 
 TOP = 2**64 - 1
 NUMBERS = (0, 1, 255, 2**32, 2**53, TOP)
