--- a/rowanshift/capacity/roles.py
+++ b/rowanshift/capacity/roles.py
@@ -7,7 +7,7 @@
 from rowanshift.capacity.hollow import listing
 from rowanshift.capacity.results import Results, Sweep
 from rowanshift.capacity.sizes import BUDGET, DAY, TARGET, Size
-from rowanshift.controlplane.protocol import HEARTBEAT
+from rowanshift.controlplane.replication.timing import HEARTBEAT
 from rowanshift.controlplane.service import LINKS
 from rowanshift.controlplane.singleton_tasks import LIST_EVERY, MOST_PAGES
 from rowanshift.dataplane.control_client import HOLD
--- a/rowanshift/capacity/takeover.py
+++ b/rowanshift/capacity/takeover.py
@@ -12,7 +12,7 @@
 from itertools import count, pairwise
 from typing import Any
 
-from rowanshift.controlplane.protocol import Committed, Replica, Save, Send
+from rowanshift.controlplane.replication import Committed, Replica, Save, Send
 from rowanshift.policy.ring import HashRing, stable
 from rowanshift.wire.table import CODEC
 
--- a/rowanshift/controlplane/api.py
+++ b/rowanshift/controlplane/api.py
@@ -6,8 +6,8 @@
 
 from rowanshift.controlplane.configuration import InvalidConfiguration, StaleMatch
 from rowanshift.controlplane.control_state import ControlState, InvalidVersion, put_config, put_version, unpack
-from rowanshift.controlplane.protocol import STATE_LIMIT, StateTooLarge
 from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown, ReplicaHost
+from rowanshift.controlplane.replication import STATE_LIMIT, StateTooLarge
 from rowanshift.net.calls import Answer, said
 from rowanshift.net.connection import Message
 from rowanshift.wire.machines import ip_of
--- a/rowanshift/controlplane/explorer.py
+++ b/rowanshift/controlplane/explorer.py
@@ -1,4 +1,4 @@
-"""Drives `protocol.Replica` itself through orders of events that a real day seldom has; checks what must hold.
+"""Drives `replication.Replica` itself through orders of events that a real day seldom has; checks what must hold.
 
     python -m rowanshift.controlplane.explorer walks --seeds 200 --steps 6000 --machines 3 --f 1
     python -m rowanshift.controlplane.explorer breadth --states 20000
@@ -17,10 +17,9 @@
 import random
 import time
 from collections import deque
-from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from rowanshift.controlplane import protocol as p
+from rowanshift.controlplane import replication as p
 
 ControlState = bytes
 
@@ -42,38 +41,38 @@
         self.values: dict[p.StateVersion, ControlState] = {}
         self.proposed: dict[int, ControlState] = {}  # token -> sheet
         self.commits: dict[p.StateVersion, ControlState] = {
-            (0, 0): b""
-        }  # committed, by the stamp it was committed under
+            p.NO_VERSION: b""
+        }  # committed, by the version it was committed under
         self.longest: ControlState = b""
         self.offices: dict[int, ControlState] = {}  # epoch number -> sheet it began with
         self.reads: dict[int, ControlState] = {}  # token -> the longest sheet committed before it was asked
         self.observed: list[ControlState] = []
         self.fence = 0
 
-    def durable(self, durable: p.Durable) -> None:
-        self.value(durable.stamp, durable.sheet)
+    def durable(self, durable: p.DurableState) -> None:
+        self.value(durable.version, durable.state)
         if durable.promised < durable.accepted.number:
             raise Broken("PROMISE: a record is accepted above the promise")
 
-    def value(self, stamp: p.StateVersion, sheet: ControlState) -> None:
-        if self.values.setdefault(stamp, sheet) != sheet:
-            raise Broken(f"ONE-VALUE: two sheets under {stamp}")
+    def value(self, version: p.StateVersion, sheet: ControlState) -> None:
+        if self.values.setdefault(version, sheet) != sheet:
+            raise Broken(f"ONE-VALUE: two sheets under {version}")
 
-    def sent(self, message: p.Message, disk: p.Durable | None) -> None:
+    def sent(self, message: p.Message, disk: p.DurableState | None) -> None:
         """What a machine says it holds is on its disk."""
         if isinstance(message, p.Store):
-            self.value(message.stamp, message.sheet)
+            self.value(message.version, message.state)
         match message:
             case p.Promised(number, True) | p.Accepted(number, True) | p.Stored(number, _, True):
                 held = disk is not None and disk.promised >= number
-            case p.Confirmed(number, _, True):
+            case p.HeartbeatReply(number, _, True):
                 held = disk is not None and disk.accepted.number >= number
             case _:
                 return
         if isinstance(message, p.Accepted):
             held = held and disk.accepted.number >= message.number
         if isinstance(message, p.Stored):
-            held = held and disk.stamp >= message.stamp
+            held = held and disk.version >= message.version
         if not held:
             raise Broken(f"DURABLE: {type(message).__name__} is sent before it is on disk")
 
@@ -90,15 +89,15 @@
                 if not p.has_majority(voters, members):
                     raise Broken(f"DECIDED: {record} is in force and on the disks of {voters} alone")
         self.offices[number] = sheet
-        self.committed((number, 0), sheet)
+        self.committed(p.StateVersion(number, 0), sheet)
 
-    def committed(self, stamp: p.StateVersion, sheet: ControlState) -> None:
-        """Whatever is committed under a lower stamp is part of it, and it is part of what comes after."""
+    def committed(self, version: p.StateVersion, sheet: ControlState) -> None:
+        """Whatever is committed under a lower version is part of it, and it is part of what comes after."""
         for other, value in self.commits.items():
-            low, high = (value, sheet) if other <= stamp else (sheet, value)
+            low, high = (value, sheet) if other <= version else (sheet, value)
             if not high.startswith(low):
-                raise Broken(f"KEPT: {other} and {stamp} are committed and don't build on one another")
-        self.commits[stamp] = sheet
+                raise Broken(f"KEPT: {other} and {version} are committed and don't build on one another")
+        self.commits[version] = sheet
         self.longest = max(self.longest, sheet, key=len)
         for value in self.observed:
             if not (sheet.startswith(value) or value.startswith(sheet)):
@@ -127,7 +126,7 @@
     """A machine: its disk survives a crash, its Replica doesn't."""
 
     replica: p.Replica | None
-    disk: p.Durable | None = None
+    disk: p.DurableState | None = None
     save: p.Save | None = None
     rate: float = 1.0  # of its steady clock
     offset: float = 0.0  # seconds
@@ -184,8 +183,8 @@
                 case p.Committed(token):
                     self.committed += 1
                     sheet = self.checks.proposed[token]
-                    stamp = next(s for s, value in reversed(self.checks.values.items()) if value == sheet)
-                    self.checks.committed(max(stamp, (replica.record.number, 0)), sheet)
+                    version = next(s for s, value in reversed(self.checks.values.items()) if value == sheet)
+                    self.checks.committed(max(version, p.StateVersion(replica.record.number, 0)), sheet)
                 case p.ReadConfirmed(token):
                     self.checks.read(token, replica.committed_state)
         if replica.is_primary and replica.record.number not in self.checks.offices:
@@ -256,26 +255,22 @@
 
 
 # seconds; without leases and waits, so that only numbers and majorities keep two primaries apart
-CONTENDED = {
-    "LEASE": 0.0, "BLOCK": 0.0, "LAPSE": 1.5, "SILENCE_DRAW": 1.0, "RETRY": 0.3, "ROUND": 1.0,
-    "RENEW_GAP": 0.2, "WITNESS_SILENCE": 1.0, "CHANGE_GAP": 0.2, "JOIN_GAP": 0.3,
-}  # fmt: skip
-
-
-@contextmanager
-def constants(changed: dict[str, float]):
-    before = {name: getattr(p, name) for name in changed}
-    try:
-        for name, value in changed.items():
-            setattr(p, name, value)
-        yield
-    finally:
-        for name, value in before.items():
-            setattr(p, name, value)
+CONTENDED = p.Timing(
+    lease=0.0,
+    block=0.0,
+    lapse=1.5,
+    silence_draw=1.0,
+    retry=0.3,
+    round=1.0,
+    renew_gap=0.2,
+    witness_silence=1.0,
+    change_gap=0.2,
+    join_gap=0.3,
+)
 
 
 KINDS = ("stand", "crash", "power", "quake", "empty", "pause", "cut", "split", "deaf", "slow", "fail", "gone")
-ONE_WAY = (p.Prepare, p.Promised, p.Store, p.Stored, p.Accept, p.Accepted, p.Confirm, p.Confirmed)
+ONE_WAY = (p.Prepare, p.Promised, p.Store, p.Stored, p.Accept, p.Accepted, p.Heartbeat, p.HeartbeatReply)
 
 
 @dataclass
@@ -293,16 +288,15 @@
 
     def __init__(self, seed: int, machines: int, f: int, spares: int = 0, make: type[p.Replica] = p.Replica) -> None:
         self.seed, self.make = seed, make
-        self.constants = CONTENDED if seed % 2 else {}
+        self.timing = CONTENDED if seed % 2 else p.DEFAULT_TIMING
         self.draw = draw = random.Random(seed)
         seeds = tuple(range(1, machines + 1))
         self.world = World({}, f, seeds)
         for me in range(1, machines + spares + 1):
             host = Host(None, rate=1 + draw.uniform(-0.1, 0.1), offset=draw.uniform(0, 1000))
             self.world.hosts[me] = host
-            with constants(self.constants):
-                self.start(me, bootstrap=me <= machines)
-                self.world.sync(me)  # a first start is over once its record is on disk
+            self.start(me, bootstrap=me <= machines)
+            self.world.sync(me)  # a first start is over once its record is on disk
         self.pace = draw.choice([0.003, 0.006, 0.012]) * 3 / machines
         self.loss = draw.choice([0.0, 0.01, 0.05, 0.2])
         self.trouble = draw.choice([0.002, 0.005, 0.015])
@@ -316,20 +310,22 @@
     def start(self, me: int, bootstrap: bool = False) -> None:
         world, host = self.world, self.world.hosts[me]
         now = world.clock(host)
-        host.replica = self.make(me, world.f, world.seeds, bootstrap, host.disk, now, self.draw.random)
+        host.replica = self.make(
+            me, world.f, world.seeds, bootstrap, host.disk, now, self.draw.random, timing=self.timing
+        )
         world.collect(me)
 
     def heal(self) -> None:
         """A lost disk is made good once its machine remembers and the in-sync machines hold the sheet."""
         world = self.world
-        if world.now < world.lost_at + 2 * p.RECOVERY_WAIT:
+        if world.now < world.lost_at + 2 * self.timing.recovery_wait:
             return
         record = world.highest()
         if record.number not in world.checks.offices:
             return
         for member in record.in_sync:
             host = world.hosts[member]
-            if host.disk is None or host.disk.stamp[0] < record.number:
+            if host.disk is None or host.disk.version.epoch < record.number:
                 return
         voters = {*record.witnesses, *record.former, *record.in_sync}
         for me, host in world.hosts.items():
@@ -469,10 +465,6 @@
 
     def run(self, steps: int, calm: bool = True) -> Outcome:
         """`steps` with trouble, then, if `calm`, up to 40 s without: all must remember and commit again."""
-        with constants(self.constants):
-            return self.run_on(steps, calm)
-
-    def run_on(self, steps: int, calm: bool) -> Outcome:
         world, stalled = self.world, ""
         try:
             for _ in range(steps):
@@ -627,15 +619,15 @@
     def _on_stored(self, sender, message):
         super()._on_stored(sender, message)
         proposal = self._proposal
-        if proposal is not None and sender == self.me and message.ok and proposal.stamp == message.stamp:
+        if proposal is not None and sender == self.me and message.ok and proposal.version == message.version:
             self._commit()
 
 
 class EmptyDiskVotes(p.Replica):
     """A machine that lost its disk starts as if it were the first start."""
 
-    def __init__(self, me, f, seeds, bootstrap, durable, now, chance, duty_wait=0.0):
-        super().__init__(me, f, seeds, True, durable, now, chance, duty_wait)
+    def __init__(self, me, f, seeds, bootstrap, durable, now, chance, duty_wait=0.0, timing=p.DEFAULT_TIMING):
+        super().__init__(me, f, seeds, True, durable, now, chance, duty_wait, timing)
 
 
 class AcceptsBeforeSave(p.Replica):
@@ -680,7 +672,7 @@
     """A read gives the sheet that is proposed and not committed."""
 
     def _send_proposal(self):
-        self.committed_state = self._proposal.sheet
+        self.committed_state = self._proposal.state
         super()._send_proposal()
 
 
@@ -737,16 +729,16 @@
 
 class StoresBelowPromise(p.Replica):
     def _on_store(self, sender, message):
-        if message.stamp > self._durable.stamp:
+        if message.version > self._durable.version:
             promised = max(self._durable.promised, message.number)
-            self._change(promised=promised, stamp=message.stamp, sheet=message.sheet)
-        self._send_saved(sender, p.Stored(message.number, message.stamp, True, message.number))
+            self._change(promised=promised, version=message.version, state=message.state)
+        self._send_saved(sender, p.Stored(message.number, message.version, True, message.number))
 
 
 class RecallsFromOne(p.Replica):
     """One answer is enough to vote again after the disk was lost."""
 
-    def _on_recoveryreply(self, sender, message):
+    def _on_recovery_reply(self, sender, message):
         if self._durable.amnesic and not message.amnesic and message.serial == self._recovery_serial:
             self._change(promised=message.promised, accepted=message.accepted, amnesic=False)
             self._start_save()
@@ -757,23 +749,23 @@
 
     def _on_stored(self, sender, message):
         if self._proposal is not None and self._candidacy is None and message.ok:
-            message = p.Stored(message.number, self._proposal.stamp, True, message.promised)
+            message = p.Stored(message.number, self._proposal.version, True, message.promised)
         super()._on_stored(sender, message)
 
 
 class CountsAnyConfirmed(p.Replica):
     """An answer to an earlier Confirm counts for the round last asked."""
 
-    def _on_confirmed(self, sender, message):
-        super()._on_confirmed(
-            sender, p.Confirmed(message.number, self._serial, message.ok, message.promised, message.stamp)
+    def _on_heartbeat_reply(self, sender, message):
+        super()._on_heartbeat_reply(
+            sender, p.HeartbeatReply(message.number, self._serial, message.ok, message.promised, message.version)
         )
 
 
 class KeepsLeaseHandingOver(p.Replica):
     """A primary with a slow disk nominates its backups and stays."""
 
-    def _hand_over(self):
+    def _transfer_leadership(self):
         for member in sorted({*self._epoch.witnesses, *self._epoch.in_sync} - {self.me}):
             self._send(member, p.TransferLeadership(self._epoch.number))
 
--- a/rowanshift/controlplane/replica_host.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -8,11 +8,11 @@
 import trio
 from loguru import logger
 
-from rowanshift.controlplane.protocol import (
+from rowanshift.controlplane.replication import (
     Became,
     Busy,
     Committed,
-    Durable,
+    DurableState,
     Failed,
     NotPrimary,
     ReadConfirmed,
@@ -150,7 +150,7 @@
             wait[1].append(well)
             wait[0].set()
 
-    async def _save(self, token: int, durable: Durable) -> None:
+    async def _save(self, token: int, durable: DurableState) -> None:
         at, well = trio.current_time(), True
         if self.store is not None:
             try:
@@ -191,7 +191,7 @@
             self.act()
 
 
-def durable_of(record: bytes | None) -> Durable | None:
+def durable_of(record: bytes | None) -> DurableState | None:
     """What a disk holds, ``BadRecord`` if it can't be read."""
     if record is None:
         return None
--- /dev/null
+++ b/rowanshift/controlplane/replication/core.py
@@ -0,0 +1,249 @@
+"""What all roles of a replica share: its state, what it sends and saves, and the order between the two."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from rowanshift.controlplane.replication.actions import Action, Save, Send
+from rowanshift.controlplane.replication.messages import (
+    NO_RECORD,
+    NO_VERSION,
+    DurableState,
+    EpochRecord,
+    Message,
+    RecoveryReply,
+    StateVersion,
+)
+from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, Timing
+
+NEVER = float("-inf")
+
+
+@dataclass
+class Candidacy:
+    """One number's way from pre-vote to effect. ``renewal`` if a primary renews its own epoch."""
+
+    number: int
+    renewal: bool
+    phase: str  # "pre-vote", "prepare", "store", "accept"
+    started: float  # seconds
+    phase_started: float  # seconds
+    sent: float  # seconds
+    witnesses: tuple[int, ...] = ()  # the set wanted, if it is to change
+    votes: set[int] = field(default_factory=set)  # of this phase
+    records: dict[int, EpochRecord] = field(default_factory=dict)  # what each that promised had accepted
+    base: EpochRecord = NO_RECORD
+    backups: tuple[int, ...] = ()
+    record: EpochRecord = NO_RECORD
+
+
+@dataclass
+class Proposal:
+    """A state that is to be the next one."""
+
+    token: int
+    state: bytes
+    version: StateVersion | None = None  # None until it is sent
+    stored: set[int] = field(default_factory=set)
+    started: float = 0.0  # seconds
+    sent: float = 0.0  # seconds
+
+
+@dataclass
+class Read:
+    """A read that waits for a heartbeat round."""
+
+    token: int
+    serial: int  # of the round
+    asked: float  # seconds
+
+
+@dataclass
+class Writing:
+    """A save under way, and what is to be sent once it is on disk."""
+
+    token: int
+    durable: DurableState
+    started: float  # seconds
+    then: list[Send]
+
+
+class ReplicaCore:
+    """One machine's state. All of it is plain data, so that a model checker can copy it."""
+
+    def __init__(
+        self,
+        me: int,
+        f: int,
+        seeds: tuple[int, ...],
+        bootstrap: bool,
+        durable: DurableState | None,
+        now: float,
+        chance: Callable[[], float],
+        duty_wait: float = 0.0,
+        timing: Timing = DEFAULT_TIMING,
+    ) -> None:
+        """``f`` machines may be lost. ``now`` and ``duty_wait`` are in seconds; ``chance`` draws from [0, 1)."""
+        self.me, self.f, self.duty_wait, self.timing, self._chance = me, f, duty_wait, timing, chance
+        self._now = self._started = now
+        seeds = tuple(sorted(seeds))
+        self.wanted_witnesses = max(2 * f + 1, len(seeds))
+        self._on_disk = durable
+        if durable is None:
+            first = EpochRecord(0, 0, seeds, seeds) if bootstrap else NO_RECORD
+            durable = DurableState(0, first, NO_VERSION, b"", amnesic=not bootstrap)
+        self._durable = durable
+        self._writing: Writing | None = None
+        self._waiting: list[Send] = []  # until the save after the one outstanding
+        self._save_token = 0
+        self._save_failed = NEVER
+        self._actions: list[Action] = []
+        self._to_self: list[Message] = []
+        self.known: set[int] = {*seeds, *durable.accepted.members()} - {me}
+        self._heard: dict[int, float] = {}  # machine -> when it last sent what only one that remembers sends
+        self._slow: dict[int, float] = {}  # machine -> until when it isn't chosen as a backup
+        self._spares: dict[int, float] = {}  # machine -> when its Join was last heard
+        self._init_witness()
+        self._init_candidate()
+        self._init_recovery()
+        self._init_primary()
+        if self._on_disk is None:
+            self._start_save()
+
+    def _init_witness(self) -> None:
+        record = self._durable.accepted
+        self._holder = record.primary  # whom this witness last answered, and when: it keeps from others
+        self._held = self._now if record.number else NEVER
+
+    def _init_candidate(self) -> None:
+        timing = self.timing
+        wait = timing.block if self._durable.accepted.number else 0.0
+        self._seen = self._durable.promised  # the highest number heard of
+        self._stand_at = self._now + timing.silence_draw * self._chance() + wait
+        self._candidacy: Candidacy | None = None
+
+    def _init_recovery(self) -> None:
+        self._recovery_serial = 1 + int(self._chance() * (1 << 31))
+        self._recovery_replies: dict[int, RecoveryReply] = {}
+        self._asked_recovery = NEVER
+        self._joined = NEVER
+
+    def _init_primary(self) -> None:
+        self._epoch: EpochRecord | None = None  # that this machine is primary of
+        self._effective = NEVER
+        self.duty_from = float("inf")
+        self.committed_state = b""
+        self._sequence = 0
+        self._proposal: Proposal | None = None
+        self._reads: list[Read] = []
+        self._serial = 0
+        self._asked: dict[int, float] = {}  # serial -> when it was asked
+        self._acked: dict[int, int] = {}  # machine -> the highest serial it answered
+        self._confirmed: dict[int, float] = {}  # machine -> when it last answered
+        self._lease_from = NEVER
+        self._beat = NEVER
+        self._renewed = NEVER
+        self._changed = NEVER
+        self._refused = False
+
+    # what the caller may look at
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this machine is primary as far as it knows."""
+        return self._epoch is not None
+
+    @property
+    def is_amnesic(self) -> bool:
+        """Whether it lost its disk and has not recovered what it promised."""
+        return self._durable.amnesic
+
+    @property
+    def record(self) -> EpochRecord:
+        """The epoch this machine is primary of, else the last record it has on disk."""
+        if self._epoch is not None:
+            return self._epoch
+        return self._on_disk.accepted if self._on_disk is not None else NO_RECORD
+
+    @property
+    def primary_hint(self) -> int:
+        """The machine that is primary as far as is known here, or 0."""
+        if self._epoch is not None:
+            return self.me
+        return self._holder if self._holder != self.me else 0
+
+    def lease_until(self, now: float) -> float:
+        """Steady time until which this machine may act as single holder; not after ``now`` if it may not."""
+        until = self._lease_from + self.timing.lease
+        return min(now, until) if self._epoch is None else until
+
+    def next_wake(self, now: float) -> float:
+        """The steady time by which ``tick`` should be called."""
+        if self._epoch or self._candidacy or self._durable.amnesic or self._on_disk is not self._durable:
+            return now + 0.05
+        return max(now, min(self._stand_at, now + self.timing.join_gap))
+
+    def drain(self) -> list[Action]:
+        """What is to be done, in this order."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    # sending and saving
+
+    def _send(self, to: int, message: Message) -> None:
+        if to == self.me:
+            self._to_self.append(message)
+        else:
+            self._actions.append(Send(to, message))
+
+    def _send_saved(self, to: int, message: Message) -> None:
+        """Send once everything decided so far is on disk."""
+        if self._on_disk is self._durable:
+            self._send(to, message)
+        elif self._writing is not None and self._writing.durable is self._durable:
+            self._writing.then.append(Send(to, message))
+        else:
+            self._waiting.append(Send(to, message))
+            self._start_save()
+
+    def _start_save(self) -> None:
+        if self._writing is not None:
+            return
+        self._save_token += 1
+        self._writing = Writing(self._save_token, self._durable, self._now, self._waiting)
+        self._waiting = []
+        self._actions.append(Save(self._save_token, self._durable))
+
+    def _change(self, **fields: Any) -> None:
+        """Change what is to be durable. A higher promise than one's own number ends primacy or candidacy."""
+        changed = replace(self._durable, **fields)
+        if changed == self._durable:
+            return
+        self._durable = changed
+        self._seen = max(self._seen, changed.promised)
+        candidacy = self._candidacy
+        own = candidacy.number if candidacy is not None and candidacy.phase != "pre-vote" else 0
+        if own and changed.promised > own:
+            self._end_candidacy(0.1)
+        if self._epoch is not None and changed.promised > max(own, self._epoch.number):
+            self._step_down()
+
+    def _has_state(self, record: EpochRecord) -> bool:
+        """Whether this machine holds all that ``record`` builds on: in sync, and its disk not lost since."""
+        return self.me in record.in_sync and self._durable.version.epoch >= record.number
+
+    def _put_off(self, seconds: float) -> None:
+        """Become a candidate no sooner than in so many seconds, and later if this machine lacks the state."""
+        behind = 0.0 if self._has_state(self._durable.accepted) else self.timing.round
+        wait = seconds + behind + self.timing.silence_draw * self._chance()
+        self._stand_at = max(self._stand_at, self._now + wait)
+
+    # what other roles do on the way
+
+    def _end_candidacy(self, rest: float) -> None:
+        raise NotImplementedError
+
+    def _step_down(self) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/rowanshift/controlplane/replication/messages.py
@@ -0,0 +1,177 @@
+"""What replicas say to each other, what each keeps on disk, and the epoch record that witnesses agree on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class StateVersion:
+    """Orders states of the control plane: by the epoch they were stored in, then by their place in it."""
+
+    epoch: int
+    sequence: int
+
+
+NO_VERSION = StateVersion(0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class EpochRecord:
+    """A view: who is primary, which machines hold the state, whose majorities decide on the next record.
+
+    ``former`` is not empty while a change of witnesses is under way: a majority of it is needed too.
+    """
+
+    number: int
+    primary: int
+    in_sync: tuple[int, ...]
+    witnesses: tuple[int, ...]
+    former: tuple[int, ...] = ()
+
+    def sets(self) -> tuple[tuple[int, ...], ...]:
+        """The witness sets a majority of each of which must promise, or accept, what follows this record."""
+        return (self.witnesses, self.former) if self.former else (self.witnesses,)
+
+    def members(self) -> set[int]:
+        """Every machine that has a part in this epoch."""
+        return {*self.in_sync, *self.witnesses, *self.former}
+
+
+NO_RECORD = EpochRecord(0, 0, (), ())
+
+
+@dataclass(frozen=True, slots=True)
+class DurableState:
+    """What a machine's disk holds, written whole. ``amnesic``: the disk was lost and promises are not recovered."""
+
+    promised: int
+    accepted: EpochRecord
+    version: StateVersion
+    state: bytes
+    amnesic: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PreVote:
+    """Would you promise this number? Nothing is changed by it."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PreVoted:
+    number: int
+    ok: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Promise to take part in no epoch below this number (Paxos, phase 1)."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Promised:
+    number: int
+    ok: bool
+    promised: int
+    accepted: EpochRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """Keep this state under a version of epoch ``number``."""
+
+    number: int
+    version: StateVersion
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    number: int
+    version: StateVersion
+    ok: bool
+    promised: int
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Accept the epoch record of this number (Paxos, phase 2)."""
+
+    number: int
+    record: EpochRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    number: int
+    ok: bool
+    promised: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The primary lives; also the round that a read waits for."""
+
+    number: int
+    serial: int
+    record: EpochRecord
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    number: int
+    serial: int
+    ok: bool
+    promised: int
+    version: StateVersion
+
+
+@dataclass(frozen=True, slots=True)
+class TransferLeadership:
+    """Become a candidate now. From the primary of epoch ``number`` it also gives up that epoch and its lease."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryRequest:
+    """Asked by an amnesic machine; ``serial`` keeps answers to an earlier life apart."""
+
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryReply:
+    serial: int
+    promised: int
+    accepted: EpochRecord
+    amnesic: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """A machine that is no witness asks to become one."""
+
+    machine: int
+
+
+Message = (
+    PreVote
+    | PreVoted
+    | Prepare
+    | Promised
+    | Store
+    | Stored
+    | Accept
+    | Accepted
+    | Heartbeat
+    | HeartbeatReply
+    | TransferLeadership
+    | RecoveryRequest
+    | RecoveryReply
+    | Join
+)
--- /dev/null
+++ b/rowanshift/controlplane/replication/primary.py
@@ -0,0 +1,213 @@
+"""A replica as primary: commits, reads, its lease, and the changes of backups and witnesses."""
+
+from __future__ import annotations
+
+from rowanshift.controlplane.replication.actions import Became, Committed, Failed, ReadConfirmed, ReadFailed
+from rowanshift.controlplane.replication.core import NEVER, ReplicaCore
+from rowanshift.controlplane.replication.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    StateVersion,
+    Store,
+    Stored,
+    TransferLeadership,
+)
+from rowanshift.controlplane.replication.quorum import majority
+
+
+class PrimaryRole(ReplicaCore):
+    """Within an epoch all in-sync machines store each change; a majority of the witnesses keeps the lease alive."""
+
+    def _take_office(self) -> None:
+        candidacy, self._candidacy = self._candidacy, None
+        before, self._epoch = self._epoch, candidacy.record
+        self._effective, self._sequence, self._refused = self._now, 0, False
+        self._acked, self._asked = {}, {}
+        self._confirmed = dict.fromkeys((*candidacy.record.in_sync, *candidacy.record.witnesses), self._now)
+        if before is None:
+            self.duty_from = self._now + self.duty_wait
+            self._actions.append(Became(True))
+        if before is None or before.witnesses != candidacy.record.witnesses:
+            self._lease_from = NEVER
+        if self._proposal is not None and self._proposal.version is not None:
+            self._commit()  # it is part of the state that every in-sync machine holds under the new number
+        else:
+            self.committed_state = self._durable.state
+            if self._proposal is not None:
+                self._send_proposal()
+        for read in self._reads:
+            read.serial = self._serial + 1
+        self._send_heartbeat()
+
+    def _step_down(self) -> None:
+        if self._epoch is None:
+            return
+        self._epoch, self._lease_from, self.duty_from = None, NEVER, float("inf")
+        if self._candidacy is not None and self._candidacy.renewal:
+            self._candidacy = None
+        if self._proposal is not None:
+            self._actions.append(Failed(self._proposal.token))
+            self._proposal = None
+        self._actions.extend(ReadFailed(read.token) for read in self._reads)
+        self._reads = []
+        self._actions.append(Became(False))
+        self._put_off(self.timing.round)
+
+    def _transfer_leadership(self) -> None:
+        """Give the epoch and its lease up, and have the backups become candidates."""
+        epoch = self._epoch
+        self._step_down()
+        if self._holder == self.me:
+            self._held = NEVER
+        self._put_off(self.timing.rest)
+        for member in sorted(epoch.members() - {self.me}):
+            self._send(member, TransferLeadership(epoch.number))
+
+    # changes
+
+    def _send_proposal(self) -> None:
+        proposal, epoch = self._proposal, self._epoch
+        if proposal.version is None:
+            self._sequence += 1
+            proposal.version, proposal.started = StateVersion(epoch.number, self._sequence), self._now
+        proposal.sent = self._now
+        for member in sorted(set(epoch.in_sync) - proposal.stored):
+            self._send(member, Store(epoch.number, proposal.version, proposal.state))
+
+    def _proposal_stored(self, sender: int, message: Stored) -> None:
+        """An answer to a Store of this epoch, outside a candidacy."""
+        proposal = self._proposal
+        if not message.ok:
+            self._refused |= message.promised > self._epoch.number
+        elif proposal is not None and proposal.version == message.version and self._candidacy is None:
+            proposal.stored.add(sender)
+            if proposal.stored >= set(self._epoch.in_sync):
+                self._commit()
+
+    def _commit(self) -> None:
+        proposal, self._proposal = self._proposal, None
+        self.committed_state = proposal.state
+        self._actions.append(Committed(proposal.token))
+
+    # heartbeats, the lease, reads
+
+    def _send_heartbeat(self) -> None:
+        epoch, now = self._epoch, self._now
+        self._serial += 1
+        self._beat = self._asked[self._serial] = now
+        self._asked = {serial: at for serial, at in self._asked.items() if now < at + 2 * self.timing.lapse}
+        for machine in sorted(self.known | epoch.members() | {self.me}):
+            self._send(machine, Heartbeat(epoch.number, self._serial, epoch))
+
+    def _on_heartbeat_reply(self, sender: int, message: HeartbeatReply) -> None:
+        epoch = self._epoch
+        self._seen = max(self._seen, message.promised)
+        if epoch is None or message.number != epoch.number:
+            return
+        if not message.ok:
+            self._heartbeat_refused(sender, message)
+            return
+        self._acked[sender] = max(self._acked.get(sender, 0), message.serial)
+        self._confirmed[sender] = self._now
+        answered = sorted((self._acked.get(witness, 0) for witness in epoch.witnesses), reverse=True)
+        asked = self._asked.get(answered[majority(epoch.witnesses) - 1])
+        if asked is not None:
+            self._lease_from = max(self._lease_from, asked)
+        self._check_reads()
+
+    def _heartbeat_refused(self, sender: int, message: HeartbeatReply) -> None:
+        epoch = self._epoch
+        if message.promised > epoch.number:
+            self._refused |= sender in epoch.in_sync or sender in epoch.witnesses
+        elif sender in epoch.in_sync and self._candidacy is None and self._proposal is None:
+            version = StateVersion(epoch.number, self._sequence)  # it lost its disk: it gets the state anew
+            self._send(sender, Store(epoch.number, version, self.committed_state))
+
+    def _check_reads(self) -> None:
+        """End every read that all in-sync machines confirmed after it was asked."""
+        if self._candidacy is not None:
+            return
+        confirmed = min(self._acked.get(member, 0) for member in self._epoch.in_sync)
+        done = [read for read in self._reads if read.serial <= confirmed]
+        if done:
+            self._reads = [read for read in self._reads if read.serial > confirmed]
+            self._actions.extend(ReadConfirmed(read.token) for read in done)
+            if self._reads and all(read.serial > self._serial for read in self._reads):
+                self._send_heartbeat()
+
+    def _tick_primary(self) -> None:
+        epoch, now = self._epoch, self._now
+        if now >= max(self._lease_from, self._effective) + self.timing.lapse:
+            self._end_candidacy(self.timing.round)
+            self._step_down()
+            return
+        self._fail_late_reads()
+        if self._candidacy is not None:
+            return
+        if (
+            self._writing is not None
+            and now >= self._writing.started + self.timing.slow_save
+            and len(epoch.in_sync) > 1
+        ):
+            self._transfer_leadership()
+            return
+        if now >= self._beat + self.timing.heartbeat:
+            self._send_heartbeat()
+        if self._proposal is not None and now >= self._proposal.sent + self.timing.retry:
+            self._send_proposal()
+        self._maybe_renew()
+
+    def _fail_late_reads(self) -> None:
+        late = [read for read in self._reads if self._now >= read.asked + self.timing.read_limit]
+        self._reads = [read for read in self._reads if self._now < read.asked + self.timing.read_limit]
+        self._actions.extend(ReadFailed(read.token) for read in late)
+
+    # backups and witnesses
+
+    def _maybe_renew(self) -> None:
+        """Stand again under a new number where a backup, or the witnesses, should change."""
+        now, timing = self._now, self.timing
+        if now >= self._lease_from + timing.lapse * 0.8 or now < self._renewed + timing.renew_gap:
+            return  # only while a majority of the witnesses answers
+        failed = self._failed_backups()
+        live = self._live_machines() - failed
+        if len(live) < self.f:
+            return
+        if failed or self._refused or self._epoch.former:
+            self._stand(renewal=True)
+            return
+        wanted = self._witnesses_wanted(live) if now >= self._changed + timing.change_gap else ()
+        if wanted:
+            self._changed = now
+            self._stand(renewal=True, witnesses=wanted)
+
+    def _failed_backups(self) -> set[int]:
+        """In-sync machines that are silent, or too slow with the present proposal."""
+        now, epoch, proposal = self._now, self._epoch, self._proposal
+        silence = self.timing.backup_silence
+        failed = {member for member in epoch.in_sync if now >= self._confirmed[member] + silence} - {self.me}
+        if proposal is not None and now >= proposal.started + silence:
+            slow = set(epoch.in_sync) - proposal.stored - {self.me}
+            self._slow.update(dict.fromkeys(slow, now + self.timing.rest))
+            failed |= slow
+        return failed
+
+    def _live_machines(self) -> set[int]:
+        """Machines heard lately that may be backups."""
+        now, silence = self._now, self.timing.backup_silence
+        recent = {machine for machine, heard in self._heard.items() if now < heard + silence}
+        return {machine for machine in recent if now >= self._slow.get(machine, 0.0)}
+
+    def _witnesses_wanted(self, live: set[int]) -> tuple[int, ...]:
+        """The witnesses with one that is gone replaced, or one added; empty if they stay as they are."""
+        now, epoch = self._now, self._epoch
+        joined = {m for m in live if now < self._spares.get(m, NEVER) + 2 * self.timing.join_gap}
+        spares = [m for m in (self.me, *sorted(joined)) if m not in epoch.witnesses]
+        if not spares:
+            return ()
+        silence = self.timing.witness_silence
+        gone = [w for w in epoch.witnesses if now >= self._confirmed.get(w, 0.0) + silence]
+        kept = [w for w in epoch.witnesses if w not in gone[:1]]
+        if gone or len(kept) < self.wanted_witnesses:
+            return tuple(sorted((*kept, spares[0])))
+        return ()
--- /dev/null
+++ b/rowanshift/controlplane/replication/quorum.py
@@ -0,0 +1,13 @@
+"""Majorities of witness sets."""
+
+from collections.abc import Collection
+
+
+def majority(members: Collection[int]) -> int:
+    """How many of the members make a majority."""
+    return len(members) // 2 + 1
+
+
+def has_majority(voters: Collection[int], members: Collection[int]) -> bool:
+    """Whether a majority of the members is among the voters."""
+    return sum(member in voters for member in members) >= majority(members)
--- /dev/null
+++ b/rowanshift/controlplane/replication/timing.py
@@ -0,0 +1,51 @@
+"""Times of the replication protocol, in seconds, and the sizes it bounds. docs/control-plane.md says why each."""
+
+from dataclasses import dataclass
+
+HEARTBEAT = 0.15  # from one heartbeat round to the next
+LEASE = 0.6  # a primary may act as single holder so long after it asked a round that a majority answered
+BLOCK = LEASE * 1.25  # a witness that answered promises no other so long: covers clocks whose rates are 25 % apart
+LAPSE = BLOCK  # without a majority's answers; then a primary steps down
+SILENCE_DRAW = 0.2  # drawn from 0 to this: what a machine waits beyond BLOCK before it becomes a candidate
+RETRY = 0.2  # until an unanswered message is sent again
+ROUND = 0.5  # for each step of a candidacy
+STAND_LIMIT = 2.0  # from a number's first Prepare to its effect: later it is given up for good
+RECOVERY_WAIT = STAND_LIMIT * 1.25  # votes given before a disk was lost are counted or void by then
+BACKUP_SILENCE = 0.6  # without an answer; then a backup is replaced
+SLOW_SAVE = 0.8  # that a primary's own save may take; then it transfers leadership
+WITNESS_SILENCE = 2.0  # without an answer; then a witness is replaced, if there is a spare
+CHANGE_GAP = 1.0  # from one change of witnesses to the next
+RENEW_GAP = 0.3  # from one renewal of an epoch by its primary to the next
+FRESH = 1.0  # within which a machine heard counts as alive
+READ_LIMIT = 1.0  # until an unconfirmed read fails
+JOIN_GAP = 1.0  # between a spare's Joins
+REST = 3.0  # that a primary which transferred leadership, or a backup that was too slow, is left aside
+NUMBER_LIMIT = 1 << 53  # epoch numbers stay exact as doubles
+STATE_LIMIT = 16 * 1024 * 1024 - 4096  # bytes: a Store fits into one frame
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """What a replica waits for. All in seconds, as the constants of the same names."""
+
+    heartbeat: float = HEARTBEAT
+    lease: float = LEASE
+    block: float = BLOCK
+    lapse: float = LAPSE
+    silence_draw: float = SILENCE_DRAW
+    retry: float = RETRY
+    round: float = ROUND
+    stand_limit: float = STAND_LIMIT
+    recovery_wait: float = RECOVERY_WAIT
+    backup_silence: float = BACKUP_SILENCE
+    slow_save: float = SLOW_SAVE
+    witness_silence: float = WITNESS_SILENCE
+    change_gap: float = CHANGE_GAP
+    renew_gap: float = RENEW_GAP
+    fresh: float = FRESH
+    read_limit: float = READ_LIMIT
+    join_gap: float = JOIN_GAP
+    rest: float = REST
+
+
+DEFAULT_TIMING = Timing()
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -11,8 +11,8 @@
 
 from rowanshift.controlplane.api import ConfigResource, StatusResource, VersionResource
 from rowanshift.controlplane.control_state import ControlState, unpack
-from rowanshift.controlplane.protocol import Durable, Replica
 from rowanshift.controlplane.replica_host import ReplicaHost, durable_of
+from rowanshift.controlplane.replication import DurableState, Replica
 from rowanshift.controlplane.server_registry import ServerRegistry
 from rowanshift.controlplane.singleton_tasks import SingletonTasks
 from rowanshift.controlplane.store import DamagedRecord, NewerFormat, StoreError
@@ -68,7 +68,7 @@
     def _seeds(self) -> tuple[int, ...]:
         return tuple(machine_of(seed[0]) for seed in self.boot.seeds)
 
-    async def _disk(self) -> tuple[Disk | None, Durable | None]:
+    async def _disk(self) -> tuple[Disk | None, DurableState | None]:
         """The store, open, and what it holds."""
         if self.boot.data is None:
             return None, None
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -484,17 +484,17 @@
 def durable_told(record: bytes) -> str:
     """Lines about what a core machine's disk holds. ``DamagedRecord`` if it can't be read."""
     from rowanshift.controlplane.control_state import BadControlState, unpack
-    from rowanshift.controlplane.protocol import Durable
     from rowanshift.controlplane.replica_host import durable_of
+    from rowanshift.controlplane.replication import DurableState
     from rowanshift.controlplane.store import DamagedRecord
     from rowanshift.wire.codec import BadRecord
     from rowanshift.wire.machines import ip_of
 
     try:
         durable = durable_of(record)
-        if not isinstance(durable, Durable):
-            raise BadRecord(f"{type(durable).__name__} where a Durable belongs")
-        sheet = unpack(durable.sheet)
+        if not isinstance(durable, DurableState):
+            raise BadRecord(f"{type(durable).__name__} where a DurableState belongs")
+        sheet = unpack(durable.state)
     except (BadRecord, BadControlState) as error:
         raise DamagedRecord(f"the record can't be read: {error}") from error
     accepted = durable.accepted
@@ -509,7 +509,7 @@
         f"epoch {accepted.number}, primary {ip_of(accepted.primary) if accepted.primary else 'none'}",
         f"in sync: {told(accepted.in_sync)}; witnesses: {told(accepted.witnesses)}"
         + (f"; former witnesses: {told(accepted.former)}" if accepted.former else ""),
-        "state of epoch {}, sequence {}: ".format(*durable.stamp) + config,
+        f"state of epoch {durable.version.epoch}, sequence {durable.version.sequence}: " + config,
     ]
     lines += [f"named: {model} version {version}" for model, version in sorted(sheet.versions.items())]
     return "\n".join(lines)
--- a/rowanshift/wire/codec.py
+++ b/rowanshift/wire/codec.py
@@ -6,7 +6,7 @@
     q  whole number, 0 to 2**64-1      ?  true or false      d  float
     s  text, UTF-8, 64 KiB at most     b  bytes              p  pair of whole numbers
     t  tuple of whole numbers, 65,535  r  epoch record       v  dict of text to whole number
-    o  rows of the registry
+    o  rows of servers                 w  version of a state
 """
 
 from struct import Struct, error, pack, unpack_from
--- a/rowanshift/wire/table.py
+++ b/rowanshift/wire/table.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from rowanshift.controlplane import protocol
+from rowanshift.controlplane import replication
 from rowanshift.wire import delivery
 from rowanshift.wire.codec import Codec
 
@@ -16,22 +16,22 @@
 
 KINDS = {
     16: (Hello, "q"),
-    17: (protocol.PreVote, "q"),
-    18: (protocol.PreVoted, "q?"),
-    19: (protocol.Prepare, "q"),
-    20: (protocol.Promised, "q?qr"),
-    21: (protocol.Store, "qpb"),
-    22: (protocol.Stored, "qp?q"),
-    23: (protocol.Accept, "qr"),
-    24: (protocol.Accepted, "q?q"),
-    25: (protocol.Confirm, "qqr"),
-    26: (protocol.Confirmed, "qq?qp"),
-    27: (protocol.TransferLeadership, "q"),
-    28: (protocol.RecoveryRequest, "q"),
-    29: (protocol.RecoveryReply, "qqr?"),
-    30: (protocol.Join, "q"),
-    64: (protocol.Durable, "qrpb?"),
+    17: (replication.PreVote, "q"),
+    18: (replication.PreVoted, "q?"),
+    19: (replication.Prepare, "q"),
+    20: (replication.Promised, "q?qr"),
+    21: (replication.Store, "qwb"),
+    22: (replication.Stored, "qw?q"),
+    23: (replication.Accept, "qr"),
+    24: (replication.Accepted, "q?q"),
+    25: (replication.Heartbeat, "qqr"),
+    26: (replication.HeartbeatReply, "qq?qw"),
+    27: (replication.TransferLeadership, "q"),
+    28: (replication.RecoveryRequest, "q"),
+    29: (replication.RecoveryReply, "qqr?"),
+    30: (replication.Join, "q"),
+    64: (replication.DurableState, "qrwb?"),
 }
-NESTED = {"r": (protocol.EpochRecord, "qqttt")}
+NESTED = {"r": (replication.EpochRecord, "qqttt"), "w": (replication.StateVersion, "qq")}
 
 CODEC = Codec(delivery.KINDS | KINDS, delivery.NESTED | NESTED)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -29,7 +29,7 @@
 from rowanshift.cli import main
 from rowanshift.controlplane.configuration import parse
 from rowanshift.controlplane.control_state import unpack
-from rowanshift.controlplane.protocol import Confirm, Confirmed, EpochRecord, Store, Stored
+from rowanshift.controlplane.replication import EpochRecord, Heartbeat, HeartbeatReply, StateVersion, Store, Stored
 from rowanshift.wire.delivery import Update
 from rowanshift.wire.table import CODEC
 
@@ -105,10 +105,10 @@
     def test_records_between_core_machines_are_as_long_as_their_formulas(self) -> None:
         record = EpochRecord(7, 1, (1, 2), (1, 2, 3))
         for length, made in (
-            (sizes.confirm(2, 3), Confirm(7, 1, record)),
-            (sizes.confirmed(), Confirmed(7, 1, True, 7, (7, 0))),
-            (sizes.store(9), Store(7, (7, 0), b"9 bytes..")),
-            (sizes.stored(), Stored(7, (7, 0), True, 7)),
+            (sizes.confirm(2, 3), Heartbeat(7, 1, record)),
+            (sizes.confirmed(), HeartbeatReply(7, 1, True, 7, StateVersion(7, 0))),
+            (sizes.store(9), Store(7, StateVersion(7, 0), b"9 bytes..")),
+            (sizes.stored(), Stored(7, StateVersion(7, 0), True, 7)),
         ):
             with self.subTest(type(made).__name__):
                 self.assertEqual(len(CODEC.pack(made)), length)
@@ -122,7 +122,7 @@
         world.until(9.0)
         rounds = ledger._serial - round_before
         self.assertGreater(rounds, 5)
-        self.assertEqual(dict(world.sent), {"Confirm": 2 * rounds, "Confirmed": 2 * rounds})
+        self.assertEqual(dict(world.sent), {"Heartbeat": 2 * rounds, "HeartbeatReply": 2 * rounds})
         self.assertEqual(world.bytes - bytes_before, 2 * rounds * (sizes.confirm(2, 3) + sizes.confirmed()))
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 
 from rowanshift.controlplane import explorer
-from rowanshift.controlplane import protocol as p
+from rowanshift.controlplane import replication as p
 from rowanshift.controlplane.explorer import Host, World, half
+from rowanshift.controlplane.replication import timing
 
 ME, OTHER, THIRD, FOURTH = 1, 2, 3, 4
 
@@ -106,7 +107,7 @@
     return [action.message for action in ledger.drain() if isinstance(action, p.Send)]
 
 
-def single(durable: p.Durable | None = None, bootstrap: bool = True, now: float = 0.0) -> p.Replica:
+def single(durable: p.DurableState | None = None, bootstrap: bool = True, now: float = 0.0) -> p.Replica:
     """One machine of three, its first save landed."""
     ledger = p.Replica(ME, 1, (ME, OTHER, THIRD), bootstrap, durable, now, half)
     for action in ledger.drain():
@@ -120,7 +121,7 @@
 
 
 RECORD = p.EpochRecord(number(1, OTHER), OTHER, (ME, OTHER), (ME, OTHER, THIRD))
-HELD = p.Durable(RECORD.number, RECORD, (RECORD.number, 3), b"abcd", False)
+HELD = p.DurableState(RECORD.number, RECORD, p.StateVersion(RECORD.number, 3), b"abcd", False)
 
 
 class Saves(unittest.TestCase):
@@ -137,11 +138,11 @@
         ledger.receive(OTHER, p.Prepare(number(1, OTHER)), 1.0)
         first = ledger.drain()[0]
         ledger.receive(THIRD, p.Prepare(number(2, THIRD)), 1.0)
-        ledger.receive(THIRD, p.Store(number(2, THIRD), (number(2, THIRD), 0), b"abcd"), 1.0)
+        ledger.receive(THIRD, p.Store(number(2, THIRD), p.StateVersion(number(2, THIRD), 0), b"abcd"), 1.0)
         self.assertEqual([], ledger.drain())
         ledger.saved(first.token, 1.1)
         sent, second = ledger.drain()
-        self.assertEqual((OTHER, b"abcd"), (sent.to, second.durable.sheet))
+        self.assertEqual((OTHER, b"abcd"), (sent.to, second.durable.state))
         ledger.saved(second.token, 1.2)
         self.assertEqual([p.Promised, p.Stored], [type(m) for m in answers(ledger)])
 
@@ -156,11 +157,11 @@
 
     def test_a_record_not_yet_saved_is_not_shown(self):
         ledger = single()
-        ledger.receive(OTHER, p.Confirm(RECORD.number, 1, RECORD), 1.0)
+        ledger.receive(OTHER, p.Heartbeat(RECORD.number, 1, RECORD), 1.0)
         self.assertEqual(0, ledger.record.number)
         ledger.saved(ledger.drain()[0].token, 1.1)
         self.assertEqual(RECORD, ledger.record)
-        self.assertEqual([p.Confirmed], [type(m) for m in answers(ledger)])
+        self.assertEqual([p.HeartbeatReply], [type(m) for m in answers(ledger)])
 
     def test_a_durable_wins_over_bootstrap(self):
         self.assertEqual(RECORD, single(HELD, bootstrap=True).record)
@@ -187,28 +188,28 @@
         high = number(2, THIRD)
         self.assertTrue(self.ask(ledger, p.Prepare(high), 10.0).ok)
         low = RECORD.number
-        store = p.Store(low, (low, 4), b"abcdefgh")
-        for message in (p.Accept(low, RECORD), store, p.Confirm(low, 9, RECORD)):
+        store = p.Store(low, p.StateVersion(low, 4), b"abcdefgh")
+        for message in (p.Accept(low, RECORD), store, p.Heartbeat(low, 9, RECORD)):
             answer = self.ask(ledger, message, 10.0, OTHER)
             self.assertEqual((False, high), (answer.ok, answer.promised))
 
     def test_it_promises_to_no_other_while_a_lease_may_be_held(self):
         ledger = single(HELD)
-        self.assertTrue(self.ask(ledger, p.Confirm(RECORD.number, 1, RECORD), 10.0, OTHER).ok)
-        late = 10.0 + p.BLOCK - 0.01
+        self.assertTrue(self.ask(ledger, p.Heartbeat(RECORD.number, 1, RECORD), 10.0, OTHER).ok)
+        late = 10.0 + timing.BLOCK - 0.01
         self.assertFalse(self.ask(ledger, p.PreVote(number(2, THIRD)), late).ok)
         self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), late).ok)
         self.assertTrue(self.ask(ledger, p.Prepare(number(2, OTHER)), late, OTHER).ok)  # the holder itself
-        self.assertTrue(self.ask(ledger, p.Prepare(number(3, THIRD)), 10.0 + p.BLOCK).ok)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(3, THIRD)), 10.0 + timing.BLOCK).ok)
 
     def test_it_waits_after_its_own_start(self):
         ledger = single(HELD, now=100.0)
-        self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + p.BLOCK - 0.01).ok)
-        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + p.BLOCK).ok)
+        self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + timing.BLOCK - 0.01).ok)
+        self.assertTrue(self.ask(ledger, p.Prepare(number(2, THIRD)), 100.0 + timing.BLOCK).ok)
 
     def test_a_primary_that_hands_over_gives_up_its_lease(self):
         ledger = single(HELD)
-        self.ask(ledger, p.Confirm(RECORD.number, 1, RECORD), 10.0, OTHER)
+        self.ask(ledger, p.Heartbeat(RECORD.number, 1, RECORD), 10.0, OTHER)
         self.ask(ledger, p.TransferLeadership(RECORD.number - 1), 10.0, OTHER)
         self.assertFalse(self.ask(ledger, p.Prepare(number(2, THIRD)), 10.1).ok)
         self.ask(ledger, p.TransferLeadership(RECORD.number), 10.1, OTHER)
@@ -219,8 +220,8 @@
         high = number(9, THIRD)
         record = p.EpochRecord(high, THIRD, (ME, THIRD), (ME, OTHER, THIRD))
         for message in (
-            p.PreVote(high), p.Prepare(high), p.Store(high, (high, 0), b""), p.Accept(high, record),
-            p.Confirm(high, 1, record), p.TransferLeadership(high),
+            p.PreVote(high), p.Prepare(high), p.Store(high, p.StateVersion(high, 0), b""), p.Accept(high, record),
+            p.Heartbeat(high, 1, record), p.TransferLeadership(high),
         ):  # fmt: skip
             self.assertIsNone(self.ask(ledger, message, 1.0), message)
         self.assertTrue(ledger.is_amnesic)
@@ -232,8 +233,8 @@
 
     def test_it_remembers_once_two_of_three_others_answered(self):
         ledger = single(bootstrap=False)
-        self.assertEqual(0, self.recalled(ledger, p.RECOVERY_WAIT - 0.1))
-        serial = self.recalled(ledger, p.RECOVERY_WAIT)
+        self.assertEqual(0, self.recalled(ledger, timing.RECOVERY_WAIT - 0.1))
+        serial = self.recalled(ledger, timing.RECOVERY_WAIT)
         self.ask(ledger, p.RecoveryReply(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
         self.ask(ledger, p.RecoveryReply(serial, number(4, THIRD), RECORD, False), 3.0, OTHER)
         self.ask(ledger, p.RecoveryReply(serial + 1, number(4, THIRD), RECORD, False), 3.0, THIRD)
@@ -301,7 +302,7 @@
         rig = Rig()
         first = rig.elect()
         rig.drop = lambda sender, to, message: first in (sender, to)
-        rig.run(p.LAPSE + 0.3)
+        rig.run(timing.LAPSE + 0.3)
         self.assertFalse(rig.ledger(first).is_primary)
 
     def test_a_silent_backup_is_replaced_and_the_proposal_goes_through(self):
@@ -357,7 +358,7 @@
         rig.commit()
         took = rig.run(4, lambda: rig.primary() not in (0, first))
         self.assertNotIn(rig.primary(), (0, first))
-        self.assertLess(took, p.SLOW_SAVE + 0.6)
+        self.assertLess(took, timing.SLOW_SAVE + 0.6)
 
     def test_a_lost_disk_is_made_good(self):
         rig = Rig()
@@ -371,7 +372,7 @@
         self.assertFalse(rig.ledger(backup).is_amnesic)
         record = rig.ledger(primary).record
         for member in record.in_sync:
-            self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[member].disk.sheet)
+            self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[member].disk.state)
 
     def test_an_in_sync_machine_that_lost_its_disk_gets_the_sheet_anew(self):
         rig = Rig()
@@ -380,11 +381,11 @@
         record = rig.ledger(primary).record
         backup = next(m for m in record.in_sync if m != primary)
         rig.world.crash(backup, landed=False)
-        rig.world.hosts[backup].disk = p.Durable(record.number, record, (0, 0), b"", False)
+        rig.world.hosts[backup].disk = p.DurableState(record.number, record, p.NO_VERSION, b"", False)
         rig.start(backup)
         rig.run(0.5)
         self.assertEqual(record, rig.ledger(primary).record)
-        self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[backup].disk.sheet)
+        self.assertEqual(rig.ledger(primary).committed_state, rig.world.hosts[backup].disk.state)
 
     def test_a_witness_that_is_gone_is_replaced_by_a_spare(self):
         rig = Rig(spares=1)
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -23,7 +23,7 @@
 
 from rowanshift import node_settings, staff
 from rowanshift.controlplane.api import ConfigResource
-from rowanshift.controlplane.protocol import StateTooLarge
+from rowanshift.controlplane.replication import StateTooLarge
 from rowanshift.controlplane.store import Store
 from rowanshift.emulation import cluster
 from rowanshift.net.budget import Memory
@@ -34,8 +34,8 @@
 ROOT = Path(__file__).parents[1]
 WITHIN = 30.0  # seconds for anything that is waited for
 LOOK = 0.02  # seconds between looks
-WHERE_LIMITS = "dataplane/*.py", "controlplane/*.py", "net/links.py", "net/calls.py", "retry_budget.py"
-WHERE_EVENTS = "dataplane/*.py", "controlplane/*.py", "net/links.py", "net/calls.py"
+WHERE_LIMITS = "dataplane/*.py", "controlplane/**/*.py", "net/links.py", "net/calls.py", "retry_budget.py"
+WHERE_EVENTS = "dataplane/*.py", "controlplane/**/*.py", "net/links.py", "net/calls.py"
 
 
 def net() -> str:
@@ -414,11 +414,11 @@
     def test_what_a_disk_holds_is_told_and_left_as_it_is(self) -> None:
         from rowanshift.controlplane.control_state import put_config, put_version
         from rowanshift.controlplane.control_state import unpack as unpacked
-        from rowanshift.controlplane.protocol import Durable, EpochRecord
+        from rowanshift.controlplane.replication import DurableState, EpochRecord, StateVersion
 
         sheet = put_version(put_config(unpacked(b""), "0", orjson.dumps(cluster.CONFIG))[0], "m", 7)
         a, b, c = 1 << 24, 2 << 24, 3 << 24
-        durable = Durable(43, EpochRecord(41, a, (a, b), (a, b, c)), (41, 3), sheet.pack(), True)
+        durable = DurableState(43, EpochRecord(41, a, (a, b), (a, b, c)), StateVersion(41, 3), sheet.pack(), True)
         data = folder(self)
         store = Store(data / "ledger")
         store.open()
@@ -444,7 +444,7 @@
         data = folder(self)
         code, said = invoke("controlplane", "check", data)
         self.assertEqual((code, said), (2, f"rowanshift: {data}: no store here (data.mdb is absent)\n"))
-        for record, says in ((CODEC.pack(Hello(1)), "Hello where a Durable belongs"), (b"noise", "cut short")):
+        for record, says in ((CODEC.pack(Hello(1)), "Hello where a DurableState belongs"), (b"noise", "cut short")):
             with self.subTest(says):
                 store = Store(data)
                 store.open()
--- a/tests/test_system_simulation.py
+++ b/tests/test_system_simulation.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from rowanshift.controlplane import singleton_tasks
-from rowanshift.controlplane.protocol import Replica
+from rowanshift.controlplane.replication import Replica
 from rowanshift.controlplane.service import ControlPlaneService
 from rowanshift.controlplane.store import DamagedRecord, StoreClosed, StoreWriteFailed
 from rowanshift.dataplane import control_client, frontend, requests
--- a/tests/test_wire_records.py
+++ b/tests/test_wire_records.py
@@ -4,8 +4,12 @@
 import unittest
 from contextlib import suppress
 from dataclasses import dataclass, fields
+from pathlib import Path
 
-from rowanshift.controlplane import protocol
+import orjson
+
+from rowanshift.controlplane import replication
+from rowanshift.controlplane.control_state import unpack
 from rowanshift.wire import delivery, table
 from rowanshift.wire.codec import FORMAT, HEAD, LARGEST, MAGIC, BadRecord, Codec, Frames
 
@@ -97,7 +101,7 @@
         self.assertEqual(unframed(table.CODEC.pack(update))[0], update)
 
     def test_a_body_of_many_bytes(self):
-        store = protocol.Store(1, (2, 3), random.Random(1).randbytes(3 << 20))
+        store = replication.Store(1, replication.StateVersion(2, 3), random.Random(1).randbytes(3 << 20))
         self.assertEqual(unframed(table.CODEC.pack(store))[0], store)
 
     def test_floating_point_numbers(self):
@@ -253,5 +257,23 @@
                 table.CODEC.unpack(kind, bytes(spoilt))
 
 
+class WrittenBefore(unittest.TestCase):
+    """Frames and records on disk, written by the program of before its names were changed."""
+
+    written = orjson.loads((Path(__file__).parent / "data" / "frames-before-rename.json").read_bytes())
+
+    def test_all_are_read_and_written_as_they_were(self):
+        for name, frame in self.written.items():
+            with self.subTest(name):
+                record, call = unframed(bytes.fromhex(frame))
+                self.assertEqual(table.CODEC.pack(record, call).hex(), frame)
+
+    def test_what_a_disk_held_is_understood(self):
+        durable, _ = unframed(bytes.fromhex(self.written["durable_state"]))
+        self.assertEqual((durable.promised, durable.version.epoch, durable.version.sequence), (7, 7, 3))
+        self.assertEqual(durable.accepted.former, (2, 3, 4))
+        self.assertEqual(unpack(durable.state).versions, {"m": 2})
+
+
 if __name__ == "__main__":
     unittest.main()
