Sync the store's folders at each opening, not only when its file is new

Cause: the store synced its folder only when the data file was not there yet. A process killed between making the file and that sync left it there, so that the next one never synced it: a loss of power much later may take the name, and with it all that was acknowledged. Change: the directory and its parent are synced at each opening, absent ones above as well.

--- a/rowanshift/controlplane/store.py
+++ b/rowanshift/controlplane/store.py
@@ -126,12 +126,16 @@
     return max(whole, key=lambda copy: copy.generation, default=None)
 
 
-def unsynced(path: Path) -> list[Path]:
-    """The directories that gain a name by a file made in ``path``: it, and those above what is absent."""
-    gaining = [path]
-    while not gaining[-1].exists():
-        gaining.append(gaining[-1].parent)
-    return gaining
+def directories_to_sync(path: Path) -> list[Path]:
+    """The directories whose names must last for a file in ``path`` to last: ``path``, its parent, absent ones above.
+
+    A name is safe only once its directory was synced after it was made. Who made it, in which life of the process,
+    and whether it was synced then can't be seen, so that these are synced at each opening.
+    """
+    directories = [path, path.parent]
+    while not directories[-1].exists():
+        directories.append(directories[-1].parent)
+    return directories
 
 
 def sync(path: Path) -> None:
@@ -181,7 +185,7 @@
         if self.env is not None:
             return
         try:
-            named = [] if (self.path / DATA_FILE).exists() else unsynced(self.path)
+            directories = directories_to_sync(self.path)
             self.path.mkdir(parents=True, exist_ok=True)
             self.env = self.opened(
                 str(self.path),
@@ -193,7 +197,7 @@
                 writemap=False,
                 map_async=False,
             )
-            for directory in named:
+            for directory in directories:
                 sync(directory)
             check_size(self.env, self.path)
             self.key, self.generation = KEYS[1], 0
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,8 +5,10 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import lmdb
 
@@ -215,6 +217,58 @@
         self.assertEqual(tried, 120)
 
 
+class Killed(Exception):
+    """The process ends at a numbered point."""
+
+
+class Names(InDirectory):
+    """A file lasts through a loss of power once its name was synced after it was made, in whichever life that was."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        (self.base / "data").mkdir()  # the platform's, and safe
+        self.safe: set[Path] = set()  # names that a loss of power leaves
+        self.stop_at = -1  # the number of the sync at which the process ends
+
+    def sync(self, directory: Path) -> None:
+        if self.stop_at == 0:
+            raise Killed
+        self.stop_at -= 1
+        self.safe |= {directory / child.name for child in directory.iterdir()}
+
+    def life(self, stop_at: int, store_type: type[Store] = Store) -> None:
+        """One life of a process, which ends at a sync of its opening or after a write."""
+        self.stop_at = stop_at
+        store = store_type(self.path)
+        with mock.patch.object(store_module, "sync", self.sync), suppress(Killed):
+            store.open()
+            store.write(b"acknowledged")
+        store.close()
+
+    def lost(self) -> set[Path]:
+        """Names that a loss of power may take and without which the record is gone."""
+        return {self.path, self.path / DATA_FILE} - self.safe
+
+    def test_killed_at_each_sync_of_the_first_opening(self) -> None:
+        for stop_at in range(3):
+            with self.subTest(stop_at=stop_at):
+                shutil.rmtree(self.path, ignore_errors=True)
+                self.safe.clear()
+                self.life(stop_at)
+                self.life(-1)
+                self.assertEqual(self.read(), b"acknowledged")
+                self.assertEqual(self.lost(), set())
+
+    def test_a_store_that_syncs_new_files_only_is_found(self) -> None:
+        def new_only(path: Path) -> list[Path]:
+            return [] if (path / DATA_FILE).exists() else [path, path.parent]
+
+        with mock.patch.object(store_module, "directories_to_sync", new_only):
+            self.life(0)
+            self.life(-1)
+        self.assertEqual(self.lost(), {self.path, self.path / DATA_FILE})
+
+
 class WritesRefused(InDirectory):
     def failing(self, wanted: str) -> tuple[Store, list[str]]:
         """A store whose disk fails at the point in the list, once."""
