--- a/rowanshift/capacity/sizes.py
+++ b/rowanshift/capacity/sizes.py
@@ -117,4 +117,4 @@
 
 def sheet(config: int, named: Mapping[str, int], taken: int) -> int:
     """Bytes of the control state as it is stored. ``config``: bytes, uncompressed; ``taken``: revisions."""
-    return 24 + config + sum(10 + len(name.encode()) for name in named) + 40 * taken
+    return 34 + config + sum(10 + len(name.encode()) for name in named) + 24 * taken
--- a/rowanshift/controlplane/api.py
+++ b/rowanshift/controlplane/api.py
@@ -6,6 +6,7 @@
 
 from rowanshift.controlplane.configuration import InvalidConfiguration, StaleMatch
 from rowanshift.controlplane.control_state import ControlState, InvalidVersion, put_config, put_version, unpack
+from rowanshift.controlplane.order_history import OrderTooOld
 from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown, ReplicaHost
 from rowanshift.controlplane.replication import STATE_LIMIT, StateTooLarge
 from rowanshift.net.calls import Answer, said
@@ -34,6 +35,8 @@
             return Answer(
                 503, said("this machine could not confirm that it is the primary"), [(b"Retry-After", b"0.3")]
             )
+        except OrderTooOld as error:
+            return Answer(503, said(str(error)), [(b"Retry-After", b"1")])
         except OutcomeUnknown:
             return Answer(
                 503, said("not on enough disks in time: it may or may not be in force"), [(b"Retry-After", b"0.3")]
--- a/rowanshift/controlplane/control_state.py
+++ b/rowanshift/controlplane/control_state.py
@@ -1,12 +1,13 @@
-"""The sheet, the ledger's replicated state: the configuration, the named versions, the changes taken lately.
+"""The replicated state of the control plane: the configuration, the named versions, the orders taken.
 
-A sheet is kept and sent whole, as bytes. What changes it are pure functions: they return the sheet that would
+A state is kept and sent whole, as bytes. What changes it are pure functions: they return the state that would
 follow and raise typed errors, and know nothing of disks, epochs or time.
 
-The bytes, big-endian: ``HEAD`` (magic, format, revision, length of the configuration, number of versions,
-number of revisions taken), the configuration's body, each version as ``VERSION`` (length of the model's name,
-revision) and the name in UTF-8, each revision taken as ``TAKEN`` (revision, digest). No bytes at all are the
-empty sheet.
+The bytes, big-endian: ``HEAD`` (magic, format, revision, length of the configuration, number of versions, number of
+orders taken, highest revision forgotten), the configuration's body, each version as ``VERSION`` (length of the
+model's name, revision) and the name in UTF-8, each order as ``order_history.ENTRY``. Format 1 had no revision
+forgotten, and whole digests of 64 orders; it is read, and written anew in format 2 with the next change. No bytes at
+all are the empty state.
 """
 
 from dataclasses import dataclass, field, replace
@@ -22,18 +23,20 @@
     digest_of,
     load,
 )
+from rowanshift.controlplane.order_history import ENTRY, FINGERPRINT, MOST_ORDERS, NO_ORDERS, OrderHistory
 
 MAGIC = b"RSSH"
-FORMAT = 1
-HEAD = Struct(">4sHQIIH")
+FORMAT = 2
+PREFIX = Struct(">4sH")  # magic, format
+HEAD = Struct(">4sHQIIIQ")
+HEAD_OF_FORMAT_1 = Struct(">4sHQIIH")
+ORDER_OF_FORMAT_1 = Struct(">Q32s")
 VERSION = Struct(">HQ")
-TAKEN = Struct(">Q32s")
-MOST_TAKEN = 64
 MOST_NAME = 65535  # bytes
 
 
 class BadControlState(ValueError):
-    """Bytes that are no sheet; the text says why."""
+    """Bytes that are no control state; the text says why."""
 
 
 class InvalidVersion(ValueError):
@@ -52,76 +55,93 @@
     """The control state. It and what it holds are never changed in place.
 
     ``config`` is the operator's body as it was sent, ``versions`` the newest named version of each model, and
-    ``taken`` the revisions and digests of the newest ``MOST_TAKEN`` configurations taken, newest last.
+    ``orders`` the configurations taken.
     """
 
     revision: int = 0  # 0: no configuration yet
     config: bytes = b""
     versions: dict[str, int] = field(default_factory=dict)
-    taken: tuple[tuple[int, bytes], ...] = ()
+    orders: OrderHistory = NO_ORDERS
 
     def pack(self) -> bytes:
-        """The sheet as bytes."""
-        counts = len(self.config), len(self.versions), len(self.taken)
-        parts = [HEAD.pack(MAGIC, FORMAT, self.revision, *counts), self.config]
+        """The state as bytes."""
+        counts = len(self.config), len(self.versions), len(self.orders)
+        parts = [HEAD.pack(MAGIC, FORMAT, self.revision, *counts, self.orders.forgotten), self.config]
         for model, revision in sorted(self.versions.items()):
             name = model.encode()
             parts += VERSION.pack(len(name), revision), name
-        parts += [TAKEN.pack(revision, digest) for revision, digest in self.taken]
+        parts.append(self.orders.entries)
         return b"".join(parts)
 
 
 def unpack(packed: bytes) -> ControlState:
-    """The sheet in ``packed``. Raises ``BadControlState``."""
+    """The state in ``packed``. Raises ``BadControlState``."""
     if not packed:
         return ControlState()
     try:
-        magic, version, revision, length, named, recent = HEAD.unpack_from(packed)
-        if magic != MAGIC or version != FORMAT:
+        magic, version = PREFIX.unpack_from(packed)
+        if magic != MAGIC or version not in (1, FORMAT):
             raise BadControlState(f"magic {magic!r} and format {version}")
-        at = HEAD.size + length
+        if version == 1:
+            _, _, revision, length, named, recent = HEAD_OF_FORMAT_1.unpack_from(packed)
+            start, forgotten, order_size = HEAD_OF_FORMAT_1.size, 0, ORDER_OF_FORMAT_1.size
+        else:
+            _, _, revision, length, named, recent, forgotten = HEAD.unpack_from(packed)
+            start, order_size = HEAD.size, ENTRY.size
+        at = start + length
         if at > len(packed):
             raise BadControlState("the configuration is cut short")
-        config, versions, taken = bytes(packed[HEAD.size : at]), {}, []
-        for _ in range(named):
-            size, number = VERSION.unpack_from(packed, at)
-            at += VERSION.size + size
-            if at > len(packed):
-                raise BadControlState("a model's name is cut short")
-            versions[bytes(packed[at - size : at]).decode()] = number
-        for _ in range(recent):
-            taken.append(TAKEN.unpack_from(packed, at))
-            at += TAKEN.size
+        config = bytes(packed[start:at])
+        versions, at = _versions(packed, at, named)
     except (StructError, UnicodeDecodeError) as error:
         raise BadControlState(f"{len(packed)} bytes: {error}") from error
-    if at != len(packed):
-        raise BadControlState(f"{len(packed) - at} bytes too many")
+    if recent > MOST_ORDERS:
+        raise BadControlState(f"{recent} orders taken, {MOST_ORDERS} at most")
+    if at + recent * order_size != len(packed):
+        raise BadControlState(f"{len(packed) - at} bytes for {recent} orders")
+    entries = bytes(packed[at:]) if version == FORMAT else _entries_of_format_1(packed[at:])
+    return ControlState(revision, config, versions, OrderHistory(entries, forgotten))
+
+
+def _versions(packed: bytes, at: int, named: int) -> tuple[dict[str, int], int]:
+    """So many named versions from an offset, and the offset behind them."""
+    versions: dict[str, int] = {}
+    for _ in range(named):
+        size, number = VERSION.unpack_from(packed, at)
+        at += VERSION.size + size
+        if at > len(packed):
+            raise BadControlState("a model's name is cut short")
+        versions[bytes(packed[at - size : at]).decode()] = number
     if len(versions) != named:
         raise BadControlState("a model is named twice")
-    if recent > MOST_TAKEN:
-        raise BadControlState(f"{recent} configurations taken, {MOST_TAKEN} at most")
-    return ControlState(revision, config, versions, tuple(taken))
+    return versions, at
+
+
+def _entries_of_format_1(packed: bytes) -> bytes:
+    orders = ORDER_OF_FORMAT_1.iter_unpack(packed)
+    return b"".join(ENTRY.pack(revision, digest[:FINGERPRINT]) for revision, digest in orders)
 
 
-def put_config(sheet: ControlState, if_match: str | None, body: bytes) -> tuple[ControlState, Configuration] | None:
-    """The sheet with the configuration in ``body``, and that configuration; ``None`` if it was taken already.
+def put_config(state: ControlState, if_match: str | None, body: bytes) -> tuple[ControlState, Configuration] | None:
+    """The state with the configuration in ``body``, and that configuration; ``None`` if it was taken already.
 
-    A retry of one that was taken is known by its digest, whatever its ``If-Match`` and whatever followed it.
-    Raises ``InvalidConfiguration`` (400), then ``StaleMatch`` (412), then ``InvalidConfiguration`` if its
-    revision is not above the current one.
+    An order that was taken is known by its digest, whatever its ``If-Match`` and whatever followed it. Raises
+    ``InvalidConfiguration`` (400), then ``OrderTooOld`` where nobody knows whether it was taken, then ``StaleMatch``
+    (412), then ``InvalidConfiguration`` if its revision is not above the current one.
     """
     raw = load(body)
     digest = digest_of(raw)
-    if any(digest == known for _, known in sheet.taken):
+    if state.orders.holds(digest):
         return None
     config = configuration_of(raw)
-    check_change(sheet.revision, if_match, config)
-    taken = (*sheet.taken, (config.revision, digest))[-MOST_TAKEN:]
-    return replace(sheet, revision=config.revision, config=bytes(body), taken=taken), config
+    state.orders.check_remembered(config.revision)
+    check_change(state.revision, if_match, config)
+    orders = state.orders.added(config.revision, digest)
+    return replace(state, revision=config.revision, config=bytes(body), orders=orders), config
 
 
-def put_version(sheet: ControlState, model: Any, revision: Any) -> ControlState | None:
-    """The sheet with a ``revision`` named for ``model``; ``None`` if that or a newer one is named already.
+def put_version(state: ControlState, model: Any, revision: Any) -> ControlState | None:
+    """The state with a ``revision`` named for ``model``; ``None`` if that or a newer one is named already.
 
     Raises ``InvalidVersion``.
     """
@@ -135,6 +155,6 @@
         raise InvalidVersion("model", f"a name of 1 to {MOST_NAME} bytes expected")
     if type(revision) is not int or not 1 <= revision <= MOST_REVISION:
         raise InvalidVersion("revision", f"a whole number from 1 to {MOST_REVISION} expected")
-    if sheet.versions.get(model, 0) >= revision:
+    if state.versions.get(model, 0) >= revision:
         return None
-    return replace(sheet, versions=sheet.versions | {model: revision})
+    return replace(state, versions=state.versions | {model: revision})
