Find the next primary within a second, and refuse no client by what may be old

Change: a poll is held half a second and has 0.3 s beyond; then core machines are asked for the primary 0.12 s apart, whatever the others do, who was silent last (primary_search); a machine without a recent heartbeat names no primary and waits 0.4 s for one; what is taken is ordered by (epoch, sequence); knowledge counts from when its poll was asked (freshness), and by older than 0.75 of configApplyMs no 401 or 404 is given: the request waits 0.6 s, then 503. Two planted faults are found (a search that waits for one machine at a time; refusals by old knowledge).

--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -17,9 +17,9 @@
 from rowanshift.controlplane.server_registry import Known, known_of
 from rowanshift.controlplane.service import ControlPlaneService
 from rowanshift.controlplane.singleton_tasks import LIST_EVERY
-from rowanshift.dataplane.control_client import ControlClient
+from rowanshift.dataplane.control_client import HOLD, ControlClient
 from rowanshift.net.ring import Ring
-from rowanshift.net.transport import Address, connect, receive, send_all
+from rowanshift.net.transport import Address, Stream, connect, receive, send_all
 from rowanshift.node_settings import node_settings_of
 from rowanshift.wire.codec import Frames
 from rowanshift.wire.delivery import CODEC, Poll, Update
@@ -193,7 +193,7 @@
         core_service, number = self.core_service, self.core_service.replica_host.replica.record.number
         return {
             "registry": (number, core_service.tasks.registry.serial),
-            "mark": core_service.mark,
+            "mark": core_service.fingerprint,
             "epoch": number >> 32,
         }
 
@@ -247,7 +247,7 @@
 
 UNPACKED: dict[bytes, Any] = {}  # answers that many routers of this process get alike
 MOST_UNPACKED = 8
-ASKED_WITH = [name for name in Poll.__dataclass_fields__ if name not in ("machine", "started")]
+ASKED_WITH = ("version", "fingerprint", "registry", "stock", "peers")  # what a router has, in a Poll and an Update
 
 
 def unpacked(kind: int, body: bytes) -> Any:
@@ -268,12 +268,12 @@
         self, host: Loopback, number: int, address: Address, told: Callable[["HollowRouter", Update], None]
     ) -> None:
         self.host, self.machine, self.address, self.told = host, MACHINE + number, address, told
-        self.has = {name: 0 if name == "mark" else (0, 0) for name in ASKED_WITH}
+        self.has = {name: 0 if name == "fingerprint" else (0, 0) for name in ASKED_WITH}
         self.polls = self.answers = 0
 
     @property
-    def mark(self) -> int:
-        return self.has["mark"]
+    def fingerprint(self) -> int:
+        return self.has["fingerprint"]
 
     @property
     def registry(self) -> tuple[int, int]:
@@ -287,16 +287,12 @@
             frames, ring = Frames(), Ring()
             while most is None or self.polls < most:
                 self.polls += 1
-                poll = Poll(self.machine, 1, **self.has)
+                poll = Poll(self.machine, 1, **self.has, hold_ms=int(1000 * HOLD))
                 await send_all(stream, CODEC.pack(poll, self.polls & 0xFFFFFFFF))
-                ready: list[tuple[int, int, bytes]] = []
-                while not ready:
-                    if not await receive(stream, ring):
-                        return
-                    ready = frames.feed(ring.read())
+                answer = await self._answer(stream, frames, ring)
+                if answer is None:
+                    return
                 self.answers += 1
-                kind, _, body = ready[0]
-                answer = unpacked(kind, body)
                 if isinstance(answer, Update):
                     self.has = {name: getattr(answer, name) for name in ASKED_WITH}
                     self.told(self, answer)
@@ -305,13 +301,21 @@
         finally:
             stream.close()
 
+    async def _answer(self, stream: Stream, frames: Frames, ring: Ring) -> Any:
+        """The answer to the poll, None at the end of the connection."""
+        while True:
+            if not await receive(stream, ring):
+                return None
+            for kind, _, body in frames.feed(ring.read()):
+                return unpacked(kind, body)
+
 
 class Fleet:
     """Hollow routers that share a process."""
 
     def __init__(self, host: Loopback, address: Address, count: int) -> None:
         self.routers = [HollowRouter(host, i, address, self._heard) for i in range(count)]
-        self.goal: Callable[[HollowRouter], bool] = lambda router: bool(router.mark and router.registry[1])
+        self.goal: Callable[[HollowRouter], bool] = lambda router: bool(router.fingerprint and router.registry[1])
         self.pending = set(self.routers)
         self.all = trio.Event()
         self.log: list[Update] | None = None  # of all answers, if it is given
@@ -351,4 +355,4 @@
 
 def real_channel(host: Loopback, address: Address) -> ControlClient:
     """A router's whole knowledge: the real channel, which reads the configuration and lays the rings."""
-    return ControlClient(host, MACHINE, address[1], lambda: [address], 8.0, random.Random(1), lambda engine: None)
+    return ControlClient(host, MACHINE, address[1], lambda: [address], 8.0, 2.0, random.Random(1), lambda engine: None)
--- a/rowanshift/capacity/sweep.py
+++ b/rowanshift/capacity/sweep.py
@@ -172,7 +172,7 @@
 
             for name, command, goal in (
                 ("roster", "change_roster", lambda now, router: router.registry >= now["registry"]),
-                ("config", "change_config", lambda now, router: router.mark == now["mark"]),
+                ("config", "change_config", lambda now, router: router.fingerprint == now["mark"]),
             ):
                 say(name)
                 before, at = await ledger.do("nothing"), trio.current_time()
--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -116,6 +116,7 @@
         record = self._durable.accepted
         self._holder = record.primary  # whom this witness last answered, and when: it keeps from others
         self._held = self._now if record.number else NEVER
+        self._holder_heard = NEVER  # when the holder itself was heard
 
     def _init_candidate(self) -> None:
         timing = self.timing
@@ -135,6 +136,7 @@
         self._effective = NEVER
         self.duty_from = float("inf")
         self.committed_state = b""
+        self.committed_version = NO_VERSION
         self._sequence = 0
         self._proposal: Proposal | None = None
         self._reads: list[Read] = []
@@ -169,10 +171,11 @@
 
     @property
     def primary_hint(self) -> int:
-        """The machine that is primary as far as is known here, or 0."""
+        """The machine that is primary as far as was heard here lately, or 0: an old hint sends callers nowhere."""
         if self._epoch is not None:
             return self.me
-        return self._holder if self._holder != self.me else 0
+        recent = self._now < self._holder_heard + self.timing.block
+        return self._holder if recent and self._holder != self.me else 0
 
     def lease_until(self, now: float) -> float:
         """Steady time until which this machine may act as single holder; not after ``now`` if it may not."""
--- a/rowanshift/controlplane/replication/primary.py
+++ b/rowanshift/controlplane/replication/primary.py
@@ -35,6 +35,7 @@
             self.committed_state = self._durable.state
             if self._proposal is not None:
                 self._send_proposal()
+        self.committed_version = StateVersion(candidacy.record.number, 0)
         for read in self._reads:
             read.serial = self._serial + 1
         self._send_heartbeat()
@@ -86,7 +87,7 @@
 
     def _commit(self) -> None:
         proposal, self._proposal = self._proposal, None
-        self.committed_state = proposal.state
+        self.committed_state, self.committed_version = proposal.state, proposal.version
         self._actions.append(Committed(proposal.token))
 
     # heartbeats, the lease, reads
--- a/rowanshift/controlplane/replication/witness.py
+++ b/rowanshift/controlplane/replication/witness.py
@@ -32,6 +32,7 @@
 
     def _hold(self, primary: int) -> None:
         self._holder, self._held = primary, self._now
+        self._holder_heard = self._now
         self._put_off(self.timing.block)
 
     def _adopt(self, record: EpochRecord) -> None:
@@ -92,7 +93,7 @@
         accepted = self._durable.accepted
         self._seen = max(self._seen, message.number)
         if sender == self._holder and message.number == accepted.number:
-            self._held = NEVER  # its lease is given up
+            self._held = self._holder_heard = NEVER  # its lease is given up
             self._slow[sender] = self._now + self.timing.rest
         if self._epoch is not None or self._candidacy is not None or self._blocked(self.me):
             return
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import AsyncIterator
 from hashlib import blake2b
+from typing import Any
 
 import trio
 from loguru import logger
@@ -25,11 +26,13 @@
 from rowanshift.net.transport import SYSTEM, Disk, Host, Listener, Stream, send_all
 from rowanshift.node_settings import NodeSettings, NodeSettingsError, load_node_settings
 from rowanshift.wire.codec import BadRecord
-from rowanshift.wire.delivery import Elsewhere, Poll, Update
+from rowanshift.wire.delivery import Elsewhere, Poll, PollOfFormat1, Update
 from rowanshift.wire.machines import ip_of, machine_of
 from rowanshift.wire.table import CODEC, Hello
 
-HOLD = 1.0  # seconds that a poll is held
+HOLD = 1.0  # seconds that a poll is held at most
+FIND_PRIMARY = 0.4  # seconds that a poll waits at a machine that knows of no primary
+LOOK = 0.05  # seconds between its looks
 MEMBERS_EVERY = 0.5  # seconds between tellings of who is a member
 MEMBER_FOR = 2.5  # seconds that a router is a member after its poll
 COUNTED_FOR = 12.0  # seconds that it still counts where a shared budget is cut
@@ -51,7 +54,7 @@
         self.machine = machine_of(boot.ip)
         self.told_to_stop = trio.Event()
         self.replica_host: ReplicaHost | None = None  # until the disk has been read
-        self.sheet, self.mark, self.packed, self.stamp = ControlState(), 0, b"", (0, 0)
+        self.state, self.fingerprint, self.packed = ControlState(), 0, b""
         self.raw: bytes | None = None
         self.store_addresses: set[tuple[str, int]] = set()
         self.news = trio.Event()
@@ -102,16 +105,16 @@
         self.news = trio.Event()
 
     def refresh(self) -> None:
-        """Takes the committed sheet up."""
+        """Takes the committed state up."""
         replica = self.replica_host.replica
         if replica.committed_state is self.raw or not replica.is_primary:
             return
         self.raw = replica.committed_state
-        self.sheet = unpack(self.raw)
-        text = b"%d|%s|%r" % (self.sheet.revision, self.sheet.config, sorted(self.sheet.versions.items()))
-        self.mark = int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1
-        self.packed = zlib.compress(self.sheet.config, 1)
-        routing_table = routing_table_of(self.sheet.revision, self.sheet.config, self.sheet.versions)
+        self.state = unpack(self.raw)
+        text = b"%d|%s|%r" % (self.state.revision, self.state.config, sorted(self.state.versions.items()))
+        self.fingerprint = int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1
+        self.packed = zlib.compress(self.state.config, 1)
+        routing_table = routing_table_of(self.state.revision, self.state.config, self.state.versions)
         self.store_addresses = set()
         for service in routing_table.services.values():
             host, _, port = service.store.rpartition(":")
@@ -126,7 +129,7 @@
 
     def named(self) -> dict[str, int]:
         self.refresh()
-        return self.sheet.versions
+        return self.state.versions
 
     def status(self) -> dict:
         replica, now = self.replica_host.replica, trio.current_time()
@@ -141,8 +144,8 @@
             "witnesses": [ip_of(m) for m in record.witnesses],
             "amnesic": replica.is_amnesic,
             "leaseS": round(self.replica_host.holds(), 3),
-            "revision": self.sheet.revision if replica.is_primary else None,
-            "versions": self.sheet.versions if replica.is_primary else None,
+            "revision": self.state.revision if replica.is_primary else None,
+            "versions": self.state.versions if replica.is_primary else None,
             "known": [ip_of(m) for m in sorted(replica.known)],
             "members": [ip_of(m) for m, at in self.members.items() if now - at < MEMBER_FOR],
             "memberAgeS": {ip_of(m): round(now - at, 3) for m, at in self.members.items() if now - at < MEMBER_FOR},
@@ -168,50 +171,79 @@
     # routers ---------------------------------------------
 
     async def _poll(self, poll: Poll) -> Update | Elsewhere:
-        """Holds a router's question until there is something newer than it has, for ``HOLD`` at most."""
-        until = trio.current_time() + HOLD
-        replica = self.replica_host.replica
+        """Hold a router's question until there is something newer than it has, as long as it allows.
+
+        The answer is made under a lease that was looked at after the question came in.
+        """
+        now = trio.current_time()
+        until = now + min(HOLD, poll.hold_ms / 1000)
+        search_until = now + FIND_PRIMARY
         while True:
             now = trio.current_time()
             if not self.replica_host.holds():
-                return Elsewhere(0 if replica.is_primary else replica.primary_hint, self._core())
+                if self._names_another() or now >= search_until:
+                    return self._elsewhere()
+                await self.host.pause(LOOK)
+                continue
             self.members[poll.machine] = now
             self.refresh()
-            stamp = (replica.record.number, 0)
-            registry, epoch = self.tasks.registry, replica.record.number
-            has_state = poll.mark != self.mark
-            has_rows = registry.serial > 0 and poll.registry != (epoch, registry.serial)
-            stock = self.tasks.stock
-            has_stock = poll.stock != (epoch, stock.serial)
-            has_peers = self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial)
-            if has_state or has_rows or has_stock or has_peers or now >= until:
-                counted = sum(now - at < COUNTED_FOR for at in self.members.values())
-                known = self.primary_since is not None and now - self.primary_since > MEMBER_FOR
-                whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
-                return Update(
-                    stamp,
-                    self.mark,
-                    has_state,
-                    self.sheet.revision if has_state else 0,
-                    self.packed if has_state else b"",
-                    self.sheet.versions if has_state else {},
-                    (epoch, registry.serial),
-                    has_rows,
-                    self._rows(registry) if has_rows else (),
-                    counted if known else 0,
-                    (epoch, stock.serial),
-                    whole,
-                    packed(kept),
-                    packed(dropped),
-                    (epoch, self.peers_serial) if has_peers else poll.peers,
-                    has_peers,
-                    self.peers if has_peers else (),
-                    self._core(),
-                )
+            if now >= until or self._has_news(poll):
+                return self._update(poll, now)
             news = self.news
             with trio.move_on_at(until):
                 await news.wait()
 
+    def _names_another(self) -> bool:
+        """Whether this machine is sure of not being the primary and has heard the primary lately."""
+        replica = self.replica_host.replica
+        return not replica.is_primary and replica.primary_hint != 0
+
+    def _elsewhere(self) -> Elsewhere:
+        replica = self.replica_host.replica
+        return Elsewhere(0 if replica.is_primary else replica.primary_hint, self._core())
+
+    def _has_news(self, poll: Poll) -> bool:
+        """Whether there is anything that the asker lacks."""
+        epoch, registry = self.replica_host.replica.record.number, self.tasks.registry
+        return (
+            poll.fingerprint != self.fingerprint
+            or (registry.serial > 0 and poll.registry != (epoch, registry.serial))
+            or poll.stock != (epoch, self.tasks.stock.serial)
+            or (self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial))
+        )
+
+    def _update(self, poll: Poll, now: float) -> Update:
+        """All that the asker lacks, as it is committed."""
+        replica, registry, stock = self.replica_host.replica, self.tasks.registry, self.tasks.stock
+        epoch, state = replica.record.number, self.state
+        version = replica.committed_version
+        has_state = poll.fingerprint != self.fingerprint
+        has_rows = registry.serial > 0 and poll.registry != (epoch, registry.serial)
+        has_peers = self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial)
+        counted = sum(now - at < COUNTED_FOR for at in self.members.values())
+        known = self.primary_since is not None and now - self.primary_since > MEMBER_FOR
+        whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
+        return Update(
+            version=(version.epoch, version.sequence),
+            fingerprint=self.fingerprint,
+            has_state=has_state,
+            revision=state.revision if has_state else 0,
+            config=self.packed if has_state else b"",
+            versions=state.versions if has_state else {},
+            registry=(epoch, registry.serial),
+            has_rows=has_rows,
+            rows=self._rows(registry) if has_rows else (),
+            members=counted if known else 0,
+            stock=(epoch, stock.serial),
+            stock_whole=whole,
+            kept=packed(kept),
+            dropped=packed(dropped),
+            peers=(epoch, self.peers_serial) if has_peers else poll.peers,
+            has_peers=has_peers,
+            machines=self.peers if has_peers else (),
+            core=self._core(),
+        )
+
     def _rows(self, registry: ServerRegistry) -> bytes:
         """The registry's rows, packed once for all routers that ask."""
         if self.rows_of != (registry, registry.serial):
@@ -244,11 +276,7 @@
             if isinstance(record, Hello):
                 await self.replica_host.hear(inbox, record)
             while True:
-                if not isinstance(record, Poll):
-                    raise BadRecord(f"{type(record).__name__} was not expected")
-                answer = CODEC.pack(await self._poll(record), number)
-                with trio.fail_after(WRITE_WITHIN):
-                    await send_all(stream, answer)
+                await self._answer_poll(stream, number, record)
                 number, record = await inbox.next()
         except BadRecord as error:
             logger.warning("event=bad_record why={!r}", str(error))
@@ -260,6 +288,16 @@
             self.links -= 1
             stream.close()
 
+    async def _answer_poll(self, stream: Stream, number: int, record: Any) -> None:
+        """Answer one question of a router on its connection."""
+        if isinstance(record, PollOfFormat1):
+            record = record.upgraded(int(1000 * HOLD))
+        if not isinstance(record, Poll):
+            raise BadRecord(f"{type(record).__name__} was not expected")
+        answer = CODEC.pack(await self._poll(record), number)
+        with trio.fail_after(WRITE_WITHIN):
+            await send_all(stream, answer)
+
     async def _accept(self, listener: Listener, nursery: trio.Nursery) -> None:
         while True:
             await listener.wait()
--- a/rowanshift/dataplane/control_client.py
+++ b/rowanshift/dataplane/control_client.py
@@ -1,13 +1,21 @@
-"""What a router knows of the whole: sheet and registry, asked of the ledger with the version that it has."""
+"""What a router knows of the control plane: state and servers, asked of the primary with the version that it has.
+
+One poll at a time is held at the primary, which answers when there is news and after half a second in any case. When
+it is silent, core machines are asked for the primary without waiting for each other (``primary_search``). What is
+taken is ordered by (epoch, sequence) and never goes back; how recent it is tells ``freshness``.
+"""
 
 import random
 import zlib
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 import trio
 from loguru import logger
 
 from rowanshift.dataplane.endpoints import Endpoint, Endpoints
+from rowanshift.dataplane.freshness import Freshness
+from rowanshift.dataplane.primary_search import PrimarySearch
 from rowanshift.dataplane.routing_table import BadControlState, RoutingTable, routing_table_of
 from rowanshift.kv_index.index import unpacked
 from rowanshift.net.links import Caller, LinkFailed
@@ -15,16 +23,37 @@
 from rowanshift.wire.delivery import CODEC, DRAINING, LOADING, Elsewhere, Poll, Row, Update
 from rowanshift.wire.machines import ip_of, machine_of
 
-HOLD = 1.0  # seconds that the ledger holds a poll
-ANSWER_WITHIN = 1.6  # seconds
-AGAIN = 0.15  # seconds between polls that failed
+HOLD = 0.5  # seconds that the primary may hold a poll: what is known is no older than two of these
+ANSWER_WITHIN = 0.3  # seconds beyond that for its answer; then others are asked for the primary
+SEARCH_WITHIN = 0.75  # seconds for an answer to a poll of a search
+STAGGER = 0.12  # seconds until the next machine is asked, whatever the one before does
+AGAIN = 0.15  # seconds between two searches
 FRESH_WITHIN = 0.6  # seconds that a request waits while what is known may be old
-START_WITHIN, START_PART = 2.5, 0.5  # seconds, and of what the client has left, for a first sheet
+START_WITHIN, START_PART = 2.5, 0.5  # seconds, and of what the client has left, for a first configuration
+REFUSE_PART = 0.75  # of the bound for configurations: the age of what is known up to which a client is refused by it
 VERSION_EARLY = 2.0  # seconds before its bound, from which only a named version is used
+NO_VERSION = (0, 0)
+
+
+@dataclass(slots=True)
+class Search:
+    """One search under way."""
+
+    progress: trio.Event = field(default_factory=trio.Event)  # an answer has come, or none will
+    open: int = 0  # machines that were asked and have not answered
+    found: "Primary | None" = None
+
+
+@dataclass(slots=True, frozen=True)
+class Primary:
+    """The machine that answered as the primary, and the connection to it."""
+
+    machine: int
+    caller: Caller
 
 
 class ControlClient:
-    """Polls the ledger for good; ``State`` for the front."""
+    """Polls the control plane for good; ``State`` for the frontend."""
 
     def __init__(
         self,
@@ -33,132 +62,166 @@
         port: int,
         seeds: Callable[[], Iterable[Address]],
         version_within: float,
+        apply_within: float,
         chance: random.Random,
         gone: Callable[[Endpoint], None],
     ) -> None:
+        """``version_within`` and ``apply_within``: seconds until a named version, a configuration must be in use."""
         self.host, self.machine, self.port, self.seeds = host, machine, port, seeds
         self.version_within, self.chance, self.gone = version_within, chance, gone
         self.started = chance.getrandbits(63)
         self.routing_table, self.servers = RoutingTable(), Endpoints(chance)
-        self.stamp, self.mark, self.registry, self.stock = (0, 0), 0, (0, 0), (0, 0)
-        self.peers, self.machines = (0, 0), ()  # the members
+        self.state_version, self.fingerprint = NO_VERSION, 0  # of the control state
+        self.registry, self.stock, self.peers = NO_VERSION, NO_VERSION, NO_VERSION
+        self.machines: tuple[int, ...] = ()  # the members
         self.met: Callable[[tuple[int, ...]], None] = lambda machines: None
-        self.stored: set[int] = set()  # marks of parts that a store keeps
+        self.stored: set[int] = set()  # fingerprints of parts that a store keeps
         self.named_at: dict[str, float] = {}  # trio's time at which a model's named version was heard of
         self.members = 0
         self.core: tuple[int, ...] = ()
-        self.in_touch_at = -1e9
-        self.unsure_since: float | None = 0.0  # what is known may be old; None: it is not
+        self.freshness = Freshness(0.0, REFUSE_PART * apply_within)
+        self.search = PrimarySearch(chance.random)
+        self.failures = 0  # polls without an answer in a row
+        self.held = trio.CancelScope()  # around the poll that is held
         self.news = trio.Event()
 
-    # what the front asks ----------------------------------
+    # what the frontend asks
 
     def version(self, model: str, now: float) -> int:
-        """The least version that a server must have: the named one, once its time comes near."""
+        """The least version of its weights that a server must have: the named one, once its time comes near."""
         if now < self.named_at.get(model, 0.0) + max(0.5, self.version_within - VERSION_EARLY):
             return 0
         return self.routing_table.versions.get(model, 0)
 
     async def fresh(self, left: float) -> None:
         """Waits while what is known may be old, or nothing is known yet; ``left`` is what the client has."""
-        if self.unsure_since is None:
+        if not self.freshness.in_doubt:
             return
         longest = FRESH_WITHIN if self.routing_table.revision else max(FRESH_WITHIN, START_PART * left)
         until = trio.current_time() + min(longest, START_WITHIN)
-        while self.unsure_since is not None and (left := until - trio.current_time()) > 0:
+        while self.freshness.in_doubt and (left := until - trio.current_time()) > 0:
             await self.changed(left)
 
     async def changed(self, within: float) -> None:
+        """Waits until something was learnt, so many seconds at most."""
         news = self.news
         with trio.move_on_after(max(0.0, within)):
             await news.wait()
 
+    def may_refuse(self) -> bool:
+        """Whether what is known is recent enough for a refusal that is final for the client."""
+        return self.freshness.may_refuse(trio.current_time())
+
+    async def confirmed(self, within: float) -> bool:
+        """Waits, so many seconds at most, until what is known is recent enough to refuse by; whether it is."""
+        until = trio.current_time() + within
+        while not self.may_refuse() and (left := until - trio.current_time()) > 0:
+            await self.changed(left)
+        return self.may_refuse()
+
     def ready(self) -> bool:
-        return bool(self.routing_table.revision and self.servers.engines and self.unsure_since is None)
+        """Whether requests can be served by what is known."""
+        return bool(self.routing_table.revision and self.servers.engines and not self.freshness.in_doubt)
 
     def doubt(self) -> None:
-        """The process stood still: what it knows may be old until a poll is answered."""
-        if self.unsure_since is None:
-            self.unsure_since = trio.current_time()
+        """The process stood still: what it knows may be old until a poll asked from now on is answered."""
+        self.freshness.doubt(trio.current_time())
+        self.held.cancel()  # what is held was asked before
 
-    # polling ----------------------------------------------
+    # polling
 
     async def run(self) -> None:
-        places: list[int] = []
-        primary, caller, failed = 0, None, 0
+        """Finds the primary and follows it, again and again."""
+        while True:
+            primary = await self._find_primary()
+            await self._follow(primary)
+            primary.caller.close()
+
+    async def _find_primary(self) -> Primary:
+        """Asks core machines until one answers as the primary; what it says is taken."""
+        while True:
+            self.search.begin(self._core_machines(), trio.current_time())
+            search = Search()
+            async with self.host.nursery() as nursery:
+                while (machine := self.search.next()) or search.open:
+                    if machine:
+                        search.open += 1
+                        nursery.start_soon(self._ask_for_primary, search, machine, nursery.cancel_scope)
+                    with trio.move_on_after(STAGGER):
+                        await search.progress.wait()
+                    search.progress = trio.Event()
+            if search.found is not None:
+                return search.found
+            await self.host.pause(AGAIN * (0.5 + self.chance.random()))
+
+    async def _ask_for_primary(self, search: Search, machine: int, scope: trio.CancelScope) -> None:
+        """Asks one machine; ends the search if it is the primary."""
+        caller = Caller(self.host, CODEC, (ip_of(machine), self.port))
+        try:
+            if await self._ask(machine, caller, hold=0.0) and search.found is None:
+                search.found = Primary(machine, caller)
+                scope.cancel()
+        except LinkFailed as error:
+            self._failed(machine, error)
+        finally:
+            if search.found is None or search.found.caller is not caller:
+                caller.close()
+            search.open -= 1
+        search.progress.set()
+
+    async def _follow(self, primary: Primary) -> None:
+        """Holds one poll after another at the primary, until it is silent or no longer primary."""
         while True:
-            if not primary:
-                if not places:
-                    places = [*{*self.core, *(machine_of(seed[0]) for seed in self.seeds())}]
-                    self.chance.shuffle(places)
-                primary = places.pop() if places else 0
-            if caller is None or caller.address[0] != ip_of(primary):
-                if caller is not None:
-                    caller.close()
-                caller = Caller(self.host, CODEC, (ip_of(primary), self.port))
-            asked, doubted = trio.current_time(), self.unsure_since
-            sure = doubted is None  # else all of it is asked for, and answered at once
-            poll = Poll(
-                self.machine,
-                self.started,
-                self.stamp,
-                self.mark * sure,
-                self.registry if sure else (0, 0),
-                self.stock,
-                self.peers,
-            )
+            hold = 0.0 if self.freshness.in_doubt else HOLD
             try:
-                answer = await caller.ask(poll, ANSWER_WITHIN)
+                with trio.CancelScope() as self.held:
+                    if not await self._ask(primary.machine, primary.caller, hold):
+                        return
             except LinkFailed as error:
-                failed += 1
-                if failed in (1, 10, 100):
-                    logger.info("event=poll_failed to={} times={} why={!r}", ip_of(primary), failed, str(error))
-                primary = 0
-                await self.host.pause(AGAIN * (0.5 + self.chance.random()))
-                continue
-            if isinstance(answer, Update) and answer.stamp >= self.stamp:
-                failed = 0
-                self._take(answer)
-                self.in_touch_at = trio.current_time()
-                if doubted == self.unsure_since or (doubted is not None and doubted <= asked):
-                    self._sure()
-                continue
-            hint = answer.primary if isinstance(answer, Elsewhere) else 0
-            if isinstance(answer, Elsewhere) and answer.core:
-                self.core = answer.core
-            primary = hint if hint != primary else 0
-            await self.host.pause(AGAIN * (0.5 + self.chance.random()))
+                self._failed(primary.machine, error)
+                return
 
-    def _sure(self) -> None:
-        if self.unsure_since is not None:
-            self.unsure_since = None
+    async def _ask(self, machine: int, caller: Caller, hold: float) -> bool:
+        """One poll; whether the machine answered as the primary, and with nothing older than is known."""
+        asked_at = trio.current_time()
+        within = HOLD + ANSWER_WITHIN if hold else SEARCH_WITHIN
+        answer = await caller.ask(self._poll(hold), within)
+        if isinstance(answer, Elsewhere):
+            self.core = answer.core or self.core
+            self.search.named(answer.primary if answer.primary != machine else 0)
+            return False
+        if not isinstance(answer, Update) or answer.version < self.state_version:
+            return False
+        self.failures = 0
+        if self._take(answer) and self.freshness.confirmed(asked_at):
             self._tell()
+        return True
+
+    def _poll(self, hold: float) -> Poll:
+        has = self.state_version, self.fingerprint, self.registry, self.stock, self.peers
+        return Poll(self.machine, self.started, *has, int(1000 * hold))
+
+    def _core_machines(self) -> set[int]:
+        return {*self.core, *(machine_of(seed[0]) for seed in self.seeds())}
+
+    def _failed(self, machine: int, error: LinkFailed) -> None:
+        self.search.silent(machine, trio.current_time())
+        self.failures += 1
+        if self.failures in (1, 10, 100):
+            logger.info("event=poll_failed to={} times={} why={!r}", ip_of(machine), self.failures, str(error))
 
     def _tell(self) -> None:
         self.news.set()
         self.news = trio.Event()
 
-    def _take(self, update: Update) -> None:
+    # taking answers in
+
+    def _take(self, update: Update) -> bool:
+        """Takes an answer in; whether all of it could be read."""
         self.members, self.core = update.members or self.members, update.core or self.core
-        self.stamp = update.stamp
-        if update.has_state:
-            try:
-                routing_table = routing_table_of(update.revision, zlib.decompress(update.config), update.versions)
-            except (BadControlState, zlib.error) as error:
-                logger.error("event=bad_sheet stamp={} why={!r}", update.stamp, str(error))
-                return
-            now = trio.current_time()
-            for model, version in routing_table.versions.items():
-                if version > self.routing_table.versions.get(model, 0):
-                    self.named_at[model] = now
-            if routing_table.revision != self.routing_table.revision:
-                logger.info(
-                    "event=config revision={} routes={}",
-                    routing_table.revision,
-                    sum(map(len, routing_table.routes.values())),
-                )
-            self.routing_table, self.mark = routing_table, update.mark
-            self._tell()
+        if update.has_state and not self._take_state(update):
+            return False
+        self.state_version = update.version
         if update.has_peers:
             self.peers, self.machines = update.peers, update.machines
             self.met(self.machines)
@@ -169,23 +232,40 @@
             self.stored.update(unpacked(update.kept))
             self.stored.difference_update(unpacked(update.dropped))
         if update.has_rows and update.registry >= self.registry:
-            self.registry = update.registry
-            for engine in self.servers.update([engine_of(row) for row in update.rows]):
-                self.gone(engine)
-            for engine in self.servers.engines.values():
-                if engine.draining:
-                    self.gone(engine)
-            self._tell()
+            self._take_servers(update)
+        return True
+
+    def _take_state(self, update: Update) -> bool:
+        """The configuration and the named versions; whether they can be read."""
+        try:
+            table = routing_table_of(update.revision, zlib.decompress(update.config), update.versions)
+        except (BadControlState, zlib.error) as error:
+            logger.error("event=bad_state version={} why={!r}", update.version, str(error))
+            return False
+        now = trio.current_time()
+        for model, version in table.versions.items():
+            if version > self.routing_table.versions.get(model, 0):
+                self.named_at[model] = now
+        if table.revision != self.routing_table.revision:
+            routes = sum(map(len, table.routes.values()))
+            logger.info("event=config revision={} routes={}", table.revision, routes)
+        self.routing_table, self.fingerprint = table, update.fingerprint
+        self._tell()
+        return True
+
+    def _take_servers(self, update: Update) -> None:
+        self.registry = update.registry
+        for endpoint in self.servers.update([endpoint_of(row) for row in update.rows]):
+            self.gone(endpoint)
+        for endpoint in self.servers.engines.values():
+            if endpoint.draining:
+                self.gone(endpoint)
+        self._tell()
 
 
-def engine_of(row: Row) -> Endpoint:
+def endpoint_of(row: Row) -> Endpoint:
+    """A server of the list as requests are sent to it."""
+    draining, loading = bool(row.state & DRAINING), bool(row.state & LOADING)
     return Endpoint(
-        row.id,
-        row.service,
-        row.address,
-        row.zone,
-        row.slots,
-        dict(row.versions),
-        draining=bool(row.state & DRAINING),
-        loading=bool(row.state & LOADING),
+        row.id, row.service, row.address, row.zone, row.slots, dict(row.versions), draining=draining, loading=loading
     )
--- /dev/null
+++ b/rowanshift/dataplane/freshness.py
@@ -0,0 +1,39 @@
+"""How recent a router's knowledge of the control state is, by its own steady clock. No I/O.
+
+A primary looks at its lease after a poll has come in and before it answers. While the lease is valid no other machine
+has acknowledged anything. So an answer, however late it arrives, holds whatever had been acknowledged before its poll
+was *asked*; it says nothing of the time between. That is the one time that counts here.
+"""
+
+NEVER = float("-inf")
+
+
+class Freshness:
+    """What a router knows holds all that was acknowledged before ``known_as_of``; all times in steady seconds."""
+
+    def __init__(self, now: float, refuse_within: float) -> None:
+        """``refuse_within``: age of the knowledge up to which a client may be refused by it."""
+        self.refuse_within = refuse_within
+        self.known_as_of = NEVER
+        self.doubted_since: float | None = now  # what is known may be older than it seems; None: it isn't
+
+    def doubt(self, now: float) -> None:
+        """The process stood still: only an answer to what is asked from now on ends the doubt."""
+        self.doubted_since = now
+
+    def confirmed(self, asked_at: float) -> bool:
+        """A poll asked at that time was answered; whether that ended a doubt."""
+        self.known_as_of = max(self.known_as_of, asked_at)
+        ended = self.doubted_since is not None and self.doubted_since <= asked_at
+        if ended:
+            self.doubted_since = None
+        return ended
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether what is known must be confirmed before it is relied on."""
+        return self.doubted_since is not None
+
+    def may_refuse(self, now: float) -> bool:
+        """Whether a 401 or 404, which is final for the client, may be given by what is known."""
+        return not self.in_doubt and now - self.known_as_of <= self.refuse_within
--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -38,6 +38,9 @@
 SAVED_FOR, MOST_SAVED = 8.0, 4096  # seconds in which a part is not given to a store again; parts remembered
 FULL_FOR = 0.2  # seconds that a full server gets no more
 STALE_FOR = 0.3  # the same for one that has other weights than was known
+DENIALS = (401, 404)  # statuses of this router's own that are final for the client
+CONFIRM_WITHIN = 0.6  # seconds that a request which would be denied waits for what is known to be confirmed
+CONFIRM_AGAIN = 0.3  # seconds after which its client may come again if it was not
 PROMISES = (408, 421, 429, 503)  # statuses that say it has not run and never will
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
@@ -72,6 +75,10 @@
 
     async def fresh(self, left: float) -> None: ...  # waits, briefly, while what is known may be old
 
+    async def confirmed(self, within: float) -> bool: ...  # waits until what is known is recent; whether it is
+
+    def may_refuse(self) -> bool: ...  # by what is known, for good
+
     async def changed(self, within: float) -> None: ...
 
 
@@ -282,9 +289,11 @@
         self.open += 1
         try:
             await self.state.fresh(request.until - request.came_at)
+            await self._confirm_refusal(request)
             await self._carry(request, out)
             self.counts.whole += 1
-        except Refusal as refusal:
+        except Refusal as refused:
+            refusal = self._unless_old(refused)
             self.counts.refused += refusal.status in PROMISES
             self.counts.failed += refusal.status not in PROMISES
             if out.begun:  # what went out must not look whole
@@ -306,6 +315,22 @@
 
     # one request ------------------------------------------
 
+    async def _confirm_refusal(self, request: Request) -> None:
+        """A request that would be refused for good waits, briefly, until what is known is surely recent."""
+        if self.state.may_refuse():
+            return
+        try:
+            self._allowed(request)
+        except Refusal as refusal:
+            if refusal.status in DENIALS:
+                await self.state.confirmed(min(CONFIRM_WITHIN, request.until - request.came_at))
+
+    def _unless_old(self, refusal: Refusal) -> Refusal:
+        """The refusal, or one that lets the client come again where it rests on what may be old."""
+        if refusal.status in DENIALS and not self.state.may_refuse():
+            return Refusal(503, "the configuration could not be confirmed", CONFIRM_AGAIN)
+        return refusal
+
     def _allowed(self, request: Request) -> tuple[Route, Tenant | None]:
         """Its route and tenant by the configuration that is in force now; ``Refusal`` otherwise."""
         routing_table = self.state.routing_table
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -89,6 +89,7 @@
                     boot.inner[1],
                     self.seeds,
                     boot.bounds.version_ms / 1000,
+                    boot.bounds.config_apply_ms / 1000,
                     self.chance,
                     self.back.leave,
                 )
--- a/rowanshift/wire/delivery.py
+++ b/rowanshift/wire/delivery.py
@@ -27,19 +27,38 @@
 
     machine: int  # its IP as a number
     started: int  # drawn at its start
-    stamp: tuple[int, int]  # of the sheet that it has; (0, 0): none
-    mark: int  # of the sheet's text
-    registry: tuple[int, int]  # epoch and serial of the registry that it has
+    version: tuple[int, int]  # epoch and sequence of the control state that it has; (0, 0): none
+    fingerprint: int  # of that state's content
+    registry: tuple[int, int]  # epoch and serial of the servers' list that it has
     stock: tuple[int, int]  # the same of what stores keep
     peers: tuple[int, int]  # and of the members
+    hold_ms: int  # how long the poll may be held while there is nothing newer; 0: answer at once
+
+
+@dataclass(slots=True, frozen=True)
+class PollOfFormat1:
+    """A poll of routers up to 0.2, held as long as the primary likes."""
+
+    machine: int
+    started: int
+    version: tuple[int, int]
+    fingerprint: int
+    registry: tuple[int, int]
+    stock: tuple[int, int]
+    peers: tuple[int, int]
+
+    def upgraded(self, hold_ms: int) -> Poll:
+        """The same question as routers ask it now."""
+        has = self.version, self.fingerprint, self.registry, self.stock, self.peers
+        return Poll(self.machine, self.started, *has, hold_ms)
 
 
 @dataclass(slots=True, frozen=True)
 class Update:
     """The answer: whatever is newer than what the router has."""
 
-    stamp: tuple[int, int]
-    mark: int
+    version: tuple[int, int]
+    fingerprint: int
     has_state: bool  # else the router has this very one
     revision: int
     config: bytes  # compressed
@@ -66,6 +85,11 @@
     core: tuple[int, ...]
 
 
-KINDS: dict[int, tuple[type, str]] = {1: (Poll, "qqpqppp"), 2: (Update, "pq?qbvp?oqp?bbp?tt"), 3: (Elsewhere, "qt")}
+KINDS: dict[int, tuple[type, str]] = {
+    1: (PollOfFormat1, "qqpqppp"),
+    2: (Update, "pq?qbvp?oqp?bbp?tt"),
+    3: (Elsewhere, "qt"),
+    4: (Poll, "qqpqpppq"),
+}
 NESTED: dict[str, tuple[type, str]] = {"o": (Row, "ssssqqv")}
 CODEC = Codec(KINDS, NESTED)  # all that a router needs
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -270,7 +270,7 @@
 class RolesTest(unittest.TestCase):
     def test_figures_at_the_stated_size_follow_from_the_sizes(self) -> None:
         figures = {(one.role, one.what): one for one in exact()}
-        self.assertEqual(figures["router", "polls"].value, 1.0)
+        self.assertEqual(figures["router", "polls"].value, 2.0)  # each held for HOLD, half a second
         self.assertEqual(figures["router", "kept parts, whole"].value, 8 * 200_000_000)
         self.assertTrue(figures["router", "kept parts, whole"].fits.startswith("no"))
         self.assertEqual(figures["list reader", "calls of one reading"].value, 200)
--- /dev/null
+++ b/tests/test_control_client.py
@@ -0,0 +1,255 @@
+"""How a router finds the primary, how recent it takes its knowledge to be, and what it refuses by it."""
+
+import random
+import unittest
+from unittest import mock
+
+import trio
+from loguru import logger
+
+from rowanshift.controlplane import service as control_service
+from rowanshift.dataplane import control_client
+from rowanshift.dataplane.freshness import Freshness
+from rowanshift.dataplane.primary_search import SUSPECT_FOR, PrimarySearch
+from rowanshift.invariants.system import Answered
+from rowanshift.simulation.fleet import ONCE, Fleet, Unit, config_of, play
+from rowanshift.wire.delivery import Poll, Update
+
+APPLIED_WITHIN = 1.0  # seconds from a change's acknowledgement after a takeover; the operators' bound is 2
+
+
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
+class KnownAsOf(unittest.TestCase):
+    def test_an_answer_counts_from_when_it_was_asked_for(self) -> None:
+        freshness = Freshness(0.0, 1.5)
+        self.assertTrue(freshness.confirmed(10.0))
+        self.assertEqual(
+            (freshness.known_as_of, freshness.may_refuse(11.5), freshness.may_refuse(11.6)), (10, True, False)
+        )
+
+    def test_a_late_answer_to_an_earlier_poll_takes_nothing_back(self) -> None:
+        freshness = Freshness(0.0, 1.5)
+        freshness.confirmed(10.0)
+        freshness.confirmed(9.0)
+        self.assertEqual(freshness.known_as_of, 10.0)
+
+    def test_a_doubt_is_ended_by_what_was_asked_after_it_began(self) -> None:
+        freshness = Freshness(0.0, 1.5)
+        freshness.confirmed(10.0)
+        freshness.doubt(10.5)
+        self.assertFalse(freshness.confirmed(10.4))
+        self.assertEqual((freshness.in_doubt, freshness.may_refuse(10.6)), (True, False))
+        self.assertTrue(freshness.confirmed(10.5))
+        self.assertEqual((freshness.in_doubt, freshness.may_refuse(10.6)), (False, True))
+
+    def test_nothing_is_known_at_the_start(self) -> None:
+        freshness = Freshness(3.0, 1.5)
+        self.assertEqual((freshness.in_doubt, freshness.may_refuse(3.0)), (True, False))
+
+
+class Search(unittest.TestCase):
+    def asked(self, search: PrimarySearch, machines: range, now: float) -> list[int]:
+        search.begin(machines, now)
+        return [search.next() for _ in machines]
+
+    def test_all_are_asked_once(self) -> None:
+        search = PrimarySearch(random.Random(1).random)
+        self.assertEqual(sorted(self.asked(search, range(1, 6), 0.0)), [1, 2, 3, 4, 5])
+        self.assertEqual(search.next(), 0)
+
+    def test_routers_ask_in_different_orders(self) -> None:
+        firsts = {self.asked(PrimarySearch(random.Random(n).random), range(1, 6), 0.0)[0] for n in range(40)}
+        self.assertEqual(firsts, {1, 2, 3, 4, 5})
+
+    def test_who_was_silent_is_asked_last_until_that_is_long_ago(self) -> None:
+        for seed in range(20):
+            search = PrimarySearch(random.Random(seed).random)
+            search.silent(2, 1.0)
+            search.silent(4, 0.5)
+            self.assertEqual(self.asked(search, range(1, 6), 2.0)[3:], [4, 2])
+        orders = set()
+        for seed in range(40):
+            search = PrimarySearch(random.Random(seed).random)
+            search.silent(2, 1.0)
+            orders.add(self.asked(search, range(1, 6), 1.0 + SUSPECT_FOR)[0])
+        self.assertIn(2, orders)
+
+    def test_who_is_named_is_asked_next_and_once(self) -> None:
+        search = PrimarySearch(random.Random(1).random)
+        search.silent(5, 0.0)
+        search.begin(range(1, 6), 0.0)
+        first = search.next()
+        search.named(5)
+        self.assertEqual(search.next(), 5)
+        search.named(first)
+        rest = [search.next() for _ in range(4)]
+        self.assertEqual((first in rest, rest[-1]), (False, 0))
+
+    def test_one_that_no_list_holds_is_asked_when_it_is_named(self) -> None:
+        search = PrimarySearch(random.Random(1).random)
+        search.begin([1, 2], 0.0)
+        search.named(9)
+        self.assertEqual(search.next(), 9)
+
+    def test_who_is_named_between_searches_comes_first(self) -> None:
+        for seed in range(20):
+            search = PrimarySearch(random.Random(seed).random)
+            search.named(3)
+            self.assertEqual(self.asked(search, range(1, 6), 0.0)[0], 3)
+
+
+def revisions(fleet: Fleet) -> set[int]:
+    return {unit.program.control_client.routing_table.revision for unit in fleet.routers}
+
+
+def another_holds(fleet: Fleet, first: Unit) -> bool:
+    """Whether a core machine other than this one holds the primary's lease."""
+    return any(unit.program.replica_host.holds() for unit in fleet.cores if unit is not first)
+
+
+class Takeover(unittest.TestCase):
+    """A router must have what the next primary acknowledges, however the one before went silent."""
+
+    async def applied_after(self, fleet: Fleet, trouble: str, end: str) -> float:
+        """Seconds from an acknowledgement by the next primary until all routers use the change."""
+        await fleet.start()
+        await trio.sleep(1.0 + fleet.chance.random())
+        first = fleet.primary()
+        getattr(fleet, trouble)(first)
+        await fleet.until(lambda: another_holds(fleet, first))
+        assert await fleet.put(config_of(2)) == 200
+        at = fleet.now()
+        await fleet.until(lambda: revisions(fleet) == {2})
+        took = fleet.now() - at
+        getattr(fleet, end)(first)
+        await trio.sleep(0.5)
+        return took
+
+    def all_applied(self, trouble: str, end: str, seeds: range = range(10)) -> list[float]:
+        async def main(fleet: Fleet) -> float:
+            return await self.applied_after(fleet, trouble, end)
+
+        return [play(main, str(seed))[0] for seed in seeds]
+
+    def test_the_primary_stands_still(self) -> None:
+        self.assertLess(max(self.all_applied("freeze", "thaw")), APPLIED_WITHIN)
+
+    def test_the_primary_is_cut_off(self) -> None:
+        self.assertLess(max(self.all_applied("cut", "join")), APPLIED_WITHIN)
+
+    def test_the_primary_is_killed(self) -> None:
+        self.assertLess(max(self.all_applied("kill", "back")), APPLIED_WITHIN)
+
+    def test_a_search_that_waits_for_one_machine_at_a_time_is_found(self) -> None:
+        with (
+            mock.patch.object(control_client, "STAGGER", 5.0),
+            mock.patch.object(control_client, "ANSWER_WITHIN", 1.1),
+            mock.patch.object(control_client, "SEARCH_WITHIN", 1.6),
+            mock.patch.object(PrimarySearch, "silent", lambda search, machine, now: None),
+        ):
+            self.assertGreater(max(self.all_applied("freeze", "thaw")), APPLIED_WITHIN)
+
+
+class Refusals(unittest.TestCase):
+    """A 401 or 404 is final for the client: it is given by what is surely recent, else 503."""
+
+    def statuses(self, out_of_touch: bool, seed: str = "f") -> set[int]:
+        """What a client gets on a route that was added while its router was, or wasn't, cut off from the core."""
+
+        async def main(fleet: Fleet) -> list[int]:
+            await fleet.start(config_of(1, routes=[]))
+            unit = fleet.routers[0]
+            if out_of_touch:
+                fleet.cut(unit, fleet.cores)
+            await trio.sleep(2.5)
+            tries = fleet.client("early", ONCE, "key-1").tries
+            await trio.sleep(2.0)
+            if out_of_touch:
+                fleet.join(unit, fleet.cores)
+            return [attempt.status for attempt in tries if attempt.front == fleet.fronts[0] and attempt.status]
+
+        return set(play(main, seed, routers=1)[0])
+
+    def test_in_touch_with_the_core(self) -> None:
+        self.assertEqual(self.statuses(out_of_touch=False), {404})
+
+    def test_out_of_touch_with_the_core(self) -> None:
+        self.assertEqual(self.statuses(out_of_touch=True), {503})
+
+    def test_a_router_that_refuses_by_what_may_be_old_is_found(self) -> None:
+        with mock.patch.object(Freshness, "may_refuse", lambda freshness, now: True):
+            self.assertEqual(self.statuses(out_of_touch=True), {404})
+
+
+class Order(unittest.TestCase):
+    """What a router takes is ordered by epoch and sequence and never goes back."""
+
+    def test_an_answer_of_an_older_epoch_or_sequence_is_left(self) -> None:
+        async def main(fleet: Fleet) -> list[tuple[int, int]]:
+            taken: list[tuple[int, int]] = []
+            take = control_client.ControlClient._take
+
+            def noted(client: control_client.ControlClient, update: Update) -> bool:
+                taken.append(update.version)
+                return take(client, update)
+
+            with mock.patch.object(control_client.ControlClient, "_take", noted):
+                await fleet.start()
+                for revision in range(2, 8):
+                    await fleet.put(config_of(revision))
+                    if revision == 4:
+                        fleet.kill(fleet.primary())
+                await trio.sleep(1.0)
+            return taken
+
+        taken, fleet = play(main, "order", routers=1)
+        self.assertEqual(taken, sorted(taken))
+        self.assertGreater(len({epoch for epoch, _ in taken}), 1)
+        self.assertGreater(len({sequence for _, sequence in taken}), 2)
+        self.assertEqual([fact for fact in fleet.of(Answered) if fact.status >= 500], [])
+
+    def test_an_answer_written_long_after_the_lease_was_looked_at_is_not_taken(self) -> None:
+        """The old primary stands still between the look and the write, and writes when another is primary."""
+
+        async def main(fleet: Fleet) -> set[int]:
+            await fleet.start()
+            first = fleet.primary()
+            poll = control_service.ControlPlaneService._poll
+
+            async def stalled(service: control_service.ControlPlaneService, question: Poll) -> object:
+                answer = await poll(service, question)
+                if service is first.program and isinstance(answer, Update):
+                    await first.machine.pause(3.0)
+                return answer
+
+            with mock.patch.object(control_service.ControlPlaneService, "_poll", stalled):
+                await trio.sleep(0.6)
+                fleet.cut(first)
+                await fleet.until(lambda: another_holds(fleet, first))
+                await fleet.put(config_of(2))
+                await fleet.until(lambda: revisions(fleet) == {2})
+                fleet.join(first)
+                return await self.revisions_seen(fleet, 4.0)
+
+        for seed in range(4):
+            self.assertEqual(play(main, str(seed))[0], {2})
+
+    async def revisions_seen(self, fleet: Fleet, seconds: float) -> set[int]:
+        """All revisions that any router goes by within so many seconds."""
+        seen: set[int] = set()
+        until = fleet.now() + seconds
+        while fleet.now() < until:
+            seen |= revisions(fleet)
+            await trio.sleep(0.005)
+        return seen
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_system_simulation.py
+++ b/tests/test_system_simulation.py
@@ -669,7 +669,7 @@
         true = control_client.ControlClient._take
 
         def take(self, update):
-            true(self, update if not self.routing_table.revision else replace(update, has_state=False))
+            return true(self, update if not self.routing_table.revision else replace(update, has_state=False))
 
         async def scenario(fleet):
             fleet.client("c", REPEATED, "key-1b")
@@ -679,7 +679,7 @@
         self.found("CONFIG", scenario, mock.patch.object(control_client.ControlClient, "_take", take))
 
     def test_a_server_that_leaves_gets_more(self):
-        true = control_client.engine_of
+        true = control_client.endpoint_of
 
         async def scenario(fleet):
             fleet.crowd(6)
@@ -690,7 +690,9 @@
             "DRAIN",
             scenario,
             mock.patch.object(
-                control_client, "engine_of", lambda row: true(replace(row, state=row.state & ~control_client.DRAINING))
+                control_client,
+                "endpoint_of",
+                lambda row: true(replace(row, state=row.state & ~control_client.DRAINING)),
             ),
         )
 
--- a/tests/test_wire_records.py
+++ b/tests/test_wire_records.py
@@ -75,7 +75,7 @@
     def test_counters_and_the_core_give_one_number_to_a_kind(self):
         self.assertEqual({**table.CODEC.kinds, **delivery.KINDS}, table.CODEC.kinds)
         self.assertEqual(len(table.CODEC.numbers), len(table.CODEC.kinds))
-        poll = delivery.Poll(1, 2, (3, 4), 5, (6, 7), (8, 9), (10, 11))
+        poll = delivery.Poll(1, 2, (3, 4), 5, (6, 7), (8, 9), (10, 11), 500)
         self.assertEqual(delivery.CODEC.pack(poll, 9), table.CODEC.pack(poll, 9))
 
     def test_whole_numbers_at_their_edges(self):
