Hand copy and vote over before a planned end, repair faster, tell redundancy as a figure

A renewal that chose a backup which had just died cost the primary its office. Change: Leave and LeaveReply (replication/membership): a machine told to stop gives leadership, copy and vote to others and ends when the primary releases it, or 1.5 s before its grace is over; redundancy in status and the log (event=redundancy copies= witnesses= until_full_s=); STAND_LIMIT 1.2 s (was 2.0), so RECOVERY_WAIT 1.5 s (was 2.5); Joins each 0.3 s; a candidate whose chosen backup does not store within 0.25 s chooses others under the same number; states over 64 KB go by a connection of their own, so that heartbeats don't wait behind them.

--- a/rowanshift/controlplane/replica_host.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -1,9 +1,10 @@
-"""A core machine's part of the replica on a Host: records to and from the others, saves to the disk, time."""
+"""A replica on a Host: messages to and from the others, saves to the disk, time; reads and changes for callers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
-from typing import Any
 
 import trio
 from loguru import logger
@@ -14,15 +15,18 @@
     Committed,
     DurableState,
     Failed,
+    Message,
     NotPrimary,
     ReadConfirmed,
     ReadFailed,
+    RedundancyWatch,
     Replica,
     Save,
     Send,
+    Store,
 )
 from rowanshift.controlplane.store import StoreError
-from rowanshift.net.links import Inbox, LinkFailed, Sender
+from rowanshift.net.links import MOST_QUEUED, STUCK, Inbox, LinkFailed, Sender
 from rowanshift.net.transport import Disk, Host, Nursery
 from rowanshift.wire.codec import HEAD, BadRecord
 from rowanshift.wire.machines import ip_of
@@ -30,8 +34,10 @@
 
 TICK = 0.05  # seconds
 UNHEARD = 0.9  # seconds without a word from a machine, after which its connection is dialled anew
-MOST_PEERS = 32
-SAVE_AGAIN = 0.2  # seconds
+MOST_SENDERS = 64  # connections to other core machines, two a machine at most
+LARGE_STATE = 64 * 1024  # bytes of a state that goes by a connection of its own
+MOST_LARGE = 2  # large states that wait for one machine; the oldest goes
+LARGE_STUCK = 5.0  # seconds that writing a large state may take
 
 
 class OutcomeUnknown(Exception):
@@ -42,7 +48,17 @@
     """Nobody could confirm that this machine is the primary."""
 
 
+@dataclass(slots=True)
+class Pending:
+    """A read or a change that waits for its end."""
+
+    ended: trio.Event = field(default_factory=trio.Event)
+    succeeded: bool = False
+
+
 class ReplicaHost:
+    """Carries out what a ``Replica`` decides: sends, saves, time; and offers reads and changes to callers."""
+
     def __init__(
         self,
         host: Host,
@@ -56,77 +72,92 @@
     ) -> None:
         self.host, self.machine, self.port, self.replica, self.store = host, machine, port, replica, store
         self.nursery, self.became, self.committed = nursery, became, committed
-        self.senders: dict[int, Sender] = {}
+        self.senders: dict[tuple[int, bool], Sender] = {}  # by machine, and whether for large states
         self.heard: dict[int, float] = {}
         self.tokens = count(1)
-        self.waits: dict[int, tuple[trio.Event, list[bool]]] = {}
+        self.pending: dict[int, Pending] = {}
         self.turn = trio.Lock()  # one change at a time
-        self.hint = 0
         self.saves = self.save_seconds = 0.0
+        self.watch = RedundancyWatch(0.0)
 
-    # calls ------------------------------------------------
+    # calls
 
     async def read(self) -> bytes:
-        """The sheet, confirmed to be the newest when it was asked for. ``NotPrimary``, ``NotConfirmed``."""
-        token, wait = self._wait()
-        try:
+        """The state, confirmed to be the newest when it was asked for. ``NotPrimary``, ``NotConfirmed``."""
+        with self._pending() as (token, pending):
             self.replica.confirm_read(token, trio.current_time())
             self.act()
-            if not await self._outcome(wait):
+            await pending.ended.wait()
+            if not pending.succeeded:
                 raise NotConfirmed
-        finally:
-            del self.waits[token]
         return self.replica.committed_state
 
     async def change(self, made: Callable[[bytes], bytes | None], within: float) -> bytes:
-        """Makes the next sheet from the newest, once it is on all disks that are wanted; None changes
-        nothing. ``NotPrimary``, ``NotConfirmed``, ``OutcomeUnknown``, and what ``made`` raises."""
+        """Make the next state from the newest and have it on all disks that are wanted, in so many seconds.
+
+        ``made`` gives the next state, None to change nothing. Raises ``NotPrimary``, ``NotConfirmed``,
+        ``OutcomeUnknown``, and what ``made`` raises: a refusal rests on a state that was confirmed.
+        """
         with trio.move_on_after(within):
             async with self.turn:
-                sheet = made(await self.read())
-                if sheet is None:
+                state = made(await self.read())
+                if state is None:
                     return self.replica.committed_state
-                token, wait = self._wait()
-                try:
-                    self.replica.propose(token, sheet, trio.current_time())
-                    self.act()
-                    if await self._outcome(wait):
-                        return sheet
-                except Busy as error:
-                    raise NotConfirmed from error
-                finally:
-                    del self.waits[token]
+                if await self._proposed(state):
+                    return state
         raise OutcomeUnknown
 
+    async def _proposed(self, state: bytes) -> bool:
+        """Whether the state was committed; where it wasn't, it may be in force later."""
+        with self._pending() as (token, pending):
+            try:
+                self.replica.propose(token, state, trio.current_time())
+            except Busy as error:
+                raise NotConfirmed from error
+            self.act()
+            await pending.ended.wait()
+            return pending.succeeded
+
+    async def leave(self, within: float) -> bool:
+        """Give leadership, copy and vote to others before this machine ends; whether that was done in time."""
+        async with self.turn:  # a change under way is answered first
+            self.replica.leave(trio.current_time())
+            self.act()
+        until = trio.current_time() + within
+        while not self.replica.released and trio.current_time() < until:
+            await self.host.pause(TICK / 5)
+        return self.replica.released
+
     def holds(self) -> float:
         """Seconds for which this machine may still act as the single holder; 0 if it may not."""
         now = trio.current_time()
         return max(0.0, self.replica.lease_until(now) - now) if self.replica.is_primary else 0.0
 
-    def _wait(self) -> tuple[int, tuple[trio.Event, list[bool]]]:
-        token = next(self.tokens)
-        self.waits[token] = wait = (trio.Event(), [])
-        return token, wait
-
-    @staticmethod
-    async def _outcome(wait: tuple[trio.Event, list[bool]]) -> bool:
-        await wait[0].wait()
-        return wait[1][0]
+    @contextmanager
+    def _pending(self) -> Iterator[tuple[int, Pending]]:
+        token, pending = next(self.tokens), Pending()
+        self.pending[token] = pending
+        try:
+            yield token, pending
+        finally:
+            del self.pending[token]
 
-    # the protocol -----------------------------------------
+    # what the replica decides
 
     async def run(self) -> None:
+        """Tell the replica of time passing, for good."""
         while True:
             self.replica.tick(trio.current_time())
             self.act()
+            self._watch_redundancy()
             await self.host.pause(TICK)
 
     def act(self) -> None:
-        """Carries out what the protocol wants done."""
+        """Carry out what the replica wants done."""
         for action in self.replica.drain():
             match action:
                 case Send(to, message):
-                    self._sender(to, message)
+                    self._send(to, message)
                 case Save(token, durable):
                     self.nursery.start_soon(self._save, token, durable)
                 case Committed(token):
@@ -137,52 +168,81 @@
                 case Failed(token) | ReadFailed(token):
                     self._end(token, False)
                 case Became(primary):
-                    logger.info(
-                        "event={} epoch={} in_sync={}",
-                        "primary" if primary else "no_primary",
-                        self.replica.record.number,
-                        ",".join(map(ip_of, self.replica.record.in_sync)),
-                    )
-                    self.became(primary)
-
-    def _end(self, token: int, well: bool) -> None:
-        if (wait := self.waits.get(token)) is not None:
-            wait[1].append(well)
-            wait[0].set()
+                    self._became(primary)
+
+    def _became(self, primary: bool) -> None:
+        event = "primary" if primary else "no_primary"
+        in_sync = ",".join(map(ip_of, self.replica.record.in_sync))
+        logger.info("event={} epoch={} in_sync={}", event, self.replica.record.number, in_sync)
+        if primary:
+            self.watch = RedundancyWatch(trio.current_time())
+        self.became(primary)
+
+    def _watch_redundancy(self) -> None:
+        if not self.replica.is_primary:
+            return
+        change = self.watch.observe(self.replica.redundancy(), trio.current_time())
+        if change is None:
+            return
+        found = change.redundancy
+        copies, witnesses = (
+            f"{found.copies}/{found.copies_wanted}",
+            f"{found.witnesses}/{found.witnesses_wanted}",
+        )
+        took = "-" if change.until_full_s is None else f"{change.until_full_s:.2f}"
+        logger.info("event=redundancy copies={} witnesses={} until_full_s={}", copies, witnesses, took)
+
+    def _end(self, token: int, succeeded: bool) -> None:
+        pending = self.pending.get(token)
+        if pending is not None:
+            pending.succeeded = succeeded
+            pending.ended.set()
 
     async def _save(self, token: int, durable: DurableState) -> None:
-        at, well = trio.current_time(), True
+        at, done = trio.current_time(), True
         if self.store is not None:
             try:
                 await self.host.in_thread(partial(self.store.write, CODEC.pack(durable)))
             except StoreError as error:
                 logger.error("event=save_failed why={!r}", str(error))
-                well = False
+                done = False
         now = trio.current_time()
         self.saves += 1
         self.save_seconds += now - at
-        (self.replica.saved if well else self.replica.save_failed)(token, now)
+        if done:
+            self.replica.saved(token, now)
+        else:
+            self.replica.save_failed(token, now)
         self.act()
 
-    def _sender(self, to: int, message: Any) -> None:
-        sender = self.senders.get(to)
+    # connections to the others
+
+    def _send(self, to: int, message: Message) -> None:
+        """Large states go by a connection of their own, so that heartbeats don't wait behind them."""
+        large = isinstance(message, Store) and len(message.state) > LARGE_STATE
+        sender = self.senders.get((to, large))
         if sender is None:
-            if len(self.senders) >= MOST_PEERS:
-                quiet = min(self.senders, key=lambda machine: self.heard.get(machine, 0.0))
-                self.senders.pop(quiet).stop()
-            sender = self.senders[to] = Sender(
-                self.host, CODEC, (ip_of(to), self.port), Hello(self.machine), partial(self._alive, to)
-            )
-            self.nursery.start_soon(sender.run)
+            sender = self._new_sender(to, large)
         sender.put(message)
 
-    def _alive(self, machine: int) -> bool:
+    def _new_sender(self, to: int, large: bool) -> Sender:
+        if len(self.senders) >= MOST_SENDERS:
+            quiet = min(self.senders, key=lambda key: self.heard.get(key[0], 0.0))
+            self.senders.pop(quiet).stop()
+        most, stuck = (MOST_LARGE, LARGE_STUCK) if large else (MOST_QUEUED, STUCK)
+        alive = partial(self._alive, to, large)
+        sender = Sender(self.host, CODEC, (ip_of(to), self.port), Hello(self.machine), alive, most, stuck)
+        self.senders[to, large] = sender
+        self.nursery.start_soon(sender.run)
+        return sender
+
+    def _alive(self, machine: int, large: bool) -> bool:
         """Whether the connection to a machine is worth keeping: it was heard since, or not long ago."""
-        since = max(self.heard.get(machine, 0.0), self.senders[machine].opened_at)
+        since = max(self.heard.get(machine, 0.0), self.senders[machine, large].opened_at)
         return trio.current_time() - since < UNHEARD
 
     async def hear(self, inbox: Inbox, hello: Hello) -> None:
-        """Takes what another core machine says, until its connection ends."""
+        """Take what another core machine says, until its connection ends."""
         while True:
             _, message = await inbox.next()
             now = trio.current_time()
--- a/rowanshift/controlplane/replication/__init__.py
+++ b/rowanshift/controlplane/replication/__init__.py
@@ -25,6 +25,8 @@
     Heartbeat,
     HeartbeatReply,
     Join,
+    Leave,
+    LeaveReply,
     Message,
     Prepare,
     PreVote,
@@ -38,6 +40,7 @@
     TransferLeadership,
 )
 from rowanshift.controlplane.replication.quorum import has_majority, majority
+from rowanshift.controlplane.replication.redundancy import Redundancy, RedundancyChange, RedundancyWatch
 from rowanshift.controlplane.replication.replica import Replica
 from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, NUMBER_LIMIT, STATE_LIMIT, Timing
 
@@ -60,6 +63,8 @@
     "Heartbeat",
     "HeartbeatReply",
     "Join",
+    "Leave",
+    "LeaveReply",
     "Message",
     "NotPrimary",
     "PreVote",
@@ -70,6 +75,9 @@
     "ReadFailed",
     "RecoveryReply",
     "RecoveryRequest",
+    "Redundancy",
+    "RedundancyChange",
+    "RedundancyWatch",
     "Replica",
     "ReplicationError",
     "Save",
--- a/rowanshift/controlplane/replication/candidate.py
+++ b/rowanshift/controlplane/replication/candidate.py
@@ -69,14 +69,18 @@
     def _tick_candidacy(self) -> None:
         candidacy, now = self._candidacy, self._now
         late = candidacy.phase != "pre-vote" and now >= candidacy.started + self.timing.stand_limit
-        if late or now >= candidacy.phase_started + self.timing.round:
+        transfer = self._transfer_time(self._durable.state) if candidacy.phase == "store" else 0.0
+        if late or now >= candidacy.phase_started + self.timing.round + transfer:
             if candidacy.phase == "store":
                 for member in set(candidacy.backups) - candidacy.votes:
                     self._slow[member] = now + self.timing.rest
             if candidacy.phase != "pre-vote" and not self._has_state(candidacy.base):
                 self._ask_in_sync_to_stand(candidacy)
             self._end_candidacy(0.1)
-        elif now >= candidacy.sent + self.timing.retry:
+        elif candidacy.phase == "store" and now >= candidacy.phase_started + self.timing.store_patience + transfer:
+            candidacy.tried |= {*candidacy.backups} - candidacy.votes
+            self._choose_backups()
+        elif now >= candidacy.sent + self.timing.retry + transfer:
             self._send_phase()
 
     def _end_candidacy(self, rest: float) -> None:
@@ -141,7 +145,7 @@
         self._enter("store")
 
     def _backups_by_preference(self, candidacy: Candidacy) -> list[int]:
-        """Machines that live, those first that surely do, then those that hold the state already."""
+        """Machines that live: not those that end soon, then those that surely live, then those with the state."""
         now = self._now
         alive = {machine for machine, heard in self._heard.items() if now < heard + self.timing.fresh} | candidacy.votes
         alive = {machine for machine in alive - {self.me} if self._slow.get(machine, 0.0) <= now}
@@ -149,8 +153,9 @@
         # a primary that just fell was heard lately, too: its own candidate counts only votes
         doubted = alive - recent if candidacy.renewal else alive - candidacy.votes
 
-        def preference(machine: int) -> tuple[bool, bool, bool, int]:
-            return machine in doubted, machine not in candidacy.base.in_sync, machine not in candidacy.votes, machine
+        def preference(machine: int) -> tuple[bool, bool, bool, bool, bool, int]:
+            doubtful = machine in candidacy.tried, self._leaves(machine), machine in doubted
+            return *doubtful, machine not in candidacy.base.in_sync, machine not in candidacy.votes, machine
 
         return sorted(alive, key=preference)
 
--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -16,7 +16,7 @@
     RecoveryReply,
     StateVersion,
 )
-from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, Timing
+from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, LEAST_BANDWIDTH, Timing
 
 NEVER = float("-inf")
 
@@ -36,6 +36,7 @@
     records: dict[int, EpochRecord] = field(default_factory=dict)  # what each that promised had accepted
     base: EpochRecord = NO_RECORD
     backups: tuple[int, ...] = ()
+    tried: set[int] = field(default_factory=set)  # backups that did not store in time
     record: EpochRecord = NO_RECORD
 
 
@@ -105,9 +106,11 @@
         self._heard: dict[int, float] = {}  # machine -> when it last sent what only one that remembers sends
         self._slow: dict[int, float] = {}  # machine -> until when it isn't chosen as a backup
         self._spares: dict[int, float] = {}  # machine -> when its Join was last heard
+        self._leaving: dict[int, float] = {}  # machine -> until when it counts as one that leaves
         self._init_witness()
         self._init_candidate()
         self._init_recovery()
+        self._init_membership()
         self._init_primary()
         if self._on_disk is None:
             self._start_save()
@@ -131,6 +134,11 @@
         self._asked_recovery = NEVER
         self._joined = NEVER
 
+    def _init_membership(self) -> None:
+        self.leaving = False  # this machine was told to end
+        self.released = False  # and may do so
+        self._leave_sent = NEVER
+
     def _init_primary(self) -> None:
         self._epoch: EpochRecord | None = None  # that this machine is primary of
         self._effective = NEVER
@@ -243,6 +251,15 @@
         wait = seconds + behind + self.timing.silence_draw * self._chance()
         self._stand_at = max(self._stand_at, self._now + wait)
 
+    @staticmethod
+    def _transfer_time(state: bytes) -> float:
+        """Seconds that a state may be under way to another machine."""
+        return len(state) / LEAST_BANDWIDTH
+
+    def _leaves(self, machine: int) -> bool:
+        """Whether a machine has said lately that it ends soon."""
+        return self._now < self._leaving.get(machine, NEVER)
+
     # what other roles do on the way
 
     def _end_candidacy(self, rest: float) -> None:
--- /dev/null
+++ b/rowanshift/controlplane/replication/membership.py
@@ -0,0 +1,82 @@
+"""Machines that come and go as planned: one that is no witness asks to be one, one that ends hands over first."""
+
+from __future__ import annotations
+
+from rowanshift.controlplane.replication.core import ReplicaCore
+from rowanshift.controlplane.replication.messages import Join, Leave, LeaveReply, RecoveryReply
+
+
+class MembershipRole(ReplicaCore):
+    """A leaving machine goes on as before, as a candidate too, until the primary releases it."""
+
+    def leave(self, now: float) -> None:
+        """This machine is to end: give leadership, the copy and the vote to others; ``released`` tells when."""
+        self._now = max(self._now, now)
+        self.leaving = True
+        self._tick_leaving()
+        self._settle()
+
+    def _tick_leaving(self) -> None:
+        if self.released or self._now < self._leave_sent + self.timing.retry:
+            return
+        if self._durable.amnesic:
+            self.released = True  # it holds nothing and counts for nothing
+            return
+        if self._epoch is not None and not self._give_leadership():
+            return
+        self._leave_sent = self._now
+        for machine in sorted(self.known):
+            self._send(machine, Leave(self.me))
+
+    def _give_leadership(self) -> bool:
+        """As primary, once nothing is under way; whether it is given."""
+        if len(self._epoch.in_sync) == 1:
+            self.released = True  # nobody else is to hold the state
+            return False
+        if self._candidacy is not None or self._proposal is not None:
+            return False
+        self._transfer_leadership()
+        return True
+
+    def _on_leave(self, sender: int, message: Leave) -> None:
+        self._leaving[message.machine] = self._now + self.timing.leaving_for
+        if self._epoch is not None:
+            released = sender not in self._epoch.in_sync and not self._vote_can_be_given(sender)
+            self._send(sender, LeaveReply(self._epoch.number, released))
+
+    def _vote_can_be_given(self, machine: int) -> bool:
+        """Whether a leaving machine is a witness, and a spare is there to take its place."""
+        epoch = self._epoch
+        return machine in {*epoch.witnesses, *epoch.former} and bool(self._live_spares())
+
+    def _live_spares(self) -> list[int]:
+        """Machines that are no witness, live and asked to be one; this one first."""
+        fresh = {m for m, asked in self._spares.items() if self._now < asked + self.timing.spare_fresh}
+        spares = [self.me, *sorted(fresh & self._live_machines())]
+        return [machine for machine in spares if machine not in self._epoch.witnesses]
+
+    def _on_leave_reply(self, sender: int, message: LeaveReply) -> None:
+        """It counts if no newer epoch was heard of here: one could have chosen this machine again."""
+        if self.leaving and message.released and message.number >= self._durable.promised:
+            self.released = True
+
+    def _on_join(self, sender: int, message: Join) -> None:
+        self._leaving.pop(message.machine, None)
+        self._spares[message.machine] = self._now
+        if self._epoch is None:
+            durable = self._durable
+            self._send_saved(sender, RecoveryReply(0, durable.promised, durable.accepted, durable.amnesic))
+
+    def _ask_to_join(self) -> None:
+        self._joined = self._now
+        for machine in sorted(self.known):
+            self._send(machine, Join(self.me))
+
+    def _live_machines(self) -> set[int]:
+        raise NotImplementedError
+
+    def _transfer_leadership(self) -> None:
+        raise NotImplementedError
+
+    def _settle(self) -> None:
+        raise NotImplementedError
--- a/rowanshift/controlplane/replication/messages.py
+++ b/rowanshift/controlplane/replication/messages.py
@@ -159,6 +159,21 @@
     machine: int
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The sender ends soon: its copy and its vote are to be given to others first."""
+
+    machine: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveReply:
+    """From the primary of epoch ``number``; ``released``: nothing in force needs the leaving machine any more."""
+
+    number: int
+    released: bool
+
+
 Message = (
     PreVote
     | PreVoted
@@ -174,4 +189,6 @@
     | RecoveryRequest
     | RecoveryReply
     | Join
+    | Leave
+    | LeaveReply
 )
--- a/rowanshift/controlplane/replication/primary.py
+++ b/rowanshift/controlplane/replication/primary.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from rowanshift.controlplane.replication.actions import Became, Committed, Failed, ReadConfirmed, ReadFailed
-from rowanshift.controlplane.replication.core import NEVER, ReplicaCore
+from rowanshift.controlplane.replication.core import NEVER
+from rowanshift.controlplane.replication.membership import MembershipRole
 from rowanshift.controlplane.replication.messages import (
     Heartbeat,
     HeartbeatReply,
@@ -13,9 +14,10 @@
     TransferLeadership,
 )
 from rowanshift.controlplane.replication.quorum import majority
+from rowanshift.controlplane.replication.redundancy import NO_REDUNDANCY, Redundancy
 
 
-class PrimaryRole(ReplicaCore):
+class PrimaryRole(MembershipRole):
     """Within an epoch all in-sync machines store each change; a majority of the witnesses keeps the lease alive."""
 
     def _take_office(self) -> None:
@@ -154,7 +156,8 @@
             return
         if now >= self._beat + self.timing.heartbeat:
             self._send_heartbeat()
-        if self._proposal is not None and now >= self._proposal.sent + self.timing.retry:
+        proposal = self._proposal
+        if proposal is not None and now >= proposal.sent + self.timing.retry + self._transfer_time(proposal.state):
             self._send_proposal()
         self._maybe_renew()
 
@@ -177,18 +180,19 @@
         if failed or self._refused or self._epoch.former:
             self._stand(renewal=True)
             return
-        wanted = self._witnesses_wanted(live) if now >= self._changed + timing.change_gap else ()
+        wanted = self._witnesses_wanted() if now >= self._changed + timing.change_gap else ()
         if wanted:
             self._changed = now
             self._stand(renewal=True, witnesses=wanted)
 
     def _failed_backups(self) -> set[int]:
-        """In-sync machines that are silent, or too slow with the present proposal."""
+        """In-sync machines that are silent, end soon, or are too slow with the present proposal."""
         now, epoch, proposal = self._now, self._epoch, self._proposal
         silence = self.timing.backup_silence
-        failed = {member for member in epoch.in_sync if now >= self._confirmed[member] + silence} - {self.me}
-        if proposal is not None and now >= proposal.started + silence:
-            slow = set(epoch.in_sync) - proposal.stored - {self.me}
+        backups = {*epoch.in_sync} - {self.me}
+        failed = {member for member in backups if now >= self._confirmed[member] + silence or self._leaves(member)}
+        if proposal is not None and now >= proposal.started + silence + self._transfer_time(proposal.state):
+            slow = backups - proposal.stored
             self._slow.update(dict.fromkeys(slow, now + self.timing.rest))
             failed |= slow
         return failed
@@ -197,18 +201,33 @@
         """Machines heard lately that may be backups."""
         now, silence = self._now, self.timing.backup_silence
         recent = {machine for machine, heard in self._heard.items() if now < heard + silence}
-        return {machine for machine in recent if now >= self._slow.get(machine, 0.0)}
+        return {machine for machine in recent if now >= self._slow.get(machine, 0.0) and not self._leaves(machine)}
 
-    def _witnesses_wanted(self, live: set[int]) -> tuple[int, ...]:
-        """The witnesses with one that is gone replaced, or one added; empty if they stay as they are."""
+    def _witnesses_wanted(self) -> tuple[int, ...]:
+        """The witnesses with one that is gone or leaves replaced, or one added; empty if they stay as they are."""
         now, epoch = self._now, self._epoch
-        joined = {m for m in live if now < self._spares.get(m, NEVER) + 2 * self.timing.join_gap}
-        spares = [m for m in (self.me, *sorted(joined)) if m not in epoch.witnesses]
+        spares = self._live_spares()
         if not spares:
             return ()
         silence = self.timing.witness_silence
-        gone = [w for w in epoch.witnesses if now >= self._confirmed.get(w, 0.0) + silence]
+        gone = [w for w in epoch.witnesses if self._leaves(w) or now >= self._confirmed.get(w, 0.0) + silence]
         kept = [w for w in epoch.witnesses if w not in gone[:1]]
         if gone or len(kept) < self.wanted_witnesses:
             return tuple(sorted((*kept, spares[0])))
         return ()
+
+    def redundancy(self) -> Redundancy:
+        """How much of what this epoch wants is there now."""
+        epoch, now = self._epoch, self._now
+        if epoch is None:
+            return NO_REDUNDANCY
+        silence = self.timing.backup_silence
+        alive = {machine for machine, heard in self._heard.items() if now < heard + silence} | {self.me}
+        holding = {machine for machine, heard in self._confirmed.items() if now < heard + silence} | {self.me}
+        return Redundancy(
+            copies=len(alive & holding & {*epoch.in_sync}),
+            copies_wanted=self.f + 1,
+            witnesses=len(alive & {*epoch.witnesses}),
+            witnesses_wanted=self.wanted_witnesses,
+            changing=bool(epoch.former),
+        )
--- a/rowanshift/controlplane/replication/recovery.py
+++ b/rowanshift/controlplane/replication/recovery.py
@@ -1,9 +1,9 @@
-"""A replica whose disk was lost recovers what it promised; a machine that is no witness asks to be one."""
+"""A replica whose disk was lost recovers what it promised."""
 
 from __future__ import annotations
 
 from rowanshift.controlplane.replication.core import ReplicaCore
-from rowanshift.controlplane.replication.messages import Join, RecoveryReply, RecoveryRequest
+from rowanshift.controlplane.replication.messages import RecoveryReply, RecoveryRequest
 from rowanshift.controlplane.replication.quorum import majority
 
 
@@ -15,12 +15,6 @@
         reply = RecoveryReply(message.serial, durable.promised, durable.accepted, durable.amnesic)
         self._send_saved(sender, reply)
 
-    def _on_join(self, sender: int, message: Join) -> None:
-        self._spares[message.machine] = self._now
-        if self._epoch is None:
-            durable = self._durable
-            self._send_saved(sender, RecoveryReply(0, durable.promised, durable.accepted, durable.amnesic))
-
     def _on_recovery_reply(self, sender: int, message: RecoveryReply) -> None:
         """Once every majority with this machine in it shares one that answered, nothing promised is forgotten."""
         self.known |= {*message.accepted.in_sync, *message.accepted.witnesses} - {self.me}
@@ -45,8 +39,3 @@
             self._asked_recovery = self._now
             for machine in sorted(self.known):
                 self._send(machine, RecoveryRequest(self._recovery_serial))
-
-    def _ask_to_join(self) -> None:
-        self._joined = self._now
-        for machine in sorted(self.known):
-            self._send(machine, Join(self.me))
--- a/rowanshift/controlplane/replication/replica.py
+++ b/rowanshift/controlplane/replication/replica.py
@@ -33,6 +33,8 @@
     messages.RecoveryRequest: "_on_recovery_request",
     messages.RecoveryReply: "_on_recovery_reply",
     messages.Join: "_on_join",
+    messages.Leave: "_on_leave",
+    messages.LeaveReply: "_on_leave_reply",
 }
 
 
@@ -89,6 +91,8 @@
             self._tick_recovery()
         else:
             self._tick_member()
+        if self.leaving:
+            self._tick_leaving()
         self._settle()
 
     def _tick_member(self) -> None:
@@ -116,13 +120,6 @@
             self._send_proposal()
         self._settle()
 
-    def resign(self, now: float) -> None:
-        """Give the epoch and the lease up, if this is the primary, so that a backup takes over at once."""
-        self._now = max(self._now, now)
-        if self._epoch is not None and len(self._epoch.in_sync) > 1:
-            self._transfer_leadership()
-        self._settle()
-
     def confirm_read(self, token: int, now: float) -> None:
         """``ReadConfirmed`` or ``ReadFailed`` follows; reads asked meanwhile share the next round."""
         self._now = max(self._now, now)
--- a/rowanshift/controlplane/replication/timing.py
+++ b/rowanshift/controlplane/replication/timing.py
@@ -9,7 +9,8 @@
 SILENCE_DRAW = 0.2  # drawn from 0 to this: what a machine waits beyond BLOCK before it becomes a candidate
 RETRY = 0.2  # until an unanswered message is sent again
 ROUND = 0.5  # for each step of a candidacy
-STAND_LIMIT = 2.0  # from a number's first Prepare to its effect: later it is given up for good
+STORE_PATIENCE = 0.25  # for chosen backups to store the state; then others are chosen, if there are any
+STAND_LIMIT = 1.2  # from a number's first Prepare to its effect: later it is given up for good
 RECOVERY_WAIT = STAND_LIMIT * 1.25  # votes given before a disk was lost are counted or void by then
 BACKUP_SILENCE = 0.6  # without an answer; then a backup is replaced
 SLOW_SAVE = 0.8  # that a primary's own save may take; then it transfers leadership
@@ -18,10 +19,13 @@
 RENEW_GAP = 0.3  # from one renewal of an epoch by its primary to the next
 FRESH = 1.0  # within which a machine heard counts as alive
 READ_LIMIT = 1.0  # until an unconfirmed read fails
-JOIN_GAP = 1.0  # between a spare's Joins
+JOIN_GAP = 0.3  # between a spare's Joins
+SPARE_FRESH = 2.0  # after its last Join until a spare is no longer taken for one
+LEAVING_FOR = 3.0  # that a machine which said that it leaves is nobody's choice for a backup
 REST = 3.0  # that a primary which transferred leadership, or a backup that was too slow, is left aside
 NUMBER_LIMIT = 1 << 53  # epoch numbers stay exact as doubles
 STATE_LIMIT = 16 * 1024 * 1024 - 4096  # bytes: a Store fits into one frame
+LEAST_BANDWIDTH = 10_000_000  # bytes a second between core machines, reckoned with before one counts as slow
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +39,7 @@
     silence_draw: float = SILENCE_DRAW
     retry: float = RETRY
     round: float = ROUND
+    store_patience: float = STORE_PATIENCE
     stand_limit: float = STAND_LIMIT
     recovery_wait: float = RECOVERY_WAIT
     backup_silence: float = BACKUP_SILENCE
@@ -45,6 +50,8 @@
     fresh: float = FRESH
     read_limit: float = READ_LIMIT
     join_gap: float = JOIN_GAP
+    spare_fresh: float = SPARE_FRESH
+    leaving_for: float = LEAVING_FOR
     rest: float = REST
 
 
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -40,7 +40,8 @@
 MEMORY_PART = 0.4
 OPEN_AGAIN = 0.5  # seconds between tries to open the disk
 WRITE_WITHIN = 2.0  # seconds for a router to take an answer
-FAREWELL = 0.3  # seconds from giving the primacy up to the end
+GRACE_LEFT = 1.5  # seconds of the grace that are kept: until then this machine waits for its release
+FAREWELL = 0.1  # seconds from its release to the end, in which answers still go out
 LINKS = 2048  # connections of routers and core machines at once
 
 
@@ -144,6 +145,7 @@
             "witnesses": [ip_of(m) for m in record.witnesses],
             "amnesic": replica.is_amnesic,
             "leaseS": round(self.replica_host.holds(), 3),
+            "redundancy": self._redundancy(now) if replica.is_primary else None,
             "revision": self.state.revision if replica.is_primary else None,
             "versions": self.state.versions if replica.is_primary else None,
             "known": [ip_of(m) for m in sorted(replica.known)],
@@ -168,6 +170,18 @@
             "saveSeconds": round(self.replica_host.save_seconds, 4),
         }
 
+    def _redundancy(self, now: float) -> dict[str, Any]:
+        """What the primary sees of copies and witnesses, for staff."""
+        found, lacking = self.replica_host.replica.redundancy(), self.replica_host.watch.lacking_for(now)
+        return {
+            "copies": found.copies,
+            "copiesWanted": found.copies_wanted,
+            "witnesses": found.witnesses,
+            "witnessesWanted": found.witnesses_wanted,
+            "full": found.full,
+            "lackingS": round(lacking, 3),
+        }
+
     # routers ---------------------------------------------
 
     async def _poll(self, poll: Poll) -> Update | Elsewhere:
@@ -366,11 +380,9 @@
                 )
                 await self.told_to_stop.wait()
                 logger.info("event=stopping primary={}", replica.is_primary)
-                if replica.is_primary:
-                    async with self.replica_host.turn:  # a change under way is answered first
-                        replica.resign(trio.current_time())
-                        self.replica_host.act()
-                    await host.pause(FAREWELL)
+                released = await self.replica_host.leave(boot.bounds.grace_s - GRACE_LEFT)
+                logger.info("event=left released={}", released)
+                await host.pause(FAREWELL)
                 nursery.cancel_scope.cancel()
 
     async def _heed(self, signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
--- a/rowanshift/net/links.py
+++ b/rowanshift/net/links.py
@@ -79,12 +79,24 @@
 
 
 class Sender:
-    """Records one way to one machine, the newest kept while it can't be reached."""
-
-    def __init__(self, host: Host, codec: Codec, address: Address, hello: Any, alive: Callable[[], bool]) -> None:
+    """Records one way to one machine; the newest ``most`` are kept while it can't be reached.
+
+    ``alive`` tells whether the machine was heard since this connection has been up; a write may take ``stuck`` seconds.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        codec: Codec,
+        address: Address,
+        hello: Any,
+        alive: Callable[[], bool],
+        most: int = MOST_QUEUED,
+        stuck: float = STUCK,
+    ) -> None:
         self.host, self.codec, self.address, self.hello = host, codec, address, hello
-        self.alive = alive  # whether the machine was heard since this connection has been up
-        self.queue: deque[Any] = deque(maxlen=MOST_QUEUED)
+        self.alive, self.stuck = alive, stuck
+        self.queue: deque[Any] = deque(maxlen=most)
         self.wake = trio.Event()
         self.opened_at = 0.0  # trio's time of the dial
         self.stopped = False
@@ -122,5 +134,5 @@
             await self.host.pause(DIAL_PAUSE)
 
     async def _write(self, stream: Stream, record: Any) -> None:
-        with trio.fail_after(STUCK):
+        with trio.fail_after(self.stuck):
             await send_all(stream, self.codec.pack(record))
--- a/rowanshift/wire/table.py
+++ b/rowanshift/wire/table.py
@@ -30,6 +30,8 @@
     28: (replication.RecoveryRequest, "q"),
     29: (replication.RecoveryReply, "qqr?"),
     30: (replication.Join, "q"),
+    31: (replication.Leave, "q"),
+    32: (replication.LeaveReply, "q?"),
     64: (replication.DurableState, "qrwb?"),
 }
 NESTED = {"r": (replication.EpochRecord, "qqttt"), "w": (replication.StateVersion, "qq")}
