Make no promise after a rejection that followed a run elsewhere

Cause: a repeatable request that one server may have run and the next rejected (Not-Executed or 421) ended with the last rejection's 503, which says that it has not run and never will. Change: once a server may have run it, a rejection counts as 502.

--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -396,6 +396,8 @@
                     return
                 arrived = True
                 ran = ran or last.status not in PROMISES
+                if ran and last.status in PROMISES:  # another server may have run it before
+                    last = Refusal(502, "it may have run")
             except Moved:
                 continue
             except SendFailed as failure:
--- a/tests/exchange_rig.py
+++ b/tests/exchange_rig.py
@@ -191,7 +191,10 @@
         if answer[9:12].isdigit():
             rig.given[asked.id].add(int(answer[9:12]))
         await trio.sleep(behaviour.wait)
-        sent = answer if behaviour.cut is None else answer[: behaviour.cut]
+        cut = len(answer) if behaviour.cut is None else behaviour.cut
+        if behaviour.cut is not None and behaviour.then is not Then.GO_ON:
+            cut = min(cut, len(answer) - 1)  # of a resumed stream, which is shorter
+        sent = answer[:cut]
         if behaviour.surplus and not behaviour.surplus_after:
             sent += behaviour.surplus
         await send_all(stream, sent)
@@ -201,7 +204,7 @@
         if behaviour.then is Then.GO_ON:
             if behaviour.cut is not None:
                 await trio.sleep(behaviour.pause)
-                await send_all(stream, answer[behaviour.cut :])
+                await send_all(stream, answer[cut:])
             return True
         await trio.sleep(APART)
         await self._then(stream, behaviour.then)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -550,5 +550,98 @@
         self.assertEqual(play(main), 1)
 
 
+class SeveralAttempts(Case):
+    """What the client is told when all attempts have failed, each in its own way."""
+
+    def ends(self, kind: str, *behaviours: Behaviour, tokens: int | None = None, servers: int = 3) -> tuple[str, int]:
+        async def main(rig: Rig) -> tuple[str, int]:
+            rig.purse.tokens = tokens
+            made = await exchange(rig, kind, *behaviours)
+            self.assertEqual([breach for breach in made.breaches if not breach.startswith("next")], [])
+            return outcome(kind, made.id, made.got), made.attempts
+
+        return play(main, servers)
+
+    FULL = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False)
+    WRONG = Behaviour(rejection(421), runs=False)
+    FAILED = Behaviour(rejection(500))
+    LOST = Behaviour(cut=0, then=Then.RESET)
+
+    def test_all_reject_it(self) -> None:
+        for kind in KINDS:
+            self.assertEqual(self.ends(kind, self.FULL, self.WRONG, self.FULL), ("own 503", 3))
+
+    def test_one_may_have_run_it_and_the_rest_reject_it(self) -> None:
+        for kind in REPEATABLE:
+            for first in (self.FAILED, self.LOST):
+                for then in (self.FULL, self.WRONG):
+                    self.assertEqual(self.ends(kind, first, then, self.FULL), ("own 502", 3))
+                    self.assertEqual(self.ends(kind, first, then, tokens=1), ("own 502", 2))
+                    self.assertEqual(self.ends(kind, first, then, servers=2), ("own 502", 2))
+
+    def test_one_rejects_it_and_the_next_may_have_run_it(self) -> None:
+        for kind in ("non_idempotent", "stream"):
+            for first in (self.FULL, self.WRONG):
+                self.assertEqual(self.ends(kind, first, self.LOST), ("own 502", 2))
+                self.assertEqual(self.ends(kind, first, self.FAILED), ("server 500", 2))
+
+    def test_the_last_of_several_errors_is_passed_on(self) -> None:
+        for kind in REPEATABLE:
+            self.assertEqual(self.ends(kind, self.FAILED, self.FAILED, self.FAILED), ("server 500", 3))
+            self.assertEqual(self.ends(kind, self.FAILED, tokens=0), ("own 502", 1))
+            self.assertEqual(self.ends(kind, self.FAILED, servers=1), ("own 502", 1))
+
+    def test_the_time_is_up_after_a_rejection_that_followed_a_run(self) -> None:
+        for kind in REPEATABLE:
+            full = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False, wait=WITHIN)
+            self.assertEqual(self.ends(kind, self.FAILED, full, tokens=1), ("own 504", 2))
+
+
+class StreamsTakenUp(Case):
+    """A resumable stream broken off at each byte, and an answer to its resume that is no success."""
+
+    def test_a_resume_that_is_not_taken_up(self) -> None:
+        answers = {
+            "400": Behaviour(rejection(400)),
+            "500": Behaviour(rejection(500)),
+            "503": Behaviour(rejection(503)),
+            "503, not executed": Behaviour(rejection(503, b"Not-Executed: 1"), runs=False),
+            "421": Behaviour(rejection(421), runs=False),
+            "reset": Behaviour(cut=0, then=Then.RESET),
+            "another id": Behaviour(lambda asked: whole_answer(asked, "other")),
+        }
+        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
+        for name, answer in answers.items():
+            for tail, attempts, wanted in (((), 3, "success"), ((answer,), 3, "cut")):
+
+                async def main(rig: Rig, answer: Behaviour = answer, tail: tuple = tail) -> list:
+                    rig.asked, made = 1000, []
+                    for cut in range(size - 60, size):
+                        first = Behaviour(cut=cut, then=Then.RESET)
+                        made.append(await exchange(rig, "resumable", first, answer, *tail))
+                        await trio.sleep(1.0)
+                    return made
+
+                for made in play(main):
+                    got = (outcome("resumable", made.id, made.got), made.attempts, made.breaches)
+                    if got != (wanted, attempts, []):
+                        self.wrong.append(f"{name}, {tail}: {got}: {made.got}")
+
+    def test_a_stream_that_breaks_at_each_byte_of_two_servers(self) -> None:
+        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
+
+        async def main(rig: Rig) -> list:
+            rig.asked, made = 1000, []
+            for first in range(0, size, 3):
+                for second in range(90, size, 37):
+                    breaks = [Behaviour(cut=first, then=Then.CLOSE), Behaviour(cut=second, then=Then.RESET)]
+                    made.append(await exchange(rig, "resumable", *breaks))
+            return made
+
+        for made in play(main):
+            if made.breaches or outcome("resumable", made.id, made.got) != "success":
+                self.wrong.append(str(made))
+
+
 if __name__ == "__main__":
     unittest.main()
