Keep 100 Continue for a pipelined request behind the answers that are due first

Cause: a request with Expect: 100-continue that came in one read with the request before it had its interim answer sent at once, where the client reads the answer to the first. Change: the connection owes it until the request before it was taken for an answer.

--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -89,6 +89,7 @@
         self.partial = False  # a message has begun and is not whole
         self.more = False  # the last read filled all the room there was
         self.held = 0  # bytes of bodies
+        self.owes_go_ahead = False  # to a request that waits for it behind one that is not answered
         self._start()
 
     def _start(self) -> None:
@@ -155,11 +156,13 @@
         """The next message, once what was received holds it whole."""
         while self.inbound and not self.whole and self.error is None:
             self._parse(self.inbound.read())
-        if self.whole:
-            return self.whole.popleft()
-        if self.error is not None:
+        message = self.whole.popleft() if self.whole else None
+        if message is None and self.error is not None:
             raise self.error
-        return None
+        if self.owes_go_ahead and (message is None or (message.flow is not None and message.flow is self.flow)):
+            self.owes_go_ahead = False
+            self.push(GO_AHEAD)
+        return message
 
     def pending(self) -> bool:
         """Whether there is more of what was received to look at."""
@@ -225,7 +228,10 @@
             if sum(name == b"host" for name, _ in message.fields) != 1 and version == "1.1":
                 self._fail(400, "one Host is wanted")
             elif given.get(b"expect", b"").lower() == b"100-continue" and not self.unsent:
-                self.push(GO_AHEAD)
+                if self.whole:  # it would be taken for an answer to a request that stands before this one
+                    self.owes_go_ahead = True
+                else:
+                    self.push(GO_AHEAD)
         else:
             if not given and message.status >= 200 and message.status not in NO_BODY:
                 self.to_the_end = True
@@ -268,7 +274,7 @@
         self.pieces.append(piece)
 
     def on_message_complete(self) -> None:
-        self.partial = False
+        self.partial = self.owes_go_ahead = False
         message = self.message
         if not self.requests and message.status < 200:
             self.hints += 1
--- /dev/null
+++ b/tests/test_exchange_clients.py
@@ -0,0 +1,129 @@
+"""What a client does on its connection never mixes answers: pipelining, surplus bytes, HTTP/1.0, signals."""
+
+import unittest
+
+import trio
+from exchange_rig import (
+    KINDS,
+    REPEATABLE,
+    WITHIN,
+    Behaviour,
+    Client,
+    Rig,
+    body_of,
+    play,
+    request_bytes,
+)
+from loguru import logger
+from test_exchanges import breaches, outcome
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class Pipelined(unittest.TestCase):
+    """Two requests on one connection, the second begun before the first is answered."""
+
+    def test_cut_at_each_byte(self) -> None:
+        async def main(rig: Rig) -> list[str]:
+            rig.asked, wrong = 1000, []
+            size = len(request_bytes("idempotent", "r1000"))
+            for cut in range(1, 2 * size):
+                one, other, client = rig.next_id(), rig.next_id(), Client(rig)
+                data = request_bytes("idempotent", one) + request_bytes("stream", other)
+                rig.behaviours[:] = [Behaviour(wait=0.02)]
+                await client.send(data[:cut])
+                await trio.sleep(0.005)
+                await client.send(data[cut:])
+                for kind, id in (("idempotent", one), ("stream", other)):
+                    got = await client.answer()
+                    found = [breach for breach in breaches(rig, kind, id, got) if "after the answer" not in breach]
+                    if found or outcome(kind, id, got) != "success":
+                        wrong.append(f"{cut}: {id} {got} {found}")
+                if rest := await client.leftover(0.01):
+                    wrong.append(f"{cut}: {rest}")
+                client.close()
+            return wrong
+
+        self.assertEqual(play(main)[:3], [])
+
+    def test_surplus_bytes_that_are_no_request(self) -> None:
+        for junk in (b"\x00\x01\x02\x03", b"\r\n\r\nnonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"GET"):
+
+            async def main(rig: Rig, junk: bytes = junk) -> list[str]:
+                wrong = []
+                for kind in KINDS:
+                    for after in (0.0, 0.0005, 0.001, 0.01, 0.025):
+                        id, client = rig.next_id(), Client(rig)
+                        rig.behaviours[:] = [Behaviour(wait=0.02)]
+                        await client.send(request_bytes(kind, id) + (b"" if after else junk))
+                        if after:
+                            await trio.sleep(after)
+                            await client.send(junk)
+                        got = await client.answer()
+                        got.rest = b""
+                        found = breaches(rig, kind, id, got)
+                        if found or outcome(kind, id, got) != "success":
+                            wrong.append(f"{kind} {after}: {got} {found}")
+                        rest = await client.leftover(0.1)
+                        if rest and not rest.startswith(b"HTTP/1.1 400 "):
+                            wrong.append(f"{kind} {after}: {rest!r}")
+                        client.close()
+                return wrong
+
+            self.assertEqual(play(main), [], junk)
+
+    def test_a_second_request_that_waits_for_leave(self) -> None:
+        """100 Continue belongs to the second request: it must not stand before the answer to the first."""
+
+        async def main(rig: Rig) -> tuple[bytes, bytes]:
+            one, other, client = rig.next_id(), rig.next_id(), Client(rig)
+            second = request_bytes("non_idempotent", other, WITHIN, "POST", "Expect: 100-continue")
+            cut = second.index(b"\r\n\r\n") + 4
+            rig.behaviours[:] = [Behaviour(wait=0.02)]
+            await client.send(request_bytes("idempotent", one) + second[:cut])
+            first = await client.leftover(0.5)
+            client.data.clear()
+            await client.send(second[cut:])
+            return first, await client.leftover(0.5)
+
+        first, second = play(main)
+        self.assertTrue(first.startswith(b"HTTP/1.1 200 "), first)
+        self.assertTrue(first.endswith(body_of("r1") + b"HTTP/1.1 100 Continue\r\n\r\n"), first)
+        self.assertTrue(second.startswith(b"HTTP/1.1 200 ") and second.endswith(body_of("r2")), second)
+
+
+class GoneClients(unittest.TestCase):
+    """A client that goes at any moment of its exchange harms no other."""
+
+    def test_the_next_on_the_same_server_connection(self) -> None:
+        async def main(rig: Rig) -> list[str]:
+            wrong = []
+            for step in range(60):
+                for kind in KINDS:
+                    gone, id, client, other = rig.next_id(), rig.next_id(), Client(rig), Client(rig)
+                    rig.behaviours[:] = [Behaviour(cut=100, pause=0.003)]
+                    await client.send(request_bytes(kind, gone))
+                    await trio.sleep(step * 0.0002)
+                    client.close()
+                    got = await other.ask(kind, id)
+                    found = breaches(rig, kind, id, got)
+                    if found or outcome(kind, id, got) != "success":
+                        wrong.append(f"{kind} {step}: {got} {found}")
+                    if kind not in REPEATABLE and rig.runs[gone] > 1:
+                        wrong.append(f"{gone} ran {rig.runs[gone]} times")
+                    other.close()
+                    rig.behaviours.clear()
+                    await trio.sleep(0.05)
+            return wrong
+
+        self.assertEqual(play(main, servers=1)[:3], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
