Send no chunk behind the head of a 204

Cause: a success without a length was passed on in chunks, a 204 too; its last chunk stood where a client expects the next answer. Change: an answer that has no body by its status goes on as its head alone.

--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -19,7 +19,7 @@
 from rowanshift.kv_index.index import store_for, there
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import REASONS, said
-from rowanshift.net.connection import BadMessage, Connection, Message
+from rowanshift.net.connection import NO_BODY, BadMessage, Connection, Message
 from rowanshift.net.flow import LAST_CHUNK
 from rowanshift.net.transport import Listener, Nursery, Stream
 from rowanshift.policy.placement import Pool, back_off, is_open, lighter, mark_of
@@ -103,7 +103,9 @@
     def head(self, message: Message, length: int | None) -> bytes:
         lines = [b"HTTP/1.1 %d %s" % (message.status, REASONS.get(message.status, b""))]
         lines += [b"%s: %s" % pair for pair in message.end_to_end()]
-        if length is not None:
+        if message.status in NO_BODY:
+            pass  # its head is all of it
+        elif length is not None:
             lines.append(b"Content-Length: %d" % length)
         elif self.old:
             self.keep = False
--- a/tests/test_exchange_clients.py
+++ b/tests/test_exchange_clients.py
@@ -11,6 +11,7 @@
     Client,
     Rig,
     body_of,
+    head,
     play,
     request_bytes,
 )
@@ -98,6 +99,28 @@
         self.assertTrue(second.startswith(b"HTTP/1.1 200 ") and second.endswith(body_of("r2")), second)
 
 
+class Framing(unittest.TestCase):
+    """Answers whose end a client would see elsewhere than it is."""
+
+    def test_no_content(self) -> None:
+        """No byte follows the head of a 204."""
+
+        async def main(rig: Rig) -> list[str]:
+            wrong = []
+            for kind in KINDS:
+                for more in ((), (b"Content-Length: 0",)):
+                    id, client = rig.next_id(), Client(rig)
+                    rig.behaviours[:] = [Behaviour(lambda asked, more=more: head(asked, 204, *more))]
+                    got = await client.ask(kind, id)
+                    rest = await client.leftover(0.1)
+                    if got.status != 204 or got.rest or rest or b"transfer-encoding" in got.fields:
+                        wrong.append(f"{kind}: {got} {rest!r}")
+                    client.close()
+            return wrong
+
+        self.assertEqual(play(main), [])
+
+
 class GoneClients(unittest.TestCase):
     """A client that goes at any moment of its exchange harms no other."""
 
