Reset a connection whose answer ends with it and was broken off

Cause: to an HTTP/1.0 client a stream ends with its connection; one that its server broke off, or that the end of this process cut, ended by a regular close and looked whole. Change: such a connection is reset unless the answer's end was sent; streams get reset().

--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -109,6 +109,7 @@
             lines.append(b"Content-Length: %d" % length)
         elif self.old:
             self.keep = False
+            self.connection.resets = True  # its end is the connection's, which comes early if this is broken off
         else:
             self.chunked = True
             lines.append(b"Transfer-Encoding: chunked")
@@ -607,3 +608,4 @@
         head = b"" if out.begun else out.head(message, length)
         rest = out.piece(held) if held else b""
         await out.send(head + rest + (LAST_CHUNK if out.chunked else b""))
+        out.connection.resets = False
--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -90,6 +90,7 @@
         self.more = False  # the last read filled all the room there was
         self.held = 0  # bytes of bodies
         self.owes_go_ahead = False  # to a request that waits for it behind one that is not answered
+        self.resets = False  # what was sent ends with the connection, and is not whole yet
         self._start()
 
     def _start(self) -> None:
@@ -101,7 +102,10 @@
 
     def close(self) -> None:
         if not self.closed():
-            self.stream.close()
+            if self.resets:
+                self.stream.reset()
+            else:
+                self.stream.close()
             if self.flow is not None:
                 self.flow.cut_off()
             self.parser = None  # each holds the other
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -29,6 +29,7 @@
 
 PEER = Struct("iII")  # pid, uid and gid of the other process, in Linux's order
 MOST_PASSED = 4  # sockets in one message
+RESET_AT_CLOSE = Struct("ii").pack(1, 0)  # lingers for 0 s
 LAST_DATA_RECEIVED = Struct("52xI")  # in Linux's tcp_info, milliseconds
 
 
@@ -55,6 +56,8 @@
 
     def close(self) -> None: ...
 
+    def reset(self) -> None: ...  # closes it so that the other side sees an error, and no regular end
+
     def closed(self) -> bool: ...
 
 
@@ -189,6 +192,12 @@
                 trio.lowlevel.notify_closing(self)
             super().close()
 
+    def reset(self) -> None:
+        if self.fileno() >= 0:
+            with suppress(OSError):
+                self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            self.close()
+
     def closed(self) -> bool:
         return self.fileno() < 0
 
--- a/rowanshift/simulation/network.py
+++ b/rowanshift/simulation/network.py
@@ -174,9 +174,15 @@
 
     def close(self) -> None:
         """Ends the connection; a reset if what came in was not read."""
+        self._close("reset" if self.queued else "end")
+
+    def reset(self) -> None:
+        self._close("reset")
+
+    def _close(self, how: str) -> None:
         if self.state != "closed":
             self.closed_at = self.network.clock.time
-            self._leave("reset" if self.queued else "end")
+            self._leave(how)
             gone = outcome.Error(trio.ClosedResourceError("closed by another task"))
             self.reader.wake(gone)
             self.writer.wake(gone)
--- a/tests/test_exchange_clients.py
+++ b/tests/test_exchange_clients.py
@@ -7,17 +7,23 @@
     KINDS,
     REPEATABLE,
     WITHIN,
+    Asked,
     Behaviour,
     Client,
     Rig,
+    Then,
     body_of,
     head,
     play,
     request_bytes,
+    whole_answer,
+    whole_body,
 )
 from loguru import logger
 from test_exchanges import breaches, outcome
 
+from rowanshift.net.transport import SYSTEM, connect, send_all
+
 
 def setUpModule():
     logger.disable("rowanshift")
@@ -120,6 +126,58 @@
 
         self.assertEqual(play(main), [])
 
+    def test_a_stream_to_an_old_client_that_breaks_off(self) -> None:
+        """HTTP/1.0 ends a stream by the connection's end: one that is not whole must end by a reset."""
+
+        async def main(rig: Rig) -> list[str]:
+            wrong = []
+            size = len(whole_answer(Asked("r1", {}, b"", "stream")))
+            for cut in range(100, size + 1):
+                id, client = rig.next_id(), Client(rig)
+                rig.behaviours[:] = [Behaviour(cut=cut, then=Then.RESET)] if cut < size else []
+                asked = request_bytes("stream", id).replace(b" HTTP/1.1", b" HTTP/1.0", 1)
+                await client.send(asked)
+                data, reset = bytearray(), False
+                try:
+                    while True:
+                        space = bytearray(4096)
+                        await client.stream.wait_readable()
+                        if not (n := client.stream.recv_into(memoryview(space))):
+                            break
+                        data += space[:n]
+                except OSError:
+                    reset = True
+                whole = bytes(data).endswith(whole_body("stream", id))
+                if b" 200 " in data[:20] and reset == whole:
+                    wrong.append(f"{cut} of {size}: reset {reset}, {bytes(data)!r}")
+                client.close()
+            return wrong
+
+        self.assertEqual(play(main)[:2], [])
+
+
+class Resets(unittest.TestCase):
+    def test_a_real_socket(self) -> None:
+        """The other side of a real connection sees an error, and not a regular end."""
+
+        async def main() -> None:
+            listener = SYSTEM.listen(("127.0.0.1", 0), 1)
+            near = SYSTEM.stream()
+            await connect(near, listener.sock.getsockname())
+            await listener.wait()
+            far = listener.accept()
+            await send_all(far, b"a part")
+            far.reset()
+            self.assertTrue(far.closed())
+            await near.wait_readable()
+            with self.assertRaises(ConnectionResetError):
+                while near.recv_into(memoryview(bytearray(100))):
+                    await near.wait_readable()
+            near.close()
+            listener.close()
+
+        trio.run(main)
+
 
 class GoneClients(unittest.TestCase):
     """A client that goes at any moment of its exchange harms no other."""
