Decide by a table what follows from each ending of an exchange

Change: retry_decision.py holds them as a table; forwarder.py makes the attempts, forwarding.py holds their state, client_answer.py the client's answer, kv_moves.py the moves; upstream tells apart garbage, another's answer, silence and a client that left. frontend.py keeps the clients. No behaviour changes intended: only the text of a 502 with no other server there is the common one now, and after a silence that ended with no server it is 504.

--- /dev/null
+++ b/rowanshift/dataplane/forwarder.py
@@ -0,0 +1,360 @@
+"""One request to its final answer: attempts at servers, until one has answered it or no more may be made."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+from loguru import logger
+
+from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
+from rowanshift.dataplane.endpoints import Endpoint, Endpoints
+from rowanshift.dataplane.forwarding import Forwarding
+from rowanshift.dataplane.kv_moves import KvMoves
+from rowanshift.dataplane.load_index import LoadIndex
+from rowanshift.dataplane.requests import Request, priority_of, written
+from rowanshift.dataplane.retry_decision import Decision, Ending, Told, decide
+from rowanshift.dataplane.routing_table import Route, RoutingTable, Tenant
+from rowanshift.dataplane.upstream import Link, Outcome, SendFailed, Upstream
+from rowanshift.net.connection import Message
+from rowanshift.net.flow import LAST_CHUNK
+from rowanshift.policy.placement import Pool, back_off, is_open, lighter
+from rowanshift.retry_budget import RetryBudget
+
+LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
+UNSENT_MOST = 4  # servers that could not be reached, for one request
+HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
+LOAD_HOLD, LOAD_PART = 2.0, 0.4  # seconds, and of what is left, where servers take new weights
+SILENT_FOR = 1.5  # seconds without a byte from a server, after which a repeatable request goes elsewhere
+FULL_FOR = 0.2  # seconds that a full server gets no more
+STALE_FOR = 0.3  # the same for one that has other weights than was known
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+ENDINGS = {
+    Outcome.UNSENT: Ending.NOT_WRITTEN,
+    Outcome.BROKEN: Ending.NO_ANSWER,
+    Outcome.GARBLED: Ending.GARBLED,
+    Outcome.MISMATCHED: Ending.MISMATCHED,
+    Outcome.LATE: Ending.TIMED_OUT,
+    Outcome.SILENT: Ending.SILENT,
+}
+
+
+class Moved(Exception):
+    """What was decided no longer holds; nothing was sent."""
+
+
+class State(Protocol):
+    """What is known of the configuration and of the servers."""
+
+    routing_table: RoutingTable
+    servers: Endpoints
+    stored: set[int]  # marks of the parts that a store keeps
+
+    def version(self, model: str, now: float) -> int: ...  # the least that a server must have
+
+    async def fresh(self, left: float) -> None: ...  # waits, briefly, while what is known may be old
+
+    async def changed(self, within: float) -> None: ...
+
+
+@dataclass(slots=True)
+class Counts:
+    """Of this process, since its start."""
+
+    requests: int = 0
+    whole: int = 0
+    refused: int = 0
+    failed: int = 0
+    gone: int = 0
+    repeats: int = 0
+    resumed: int = 0
+
+
+class Forwarder:
+    """Sends requests to servers and passes their answers on."""
+
+    def __init__(
+        self,
+        state: State,
+        upstream: Upstream,
+        retries: Callable[[str], RetryBudget],
+        draw: Callable[[], float],
+        loads: LoadIndex,
+    ) -> None:
+        self.state, self.upstream, self.retries, self.draw, self.loads = state, upstream, retries, draw, loads
+        self.counts = Counts()
+        self.moves = KvMoves(state)
+
+    def allowed(self, request: Request) -> tuple[Route, Tenant | None]:
+        """Its route and tenant by the configuration that is in force now; ``Refusal`` otherwise."""
+        routing_table = self.state.routing_table
+        if not routing_table.revision:
+            raise Refusal(503, "no configuration yet", 0.5)
+        route = routing_table.match(request.host, request.path)
+        if route is None:
+            raise Refusal(404, "no route")
+        tenant = None
+        if routing_table.tenants is not None:
+            tenant = routing_table.tenants.get(request.key) if request.key is not None else None
+            if tenant is None and not route.public:
+                raise Refusal(401, "the key is not known")
+        return route, tenant
+
+    async def forward(self, request: Request, out: Out) -> None:
+        """Sends a request to servers until one has answered it, or ``Refusal``."""
+        route, tenant = self.allowed(request)
+        forwarding = Forwarding(request, out, self.draw(), route, tenant)
+        self._in_time(forwarding, trio.current_time())
+        self.retries(forwarding.service).request(trio.current_time())
+        while True:
+            endpoint = await self._choose(forwarding)
+            try:
+                ending = await self._attempt(forwarding, endpoint)
+            except Moved:
+                continue
+            decision = decide(forwarding.kind, ending)
+            if decision.told is Told.ANSWER and not decision.again:
+                return
+            if ending is Ending.NOT_WRITTEN:
+                self._unreached(forwarding, endpoint)
+                continue
+            forwarding.note(ending, decision)
+            if not decision.again:
+                raise forwarding.last
+
+    # the choice of a server -------------------------------
+
+    def _in_time(self, forwarding: Forwarding, now: float) -> None:
+        """``Refusal`` if there is no time left for an attempt."""
+        if forwarding.until - now < LEAST_LEFT:
+            raise Refusal(504, "its time was up") if forwarding.may_have_run else forwarding.last
+
+    async def _choose(self, forwarding: Forwarding) -> Endpoint:
+        """The server for the next attempt; ``Refusal`` if there is none, or none is granted."""
+        request = forwarding.request
+        while True:
+            now = trio.current_time()
+            if not (forwarding.may_have_run or forwarding.out.begun):  # else it goes on as it began
+                forwarding.route, forwarding.tenant = self.allowed(request)
+            self._in_time(forwarding, now)
+            pool = self.state.servers.pool(forwarding.service)
+            if not forwarding.excluded:
+                pool.sample(forwarding.mark, now)
+            endpoint = self._pick(forwarding, pool, now)
+            if endpoint is None:
+                await self._hold(forwarding, pool, now)
+                continue
+            if forwarding.arrived and not self._granted(forwarding, now):
+                raise forwarding.last
+            forwarding.granted = False
+            return await self._lightest(forwarding, pool, endpoint)
+
+    def _pick(self, forwarding: Forwarding, pool: Pool, now: float) -> Endpoint | None:
+        request = forwarding.request
+        version = self.state.version(request.model, now)
+        return pool.pick(forwarding.mark, now, request.model, version, forwarding.excluded)
+
+    def _granted(self, forwarding: Forwarding, now: float) -> bool:
+        """Whether the route and the retry budget allow one more attempt; the budget is drawn on if so."""
+        if len(forwarding.request.tried) >= forwarding.route.servers:
+            return False
+        if not forwarding.granted:
+            forwarding.granted = self.retries(forwarding.service).take(now)
+        return forwarding.granted
+
+    async def _hold(self, forwarding: Forwarding, pool: Pool, now: float) -> None:
+        """Waits for a server to be there; ``Refusal`` once that has taken too long, or one was tried."""
+        if not forwarding.held_until:
+            hold = min(HOLD_MOST, HOLD_PART * forwarding.route.aim)
+            if any(endpoint.loading for endpoint in pool.engines):  # it will soon be back
+                hold = min(LOAD_HOLD, LOAD_PART * (forwarding.until - now))
+            forwarding.held_until = now + hold
+        if forwarding.request.tried or now >= forwarding.held_until:
+            raise forwarding.last
+        await self.state.changed(min(forwarding.held_until, forwarding.until) - now)
+
+    async def _lightest(self, forwarding: Forwarding, pool: Pool, first: Endpoint) -> Endpoint:
+        """The server picked, or another that serves as well and has far less to read, over all routers."""
+        request, now = forwarding.request, trio.current_time()
+        others = pool.others(forwarding.mark, now, request.model, first, forwarding.excluded)
+        if not request.parts or not others:
+            return first
+        waiting = await self.loads.ask([first.id, *(endpoint.id for endpoint in others)])
+        shared = sum(size for _, size in request.parts[:-1])
+        return lighter(first, others, waiting, shared)
+
+    def _unreached(self, forwarding: Forwarding, endpoint: Endpoint) -> None:
+        """A request was not written whole; ``Refusal`` if that was so at too many servers."""
+        back_off(endpoint, trio.current_time())
+        forwarding.unsent.add(endpoint.id)
+        if len(forwarding.unsent) >= UNSENT_MOST:
+            raise forwarding.last
+
+    # one attempt ------------------------------------------
+
+    async def _attempt(self, forwarding: Forwarding, endpoint: Endpoint) -> Ending:
+        """One send to one server, and what came of it; an answer that is the client's has been passed on."""
+        request = forwarding.request
+        version = endpoint.versions.get(request.model, 0)
+        data = self._written(forwarding, endpoint, version)
+        self.counts.repeats += forwarding.arrived
+        endpoint.sent(trio.current_time())
+        load = await self.loads.add(endpoint.id, max(1, request.tokens[0]))
+        link = None
+        try:
+            link = self.upstream.kept(endpoint, trio.current_time())
+            link = link or await self.upstream.dial(endpoint, forwarding.until)
+            if self._moved(forwarding, endpoint, version):
+                self.upstream.keep(link, trio.current_time())
+                raise Moved
+            await self.upstream.send(link, data, forwarding.until)
+            request.tried.append(endpoint.id)
+            return await self._take(forwarding, link, load)
+        except SendFailed as failure:
+            return self._ending_of(forwarding, endpoint, link, failure)
+        finally:
+            if link is not None and not link.pooled:
+                self.upstream.close(link)
+            endpoint.ended()
+            await self.loads.done(load)
+
+    def _written(self, forwarding: Forwarding, endpoint: Endpoint, version: int) -> bytes:
+        """The request as it goes to a server."""
+        request, tenant, now = forwarding.request, forwarding.tenant, trio.current_time()
+        home = self.state.servers.pool(forwarding.service).home(forwarding.mark)
+        near = None
+        if home is not None and home is not endpoint and is_open(home, now):
+            near = home if home.versions.get(request.model, 0) == version else None
+        fetch, save = self.moves.choose(request, tenant, version, near, now)
+        return written(
+            request,
+            tenant,
+            endpoint.id.encode(),
+            forwarding.until - now,
+            version,
+            forwarding.out.last or request.after,
+            fetch,
+            save,
+            priority_of(forwarding.route, tenant),
+        )
+
+    def _moved(self, forwarding: Forwarding, endpoint: Endpoint, version: int) -> bool:
+        """Whether what was decided no longer holds once the connection is up."""
+        request = forwarding.request
+        if not endpoint.listed or endpoint.draining or endpoint.loading:
+            return True
+        if endpoint.versions.get(request.model, 0) != version:
+            return True
+        if forwarding.may_have_run or forwarding.out.begun:
+            return False
+        return self.allowed(request) != (forwarding.route, forwarding.tenant)
+
+    def _ending_of(self, forwarding: Forwarding, endpoint: Endpoint, link: Link | None, failure: SendFailed) -> Ending:
+        """The ending that a failure stands for; ``ClientGone`` if nobody waits for the answer any more."""
+        if failure.outcome is Outcome.CLIENT_GONE:
+            raise ClientGone from failure
+        if failure.outcome is Outcome.UNSENT:
+            return Ending.NOT_WRITTEN
+        logger.info(
+            "event=send_failed server={} request={} outcome={} why={!r}",
+            endpoint.id,
+            forwarding.request.id.decode("latin-1"),
+            failure.outcome.value,
+            str(failure),
+        )
+        self.counts.resumed += forwarding.out.begun
+        in_body = link is not None and link.message is not None
+        if in_body and failure.outcome in (Outcome.BROKEN, Outcome.GARBLED):
+            return forwarding.progress.ending_of_break()
+        return ENDINGS[failure.outcome]
+
+    # the answer -------------------------------------------
+
+    def _look(self, forwarding: Forwarding, endpoint: Endpoint) -> Outcome | None:
+        """Why an answer is waited for no longer, if that is so."""
+        if forwarding.out.left():
+            return Outcome.CLIENT_GONE
+        now = trio.current_time()
+        if not forwarding.kind.repeatable or now - endpoint.heard_at <= SILENT_FOR:
+            return None
+        return Outcome.SILENT if self._sure_of_another(forwarding, now) else None
+
+    def _sure_of_another(self, forwarding: Forwarding, now: float) -> bool:
+        """Whether a further attempt has a server and is granted; else a silent server is waited for."""
+        if forwarding.out.begun and not forwarding.out.last:  # it could not be taken up
+            return False
+        pool = self.state.servers.pool(forwarding.service)
+        return self._pick(forwarding, pool, now) is not None and self._granted(forwarding, now)
+
+    async def _take(self, forwarding: Forwarding, link: Link, load: tuple[str, int]) -> Ending:
+        """Takes the answer of one attempt in, and passes it on if it is the client's."""
+        endpoint = link.engine
+
+        def look() -> Outcome | None:
+            return self._look(forwarding, endpoint)
+
+        message = await self.upstream.head(link, forwarding.request.id, forwarding.until, look)
+        await self.loads.done(load)
+        endpoint.heard(trio.current_time())
+        if 200 <= message.status < 300 and message.flow is not None:
+            await self._stream(forwarding, link, look)
+            ending = Ending.SUCCESS if link.connection.clean() else Ending.SURPLUS
+            self._release(link, decide(forwarding.kind, ending))
+            return ending
+        ending = forwarding.progress.ending_of_status(message.status, b"not-executed" in dict(message.fields))
+        decision = decide(forwarding.kind, ending)
+        self._release(link, decision)
+        self._mark(endpoint, message, ending)
+        if decision.told is Told.ANSWER and not decision.again:
+            await forwarding.out.whole(message, message.body)
+        return ending
+
+    def _release(self, link: Link, decision: Decision) -> None:
+        """An answer was read whole: its connection is kept if it may be, and nothing is left on it."""
+        if decision.kept:
+            self.upstream.done(link, trio.current_time())
+        else:
+            self.upstream.close(link)
+
+    def _mark(self, endpoint: Endpoint, message: Message, ending: Ending) -> None:
+        """Gives a server that rejected a request no more for a while."""
+        now = trio.current_time()
+        if ending is Ending.MISDIRECTED:
+            instance = dict(message.fields).get(b"instance-id", endpoint.id.encode()).decode("latin-1")
+            if instance != endpoint.id:
+                back_off(endpoint, now)
+                self.upstream.leave(endpoint)
+            endpoint.silent_until = max(endpoint.silent_until, now + STALE_FOR)
+        elif ending is Ending.NOT_EXECUTED and message.status in (429, 503):
+            endpoint.silent_until = max(endpoint.silent_until, now + FULL_FOR)
+
+    async def _stream(self, forwarding: Forwarding, link: Link, look: Callable[[], Outcome | None]) -> None:
+        """Passes a stream on in whole events; what came of one that broke off is dropped."""
+        out, streaming, message, held = forwarding.out, forwarding.route.streaming, link.message, b""
+        length = message.length if not streaming else None
+        while data := await self.upstream.body(link, forwarding.until, look):
+            link.engine.heard(trio.current_time())
+            held += data
+            cut = end_of_events(held) if streaming else len(held)
+            if not cut:
+                continue
+            events, held = held[:cut], held[cut:]
+            if streaming and (ids := EVENT_ID.findall(events)):
+                out.last = ids[-1]
+            head = b"" if out.begun else out.head(message, length)
+            await out.send(head + out.piece(events))
+        link.engine.heard(trio.current_time())
+        head = b"" if out.begun else out.head(message, length)
+        rest = out.piece(held) if held else b""
+        await out.send(head + rest + (LAST_CHUNK if out.chunked else b""))
+        out.connection.resets = False
+
+
+def end_of_events(data: bytes) -> int:
+    """The bytes of the whole events at the start of a part of a stream."""
+    end = 0
+    for match in EVENT_END.finditer(data):
+        end = match.end()
+    return end
--- /dev/null
+++ b/rowanshift/dataplane/forwarding.py
@@ -0,0 +1,72 @@
+"""One request on its way to an answer: what was decided for it, and how far its attempts have come. No I/O."""
+
+from dataclasses import dataclass, field
+
+from rowanshift.dataplane.client_answer import Out, Refusal
+from rowanshift.dataplane.requests import Request
+from rowanshift.dataplane.retry_decision import Decision, Ending, Kind, Progress, Told, kind_of
+from rowanshift.dataplane.routing_table import Route, Tenant
+from rowanshift.policy.placement import mark_of
+
+COME_AGAIN = 0.1  # seconds until a client that was refused may come again
+REASON_OF = {  # what a client is told; of all other endings, that its request may have run
+    Ending.MISDIRECTED: "the server was another",
+    Ending.NOT_EXECUTED: "servers are full",
+    Ending.SERVER_ERROR: "it failed at a server",
+    Ending.NOT_TAKEN_UP: "it was not taken up",
+}
+
+
+@dataclass(slots=True, eq=False)
+class Forwarding:
+    """One request, and how far its attempts have come. Times are trio's, in seconds."""
+
+    request: Request
+    out: Out
+    draw: float  # 0 to 1, by which the route's service is chosen
+    route: Route
+    tenant: Tenant | None
+    unsent: set[str] = field(default_factory=set)  # servers that could not be reached
+    arrived: bool = False  # at a server
+    may_have_run: bool = False
+    granted: bool = False  # the retry budget was drawn on for the next attempt already
+    held_until: float = 0.0  # 0: it has not waited for a server yet
+    last: Refusal = field(default_factory=lambda: Refusal(503, "no server", COME_AGAIN))  # what it would be told
+
+    @property
+    def kind(self) -> Kind:
+        return kind_of(self.route.streaming, self.route.repeatable)
+
+    @property
+    def until(self) -> float:
+        return min(self.request.until, self.request.came_at + self.route.timeout)
+
+    @property
+    def service(self) -> str:
+        return self.route.service(self.draw)
+
+    @property
+    def mark(self) -> int:
+        """The place of its prefix on the ring."""
+        return mark_of(self.request.model, self.request.prefix)
+
+    @property
+    def excluded(self) -> set[str]:
+        """Servers that get no further attempt."""
+        return {*self.request.tried, *self.unsent}
+
+    @property
+    def progress(self) -> Progress:
+        left = self.route.servers - len(self.request.tried)
+        return Progress(self.may_have_run, self.out.begun, bool(self.out.last), left)
+
+    def note(self, ending: Ending, decision: Decision) -> None:
+        """Takes in how an attempt that reached a server ended, without an answer for the client."""
+        self.arrived = True
+        self.may_have_run = self.may_have_run or decision.may_have_run
+        told = self.progress.told(decision)
+        why = REASON_OF.get(ending, "it may have run")
+        if told is Told.UNAVAILABLE:
+            self.last = Refusal(told.status, why, COME_AGAIN)
+        else:  # with ``CUT`` the status is not sent
+            self.last = Refusal(502 if told is Told.CUT else told.status, why)
--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -1,164 +1,39 @@
-"""The client side: requests in, each to one final answer, streams passed on event by event."""
+"""The client side: connections of clients, and one final answer to each request that comes on them."""
 
-import re
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import httptools
 import trio
 from loguru import logger
 
-from rowanshift.dataplane.endpoints import Endpoint, Endpoints
+from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
+from rowanshift.dataplane.forwarder import Forwarder, State
 from rowanshift.dataplane.load_index import LoadIndex
-from rowanshift.dataplane.requests import Request, priority_of, request_of, salt_of, written
-from rowanshift.dataplane.routing_table import Route, RoutingTable, Tenant
-from rowanshift.dataplane.upstream import Link, Outcome, SendFailed, Upstream
-from rowanshift.kv_index.index import mark_of as part_mark
-from rowanshift.kv_index.index import store_for, there
+from rowanshift.dataplane.requests import request_of
+from rowanshift.dataplane.retry_decision import PROMISES
+from rowanshift.dataplane.upstream import Upstream
 from rowanshift.net.budget import Budget, Memory
-from rowanshift.net.calls import REASONS, said
-from rowanshift.net.connection import NO_BODY, BadMessage, Connection, Message
-from rowanshift.net.flow import LAST_CHUNK
+from rowanshift.net.connection import BadMessage, Connection, Message
 from rowanshift.net.transport import Listener, Nursery, Stream
-from rowanshift.policy.placement import Pool, back_off, is_open, lighter, mark_of
 from rowanshift.retry_budget import RetryBudget
 
 BACKLOG, AT_ONCE = 1024, 16
-TAKE_WITHIN = 10.0  # seconds in which a client takes some of its answer
 BODY_WITHIN = 10.0  # seconds for a body to come
 LINGER_FOR = 0.5  # seconds read on after an error, so that it arrives
-LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
-UNSENT_MOST = 4  # servers that could not be reached, for one request
-HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
-LOAD_HOLD, LOAD_PART = 2.0, 0.4  # seconds, and of what is left, where servers take new weights
-SILENT_FOR = 1.5  # seconds without a byte from a server, after which a repeatable request goes elsewhere
-LEAST_MOVED = 64  # tokens in common that are worth a move
-SAVED_FOR, MOST_SAVED = 8.0, 4096  # seconds in which a part is not given to a store again; parts remembered
-FULL_FOR = 0.2  # seconds that a full server gets no more
-STALE_FOR = 0.3  # the same for one that has other weights than was known
-PROMISES = (408, 421, 429, 503)  # statuses that say it has not run and never will
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
-PASSED_ONCE = (b"content-length", b"transfer-encoding", b"connection")
-
-
-class ClientGone(Exception):
-    """The client ended its connection or takes nothing."""
-
-
-@dataclass(slots=True, frozen=True)
-class Refusal(Exception):
-    """A final answer of this router's own."""
-
-    status: int
-    why: str
-    back: float = 0.0  # seconds until the client may come again; 0: nothing is said
-
-
-class Moved(Exception):
-    """What was decided no longer holds; nothing was sent."""
-
-
-class State(Protocol):
-    """What the front is told by the channel."""
-
-    routing_table: RoutingTable
-    servers: Endpoints
-    stored: set[int]  # marks of the parts that a store keeps
-
-    def version(self, model: str, now: float) -> int: ...  # the least that a server must have
-
-    async def fresh(self, left: float) -> None: ...  # waits, briefly, while what is known may be old
-
-    async def changed(self, within: float) -> None: ...
-
-
-@dataclass(slots=True, eq=False)
-class Out:
-    """The answer to one request, as far as it went."""
-
-    connection: Connection
-    keep: bool
-    old: bool
-    begun: bool = False
-    chunked: bool = False
-    last: bytes | None = None  # id of the last event that was passed on
-
-    async def send(self, data: bytes) -> None:
-        try:
-            if self.connection.push(data):
-                return
-            while True:
-                with trio.move_on_after(TAKE_WITHIN) as scope:
-                    await self.connection.stream.wait_writable()
-                if scope.cancelled_caught:
-                    raise ClientGone
-                if self.connection.pump():
-                    return
-        except (OSError, trio.ClosedResourceError) as error:
-            raise ClientGone from error
-
-    def head(self, message: Message, length: int | None) -> bytes:
-        lines = [b"HTTP/1.1 %d %s" % (message.status, REASONS.get(message.status, b""))]
-        lines += [b"%s: %s" % pair for pair in message.end_to_end()]
-        if message.status in NO_BODY:
-            pass  # its head is all of it
-        elif length is not None:
-            lines.append(b"Content-Length: %d" % length)
-        elif self.old:
-            self.keep = False
-            self.connection.resets = True  # its end is the connection's, which comes early if this is broken off
-        else:
-            self.chunked = True
-            lines.append(b"Transfer-Encoding: chunked")
-        if not self.keep:
-            lines.append(b"Connection: close")
-        self.begun = True
-        return b"\r\n".join([*lines, b"", b""])
-
-    def piece(self, data: bytes) -> bytes:
-        return b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data
-
-    async def whole(self, message: Message, body: bytes) -> None:
-        await self.send(self.head(message, len(body)) + body)
-
-    async def refuse(self, refusal: Refusal) -> None:
-        body = said(refusal.why)
-        lines = [
-            b"HTTP/1.1 %d %s" % (refusal.status, REASONS.get(refusal.status, b"")),
-            b"Content-Type: application/json",
-            b"Content-Length: %d" % len(body),
-        ]
-        if refusal.back:
-            lines.append(b"Retry-After: %.3f" % refusal.back)
-        if not self.keep:
-            lines.append(b"Connection: close")
-        self.begun = True
-        await self.send(b"\r\n".join([*lines, b"", body]))
 
 
 @dataclass(slots=True, eq=False)
 class Client:
+    """One connection of a client; ``scope`` ends its wait for a request."""
+
     connection: Connection
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
-@dataclass(slots=True)
-class Counts:
-    """Of this process, since its start."""
-
-    requests: int = 0
-    whole: int = 0
-    refused: int = 0
-    failed: int = 0
-    gone: int = 0
-    repeats: int = 0
-    resumed: int = 0
-
-
 class Frontend:
+    """Takes requests from clients and answers each once."""
+
     def __init__(
         self,
         state: State,
@@ -169,11 +44,10 @@
         draw: Callable[[], float],
         loads: LoadIndex,
     ) -> None:
-        self.state, self.back, self.budget, self.memory = state, back, budget, memory
-        self.retries, self.draw, self.loads = retries, draw, loads
-        self.counts = Counts()
+        self.state, self.budget, self.memory = state, budget, memory
+        self.forwarder = Forwarder(state, back, retries, draw, loads)
+        self.counts = self.forwarder.counts
         self.idle: dict[Client, None] = {}
-        self.saved: OrderedDict[int, float] = OrderedDict()  # parts given to a store, until when
         self.open = 0  # requests
         self.leaving = False
         budget.idle_clients = self.drop_idle
@@ -285,7 +159,7 @@
         self.open += 1
         try:
             await self.state.fresh(request.until - request.came_at)
-            await self._carry(request, out)
+            await self.forwarder.forward(request, out)
             self.counts.whole += 1
         except Refusal as refusal:
             self.counts.refused += refusal.status in PROMISES
@@ -306,306 +180,3 @@
         finally:
             self.open -= 1
         return out.keep
-
-    # one request ------------------------------------------
-
-    def _allowed(self, request: Request) -> tuple[Route, Tenant | None]:
-        """Its route and tenant by the configuration that is in force now; ``Refusal`` otherwise."""
-        routing_table = self.state.routing_table
-        if not routing_table.revision:
-            raise Refusal(503, "no configuration yet", 0.5)
-        route = routing_table.match(request.host, request.path)
-        if route is None:
-            raise Refusal(404, "no route")
-        tenant = None
-        if routing_table.tenants is not None:
-            tenant = routing_table.tenants.get(request.key) if request.key is not None else None
-            if tenant is None and not route.public:
-                raise Refusal(401, "the key is not known")
-        return route, tenant
-
-    async def _carry(self, request: Request, out: Out) -> None:
-        """Sends a request to servers until one has answered it, or ``Refusal``."""
-        route, tenant = self._allowed(request)
-        unsent: set[str] = set()
-        arrived = ran = False  # at a server; a server may have run it
-        held_until, draw = 0.0, self.draw()
-        last = Refusal(503, "no server", 0.1)
-        counted = False
-        while True:
-            now = trio.current_time()
-            if not (ran or out.begun):  # else it goes on as it began
-                route, tenant = self._allowed(request)
-            until = min(request.until, request.came_at + route.timeout)
-            if until - now < LEAST_LEFT:
-                raise Refusal(504, "its time was up") if ran else last
-            service = route.service(draw)
-            retries = self.retries(service)
-            if not counted:
-                counted = True
-                retries.request(now)
-            pool = self.state.servers.pool(service)
-            mark = mark_of(request.model, request.prefix)
-            if not request.tried and not unsent:
-                pool.sample(mark, now)
-            version = self.state.version(request.model, now)
-            engine = pool.pick(mark, now, request.model, version, {*request.tried, *unsent})
-            if engine is None:
-                if not held_until:
-                    held_until = now + min(HOLD_MOST, HOLD_PART * route.aim)
-                    if any(engine.loading for engine in pool.engines):  # it will soon be back
-                        held_until = now + min(LOAD_HOLD, LOAD_PART * (until - now))
-                if request.tried or now >= held_until:
-                    raise last if not ran else Refusal(502, "it may have run, and no other server is there")
-                await self.state.changed(min(held_until, until) - now)
-                continue
-            if arrived and (len(request.tried) >= route.servers or not (request.granted or retries.take(now))):
-                raise last
-            request.granted = False
-            engine = await self._lightest(request, pool, mark, engine, {*request.tried, *unsent})
-            now = trio.current_time()
-            self.counts.repeats += arrived
-            had = engine.versions.get(request.model, 0)
-            home = pool.home(mark)
-            near = (
-                home
-                if home is not engine
-                and home is not None
-                and is_open(home, now)
-                and home.versions.get(request.model, 0) == had
-                else None
-            )
-            fetch, save = self._moves(request, tenant, had, near, now)
-            data = written(
-                request,
-                tenant,
-                engine.id.encode(),
-                until - now,
-                had,
-                out.last or request.after,
-                fetch,
-                save,
-                priority_of(route, tenant),
-            )
-            try:
-
-                def another(
-                    service: str = service, version: int = version, pool: Pool = pool, mark: int = mark
-                ) -> bool:
-                    return self._granted(request, out, service, pool, mark, version, unsent)
-
-                last = await self._attempt(request, route, tenant, had, engine, data, out, until, ran, another)
-                if last is None:
-                    return
-                arrived = True
-                ran = ran or last.status not in PROMISES
-                if ran and last.status in PROMISES:  # another server may have run it before
-                    last = Refusal(502, "it may have run")
-            except Moved:
-                continue
-            except SendFailed as failure:
-                if failure.outcome is Outcome.UNSENT:
-                    back_off(engine, trio.current_time())
-                    unsent.add(engine.id)
-                    if len(unsent) >= UNSENT_MOST:
-                        raise last from failure
-                    continue
-                logger.info(
-                    "event=send_failed server={} request={} outcome={} why={!r}",
-                    engine.id,
-                    request.id.decode("latin-1"),
-                    failure.outcome.value,
-                    str(failure),
-                )
-                arrived = ran = True
-                last = Refusal(504 if failure.outcome is Outcome.LATE else 502, "it may have run")
-                self.counts.resumed += out.begun
-            if ran and (not route.repeatable or (out.begun and not out.last)):
-                raise last
-
-    async def _attempt(
-        self,
-        request: Request,
-        route: Route,
-        tenant: Tenant | None,
-        had: int,
-        engine: Endpoint,
-        data: bytes,
-        out: Out,
-        until: float,
-        ran: bool,
-        another: Callable[[], bool],
-    ) -> Refusal | None:
-        """One send to one server: None once the client has the whole answer, else what it would be told."""
-        link = None
-        engine.sent(trio.current_time())
-        told = await self.loads.add(engine.id, max(1, request.tokens[0]))
-        try:
-            link = self.back.kept(engine, trio.current_time()) or await self.back.dial(engine, until)
-            if self._moved(request, route, tenant, had, engine, ran or out.begun):
-                self.back.keep(link, trio.current_time())
-                raise Moved
-            await self.back.send(link, data, until)
-            request.tried.append(engine.id)
-            return await self._take(request, route, link, out, until, told, another)
-        except BaseException:
-            if link is not None and not link.pooled:
-                self.back.close(link)
-            raise
-        finally:
-            engine.ended()
-            await self.loads.done(told)
-
-    async def _lightest(self, request: Request, pool: Pool, mark: int, first: Endpoint, out: set[str]) -> Endpoint:
-        """The server picked, or another that serves as well and has far less to read, over all counters."""
-        others = pool.others(mark, trio.current_time(), request.model, first, out)
-        if not request.parts or not others:
-            return first
-        waiting = await self.loads.ask([first.id, *(engine.id for engine in others)])
-        shared = sum(size for _, size in request.parts[:-1])
-        return lighter(first, others, waiting, shared)
-
-    def _moves(
-        self, request: Request, tenant: Tenant | None, version: int, home: Endpoint | None, now: float
-    ) -> tuple[bytes | None, bytes | None]:
-        """Where the server may take the shared parts from, and the store that it is to give them to."""
-        shared = request.parts[:-1]
-        if not shared or not version:
-            return None, None
-        near = home.address.encode() if home is not None else None
-        stored = self.state.stored
-        stores = [service.store for service in self.state.routing_table.services.values() if service.store]
-        store = store_for((at for at in stores if there(at) in stored), shared[-1][0].decode("latin-1"))
-        if store is None or sum(size for _, size in shared) < LEAST_MOVED:
-            return near, None
-        address, salt = store.encode(), salt_of(tenant, version).decode("latin-1")
-        marks = [part_mark(store, request.model, salt, id.decode("latin-1")) for id, _ in shared]
-        lacking = [mark for mark in marks if mark not in stored]
-        fetch = near if lacking and (near or len(lacking) == len(marks)) else address
-        if not lacking or all(self.saved.get(mark, 0.0) > now for mark in lacking):
-            return fetch, None
-        while len(self.saved) >= MOST_SAVED:
-            self.saved.popitem(last=False)
-        for mark in lacking:
-            self.saved[mark] = now + SAVED_FOR
-        return fetch, address
-
-    def _moved(
-        self, request: Request, route: Route, tenant: Tenant | None, had: int, engine: Endpoint, begun: bool
-    ) -> bool:
-        """Whether what was decided no longer holds once the connection is up."""
-        if not engine.listed or engine.draining or engine.loading or engine.versions.get(request.model, 0) != had:
-            return True
-        return not begun and self._allowed(request) != (route, tenant)
-
-    def _granted(
-        self, request: Request, out: Out, service: str, pool: Pool, mark: int, version: int, unsent: set[str]
-    ) -> bool:
-        """Whether a further attempt is sure of a server and of the retry budget, which is drawn on if so."""
-        if out.begun and not out.last:  # it could not be taken up
-            return False
-        now = trio.current_time()
-        if pool.pick(mark, now, request.model, version, {*request.tried, *unsent}) is None:
-            return False
-        request.granted = self.retries(service).take(now)
-        return request.granted
-
-    async def _take(
-        self,
-        request: Request,
-        route: Route,
-        link: Link,
-        out: Out,
-        until: float,
-        told: tuple[str, int],
-        another: Callable[[], bool],
-    ) -> Refusal | None:
-        """Takes the answer of one send in; None once the client has it whole."""
-        engine, back = link.engine, self.back
-
-        def look() -> bool:
-            now = trio.current_time()
-            if self._left(out):
-                return True
-            may_go_again = route.repeatable and len(request.tried) < route.servers
-            return may_go_again and now - engine.heard_at > SILENT_FOR and another()
-
-        message = await self._watched(out, back.head(link, request.id, until, look))
-        await self.loads.done(told)
-        now = trio.current_time()
-        engine.heard(now)
-        fields = dict(message.fields)
-        if 200 <= message.status < 300 and message.flow is not None:
-            await self._stream(request, route, link, out, until, look)
-            back.done(link, trio.current_time())
-            return None
-        back.done(link, now)
-        if message.status == 421:
-            instance = fields.get(b"instance-id", engine.id.encode()).decode("latin-1")
-            if instance != engine.id:
-                back_off(engine, now)
-                back.leave(engine)
-            engine.silent_until = max(engine.silent_until, now + STALE_FOR)
-            return Refusal(503, "the server was another", 0.1)
-        if b"not-executed" in fields:
-            if message.status in (429, 503):
-                engine.silent_until = max(engine.silent_until, now + FULL_FOR)
-            return Refusal(503, "servers are full", 0.1)
-        if route.repeatable and len(request.tried) < route.servers and message.status >= 500:
-            return Refusal(502, "it failed at a server")
-        if message.status in PROMISES:  # it may have run: the promise is not this router's to make
-            return Refusal(502, "it may have run")
-        if out.begun:
-            return Refusal(502, "it was not taken up")
-        await out.whole(message, message.body)
-        return None
-
-    def _left(self, out: Out) -> bool:
-        """Whether the client has ended its connection."""
-        connection = out.connection
-        if connection.closed():
-            return True
-        if not connection.stream.readable() or connection.inbound.full():
-            return False
-        try:
-            return not connection.receive()
-        except OSError:
-            return True
-
-    async def _watched(self, out: Out, wait: Awaitable) -> object:
-        """What is waited for; ``ClientGone`` if that failed because nobody waits for it any more."""
-        try:
-            return await wait
-        except SendFailed as failure:
-            if failure.outcome is Outcome.LATE and self._left(out):
-                raise ClientGone from failure
-            raise
-
-    async def _stream(
-        self, request: Request, route: Route, link: Link, out: Out, until: float, look: Callable[[], bool]
-    ) -> None:
-        """Passes a stream on in whole events; what came of one that broke off is dropped."""
-        message, held, engine = link.message, b"", link.engine
-        length = message.length if not route.streaming else None
-        while True:
-            data = await self._watched(out, self.back.body(link, until, look))
-            engine.heard(trio.current_time())
-            if not data:
-                break
-            held += data
-            cut = len(held)
-            if route.streaming:
-                cut = 0
-                for end in EVENT_END.finditer(held):
-                    cut = end.end()
-                if not cut:
-                    continue
-            events, held = held[:cut], held[cut:]
-            if route.streaming and (ids := EVENT_ID.findall(events)):
-                out.last = ids[-1]
-            head = b"" if out.begun else out.head(message, length)
-            await out.send(head + out.piece(events))
-        head = b"" if out.begun else out.head(message, length)
-        rest = out.piece(held) if held else b""
-        await out.send(head + rest + (LAST_CHUNK if out.chunked else b""))
-        out.connection.resets = False
--- /dev/null
+++ b/rowanshift/dataplane/kv_moves.py
@@ -0,0 +1,53 @@
+"""Where a server may take the parts of a prompt from, and where it is to give them. No I/O."""
+
+from collections import OrderedDict
+from typing import Protocol
+
+from rowanshift.dataplane.endpoints import Endpoint
+from rowanshift.dataplane.requests import Request, salt_of
+from rowanshift.dataplane.routing_table import RoutingTable, Tenant
+from rowanshift.kv_index.index import mark_of, store_for, there
+
+LEAST_MOVED = 64  # tokens in common that are worth a move
+SAVED_FOR, MOST_SAVED = 8.0, 4096  # seconds in which a part is not given to a store again; parts remembered
+
+
+class Stores(Protocol):
+    """What is known of stores."""
+
+    routing_table: RoutingTable
+    stored: set[int]  # marks of the parts that a store keeps
+
+
+class KvMoves:
+    """Chooses the moves of each request, and remembers for a while what was given to a store."""
+
+    def __init__(self, state: Stores) -> None:
+        self.state = state
+        self.saved: OrderedDict[int, float] = OrderedDict()  # parts given to a store, until when
+
+    def choose(
+        self, request: Request, tenant: Tenant | None, version: int, home: Endpoint | None, now: float
+    ) -> tuple[bytes | None, bytes | None]:
+        """The addresses for ``Kv-Fetch`` and ``Kv-Save``: where the server may take the shared parts from, and the
+        store that it is to give them to."""
+        shared = request.parts[:-1]
+        if not shared or not version:
+            return None, None
+        near = home.address.encode() if home is not None else None
+        stored = self.state.stored
+        stores = [service.store for service in self.state.routing_table.services.values() if service.store]
+        store = store_for((at for at in stores if there(at) in stored), shared[-1][0].decode("latin-1"))
+        if store is None or sum(size for _, size in shared) < LEAST_MOVED:
+            return near, None
+        address, salt = store.encode(), salt_of(tenant, version).decode("latin-1")
+        marks = [mark_of(store, request.model, salt, id.decode("latin-1")) for id, _ in shared]
+        lacking = [mark for mark in marks if mark not in stored]
+        fetch = near if lacking and (near or len(lacking) == len(marks)) else address
+        if not lacking or all(self.saved.get(mark, 0.0) > now for mark in lacking):
+            return fetch, None
+        while len(self.saved) >= MOST_SAVED:
+            self.saved.popitem(last=False)
+        for mark in lacking:
+            self.saved[mark] = now + SAVED_FOR
+        return fetch, address
--- a/rowanshift/dataplane/requests.py
+++ b/rowanshift/dataplane/requests.py
@@ -40,7 +40,6 @@
     tokens: tuple[int, int]  # of the prompt, and the most out
     after: bytes | None  # the last event that the client has
     tried: list[str] = field(default_factory=list)  # servers it was sent to
-    granted: bool = False  # the retry budget was drawn on for the next attempt already
 
     @property
     def prefix(self) -> bytes:
--- a/rowanshift/dataplane/upstream.py
+++ b/rowanshift/dataplane/upstream.py
@@ -22,12 +22,18 @@
 
 
 class Outcome(Enum):
-    """How a send ended before its answer began."""
+    """How a send failed."""
 
     UNSENT = "unsent"  # not a whole request was written: it can't have run
     BROKEN = "broken"  # written, and the connection ended: it may have run
-    SPOILT = "spoilt"  # what came is no answer to it
+    GARBLED = "garbled"  # what came is no answer
+    MISMATCHED = "mismatched"  # what came answers another request
     LATE = "late"  # its time was up
+    SILENT = "silent"  # it is given up for another server
+    CLIENT_GONE = "client gone"  # nobody waits for the answer
+
+
+Look = Callable[[], Outcome | None]  # why an answer is waited for no longer; None: it is
 
 
 class SendFailed(Exception):
@@ -153,15 +159,14 @@
         if not whole:
             raise SendFailed(Outcome.UNSENT, "its time was up")
 
-    async def head(self, link: Link, id: bytes, until: float, look: Callable[[], bool]) -> Message:
-        """The head of the answer, with its body if that is no stream. ``look`` is asked twice a second, and
-        ends the wait when it is true."""
+    async def head(self, link: Link, id: bytes, until: float, look: Look) -> Message:
+        """The head of the answer, with its body if that is no stream. ``look`` is asked twice a second."""
         connection = link.connection
         while True:
             try:
                 message, going = connection.read_on()
             except BadMessage as error:
-                raise SendFailed(Outcome.SPOILT, str(error)) from error
+                raise SendFailed(Outcome.GARBLED, str(error)) from error
             except (OSError, trio.ClosedResourceError) as error:
                 raise SendFailed(Outcome.BROKEN, repr(error)) from error
             if message is not None:
@@ -171,16 +176,23 @@
             if connection.more:
                 continue
             now = trio.current_time()
-            if now >= until or look():
-                raise SendFailed(Outcome.LATE, "no answer in its time")
+            self._wait_on(now, until, look)
             with trio.CancelScope(deadline=min(until, now + LOOK)):
                 await connection.stream.wait_readable()
         if dict(message.fields).get(b"request-id") != id:
-            raise SendFailed(Outcome.SPOILT, "an answer to another request")
+            raise SendFailed(Outcome.MISMATCHED, "an answer to another request")
         link.message = message
         return message
 
-    async def body(self, link: Link, until: float, look: Callable[[], bool]) -> bytes:
+    @staticmethod
+    def _wait_on(now: float, until: float, look: Look) -> None:
+        """``SendFailed`` if an answer is waited for no longer."""
+        if (outcome := look()) is not None:
+            raise SendFailed(outcome, "it is waited for no longer")
+        if now >= until:
+            raise SendFailed(Outcome.LATE, "its time was up")
+
+    async def body(self, link: Link, until: float, look: Look) -> bytes:
         """More of a stream's body, b"" at its whole end; ``SendFailed`` if it breaks off or is too late."""
         connection, flow = link.connection, link.message.flow
         while True:
@@ -190,14 +202,13 @@
             if flow.ended:
                 return b""
             if connection.error is not None:
-                raise SendFailed(Outcome.SPOILT, str(connection.error))
+                raise SendFailed(Outcome.GARBLED, str(connection.error))
             going = True
             try:
                 with trio.CancelScope(deadline=min(until, trio.current_time() + LOOK)) as scope:
                     await connection.stream.wait_readable()
                 if scope.cancelled_caught:
-                    if trio.current_time() >= until or look():
-                        raise SendFailed(Outcome.LATE, "its time was up")
+                    self._wait_on(trio.current_time(), until, look)
                     continue
                 going = connection.read_body()
             except (OSError, trio.ClosedResourceError) as error:
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from rowanshift.dataplane.endpoints import Endpoint
-from rowanshift.dataplane.frontend import Frontend
+from rowanshift.dataplane.kv_moves import KvMoves
 from rowanshift.dataplane.requests import request_of, written
 from rowanshift.dataplane.routing_table import RoutingTable, Service, Tenant
 from rowanshift.kv_index import index
@@ -259,7 +259,7 @@
     def front(self, stored):
         services = {at: Service(at, b"", 8, at, 64) for at in self.STORES}
         state = SimpleNamespace(routing_table=RoutingTable(1, services=services), stored=stored, servers=None)
-        return Frontend(state, None, SimpleNamespace(), None, None, None, None)
+        return KvMoves(state)
 
     def request(self, prefix):
         return request_of(
@@ -274,7 +274,7 @@
 
     def sent(self, stored, prefix, home, tenant=None):
         request = self.request(prefix)
-        fetch, save = self.front(stored)._moves(request, tenant, 3, home, 1.0)
+        fetch, save = self.front(stored).choose(request, tenant, 3, home, 1.0)
         data = written(request, tenant, b"i-1", 2.0, 3, None, fetch, save, 5)
         lines = data.split(b"\r\n")
         moves = [line for line in lines if line.startswith((b"Kv-Fetch: ", b"Kv-Save: "))]
@@ -313,18 +313,18 @@
     def test_what_is_given_to_a_store_is_not_given_again_at_once(self):
         front, request = self.front({there(self.STORES[0])}), self.request(b"a:100,b:1")
         address = self.STORES[0].encode()
-        save = [front._moves(request, None, 3, None, at)[1] for at in (1.0, 2.0, 20.0)]
+        save = [front.choose(request, None, 3, None, at)[1] for at in (1.0, 2.0, 20.0)]
         self.assertEqual(save, [address, None, address])
-        self.assertEqual(front._moves(request, Tenant(b"t", None, True), 3, None, 20.0)[1], address)
-        self.assertEqual(front._moves(request, None, 0, None, 40.0), (None, None))
+        self.assertEqual(front.choose(request, Tenant(b"t", None, True), 3, None, 20.0)[1], address)
+        self.assertEqual(front.choose(request, None, 0, None, 40.0), (None, None))
 
     def test_a_part_is_fetched_from_the_store_that_keeps_it(self):
         address, home = self.STORES[0].encode(), Endpoint("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
         stored = {there(self.STORES[0]), index.mark_of(self.STORES[0], "m", "v3.", "a")}
         front = self.front(stored)
-        self.assertEqual(front._moves(self.request(b"a:100,b:1"), None, 3, None, 1.0), (address, None))
-        self.assertEqual(front._moves(self.request(b"a:100,b:1"), None, 3, home, 1.0), (address, None))
-        fetch, save = front._moves(self.request(b"a:100,c:50,b:1"), None, 3, home, 1.0)
+        self.assertEqual(front.choose(self.request(b"a:100,b:1"), None, 3, None, 1.0), (address, None))
+        self.assertEqual(front.choose(self.request(b"a:100,b:1"), None, 3, home, 1.0), (address, None))
+        fetch, save = front.choose(self.request(b"a:100,c:50,b:1"), None, 3, home, 1.0)
         self.assertEqual((fetch, save), (home.address.encode(), address))
 
 
--- a/tests/test_system_simulation.py
+++ b/tests/test_system_simulation.py
@@ -20,7 +20,7 @@
 from rowanshift.controlplane.protocol import Replica
 from rowanshift.controlplane.service import ControlPlaneService
 from rowanshift.controlplane.store import DamagedRecord, StoreClosed, StoreWriteFailed
-from rowanshift.dataplane import control_client, frontend, requests
+from rowanshift.dataplane import client_answer, control_client, forwarder, requests
 from rowanshift.dataplane.routing_table import Route
 from rowanshift.invariants import system as rules
 from rowanshift.invariants.system import Answered, Began, Loaded, Ordered, VersionNamed
@@ -636,15 +636,15 @@
         self.found("TWICE", self.crashes, mock.patch.object(Route, "repeatable", True))
 
     def test_what_may_have_run_is_refused(self):
-        true = frontend.Out.refuse
+        true = client_answer.Out.refuse
 
         async def refuse(out, refusal):
-            await true(out, frontend.Refusal(503, refusal.why) if refusal.status == 502 else refusal)
+            await true(out, client_answer.Refusal(503, refusal.why) if refusal.status == 502 else refusal)
 
-        self.found("REFUSED", self.crashes, mock.patch.object(frontend.Out, "refuse", refuse))
+        self.found("REFUSED", self.crashes, mock.patch.object(client_answer.Out, "refuse", refuse))
 
     def test_a_stream_is_taken_up_from_its_start(self):
-        true = frontend.written
+        true = forwarder.written
 
         def written(request, tenant, instance, left, version, after, *more):
             return true(request, tenant, instance, left, version, None, *more)
@@ -656,7 +656,7 @@
                 server.garble("break", 2)
             await trio.sleep(2)
 
-        self.found("ORDER", scenario, mock.patch.object(frontend, "written", written))
+        self.found("ORDER", scenario, mock.patch.object(forwarder, "written", written))
 
     def test_an_isolated_tenant_shares_its_cache(self):
         async def scenario(fleet):
