Show the table of endings on a page that is tested against the code

docs/exchanges.md: a row for each way, a column for each kind of request. The tests stand in three files with a common harness: the table's rows, several attempts, clients.

--- /dev/null
+++ b/tests/test_exchange_attempts.py
@@ -0,0 +1,237 @@
+"""Several attempts at one request: after a silence, on forgotten connections, and with streams taken up elsewhere."""
+
+import unittest
+
+import trio
+from exchange_case import Case, breaches, exchange, outcome
+from exchange_rig import (
+    KINDS,
+    REPEATABLE,
+    WITHIN,
+    Asked,
+    Behaviour,
+    Client,
+    Rig,
+    Then,
+    play,
+    rejection,
+    whole_answer,
+)
+from loguru import logger
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class Forgotten(Case):
+    """A kept connection that its server no longer knows: what is sent on it is reset."""
+
+    def asked_on(self, kind: str, servers: int, window: int = 1 << 16) -> tuple[list, int]:
+        """What came of requests when the first server had forgotten its connections, and how many met one."""
+
+        async def main(rig: Rig) -> tuple[list, int]:
+            made, met = [], 0
+            for _ in range(8):
+                await exchange(rig, kind)  # connections are kept from here on
+                id, client = rig.next_id(), Client(rig)
+                for stream in rig.servers[0].connections:
+                    stream.drop(False)  # without a word
+                rig.servers[0].connections.clear()
+                sends = rig.upstream.sends
+                got = await client.ask(kind, id)
+                met += rig.upstream.sends - sends > rig.runs[id]
+                made.append((outcome(kind, id, got), rig.runs[id], breaches(rig, kind, id, got)))
+                client.close()
+                await trio.sleep(5.0)
+            return made, met
+
+        return play(main, servers, window)
+
+    def test_a_repeatable_request_goes_elsewhere(self) -> None:
+        for kind in REPEATABLE:
+            made, met = self.asked_on(kind, 2)
+            self.assertEqual(made, [("success", 1, [])] * 8)
+            self.assertGreater(met, 0)
+
+    def test_another_is_not_sent_again_and_no_promise_is_made(self) -> None:
+        for kind in ("non_idempotent", "stream"):
+            made, met = self.asked_on(kind, 2)
+            self.assertEqual({each[0] for each in made}, {"success", "own 502"})
+            self.assertEqual([each[2] for each in made], [[]] * 8)
+            self.assertEqual(met, sum(each[0] == "own 502" for each in made))
+
+    def test_one_whose_last_byte_was_kept_back_goes_elsewhere(self) -> None:
+        for kind in KINDS:
+            made, met = self.asked_on(kind, 2, 40)
+            self.assertEqual(made, [("success", 1, [])] * 8)
+            self.assertGreater(met, 0)
+
+
+class Silence(Case):
+    """A server's silence ends no answer sooner, but where another server is surely there."""
+
+    def late(self, kind: str, servers: int, tokens: int | None, *behaviours: Behaviour) -> tuple[str, float, int]:
+        """The outcome, when it was there, and how many servers ran it."""
+
+        async def main(rig: Rig) -> tuple[str, float, int]:
+            rig.purse.tokens = tokens
+            made = await exchange(rig, kind, *behaviours)
+            self.assertEqual(made.breaches, [])
+            return outcome(kind, made.id, made.got), made.got.at, made.runs
+
+        return play(main, servers)
+
+    def test_no_other_server_is_there(self) -> None:
+        for kind in REPEATABLE:
+            got, at, runs = self.late(kind, 1, None, Behaviour(wait=3.0))
+            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
+
+    def test_the_budget_grants_no_attempt(self) -> None:
+        for kind in REPEATABLE:
+            got, at, runs = self.late(kind, 3, 0, Behaviour(wait=3.0))
+            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
+
+    def test_another_server_is_there(self) -> None:
+        for kind in REPEATABLE:
+            got, at, runs = self.late(kind, 2, 1, Behaviour(then=Then.SILENCE, cut=0))
+            self.assertEqual((got, runs), ("success", 2), f"{kind} after {at} s")
+            self.assertLess(at, 2.5)
+
+    def test_another_server_comes_back_meanwhile(self) -> None:
+        async def main(rig: Rig) -> tuple[str, float]:
+            for endpoint in rig.endpoints:
+                endpoint.silent_until = rig.now() + 2.6
+            rig.endpoints[0].silent_until = 0.0
+            made = await exchange(rig, "idempotent", Behaviour(then=Then.SILENCE, cut=0))
+            return outcome("idempotent", made.id, made.got), made.got.at
+
+        got, at = play(main, 2)
+        self.assertEqual(got, "success")
+        self.assertTrue(2.5 < at < 3.5, at)
+
+    def test_what_cannot_go_again_is_waited_for(self) -> None:
+        for kind in ("non_idempotent", "stream"):
+            got, at, runs = self.late(kind, 3, None, Behaviour(wait=3.0))
+            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
+
+    def test_a_pause_within_a_body_that_has_begun(self) -> None:
+        size = len(whole_answer(Asked("r1", {}, b"", "idempotent")))
+        for cut in range(size - 10, size):
+            paused = Behaviour(cut=cut, pause=2.5)
+            got, at, runs = self.late("idempotent", 3, None, paused)
+            self.assertEqual((got, runs), ("success", 2 if cut == size - 10 else 1), f"{cut} of {size}, after {at} s")
+
+    def test_a_pause_between_events_with_no_other_server(self) -> None:
+        size = len(whole_answer(Asked("r1", {}, b"", "resumable")))
+        for cut in range(0, size, 5):
+            got, at, runs = self.late("resumable", 1, None, Behaviour(cut=cut, pause=2.5))
+            self.assertEqual((got, runs), ("success", 1), f"{cut} of {size}, after {at} s")
+
+    def test_the_budget_is_drawn_on_once_for_one_attempt(self) -> None:
+        async def main(rig: Rig) -> int:
+            await exchange(rig, "idempotent", Behaviour(then=Then.SILENCE, cut=0))
+            return rig.purse.taken
+
+        self.assertEqual(play(main), 1)
+
+
+class SeveralAttempts(Case):
+    """What the client is told when all attempts have failed, each in its own way."""
+
+    def ends(self, kind: str, *behaviours: Behaviour, tokens: int | None = None, servers: int = 3) -> tuple[str, int]:
+        async def main(rig: Rig) -> tuple[str, int]:
+            rig.purse.tokens = tokens
+            made = await exchange(rig, kind, *behaviours)
+            self.assertEqual([breach for breach in made.breaches if not breach.startswith("next")], [])
+            return outcome(kind, made.id, made.got), made.attempts
+
+        return play(main, servers)
+
+    FULL = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False)
+    WRONG = Behaviour(rejection(421), runs=False)
+    FAILED = Behaviour(rejection(500))
+    LOST = Behaviour(cut=0, then=Then.RESET)
+
+    def test_all_reject_it(self) -> None:
+        for kind in KINDS:
+            self.assertEqual(self.ends(kind, self.FULL, self.WRONG, self.FULL), ("own 503", 3))
+
+    def test_one_may_have_run_it_and_the_rest_reject_it(self) -> None:
+        for kind in REPEATABLE:
+            for first in (self.FAILED, self.LOST):
+                for then in (self.FULL, self.WRONG):
+                    self.assertEqual(self.ends(kind, first, then, self.FULL), ("own 502", 3))
+                    self.assertEqual(self.ends(kind, first, then, tokens=1), ("own 502", 2))
+                    self.assertEqual(self.ends(kind, first, then, servers=2), ("own 502", 2))
+
+    def test_one_rejects_it_and_the_next_may_have_run_it(self) -> None:
+        for kind in ("non_idempotent", "stream"):
+            for first in (self.FULL, self.WRONG):
+                self.assertEqual(self.ends(kind, first, self.LOST), ("own 502", 2))
+                self.assertEqual(self.ends(kind, first, self.FAILED), ("server 500", 2))
+
+    def test_the_last_of_several_errors_is_passed_on(self) -> None:
+        for kind in REPEATABLE:
+            self.assertEqual(self.ends(kind, self.FAILED, self.FAILED, self.FAILED), ("server 500", 3))
+            self.assertEqual(self.ends(kind, self.FAILED, tokens=0), ("own 502", 1))
+            self.assertEqual(self.ends(kind, self.FAILED, servers=1), ("own 502", 1))
+
+    def test_the_time_is_up_after_a_rejection_that_followed_a_run(self) -> None:
+        for kind in REPEATABLE:
+            full = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False, wait=WITHIN)
+            self.assertEqual(self.ends(kind, self.FAILED, full, tokens=1), ("own 504", 2))
+
+
+class StreamsTakenUp(Case):
+    """A resumable stream broken off at each byte, and an answer to its resume that is no success."""
+
+    def test_a_resume_that_is_not_taken_up(self) -> None:
+        answers = {
+            "400": Behaviour(rejection(400)),
+            "500": Behaviour(rejection(500)),
+            "503": Behaviour(rejection(503)),
+            "503, not executed": Behaviour(rejection(503, b"Not-Executed: 1"), runs=False),
+            "421": Behaviour(rejection(421), runs=False),
+            "reset": Behaviour(cut=0, then=Then.RESET),
+            "another id": Behaviour(lambda asked: whole_answer(asked, "other")),
+        }
+        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
+        for name, answer in answers.items():
+            for tail, attempts, wanted in (((), 3, "success"), ((answer,), 3, "cut")):
+
+                async def main(rig: Rig, answer: Behaviour = answer, tail: tuple = tail) -> list:
+                    rig.asked, made = 1000, []
+                    for cut in range(size - 60, size):
+                        first = Behaviour(cut=cut, then=Then.RESET)
+                        made.append(await exchange(rig, "resumable", first, answer, *tail))
+                        await trio.sleep(1.0)
+                    return made
+
+                for made in play(main):
+                    got = (outcome("resumable", made.id, made.got), made.attempts, made.breaches)
+                    if got != (wanted, attempts, []):
+                        self.wrong.append(f"{name}, {tail}: {got}: {made.got}")
+
+    def test_a_stream_that_breaks_at_each_byte_of_two_servers(self) -> None:
+        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
+
+        async def main(rig: Rig) -> list:
+            rig.asked, made = 1000, []
+            for first in range(0, size, 3):
+                for second in range(90, size, 37):
+                    breaks = [Behaviour(cut=first, then=Then.CLOSE), Behaviour(cut=second, then=Then.RESET)]
+                    made.append(await exchange(rig, "resumable", *breaks))
+            return made
+
+        for made in play(main):
+            if made.breaches or outcome("resumable", made.id, made.got) != "success":
+                self.wrong.append(str(made))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_exchange_clients.py
+++ b/tests/test_exchange_clients.py
@@ -3,6 +3,7 @@
 import unittest
 
 import trio
+from exchange_case import breaches, outcome
 from exchange_rig import (
     KINDS,
     REPEATABLE,
@@ -20,7 +21,6 @@
     whole_body,
 )
 from loguru import logger
-from test_exchanges import breaches, outcome
 
 from rowanshift.net.transport import SYSTEM, connect, send_all
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,41 +1,32 @@
 """Each way in which an exchange with a server can end, at every byte boundary, for each kind of request."""
 
 import unittest
-from dataclasses import dataclass
+from pathlib import Path
 
+import test_exchange_attempts
 import trio
+from exchange_case import ENDS, KIND_OF, Case, Exchange, breaches, ending_at, exchange, expected, outcome
 from exchange_rig import (
+    EVENTS,
     KINDS,
-    PROMISES,
     REPEATABLE,
     STREAMS,
-    WITHIN,
     Asked,
     Behaviour,
     Client,
-    Got,
     Rig,
     Then,
-    event,
+    body_of,
+    head,
     plain,
     play,
     rejection,
-    seal_of,
     whole_answer,
-    whole_body,
 )
 from loguru import logger
 
 from rowanshift.dataplane.retry_decision import Decision, Ending, Kind, Progress, Told, decide
 
-KIND_OF = {
-    "idempotent": Kind.IDEMPOTENT,
-    "non_idempotent": Kind.NON_IDEMPOTENT,
-    "resumable": Kind.RESUMABLE_STREAM,
-    "stream": Kind.STREAM,
-}
-ENDS = (Then.RESET, Then.CLOSE, Then.SILENCE)
-
 
 def setUpModule():
     logger.disable("rowanshift")
@@ -45,124 +36,6 @@
     logger.enable("rowanshift")
 
 
-def breaches(rig: Rig, kind: str, id: str, got: Got) -> list[str]:
-    """The rules that one exchange broke, whatever was decided."""
-    found = []
-    if kind not in REPEATABLE and rig.runs[id] > 1:
-        found.append(f"TWICE: {rig.runs[id]} runs")
-    if got.status in PROMISES and rig.runs[id]:
-        found.append(f"REFUSED: {got.status} after {rig.runs[id]} runs")
-    expected = whole_body(kind, id)
-    if 200 <= got.status < 300:
-        if got.fields.get(b"response-seal") not in [seal_of(id, status) for status in (200, 204)]:
-            found.append("MIXED: a success without the seal of its server")
-        if got.whole and got.body != expected:
-            found.append(f"MIXED: a whole success with {got.body!r}")
-        if not expected.startswith(got.body):
-            found.append(f"ORDER: {got.body!r}")
-    elif b"response-seal" in got.fields and got.fields[b"response-seal"] != seal_of(id, got.status):
-        found.append(f"MIXED: {got.status} with the seal {got.fields[b'response-seal']!r}")
-    if got.rest:
-        found.append(f"MIXED: {got.rest!r} after the answer")
-    return found
-
-
-def outcome(kind: str, id: str, got: Got) -> str:
-    """What the client got, in the words of ``expected``."""
-    if got.whole and 200 <= got.status < 300:
-        return "success"
-    if not got.whole:
-        return "cut" if got.ended else "nothing"
-    return f"{'server' if b'response-seal' in got.fields else 'own'} {got.status}"
-
-
-def expected(decision: Decision, begun: bool, ran: bool, server_status: int = 0) -> str:
-    if decision.again:
-        return "success"
-    told = Progress(may_have_run=ran, begun=begun).told(decision)
-    if told is Told.ANSWER:
-        return "success" if server_status == 200 else f"server {server_status}"
-    return "cut" if told is Told.CUT else f"own {told.status}"
-
-
-@dataclass(slots=True)
-class Exchange:
-    """One request whose first attempt went as a behaviour says, and a well one after it on the same connections."""
-
-    id: str
-    got: Got
-    runs: int
-    attempts: int
-    kept: bool
-    breaches: list[str]
-
-
-async def exchange(rig: Rig, kind: str, *behaviours: Behaviour, within: float = WITHIN) -> Exchange:
-    id, client = rig.next_id(), Client(rig)
-    rig.behaviours[:] = behaviours
-    got = await client.ask(kind, id, within=within)
-    first = rig.arrivals[id][0] if rig.arrivals[id] else None
-    kept = first is not None and first.peer.state == "up"
-    rig.behaviours.clear()
-    found = breaches(rig, kind, id, got)
-    if not got.whole or b"close" in got.fields.get(b"connection", b""):
-        client.close()
-        client = Client(rig)
-    elif surplus := await client.leftover(0.001):
-        found.append(f"MIXED: {surplus!r} with no request waiting")
-    after = rig.next_id()
-    next_got = await client.ask("non_idempotent", after)
-    found += [f"next: {breach}" for breach in breaches(rig, "non_idempotent", after, next_got)]
-    if outcome("non_idempotent", after, next_got) != "success":
-        found.append(f"next: {next_got}")
-    client.close()
-    return Exchange(id, got, rig.runs[id], len(rig.arrivals[id]), kept, found)
-
-
-class Case(unittest.TestCase):
-    maxDiff = None
-
-    def setUp(self) -> None:
-        self.wrong: list[str] = []
-
-    def tearDown(self) -> None:
-        self.assertEqual(self.wrong[:5], [], f"{len(self.wrong)} exchanges")
-
-    def agrees(
-        self, made: Exchange, kind: str, ending: Ending, where: str, server_status: int = 200, begun: bool = False
-    ) -> None:
-        """Notes what the table does not say of a first attempt that ended so."""
-        decision = decide(KIND_OF[kind], ending)
-        got = (outcome(kind, made.id, made.got), made.attempts, made.kept, made.breaches)
-        wanted = (
-            expected(decision, begun, decision.may_have_run, server_status),
-            1 + decision.again,
-            decision.kept,
-            [],
-        )
-        if got != wanted:
-            self.wrong.append(f"{kind}, {ending.name}, {where}: {got}, not {wanted}: {made.got}")
-        if ending is Ending.TIMED_OUT and made.got.at < WITHIN - 0.1:
-            self.wrong.append(f"{kind}, {where}: ended after {made.got.at} s")
-
-
-def ending_at(kind: str, answer: bytes, cut: int, then: Then) -> tuple[Ending, bool]:
-    """The ending of an exchange whose answer, a success, stops after ``cut`` bytes, and whether it has begun."""
-    seen, id = answer[:cut], answer.partition(b"Request-Id: ")[2].partition(b"\r\n")[0].decode()
-    _, found, rest = seen.partition(b"\r\n\r\n")
-    if cut == len(answer):
-        return Ending.SUCCESS, True
-    begun = bool(rest) if kind in ("idempotent", "non_idempotent") else event(id, 1) in rest
-    if then is Then.SILENCE:
-        resumes = kind == "resumable" or (kind == "idempotent" and not begun)
-        return (Ending.SILENT if resumes else Ending.TIMED_OUT), begun
-    if not found:
-        return Ending.NO_ANSWER, False
-    if not begun:
-        return Ending.BROKEN_UNSEEN, False
-    return (Ending.BROKEN_AFTER_EVENT if kind in STREAMS else Ending.BROKEN_MIDWAY), True
-
-
 class AnswersBrokenOff(Case):
     """The answer stops after each number of bytes in turn."""
 
@@ -438,209 +311,147 @@
             self.assertEqual(play(main, servers=1), [])
 
 
-class Forgotten(Case):
-    """A kept connection that its server no longer knows: what is sent on it is reset."""
-
-    def asked_on(self, kind: str, servers: int, window: int = 1 << 16) -> tuple[list, int]:
-        """What came of requests when the first server had forgotten its connections, and how many met one."""
-
-        async def main(rig: Rig) -> tuple[list, int]:
-            made, met = [], 0
-            for _ in range(8):
-                await exchange(rig, kind)  # connections are kept from here on
-                id, client = rig.next_id(), Client(rig)
-                for stream in rig.servers[0].connections:
-                    stream.drop(False)  # without a word
-                rig.servers[0].connections.clear()
-                sends = rig.upstream.sends
-                got = await client.ask(kind, id)
-                met += rig.upstream.sends - sends > rig.runs[id]
-                made.append((outcome(kind, id, got), rig.runs[id], breaches(rig, kind, id, got)))
-                client.close()
-                await trio.sleep(5.0)
-            return made, met
-
-        return play(main, servers, window)
-
-    def test_a_repeatable_request_goes_elsewhere(self) -> None:
-        for kind in REPEATABLE:
-            made, met = self.asked_on(kind, 2)
-            self.assertEqual(made, [("success", 1, [])] * 8)
-            self.assertGreater(met, 0)
-
-    def test_another_is_not_sent_again_and_no_promise_is_made(self) -> None:
-        for kind in ("non_idempotent", "stream"):
-            made, met = self.asked_on(kind, 2)
-            self.assertEqual({each[0] for each in made}, {"success", "own 502"})
-            self.assertEqual([each[2] for each in made], [[]] * 8)
-            self.assertEqual(met, sum(each[0] == "own 502" for each in made))
-
-    def test_one_whose_last_byte_was_kept_back_goes_elsewhere(self) -> None:
-        for kind in KINDS:
-            made, met = self.asked_on(kind, 2, 40)
-            self.assertEqual(made, [("success", 1, [])] * 8)
-            self.assertGreater(met, 0)
-
-
-class Silence(Case):
-    """A server's silence ends no answer sooner, but where another server is surely there."""
-
-    def late(self, kind: str, servers: int, tokens: int | None, *behaviours: Behaviour) -> tuple[str, float, int]:
-        """The outcome, when it was there, and how many servers ran it."""
-
-        async def main(rig: Rig) -> tuple[str, float, int]:
-            rig.purse.tokens = tokens
-            made = await exchange(rig, kind, *behaviours)
-            self.assertEqual(made.breaches, [])
-            return outcome(kind, made.id, made.got), made.got.at, made.runs
-
-        return play(main, servers)
-
-    def test_no_other_server_is_there(self) -> None:
-        for kind in REPEATABLE:
-            got, at, runs = self.late(kind, 1, None, Behaviour(wait=3.0))
-            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
-
-    def test_the_budget_grants_no_attempt(self) -> None:
-        for kind in REPEATABLE:
-            got, at, runs = self.late(kind, 3, 0, Behaviour(wait=3.0))
-            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
-
-    def test_another_server_is_there(self) -> None:
-        for kind in REPEATABLE:
-            got, at, runs = self.late(kind, 2, 1, Behaviour(then=Then.SILENCE, cut=0))
-            self.assertEqual((got, runs), ("success", 2), f"{kind} after {at} s")
-            self.assertLess(at, 2.5)
-
-    def test_another_server_comes_back_meanwhile(self) -> None:
-        async def main(rig: Rig) -> tuple[str, float]:
-            for endpoint in rig.endpoints:
-                endpoint.silent_until = rig.now() + 2.6
-            rig.endpoints[0].silent_until = 0.0
-            made = await exchange(rig, "idempotent", Behaviour(then=Then.SILENCE, cut=0))
-            return outcome("idempotent", made.id, made.got), made.got.at
-
-        got, at = play(main, 2)
-        self.assertEqual(got, "success")
-        self.assertTrue(2.5 < at < 3.5, at)
-
-    def test_what_cannot_go_again_is_waited_for(self) -> None:
-        for kind in ("non_idempotent", "stream"):
-            got, at, runs = self.late(kind, 3, None, Behaviour(wait=3.0))
-            self.assertEqual((got, runs), ("success", 1), f"{kind} after {at} s")
-
-    def test_a_pause_within_a_body_that_has_begun(self) -> None:
-        size = len(whole_answer(Asked("r1", {}, b"", "idempotent")))
-        for cut in range(size - 10, size):
-            paused = Behaviour(cut=cut, pause=2.5)
-            got, at, runs = self.late("idempotent", 3, None, paused)
-            self.assertEqual((got, runs), ("success", 2 if cut == size - 10 else 1), f"{cut} of {size}, after {at} s")
-
-    def test_a_pause_between_events_with_no_other_server(self) -> None:
-        size = len(whole_answer(Asked("r1", {}, b"", "resumable")))
-        for cut in range(0, size, 5):
-            got, at, runs = self.late("resumable", 1, None, Behaviour(cut=cut, pause=2.5))
-            self.assertEqual((got, runs), ("success", 1), f"{cut} of {size}, after {at} s")
-
-    def test_the_budget_is_drawn_on_once_for_one_attempt(self) -> None:
-        async def main(rig: Rig) -> int:
-            await exchange(rig, "idempotent", Behaviour(then=Then.SILENCE, cut=0))
-            return rig.purse.taken
-
-        self.assertEqual(play(main), 1)
-
-
-class SeveralAttempts(Case):
-    """What the client is told when all attempts have failed, each in its own way."""
-
-    def ends(self, kind: str, *behaviours: Behaviour, tokens: int | None = None, servers: int = 3) -> tuple[str, int]:
-        async def main(rig: Rig) -> tuple[str, int]:
-            rig.purse.tokens = tokens
-            made = await exchange(rig, kind, *behaviours)
-            self.assertEqual([breach for breach in made.breaches if not breach.startswith("next")], [])
-            return outcome(kind, made.id, made.got), made.attempts
-
-        return play(main, servers)
-
-    FULL = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False)
-    WRONG = Behaviour(rejection(421), runs=False)
-    FAILED = Behaviour(rejection(500))
-    LOST = Behaviour(cut=0, then=Then.RESET)
-
-    def test_all_reject_it(self) -> None:
+class Successes(Case):
+    """Whole successes in two pieces cut at each byte: passed on, and the connection is kept."""
+
+    def test_cut_at_each_byte(self) -> None:
         for kind in KINDS:
-            self.assertEqual(self.ends(kind, self.FULL, self.WRONG, self.FULL), ("own 503", 3))
-
-    def test_one_may_have_run_it_and_the_rest_reject_it(self) -> None:
-        for kind in REPEATABLE:
-            for first in (self.FAILED, self.LOST):
-                for then in (self.FULL, self.WRONG):
-                    self.assertEqual(self.ends(kind, first, then, self.FULL), ("own 502", 3))
-                    self.assertEqual(self.ends(kind, first, then, tokens=1), ("own 502", 2))
-                    self.assertEqual(self.ends(kind, first, then, servers=2), ("own 502", 2))
-
-    def test_one_rejects_it_and_the_next_may_have_run_it(self) -> None:
-        for kind in ("non_idempotent", "stream"):
-            for first in (self.FULL, self.WRONG):
-                self.assertEqual(self.ends(kind, first, self.LOST), ("own 502", 2))
-                self.assertEqual(self.ends(kind, first, self.FAILED), ("server 500", 2))
-
-    def test_the_last_of_several_errors_is_passed_on(self) -> None:
-        for kind in REPEATABLE:
-            self.assertEqual(self.ends(kind, self.FAILED, self.FAILED, self.FAILED), ("server 500", 3))
-            self.assertEqual(self.ends(kind, self.FAILED, tokens=0), ("own 502", 1))
-            self.assertEqual(self.ends(kind, self.FAILED, servers=1), ("own 502", 1))
-
-    def test_the_time_is_up_after_a_rejection_that_followed_a_run(self) -> None:
-        for kind in REPEATABLE:
-            full = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False, wait=WITHIN)
-            self.assertEqual(self.ends(kind, self.FAILED, full, tokens=1), ("own 504", 2))
-
-
-class StreamsTakenUp(Case):
-    """A resumable stream broken off at each byte, and an answer to its resume that is no success."""
-
-    def test_a_resume_that_is_not_taken_up(self) -> None:
-        answers = {
-            "400": Behaviour(rejection(400)),
-            "500": Behaviour(rejection(500)),
-            "503": Behaviour(rejection(503)),
-            "503, not executed": Behaviour(rejection(503, b"Not-Executed: 1"), runs=False),
-            "421": Behaviour(rejection(421), runs=False),
-            "reset": Behaviour(cut=0, then=Then.RESET),
-            "another id": Behaviour(lambda asked: whole_answer(asked, "other")),
-        }
-        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
-        for name, answer in answers.items():
-            for tail, attempts, wanted in (((), 3, "success"), ((answer,), 3, "cut")):
-
-                async def main(rig: Rig, answer: Behaviour = answer, tail: tuple = tail) -> list:
-                    rig.asked, made = 1000, []
-                    for cut in range(size - 60, size):
-                        first = Behaviour(cut=cut, then=Then.RESET)
-                        made.append(await exchange(rig, "resumable", first, answer, *tail))
-                        await trio.sleep(1.0)
-                    return made
 
-                for made in play(main):
-                    got = (outcome("resumable", made.id, made.got), made.attempts, made.breaches)
-                    if got != (wanted, attempts, []):
-                        self.wrong.append(f"{name}, {tail}: {got}: {made.got}")
+            async def main(rig: Rig, kind: str = kind) -> list:
+                rig.asked = 1000
+                size = len(whole_answer(Asked("r1000", {}, b"", kind)))
+                return [await exchange(rig, kind, Behaviour(cut=k, pause=0.001)) for k in range(size)]
+
+            for k, made in enumerate(play(main)):
+                self.agrees(made, kind, Ending.SUCCESS, f"cut at {k}")
 
-    def test_a_stream_that_breaks_at_each_byte_of_two_servers(self) -> None:
-        size = len(whole_answer(Asked("r1001", {}, b"", "resumable")))
 
-        async def main(rig: Rig) -> list:
-            rig.asked, made = 1000, []
-            for first in range(0, size, 3):
-                for second in range(90, size, 37):
-                    breaks = [Behaviour(cut=first, then=Then.CLOSE), Behaviour(cut=second, then=Then.RESET)]
-                    made.append(await exchange(rig, "resumable", *breaks))
-            return made
+class EndedByTheConnection(Case):
+    """A success that tells no length ends with its connection: by its close, not by its reset."""
+
+    def test_closed_or_reset_after_each_byte_of_its_body(self) -> None:
+        def answer(asked: Asked) -> bytes:
+            return head(asked) + body_of(asked.id)
+
+        for kind in ("idempotent", "non_idempotent"):
+            size = len(answer(Asked("r1001", {}, b"", kind)))
+            top = answer(Asked("r1001", {}, b"", kind)).index(b"\r\n\r\n") + 4
+
+            async def main(rig: Rig, kind: str = kind, top: int = top, size: int = size) -> list:
+                rig.asked = 1000
+                closed = await exchange(
+                    rig, kind, Behaviour(lambda asked: answer(asked) + b" ", cut=size, then=Then.CLOSE)
+                )
+                cut = [Behaviour(answer, cut=k, then=Then.RESET) for k in range(top + 1, size)]
+                return [closed, *[await exchange(rig, kind, each) for each in cut]]
+
+            closed, *reset = play(main)
+            self.assertEqual((outcome(kind, closed.id, closed.got), closed.breaches), ("success", []))
+            for k, made in enumerate(reset):
+                self.agrees(made, kind, Ending.BROKEN_MIDWAY, f"reset after {k + 1} of its body", begun=True)
+
+
+class GarbageWithinAStream(Case):
+    """Bytes that are no chunk in the place of each chunk."""
+
+    def test_in_the_place_of_each_chunk(self) -> None:
+        for kind in STREAMS:
+            for junk in (b"\x00\x01\x02\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"-1\r\n"):
+                for events in range(EVENTS + 1):
+
+                    def spoilt(asked: Asked, events: int = events, junk: bytes = junk) -> bytes:
+                        answer = whole_answer(asked)
+                        at = answer.index(b"\r\n\r\n") + 4
+                        for _ in range(events):
+                            at = answer.index(b"\n\n\r\n", at) + 4
+                        return answer[:at] + junk
+
+                    async def main(rig: Rig, kind: str = kind, spoilt: object = spoilt) -> Exchange:
+                        return await exchange(rig, kind, Behaviour(spoilt))
+
+                    ending = Ending.BROKEN_AFTER_EVENT if events else Ending.BROKEN_UNSEEN
+                    made = play(main)
+                    self.agrees(made, kind, ending, f"{junk!r} after {events} events", begun=events > 0)
 
-        for made in play(main):
-            if made.breaches or outcome("resumable", made.id, made.got) != "success":
-                self.wrong.append(str(made))
+
+class SurplusBefore(Case):
+    """An answer that belongs to no request comes before the right one."""
+
+    def test_before_the_right_answer(self) -> None:
+        def doubled(id: str) -> object:
+            return lambda asked: plain(asked, id=id) + whole_answer(asked)
+
+        for kind in KINDS:
+            for id in ("other", ""):
+
+                async def main(rig: Rig, kind: str = kind, id: str = id) -> list:
+                    rig.asked = 1000
+                    size = len(doubled(id)(Asked("r1001", {}, b"", kind)))
+                    return [await exchange(rig, kind, Behaviour(doubled(id), cut=k)) for k in range(0, size, 3)]
+
+                for n, made in enumerate(play(main)):
+                    self.agrees(made, kind, Ending.MISMATCHED, f"id {id!r} cut at {3 * n}")
+
+
+class Page(unittest.TestCase):
+    """``docs/exchanges.md`` against the table in the code, and against the tests above."""
+
+    text = (Path(__file__).parents[1] / "docs" / "exchanges.md").read_text()
+    rows = tuple(
+        tuple(cell.strip() for cell in line.strip("|").split("|"))
+        for line in text.split("## The table")[1].split("\n## ")[0].splitlines()
+        if line.startswith("| ") and not line.startswith(("| way ", "| --- "))
+    )
+
+    def cell(self, decision: Decision) -> str:
+        own = {Told.ANSWER: "the server's answer", Told.CUT: "its end cut"}
+        told = own.get(decision.told, decision.told.value)
+        return f"again, else {told}" if decision.again else told
+
+    def test_each_row_is_what_the_code_decides(self) -> None:
+        for way, name, *cells, ran, kept, _ in self.rows:
+            decisions = [decide(kind, Ending[name.strip("`")]) for kind in Kind]
+            self.assertEqual(cells, [self.cell(decision) for decision in decisions], way)
+            self.assertEqual({"may": True, "no": False}[ran], decisions[0].may_have_run, way)
+            self.assertEqual({"kept": True, "closed": False}[kept], decisions[0].kept, way)
+
+    def test_each_ending_has_a_row_and_each_row_its_own_way(self) -> None:
+        self.assertEqual({row[1].strip("`") for row in self.rows}, {ending.name for ending in Ending})
+        self.assertEqual(len({row[0] for row in self.rows}), len(self.rows))
+
+    def test_each_row_names_tests_that_are_there(self) -> None:
+        for row in self.rows:
+            for name in row[-1].split(", "):
+                self.assertTrue(issubclass(vars(test_exchange_attempts).get(name) or globals()[name], Case), row)
+
+
+class Table(unittest.TestCase):
+    """What must hold of the table whatever else it says."""
+
+    def test_what_may_have_run_goes_again_only_if_it_is_repeatable(self) -> None:
+        for ending in Ending:
+            for kind in Kind:
+                decision = decide(kind, ending)
+                if decision.may_have_run and not kind.repeatable:
+                    self.assertFalse(decision.again, (ending, kind))
+
+    def test_a_promise_is_made_only_of_what_has_not_run(self) -> None:
+        for ending in Ending:
+            for kind in Kind:
+                for ran in (False, True):
+                    decision = decide(kind, ending)
+                    told = Progress(may_have_run=ran or decision.may_have_run).told(decision)
+                    if told is Told.UNAVAILABLE:
+                        self.assertFalse(ran or decision.may_have_run, (ending, kind))
+
+    def test_an_answer_that_has_begun_ends_in_no_status(self) -> None:
+        for ending in Ending:
+            for kind in Kind:
+                self.assertIs(Progress(begun=True).told(decide(kind, ending)), Told.CUT)
+
+    def test_run_and_connection_do_not_depend_on_the_kind(self) -> None:
+        for ending in Ending:
+            self.assertEqual(len({(decide(kind, ending).may_have_run, decide(kind, ending).kept) for kind in Kind}), 1)
 
 
 if __name__ == "__main__":
