--- a/tests/test_exchange_attempts.py
+++ b/tests/test_exchange_attempts.py
@@ -3,7 +3,7 @@
 import unittest
 
 import trio
-from exchange_case import Case, breaches, exchange, outcome
+from exchange_case import Case, Exchange, breaches, exchange, outcome
 from exchange_rig import (
     KINDS,
     REPEATABLE,
@@ -78,13 +78,13 @@
     def late(self, kind: str, servers: int, tokens: int | None, *behaviours: Behaviour) -> tuple[str, float, int]:
         """The outcome, when it was there, and how many servers ran it."""
 
-        async def main(rig: Rig) -> tuple[str, float, int]:
+        async def main(rig: Rig) -> Exchange:
             rig.purse.tokens = tokens
-            made = await exchange(rig, kind, *behaviours)
-            self.assertEqual(made.breaches, [])
-            return outcome(kind, made.id, made.got), made.got.at, made.runs
+            return await exchange(rig, kind, *behaviours)
 
-        return play(main, servers)
+        made = play(main, servers)
+        self.assertEqual(made.breaches, [])
+        return outcome(kind, made.id, made.got), made.got.at, made.runs
 
     def test_no_other_server_is_there(self) -> None:
         for kind in REPEATABLE:
@@ -144,13 +144,13 @@
     """What the client is told when all attempts have failed, each in its own way."""
 
     def ends(self, kind: str, *behaviours: Behaviour, tokens: int | None = None, servers: int = 3) -> tuple[str, int]:
-        async def main(rig: Rig) -> tuple[str, int]:
+        async def main(rig: Rig) -> Exchange:
             rig.purse.tokens = tokens
-            made = await exchange(rig, kind, *behaviours)
-            self.assertEqual([breach for breach in made.breaches if not breach.startswith("next")], [])
-            return outcome(kind, made.id, made.got), made.attempts
+            return await exchange(rig, kind, *behaviours)
 
-        return play(main, servers)
+        made = play(main, servers)
+        self.assertEqual([breach for breach in made.breaches if not breach.startswith("next")], [])
+        return outcome(kind, made.id, made.got), made.attempts
 
     FULL = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False)
     WRONG = Behaviour(rejection(421), runs=False)
--- /dev/null
+++ b/tests/test_exchange_faults.py
@@ -0,0 +1,168 @@
+"""Faults planted in the data plane, each found by a test of exchanges that passes without it."""
+
+import unittest
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+from unittest import mock
+
+import test_exchange_attempts
+import test_exchange_clients
+import test_exchanges
+import trio
+from loguru import logger
+
+from rowanshift.dataplane import forwarder
+from rowanshift.dataplane.client_answer import Out
+from rowanshift.dataplane.forwarder import Forwarder
+from rowanshift.dataplane.retry_decision import Decision, Ending, Progress, Told
+from rowanshift.dataplane.upstream import Link, Outcome, SendFailed, Upstream
+from rowanshift.net.connection import Connection
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class AnyId(bytes):
+    """Equal to every other id."""
+
+    def __eq__(self, other: object) -> bool:
+        return True
+
+    def __ne__(self, other: object) -> bool:
+        return False
+
+    __hash__ = bytes.__hash__
+
+
+class Planted(unittest.TestCase):
+    def found(self, case: type[unittest.TestCase], test: str, *patches: Any) -> None:
+        with ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            result = unittest.TestResult()
+            case(test).run(result)
+        self.assertEqual(result.errors, [])
+        self.assertNotEqual(result.failures, [], "nothing was found")
+
+    def test_a_connection_with_surplus_bytes_is_used_again(self) -> None:
+        patch = mock.patch.object(Connection, "clean", lambda connection: True)
+        self.found(test_exchanges.Surplus, "test_with_the_answer", patch)
+
+    def test_the_id_of_an_answer_is_not_compared(self) -> None:
+        true = Upstream.head
+
+        async def head(upstream: Upstream, link: Link, id: bytes, *more: Any) -> Any:
+            return await true(upstream, link, AnyId(id), *more)
+
+        patch = mock.patch.object(Upstream, "head", head)
+        self.found(test_exchanges.NoAnswers, "test_another_id_or_none", patch)
+        self.found(test_exchanges.SurplusBefore, "test_before_the_right_answer", patch)
+        self.found(test_exchanges.Surplus, "test_later", patch)
+
+    def test_a_reset_after_the_whole_write_counts_as_unsent(self) -> None:
+        true = Upstream.send
+
+        async def send(upstream: Upstream, link: Link, data: bytes, until: float) -> None:
+            await true(upstream, link, data, until)
+            await trio.sleep(0.02)
+            if link.connection.stream.failed:
+                raise SendFailed(Outcome.UNSENT, "reset")
+
+        patch = mock.patch.object(Upstream, "send", send)
+        self.found(test_exchanges.AnswersBrokenOff, "test_reset_in_the_answer_to_non_idempotent", patch)
+        self.found(test_exchanges.RequestsReadInPart, "test_all_of_it_was_handed_to_the_system", patch)
+
+    def test_the_last_byte_is_taken_for_not_handed_over(self) -> None:
+        """A send that ends in an error is unsent, though its last write had gone out."""
+        true = Connection.pump
+
+        def pump(connection: Connection) -> bool:
+            whole = true(connection)
+            if whole and not connection.requests and connection.stream.room == 0:
+                raise OSError("planted")
+            return whole
+
+        patch = mock.patch.object(Connection, "pump", pump)
+        self.found(test_exchanges.RequestsReadInPart, "test_a_narrow_window_keeps_a_part_of_it_back", patch)
+
+    def test_a_promise_is_passed_on_without_not_executed(self) -> None:
+        true = Progress.ending_of_status
+
+        def ending(progress: Progress, status: int, not_executed: bool) -> Ending:
+            made = true(progress, status, not_executed)
+            return Ending.REFUSED if made is Ending.UNPROVEN_PROMISE else made
+
+        patch = mock.patch.object(Progress, "ending_of_status", ending)
+        self.found(test_exchanges.Statuses, "test_a_promise_without_proof", patch)
+
+    def test_a_promise_is_made_after_a_run_elsewhere(self) -> None:
+        def told(progress: Progress, decision: Decision) -> Told:
+            return Told.CUT if progress.begun else decision.told
+
+        patch = mock.patch.object(Progress, "told", told)
+        self.found(test_exchange_attempts.SeveralAttempts, "test_one_may_have_run_it_and_the_rest_reject_it", patch)
+
+    def test_a_stream_that_broke_off_ends_as_whole(self) -> None:
+        true = Upstream.body
+
+        async def body(upstream: Upstream, *given: Any) -> bytes:
+            try:
+                return await true(upstream, *given)
+            except SendFailed as failure:
+                if failure.outcome is Outcome.BROKEN:
+                    return b""
+                raise
+
+        patch = mock.patch.object(Upstream, "body", body)
+        self.found(test_exchanges.AnswersBrokenOff, "test_close_in_the_answer_to_stream", patch)
+
+    def test_a_reset_on_a_reused_connection_counts_as_unsent(self) -> None:
+        true = Forwarder._ending_of
+
+        def ending_of(self: Forwarder, forwarding: Any, endpoint: Any, link: Link, failure: SendFailed) -> Ending:
+            if link is not None and link.since and failure.outcome is Outcome.BROKEN:
+                return Ending.NOT_WRITTEN
+            return true(self, forwarding, endpoint, link, failure)
+
+        patch = mock.patch.object(Forwarder, "_ending_of", ending_of)
+        name = "test_another_is_not_sent_again_and_no_promise_is_made"
+        self.found(test_exchange_attempts.Forgotten, name, patch)
+        self.found(test_exchanges.AnswersBrokenOff, "test_reset_in_the_answer_to_stream", patch)
+
+    def test_a_silent_server_is_left_whether_another_is_there_or_not(self) -> None:
+        patch = mock.patch.object(Forwarder, "_sure_of_another", lambda *given: True)
+        for name in ("test_no_other_server_is_there", "test_the_budget_grants_no_attempt"):
+            self.found(test_exchange_attempts.Silence, name, patch)
+
+    def test_a_part_of_an_event_is_passed_on(self) -> None:
+        patch = mock.patch.object(forwarder, "end_of_events", len)
+        self.found(test_exchanges.AnswersBrokenOff, "test_reset_in_the_answer_to_resumable", patch)
+
+    def test_what_may_have_run_goes_again(self) -> None:
+        def again(kind: Any, ending: Ending, true: Callable = forwarder.decide) -> Decision:
+            decision = true(kind, ending)
+            return Decision(True, decision.told, True, False) if ending is Ending.NO_ANSWER else decision
+
+        patch = mock.patch.object(forwarder, "decide", again)
+        self.found(test_exchanges.AnswersBrokenOff, "test_close_in_the_answer_to_non_idempotent", patch)
+
+    def test_an_old_client_gets_a_regular_end_of_a_stream_that_broke_off(self) -> None:
+        true = Out.head
+
+        def head(out: Out, *given: Any) -> bytes:
+            made = true(out, *given)
+            out.connection.resets = False
+            return made
+
+        patch = mock.patch.object(Out, "head", head)
+        self.found(test_exchange_clients.Framing, "test_a_stream_to_an_old_client_that_breaks_off", patch)
+
+
+if __name__ == "__main__":
+    unittest.main()
