Refuse an answer whose head holds the start of another

Cause: bytes of a surplus answer that end within its status line or a field's value run into the status line of the right answer; the parser took that line for the rest of the value. Fields of the surplus answer, another's Response-Seal among them, reached the client, and a 200 of it stood over a rejection. Change: a status line within a reason or a field's value makes an answer garbled.

--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages over one stream: a strict parser behind one ring buffer, another before the way out."""
 
+import re
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_BODY = (204, 304)
 BLANKS = (b" ", b"\t")
+STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")  # within a head: another answer begins there
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -95,6 +97,7 @@
 
     def _start(self) -> None:
         self.message, self.pieces, self.size = Message(), [], 0
+        self.reason = b""
         self.in_head, self.head, self.hints = True, 0, 0
         self.to_the_end = False  # the body ends with the connection
 
@@ -203,14 +206,25 @@
     def on_url(self, url: bytes) -> None:
         self.message.target += url
 
+    def on_status(self, reason: bytes) -> None:
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:  # else it is a trailer, which nobody needs
             # where a value and the line's end come in two pieces, the blanks between them are left on it
             value = value.strip(b" \t") if value[-1:] in BLANKS else value
             self.message.fields.append((name.lower(), value))
+            self._refuse_glued(value)
+
+    def _refuse_glued(self, text: bytes) -> None:
+        """What broke off before it may end within a line, to which the parser takes the next status line."""
+        if not self.requests and STATUS_LINE.search(text):
+            self._fail(502, "an answer begins within a head")
+            raise self.error
 
     def on_headers_complete(self) -> None:
         message, self.in_head = self.message, False
+        self._refuse_glued(self.reason)
         version = self.parser.get_http_version()
         given = {
             name: value
--- a/tests/exchange_rig.py
+++ b/tests/exchange_rig.py
@@ -84,6 +84,7 @@
 
     status: int = 0
     fields: dict[bytes, bytes] = field(default_factory=dict)
+    top: bytes = b""  # the head as it came
     body: bytes = b""
     whole: bool = False
     rest: bytes = b""  # bytes after a whole answer
@@ -294,7 +295,7 @@
     top, found, rest = data.partition(b"\r\n\r\n")
     if not found:
         return Got(rest=b"" if b"HTTP/1.1 ".startswith(data[:9]) else data)
-    got = Got(int(top[9:12]), fields_of(top))
+    got = Got(int(top[9:12]), fields_of(top), top)
     if got.status in (204, 304):
         got.whole, got.rest = True, rest
     elif got.fields.get(b"transfer-encoding") == b"chunked":
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,6 +2,7 @@
 
 import unittest
 from pathlib import Path
+from typing import Any
 
 import test_exchange_attempts
 import trio
@@ -393,6 +394,53 @@
                     self.agrees(made, kind, Ending.MISMATCHED, f"id {id!r} cut at {3 * n}")
 
 
+class PartsBefore(Case):
+    """A part of a surplus answer, of each length, stands before the right answer."""
+
+    def test_it_does_not_change_the_status_of_a_rejection(self) -> None:
+        """The status line of the surplus answer is taken for none: it would make a success of a rejection."""
+        for kind in KINDS:
+
+            async def main(rig: Rig, kind: str = kind) -> list:
+                made = []
+                for k in range(1, len(whole_answer(Asked("other", {}, b"", kind)))):
+
+                    def glued(asked: Asked, k: int = k) -> bytes:
+                        surplus = whole_answer(Asked("other", {}, b"", asked.kind))
+                        return surplus[:k] + rejection(503, b"Not-Executed: 1")(asked)
+
+                    made.append((k, await exchange(rig, kind, Behaviour(glued, runs=False))))
+                    await trio.sleep(1.0)
+                return made
+
+            for k, made in play(main):
+                got = outcome(kind, made.id, made.got)
+                if made.breaches or b"other" in made.got.top or got not in ("success", "own 502", "own 503"):
+                    self.wrong.append(f"{kind}, {k}: {got} {made}")
+
+    def test_no_byte_of_it_gets_into_the_answer(self) -> None:
+        for kind in KINDS:
+            for other in ("idempotent", "stream"):
+
+                def glued(asked: Asked, k: int, other: str = other) -> bytes:
+                    surplus = whole_answer(Asked("other", {}, b"", other))
+                    return surplus[:k] + whole_answer(asked)
+
+                async def main(rig: Rig, kind: str = kind, other: str = other, glued: Any = glued) -> list:
+                    made = []
+                    for k in range(1, len(whole_answer(Asked("other", {}, b"", other)))):
+                        behaviour = Behaviour(lambda asked, k=k: glued(asked, k), then=Then.CLOSE)
+                        made.append((k, await exchange(rig, kind, behaviour)))
+                    return made
+
+                for k, made in play(main):
+                    got = outcome(kind, made.id, made.got)
+                    mixed = b"other" in made.got.top + made.got.body
+                    found = [breach for breach in made.breaches if not breach.startswith("next")]
+                    if mixed or found or got not in ("success", "own 502"):
+                        self.wrong.append(f"{kind}, {k} of a {other} answer: {got} {made}")
+
+
 class Page(unittest.TestCase):
     """``docs/exchanges.md`` against the table in the code, and against the tests above."""
 
