--- a/rowanshift/net/connection.py
+++ b/rowanshift/net/connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages over one stream: a strict parser behind one ring buffer, another before the way out."""
 
+import re
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_BODY = (204, 304)
 BLANKS = (b" ", b"\t")
+STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")  # within a head: another answer begins there
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -89,10 +91,13 @@
         self.partial = False  # a message has begun and is not whole
         self.more = False  # the last read filled all the room there was
         self.held = 0  # bytes of bodies
+        self.owes_go_ahead = False  # to a request that waits for it behind one that is not answered
+        self.resets = False  # what was sent ends with the connection, and is not whole yet
         self._start()
 
     def _start(self) -> None:
         self.message, self.pieces, self.size = Message(), [], 0
+        self.reason = b""
         self.in_head, self.head, self.hints = True, 0, 0
         self.to_the_end = False  # the body ends with the connection
 
@@ -100,7 +105,10 @@
 
     def close(self) -> None:
         if not self.closed():
-            self.stream.close()
+            if self.resets:
+                self.stream.reset()
+            else:
+                self.stream.close()
             if self.flow is not None:
                 self.flow.cut_off()
             self.parser = None  # each holds the other
@@ -155,11 +163,13 @@
         """The next message, once what was received holds it whole."""
         while self.inbound and not self.whole and self.error is None:
             self._parse(self.inbound.read())
-        if self.whole:
-            return self.whole.popleft()
-        if self.error is not None:
+        message = self.whole.popleft() if self.whole else None
+        if message is None and self.error is not None:
             raise self.error
-        return None
+        if self.owes_go_ahead and (message is None or (message.flow is not None and message.flow is self.flow)):
+            self.owes_go_ahead = False
+            self.push(GO_AHEAD)
+        return message
 
     def pending(self) -> bool:
         """Whether there is more of what was received to look at."""
@@ -196,14 +206,25 @@
     def on_url(self, url: bytes) -> None:
         self.message.target += url
 
+    def on_status(self, reason: bytes) -> None:
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:  # else it is a trailer, which nobody needs
             # where a value and the line's end come in two pieces, the blanks between them are left on it
             value = value.strip(b" \t") if value[-1:] in BLANKS else value
             self.message.fields.append((name.lower(), value))
+            self._refuse_glued(value)
+
+    def _refuse_glued(self, text: bytes) -> None:
+        """What broke off before it may end within a line, to which the parser takes the next status line."""
+        if not self.requests and STATUS_LINE.search(text):
+            self._fail(502, "an answer begins within a head")
+            raise self.error
 
     def on_headers_complete(self) -> None:
         message, self.in_head = self.message, False
+        self._refuse_glued(self.reason)
         version = self.parser.get_http_version()
         given = {
             name: value
@@ -225,7 +246,10 @@
             if sum(name == b"host" for name, _ in message.fields) != 1 and version == "1.1":
                 self._fail(400, "one Host is wanted")
             elif given.get(b"expect", b"").lower() == b"100-continue" and not self.unsent:
-                self.push(GO_AHEAD)
+                if self.whole:  # it would be taken for an answer to a request that stands before this one
+                    self.owes_go_ahead = True
+                else:
+                    self.push(GO_AHEAD)
         else:
             if not given and message.status >= 200 and message.status not in NO_BODY:
                 self.to_the_end = True
@@ -268,7 +292,7 @@
         self.pieces.append(piece)
 
     def on_message_complete(self) -> None:
-        self.partial = False
+        self.partial = self.owes_go_ahead = False
         message = self.message
         if not self.requests and message.status < 200:
             self.hints += 1
