--- /dev/null
+++ b/rowanshift/invariants/breaches.py
@@ -0,0 +1,54 @@
+"""What every check shares: the breach that it returns, the bounds that it takes, and facts grouped by a name."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from rowanshift.invariants.facts import Fact
+
+Facts = Sequence[Fact]
+F = TypeVar("F", bound=Fact)
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """A broken rule: when, by which requests, servers or calls, and why."""
+
+    rule: str
+    at: float
+    ids: tuple[str, ...]
+    why: str
+
+    def __str__(self) -> str:
+        return f"{self.rule} at {self.at:.3f} s, {', '.join(self.ids)}: {self.why}"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the checks need of the settings, in seconds."""
+
+    config_apply: float = 2.0
+    drain: float = 3.0
+    version: float = 8.0
+    lease: float = 3.0
+    isolated: frozenset[str] | None = None  # tenants; none: as the configurations that were sent say
+
+
+DEFAULT_BOUNDS = Bounds()
+
+
+def of_kind(facts: Iterable[Fact], kind: type[F]) -> list[F]:
+    """The facts of a kind in the order of their times."""
+    return sorted((fact for fact in facts if type(fact) is kind), key=lambda fact: fact.at)
+
+
+def by(facts: Iterable[F], name: Callable[[F], Any]) -> dict[Any, list[F]]:
+    grouped: dict[Any, list[F]] = defaultdict(list)
+    for fact in facts:
+        grouped[name(fact)].append(fact)
+    return grouped
+
+
+def by_id(facts: Facts, kind: type[F]) -> dict[str, list[F]]:
+    return by(of_kind(facts, kind), lambda fact: fact.id)
--- /dev/null
+++ b/rowanshift/invariants/server_rules.py
@@ -0,0 +1,113 @@
+"""Checks at the model servers: what cache a run used (STALE, WALL), under which version it ran (VERSION), who
+gave orders (ONE), and what reached a server that leaves (DRAIN)."""
+
+from collections.abc import Collection
+
+from rowanshift.invariants.breaches import Breach, Facts, by, of_kind
+from rowanshift.invariants.facts import Began, CacheHit, ConfigSent, Listed, Made, Ordered, Reached, VersionNamed
+
+
+def stale(facts: Facts) -> list[Breach]:
+    """STALE: a run on cache that was made under another version."""
+    return [
+        Breach(
+            "STALE",
+            hit.at,
+            (hit.id, hit.instance),
+            f"part {hit.part} of version {hit.made_revision} under {hit.revision}",
+        )
+        for hit in of_kind(facts, CacheHit)
+        if hit.made_revision != hit.revision
+    ]
+
+
+def wall(facts: Facts, isolated: Collection[str] | None = None) -> list[Breach]:
+    """WALL: a run on cache that another tenant's made, where one of the two is isolated."""
+    if isolated is None:
+        isolated = {
+            tenant["name"]
+            for sent in of_kind(facts, ConfigSent)
+            for tenant in sent.config.get("tenants", ())
+            if tenant.get("isolated")
+        }
+    return [
+        Breach("WALL", hit.at, (hit.id, hit.instance), f"part {hit.part} of {hit.made_tenant!r} used by {hit.tenant!r}")
+        for hit in of_kind(facts, CacheHit)
+        if hit.made_tenant != hit.tenant and (hit.tenant in isolated or hit.made_tenant in isolated)
+    ]
+
+
+def version(facts: Facts, within: float) -> list[Breach]:
+    """VERSION: a run's first token under an older version, ``within`` seconds after a newer one was named."""
+    named, seen, broken = of_kind(facts, VersionNamed), set(), []
+    runs = [(made.at, made.run, made.id, made.model, made.revision) for made in of_kind(facts, Made)]
+    started = {run for _, run, *_ in runs}
+    runs += [
+        (began.at, began.run, began.id, began.model, began.revision)
+        for began in of_kind(facts, Began)
+        if began.run not in started
+    ]
+    for at, run, id, model, revision in sorted(runs):
+        if run in seen:
+            continue
+        seen.add(run)
+        newest = max(
+            (name for name in named if name.model == model and name.at + within < at),
+            key=lambda name: name.revision,
+            default=None,
+        )
+        if newest is not None and revision < newest.revision:
+            broken.append(
+                Breach(
+                    "VERSION",
+                    at,
+                    (id, run),
+                    f"{model} {revision}; {newest.revision} was acknowledged at {newest.at:.3f} s",
+                )
+            )
+    return broken
+
+
+def one(facts: Facts, lease: float, everywhere: bool = False) -> list[Breach]:
+    """ONE: at a server (or at all together, ``everywhere``), two holders with one fence, a lower fence taken
+    after a higher one, or holders that take turns within ``lease`` seconds. What a server refused for its
+    fence (412) is no turn."""
+    broken: list[Breach] = []
+    orders = [fact for fact in of_kind(facts, Ordered) if fact.status != 400]
+    for where, got in by(orders, lambda fact: "all" if everywhere else fact.instance).items():
+        holders: dict[int, str] = {}
+        for fact in got:
+            if holders.setdefault(fact.fence, fact.holder) != fact.holder:
+                broken.append(
+                    Breach(
+                        "ONE", fact.at, (where, holders[fact.fence], fact.holder), f"two holders of fence {fact.fence}"
+                    )
+                )
+        heard = [fact for fact in got if fact.status != 412]
+        highest, turns = -1, []
+        for fact in heard:
+            if fact.fence < highest:
+                broken.append(Breach("ONE", fact.at, (where, fact.holder), f"{fact.fence} after {highest}"))
+            highest = max(highest, fact.fence)
+            if not turns or turns[-1][0] != fact.holder:
+                turns.append([fact.holder, fact.at, fact.at])
+            turns[-1][2] = fact.at
+        broken += [
+            Breach("ONE", again[1], (where, again[0], between[0]), "holders take turns")
+            for before, between, again in zip(turns, turns[1:], turns[2:], strict=False)
+            if before[0] == again[0] and again[1] - before[2] < lease
+        ]
+    return broken
+
+
+def drain(facts: Facts, within: float) -> list[Breach]:
+    """DRAIN: a request reaches a server later than ``within`` seconds after the list showed it leaving."""
+    left: dict[str, float] = {}
+    for listed in of_kind(facts, Listed):
+        if listed.state != "up":
+            left.setdefault(listed.instance, listed.at)
+    return [
+        Breach("DRAIN", fact.at, (fact.id, fact.instance), f"it left at {left[fact.instance]:.3f} s")
+        for fact in of_kind(facts, Reached)
+        if fact.refused != 421 and fact.at > left.get(fact.instance, float("inf")) + within
+    ]
