Test the control side's checks on hand-made facts and by planted faults

Each new check has a history that just breaks it and one that just doesn't, and a fault planted into the real code that it finds in the whole system: a budget that never refuses, a router that cuts its requests at SIGTERM or takes an older update, a primary that forgets its orders, acknowledges alone, or holds duties after its lease.

--- a/rowanshift/simulation/fleet_load.py
+++ b/rowanshift/simulation/fleet_load.py
@@ -9,7 +9,7 @@
 import trio
 
 from rowanshift.emulation.system_clients import Operator, Patron, Work
-from rowanshift.invariants.facts import Answered, Asked, Lost
+from rowanshift.invariants.facts import Answered, Asked, ConfigAnswered, ConfigSent, Lost
 from rowanshift.net.transport import Address
 from rowanshift.simulation.fleet_settings import (
     CATALOGUES,
@@ -93,6 +93,16 @@
             self.revision = max(self.revision, config["revision"])
         return status
 
+    async def send_again(self, operator: int = 0, back: int = 0, within: float = 10.0) -> int:
+        """Has an operator send a configuration again as it was: the one acknowledged last, or ``back`` before
+        that; its status, 0 if that is unclear or none was acknowledged yet."""
+        sent = {fact.call: fact for fact in self.facts if type(fact) is ConfigSent}
+        taken = [fact for fact in self.facts if type(fact) is ConfigAnswered and fact.status == 200]
+        if not taken:
+            return 0
+        before = sent[taken[max(0, len(taken) - 1 - back)].call]
+        return await self.operators[operator].put_config(before.config, before.base, within)
+
     async def race(self, *configs: dict[str, Any]) -> list[int]:
         """Configurations that are sent at once on top of the same one, each by another operator."""
         base, statuses = self.revision, [0] * len(configs)
--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,158 @@
+"""Faults that are put into the programs of the whole system, each found by a check of the control side."""
+
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+import trio
+from loguru import logger
+
+from rowanshift.controlplane import api, protocol
+from rowanshift.controlplane.replica_host import ReplicaHost
+from rowanshift.dataplane import service
+from rowanshift.dataplane.control_client import ControlClient
+from rowanshift.retry_budget import RetryBudget
+from rowanshift.simulation.fleet import ONCE, REPEATED, RESUMED, config_of, play, routes_of
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class Planted(unittest.TestCase):
+    """A scenario finds nothing without its fault, and a breach of the rule, that says so, with it."""
+
+    def found(self, rule, why, scenario, *patches, **given):
+        async def main(fleet):
+            fleet.server("other")
+            await fleet.start()
+            await scenario(fleet)
+
+        self.assertEqual([str(breach) for breach in play(main, **given)[1].breaches()], [])
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        breaches = play(main, **given)[1].breaches()
+        said = [breach for breach in breaches if breach.rule == rule and why in breach.why]
+        self.assertTrue(said, [str(breach) for breach in breaches])
+
+    def test_the_budget_of_repeats_never_refuses(self):
+        async def scenario(fleet):
+            for n in range(16):
+                fleet.client(f"c{n}", REPEATED, "key-1", 0.05)
+            for server in fleet.servers:
+                server.answer_lost(0.9)
+            await trio.sleep(6)
+
+        self.found("BUDGET", "repeats", scenario, mock.patch.object(RetryBudget, "take", lambda budget, now: True))
+
+    def test_a_router_cuts_its_open_requests_at_sigterm(self):
+        async def scenario(fleet):
+            for n in range(6):
+                fleet.client(f"c{n}", (RESUMED, ONCE)[n % 2], "key-1", 0.05, 400)
+            await trio.sleep(1)
+            fleet.terminate(fleet.routers[0])
+            await trio.sleep(4)
+
+        self.found("LOST", "SIGTERM", scenario, mock.patch.multiple(service, NOTICED=0.05, GRACE_LEFT=8.0))
+
+    def test_a_router_takes_an_older_update(self):
+        true, first = ControlClient._take, {}
+
+        def take(client, update):
+            true(client, update)
+            if update.has_state and update.revision == 1:
+                first[client] = update
+            elif not update.has_state and client.routing_table.revision == 2:
+                true(client, replace(first[client], mark=update.mark, has_rows=False, has_peers=False))
+
+        async def scenario(fleet):
+            fleet.client("c", ONCE, "key-1", 0.05)
+            await trio.sleep(1)
+            routes = routes_of()
+            routes[1]["backend"] = "other"
+            await fleet.put(config_of(2, routes=routes))
+            await trio.sleep(3)
+
+        self.found("CONFIG", "was seen at", scenario, mock.patch.object(ControlClient, "_take", take))
+
+    def test_a_primary_forgets_the_orders_that_it_took(self):
+        true = api.put_config
+
+        def forgetting(state, if_match, body):
+            return true(replace(state, taken=()), if_match, body)
+
+        async def scenario(fleet):
+            await fleet.put(config_of(2))
+            fleet.kill(fleet.primary())
+            await fleet.send_again(1)
+
+        self.found("CONFIG", "sent again", scenario, mock.patch.object(api, "put_config", forgetting))
+
+    def test_an_order_is_refused_whose_acknowledgement_was_lost(self):
+        true = api.put_config
+
+        def forgetting(state, if_match, body):
+            return true(replace(state, taken=()), if_match, body)
+
+        async def scenario(fleet):
+            fleet.operator.lost_acknowledgements = 1.0
+            with trio.move_on_after(1.5):
+                await fleet.put(config_of(2))
+            fleet.operator.lost_acknowledgements = 0.0
+            await fleet.put(config_of(2))
+
+        self.found("CONFIG", "sent again", scenario, mock.patch.object(api, "put_config", forgetting))
+
+    def test_a_primary_that_is_cut_off_acknowledges_alone(self):
+        true = ReplicaHost.change
+
+        async def alone(replica_host, made, within):
+            replica = replica_host.replica
+            if replica.is_primary and replica_host.holds() == 0.0:
+                return made(replica.committed_state) or replica.committed_state
+            return await true(replica_host, made, within)
+
+        async def scenario(fleet):
+            unit = fleet.primary()
+            fleet.cut(unit)
+            await trio.sleep(3)
+            for _ in range(6):
+                await fleet.put(config_of(fleet.sent + 1))
+            fleet.join(unit)
+            await trio.sleep(1)
+
+        self.found(
+            "CONFIG",
+            "is primary of epoch",
+            scenario,
+            mock.patch.object(ReplicaHost, "change", alone),
+            mock.patch.multiple(protocol, LAPSE=1000.0),
+        )
+
+    def test_duties_are_held_after_the_lease(self):
+        async def scenario(fleet):
+            await fleet.name_version(2)
+            await trio.sleep(0.5)
+            unit = fleet.primary()
+            fleet.cut(unit)
+            await trio.sleep(8)
+            fleet.join(unit)
+
+        self.found(
+            "ONE",
+            "after",
+            scenario,
+            mock.patch.multiple(protocol, LEASE=1000.0, LAPSE=1000.0),
+            servers=6,
+            load=2.0,
+            fencing=False,
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_invariants_control.py
@@ -0,0 +1,241 @@
+"""The checks of retries, planned work, orders and standstills, on histories made by hand: broken, and just not."""
+
+import unittest
+from dataclasses import replace
+
+from rowanshift.invariants import system as rules
+from rowanshift.invariants.system import (
+    Answered,
+    Asked,
+    Began,
+    Bounds,
+    ConfigAnswered,
+    ConfigSent,
+    Finished,
+    Lost,
+    Ordered,
+    OrderReplied,
+    PrimaryBecame,
+    Reached,
+    Resumed,
+    RouterStarted,
+    Signalled,
+)
+
+FRONT, OTHER_FRONT = "127.1.0.1:8080", "127.1.0.2:8080"
+CONTROL, OTHER_CONTROL = "127.1.0.3:8090", "127.1.0.4:8090"
+BOUNDS = Bounds(retry_ratio=0.2, retry_slack=2.0, retry_window=10.0)
+
+
+def config_of(revision, service="s1", **more):
+    route = {"hostname": "h", "pathPrefix": "/a/", "public": True, "backend": service} | more
+    return {"revision": revision, "routes": [route]}
+
+
+def sent(at, revision, service="s1", call="", **more):
+    return ConfigSent(at, call or f"c{revision}", revision - 1, revision, config_of(revision, service, **more))
+
+
+def acknowledged(at, revision, call=""):
+    return ConfigAnswered(at, call or f"c{revision}", revision - 1, revision, 200)
+
+
+def asked(at, id, front=FRONT, within=6.0):
+    return Asked(at, id, "h", "POST", "/a/x", b"{}", front=front, within=within)
+
+
+def began(at, id, service="s1"):
+    return Began(at, id, "i1", service, f"i1/{id}", "seal", "h", "POST", "/a/x", b"{}")
+
+
+def whys(breaches):
+    return [breach.why for breach in breaches]
+
+
+class Budget(unittest.TestCase):
+    """2 repeats are allowed in any 10 s, and 0.2 a request."""
+
+    def found(self, requests, repeats):
+        facts = [sent(0.0, 1), acknowledged(0.1, 1)]
+        facts += [asked(at, f"q{n}") for n, at in enumerate(requests)]
+        facts += [Reached(10.0, "r", "i1", "s1")]
+        facts += [Reached(at, "r", "i2", "s1", 503) for at in repeats]  # turned away, they count as well
+        return rules.budget(facts, BOUNDS)
+
+    def test_the_slack_alone(self):
+        self.assertEqual(self.found([], [11.0, 12.0]), [])
+        [breach] = self.found([], [11.0, 12.0, 20.9])
+        self.assertEqual((breach.rule, breach.ids, breach.at), ("BUDGET", ("s1",), 20.9))
+        self.assertEqual(self.found([], [11.0, 12.0, 21.0]), [])  # never three within 10 s
+
+    def test_requests_of_the_window_or_one_before_allow_more(self):
+        """The windows that hold all of the repeats end from 30.2 s until just before 40 s."""
+        repeats = [30.0, 30.1, 30.2]
+        for at in (30.0, 25.0, 20.0):
+            self.assertEqual(self.found([at] * 5, repeats), [], at)
+            self.assertEqual(len(self.found([at] * 4, repeats)), 1, at)
+        [breach] = self.found([19.9] * 5, repeats)  # that allows them no longer, before the repeats are past
+        self.assertEqual(breach.at, 39.9)
+        [breach] = self.found([9.0] * 5, repeats)
+        self.assertEqual(breach.at, 30.2)
+
+    def test_the_window_half_a_window_before(self):
+        """Five requests in it lie astride the two windows that are counted else."""
+        split = [34.5, 34.5, 34.5, 35.5, 35.5]
+        self.assertEqual(self.found(split, [40.1, 40.2, 40.3]), [])
+        self.assertEqual(len(self.found(split[1:], [40.1, 40.2, 40.3])), 1)
+
+    def test_requests_for_another_service_allow_nothing(self):
+        facts = [sent(0.0, 1, "s2"), acknowledged(0.1, 1), *[asked(9.0, f"q{n}") for n in range(50)]]
+        facts += [Reached(10.0 + n, "r", "i1", "s1") for n in range(4)]
+        self.assertEqual([breach.ids for breach in rules.budget(facts, BOUNDS)], [("s1",)])
+        self.assertEqual(rules.budget(facts[:-1], BOUNDS), [])
+
+
+class PlannedWork(unittest.TestCase):
+    """A SIGTERM at 10 s; the grace is 8 s."""
+
+    TERM = Signalled(10.0, "router-0", FRONT, "SIGTERM")
+
+    def found(self, *facts):
+        return rules.lost([*facts], BOUNDS)
+
+    def cut(self, at, since=9.5, front=FRONT, **more):
+        return [asked(since, "r", front, **more), Reached(since + 0.1, "r", "i1", "s1"), Lost(at, "r", "closed")]
+
+    def test_a_cut_after_sigterm(self):
+        [breach] = self.found(self.TERM, *self.cut(10.5))
+        self.assertEqual((breach.rule, breach.ids), ("LOST", ("r",)))
+        for good in (
+            self.cut(9.9),  # before it
+            self.cut(19.1, 18.0),  # after all of it
+            self.cut(10.5, front=OTHER_FRONT),
+            self.cut(10.5, within=0.9),  # its deadline was reached
+            [asked(9.5, "r"), Reached(9.6, "r", "i1", "s1"), Lost(10.5, "r", "left")],  # the client gave it up
+            [*self.cut(10.5), began(9.7, "r"), Finished(10.4, "r", "i1/r", "crash")],
+        ):
+            self.assertEqual(self.found(self.TERM, *good), [])
+
+    def test_a_cut_of_an_answer_that_had_begun(self):
+        facts = [asked(9.5, "r"), Reached(9.6, "r", "i1", "s1"), Answered(10.5, "r", 200, whole=False)]
+        self.assertEqual(len(self.found(self.TERM, *facts)), 1)
+        self.assertEqual(self.found(self.TERM, *facts[:2], replace(facts[2], left=True)), [])
+        self.assertEqual(self.found(self.TERM, *facts[:2], replace(facts[2], whole=True)), [])
+
+    def test_what_was_not_passed_on_counts_after_the_slack(self):
+        self.assertEqual(self.found(self.TERM, asked(10.4, "r"), Lost(10.5, "r", "closed")), [])
+        self.assertEqual(len(self.found(self.TERM, asked(10.2, "r"), Lost(10.5, "r", "closed"))), 1)
+
+    def test_a_server_that_works_into_the_second_half_of_the_grace(self):
+        work = began(9.7, "r")
+        self.assertEqual(self.found(self.TERM, work, *self.cut(14.1)), [])
+        self.assertEqual(len(self.found(self.TERM, work, *self.cut(13.9))), 1)
+
+    def test_sighup(self):
+        hangup = Signalled(10.0, "router-0", FRONT, "SIGHUP")
+        self.assertEqual(len(self.found(hangup, *self.cut(14.0, 11.9))), 1)
+        self.assertEqual(self.found(hangup, *self.cut(14.0, 12.1)), [])
+
+    def test_beside_a_configuration(self):
+        """The machine cuts all its requests then, or as many as ever."""
+        change = [sent(9.0, 1, timeoutMs=6000), acknowledged(9.2, 1)]
+        self.assertEqual(len(self.found(*change, *self.cut(10.5))), 1)
+        self.assertEqual(self.found(*change, *self.cut(12.3, 12.0)), [])  # 3 s after the acknowledgement
+        self.assertEqual(self.found(*change, *self.cut(12.1, 7.5)), [])  # seven tenths of its time were used
+        before = [replace(fact, at=fact.at - 9.0, id="r0") for fact in self.cut(10.5)]
+        self.assertEqual(self.found(*change, *before, *self.cut(10.5)), [])
+
+
+class GoingBack(unittest.TestCase):
+    """Versions 1 and 3 name one service, 2 another."""
+
+    VERSIONS = (sent(1.0, 1), sent(2.0, 2, "s2"), sent(8.0, 3))
+    LIFE = RouterStarted(0.0, "router-0", FRONT)
+    SEEN = (asked(3.0, "new"), began(3.1, "new", "s2"))
+
+    def found(self, *facts):
+        return rules.regressed([self.LIFE, *self.VERSIONS, *self.SEEN, *facts], 0.25)
+
+    def test_a_request_that_only_an_older_one_allows(self):
+        [breach] = self.found(asked(3.4, "old"), began(3.5, "old"))
+        self.assertEqual((breach.rule, breach.ids), ("CONFIG", ("old", "i1")))
+        self.assertIn("only up to 1; 2 was seen", breach.why)
+
+    def test_what_is_no_step_back(self):
+        self.assertEqual(self.found(asked(3.3, "soon"), began(3.5, "soon")), [])  # within the slack
+        self.assertEqual(self.found(asked(3.4, "again"), began(3.5, "again", "s2")), [])
+        self.assertEqual(self.found(asked(8.5, "newer"), began(8.6, "newer")), [])  # version 3 allows it
+        self.assertEqual(self.found(asked(3.4, "there", OTHER_FRONT), began(3.5, "there")), [])
+        self.assertEqual(self.found(replace(self.LIFE, at=3.3), asked(3.4, "life"), began(3.5, "life")), [])
+
+    def test_a_denial_that_only_an_older_one_allows(self):
+        closed = sent(1.0, 1, pathPrefix="/b/")
+        facts = [self.LIFE, closed, *self.VERSIONS[1:], *self.SEEN, asked(3.4, "old"), Answered(3.5, "old", 404)]
+        self.assertEqual(len(rules.regressed(facts, 0.25)), 1)
+        self.assertEqual(rules.regressed([*facts[:-1], Answered(3.5, "old", 503)], 0.25), [])
+
+
+class Orders(unittest.TestCase):
+    FIRST = (sent(1.0, 1, call="a"), ConfigAnswered(1.2, "a", 0, 1, 200))
+
+    def test_an_order_that_was_taken_is_refused(self):
+        for status in (409, 412, 429):
+            again = [sent(2.0, 1, call="b"), ConfigAnswered(2.1, "b", 0, 1, status)]
+            [why] = whys(rules.refused_again([*self.FIRST, *again]))
+            self.assertIn(f"answered {status}", why)
+        for good in (
+            [sent(2.0, 1, call="b"), ConfigAnswered(2.1, "b", 0, 1, 200)],
+            [sent(2.0, 1, call="b"), ConfigAnswered(2.1, "b", 0, 1, 0)],
+            [sent(2.0, 1, call="b"), ConfigAnswered(2.1, "b", 0, 1, 503)],
+            [sent(2.0, 1, "s2", "b"), ConfigAnswered(2.1, "b", 0, 1, 412)],  # another under its number
+            [sent(1.1, 1, call="b"), ConfigAnswered(1.3, "b", 0, 1, 412)],  # sent before it was acknowledged
+        ):
+            self.assertEqual(rules.refused_again([*self.FIRST, *good]), [])
+
+    def test_an_acknowledgement_that_was_lost_binds_too(self):
+        facts = [
+            sent(1.0, 1, call="a"),
+            OrderReplied(1.2, "a", 1.0, CONTROL, 200, lost=True),
+            OrderReplied(1.5, "a", 1.3, OTHER_CONTROL, 412),
+            ConfigAnswered(1.5, "a", 0, 1, 412),
+        ]
+        [why] = whys(rules.refused_again(facts))
+        self.assertIn("acknowledged at 1.200 s", why)
+        self.assertEqual(rules.refused_again([facts[0], *facts[2:]]), [])
+
+    def test_an_order_is_acknowledged_by_a_machine_that_is_primary_no_longer(self):
+        epochs = [PrimaryBecame(0.5, CONTROL, 5), PrimaryBecame(2.0, OTHER_CONTROL, 7)]
+        change = sent(1.0, 1, call="a")
+
+        def found(at, control, *more):
+            return rules.acknowledged_by_deposed(
+                [*epochs, change, OrderReplied(at, "a", 1.0, control, 200), *more], 0.3
+            )
+
+        self.assertEqual(found(1.5, CONTROL), [])
+        self.assertEqual(found(2.5, OTHER_CONTROL), [])
+        self.assertEqual(found(2.04, CONTROL), [])  # on its way
+        self.assertEqual([breach.rule for breach in found(2.1, CONTROL)], ["CONFIG"])
+        self.assertEqual(found(2.1, CONTROL, Resumed(1.9, "core-0", CONTROL)), [])
+        self.assertEqual(len(found(2.3, CONTROL, Resumed(1.9, "core-0", CONTROL))), 1)
+
+
+class Holders(unittest.TestCase):
+    def found(self, *rows, resumed=()):
+        orders = [Ordered(at, "i1", holder, fence, 202) for at, holder, fence in rows]
+        return whys(rules.one([*orders, *resumed], 3.0, thaw=0.3))
+
+    def test_turns_with_a_third_between(self):
+        self.assertEqual(self.found((1.0, "a", 1), (2.0, "b", 2), (3.0, "c", 3), (3.9, "a", 4)), ["holders take turns"])
+        self.assertEqual(self.found((1.0, "a", 1), (2.0, "b", 2), (3.0, "c", 3), (4.0, "a", 4)), [])
+
+    def test_orders_that_arrive_late_after_a_thaw(self):
+        rows = (1.0, "a", 1), (6.0, "b", 2), (7.0, "a", 1)
+        self.assertEqual(len(self.found(*rows)), 1)
+        self.assertEqual(self.found(*rows, resumed=[Resumed(6.8, "a")]), [])
+        self.assertEqual(len(self.found(*rows, resumed=[Resumed(6.6, "a")])), 1)
+        self.assertEqual(len(self.found(*rows, resumed=[Resumed(6.8, "b")])), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
