--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -138,6 +138,7 @@
             arguments.events,
             arguments.shrink,
             arguments.json,
+            arguments.core,
         )
     except UsageError as error:
         arguments.parser.error(str(error))
@@ -361,6 +362,7 @@
     under.add_argument("file", type=Path, nargs="?", help="a scenario as TOML")
     under.add_argument("--seeds", default="", help="N, or FIRST:LAST without the last")
     under.add_argument("--seed", type=whole_number(0), metavar="N", help="one seed, with its troubles and figures")
+    under.add_argument("--core", action="store_true", help="seeds are of the control side's worst days")
     under.add_argument("--size", default="small", help="small or grown; %(default)s if not given")
     under.add_argument("--workers", type=whole_number(1, 256), metavar="N", default=1, help="processes")
     under.add_argument("--events", type=Path, metavar="FILE", help="write all facts there, as JSON lines")
--- a/rowanshift/simulation/command.py
+++ b/rowanshift/simulation/command.py
@@ -15,14 +15,18 @@
 import orjson
 from rich.progress import Progress
 
+from rowanshift.core_scenario import is_core, load_core
 from rowanshift.invariants.checks import Broken
 from rowanshift.invariants.events import Fact, named
 from rowanshift.scenario import Scenario, ScenarioError, dump, load
+from rowanshift.simulation.core_command import play_many, play_one
+from rowanshift.simulation.core_draw import core_scenario
 from rowanshift.simulation.draw import SIZES, scenario
 from rowanshift.simulation.shrink import Shrinker
 from rowanshift.simulation.world import World
 
 MOST_SHOWN = 3  # broken rules of one seed
+DEFAULT_SIZE = "small"
 
 say = partial(print, flush=True)  # also into a pipe, while it goes on
 
@@ -102,6 +106,7 @@
     events: Path | None,
     shrink: Path | None,
     as_json: bool,
+    core: bool = False,
 ) -> int:
     """Plays what is asked for; the exit status. Raises ``UsageError``."""
     if size not in SIZES:
@@ -110,6 +115,13 @@
         raise UsageError("give a file, --seed or --seeds")
     if seeds and (events or shrink):
         raise UsageError("--events and --shrink go with one seed or file")
+    try:
+        core = core or (file is not None and is_core(file))
+    except ScenarioError as error:
+        print(f"rowanshift: {error}", file=sys.stderr)
+        return 2
+    if core:
+        return _core(file, seeds, seed, size, workers, events, shrink, as_json)
     if seeds:
         return _many(seeds_of(seeds), size, workers, as_json)
     try:
@@ -120,6 +132,29 @@
     return _one(given, events, shrink, as_json)
 
 
+def _core(
+    file: Path | None,
+    seeds: str,
+    seed: int | None,
+    size: str,
+    workers: int,
+    events: Path | None,
+    shrink: Path | None,
+    as_json: bool,
+) -> int:
+    """Plays what is asked for of the control side."""
+    if shrink or size != DEFAULT_SIZE:
+        raise UsageError("--shrink and --size don't go with scenarios of the control side")
+    if seeds:
+        return play_many(seeds_of(seeds), workers, as_json)
+    try:
+        given = load_core(file) if file is not None else core_scenario(seed)
+    except ScenarioError as error:
+        print(f"rowanshift: {error}", file=sys.stderr)
+        return 2
+    return play_one(given, events, as_json)
+
+
 def _one(given: Scenario, events: Path | None, shrink: Path | None, as_json: bool) -> int:
     try:
         out: TextIO | None = events.open("w") if events else None
--- /dev/null
+++ b/rowanshift/simulation/core_draw.py
@@ -0,0 +1,132 @@
+"""A scenario of the control side from a seed: overlapping troubles of the core, operators, and lost acknowledgements.
+
+The day falls into rounds. In each, some core machines, no more than may be lost at once, meet several troubles that
+overlap; then comes the time in which they are in sync again. A round may also take power or processes from the whole
+core at once, or stop more machines than may be lost, without harm to their disks: nothing that was acknowledged may
+be lost then either. Times are in seconds.
+"""
+
+import random
+from dataclasses import dataclass
+
+from rowanshift.core_scenario import CoreExpect, CoreFleet, CoreLoad, CoreScenario, CoreTrouble
+
+SIZES = (CoreFleet(), CoreFleet(), CoreFleet(cores=5, lost_at_once=2))
+FIRST_ROUND_S, LAST_ROUND_S = 1.5, 22.0
+SYNC_S = 4.5  # after the last trouble of a round, until all core machines are in sync again
+BUSY_S = 4.0  # in which the troubles of a round begin
+END_S = 2.0
+WHOLE_SHARE = 0.25  # of rounds in which the whole core goes at once
+MORE_SHARE = 0.25  # of rounds in which more machines stop than may be lost
+ROUTER_SHARE = 0.4  # of rounds in which a router gets a signal
+WHOLE = ("power", "kill")
+MORE = ("cut", "freeze", "part")
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """How often a trouble is drawn, how long it lasts, and its value."""
+
+    weight: float
+    shortest: float
+    longest: float
+    least: float = 0.0
+    largest: float = 0.0
+
+
+KINDS = {
+    "cut": Kind(3, 0.3, 6.0),
+    "freeze": Kind(3, 0.2, 6.0),
+    "kill": Kind(2, 0.1, 3.0),
+    "power": Kind(2, 0.1, 3.0),
+    "wipe": Kind(2, 0.1, 3.0),
+    "slow_disk": Kind(2, 0.5, 5.0, 20, 600),
+    "hang_disk": Kind(2, 0.2, 4.0),
+    "refuse_disk": Kind(1, 0.5, 4.0),
+    "clock": Kind(1, 0.0, 0.0, -60, 60),
+    "terminate": Kind(2, 0.1, 1.0),
+}
+ORDERS = {
+    "race": Kind(3, 0, 0),
+    "lose_acks": Kind(3, 0.5, 4.0, 0.3, 1.0),
+    "send_again": Kind(3, 0, 0, 0, 5),
+    "changes": Kind(2, 1.0, 3.0, 3, 20),
+    "version": Kind(1, 0, 0),
+}
+
+
+def core_scenario(seed: int) -> CoreScenario:
+    """The scenario of a seed."""
+    chance = random.Random(f"{seed}/core")
+    fleet = chance.choice(SIZES)
+    troubles: list[CoreTrouble] = []
+    at = FIRST_ROUND_S
+    while at < LAST_ROUND_S:
+        of_round = _round(chance, fleet, at)
+        troubles += of_round
+        ends = max(trouble.at_s + trouble.for_s for trouble in of_round)
+        troubles += _orders(chance, at, ends)
+        at = ends + SYNC_S
+    seconds = round(at - SYNC_S + END_S, 3)
+    load = CoreLoad(clients=4, change_every_s=chance.choice([0.2, 0.7, 2.0]))
+    rows = sorted(troubles, key=lambda trouble: trouble.at_s)
+    return CoreScenario(
+        name=f"core-seed-{seed}",
+        seed=seed,
+        seconds=seconds,
+        fleet=fleet,
+        load=load,
+        expect=CoreExpect(served=0.0),
+        trouble=rows,
+    )
+
+
+def _drawn(chance: random.Random, what: str, kind: Kind, at: float, who: list[str], after: str = "") -> CoreTrouble:
+    return CoreTrouble(
+        round(at, 3),
+        what,
+        who,
+        round(chance.uniform(kind.shortest, kind.longest), 3),
+        round(chance.uniform(kind.least, kind.largest), 3),
+        chance.choice(["both", "both", "in", "out"]),
+        after,
+    )
+
+
+def _round(chance: random.Random, fleet: CoreFleet, at: float) -> list[CoreTrouble]:
+    if chance.random() < WHOLE_SHARE:
+        return _whole(chance, at)
+    cores = [f"core-{n}" for n in range(fleet.cores)]
+    victims = chance.sample(cores, chance.randint(1, fleet.lost_at_once))
+    troubles: list[CoreTrouble] = []
+    for victim in victims:
+        for what in chance.choices([*KINDS], [kind.weight for kind in KINDS.values()], k=chance.randint(1, 3)):
+            troubles.append(_drawn(chance, what, KINDS[what], at + BUSY_S * chance.random(), [victim]))
+    if chance.random() < MORE_SHARE:
+        troubles += _more(chance, cores, victims, at)
+    if chance.random() < ROUTER_SHARE:
+        what = chance.choice(["terminate", "hang_up"])
+        troubles.append(CoreTrouble(round(at + BUSY_S * chance.random(), 3), what, ["router-0"], 0.5))
+    return troubles
+
+
+def _whole(chance: random.Random, at: float) -> list[CoreTrouble]:
+    """The whole core goes at once, at a moment or right after an acknowledgement."""
+    what = chance.choice(WHOLE)
+    after = chance.choice(["", "acknowledgement"])
+    return [_drawn(chance, what, KINDS[what], at + BUSY_S * chance.random(), ["core"], after)]
+
+
+def _more(chance: random.Random, cores: list[str], victims: list[str], at: float) -> list[CoreTrouble]:
+    """Another machine stops as well, or two lose each other; no disk is lost."""
+    other = chance.choice([name for name in cores if name not in victims])
+    what = chance.choice(MORE)
+    who = [victims[0], other] if what == "part" else [other]
+    kind = KINDS["cut" if what == "part" else what]
+    return [_drawn(chance, what, kind, at + BUSY_S * chance.random(), who)]
+
+
+def _orders(chance: random.Random, since: float, until: float) -> list[CoreTrouble]:
+    """What operators do meanwhile."""
+    names = chance.choices([*ORDERS], [kind.weight for kind in ORDERS.values()], k=chance.randint(1, 4))
+    return [_drawn(chance, what, ORDERS[what], chance.uniform(since, until), []) for what in names]
--- a/rowanshift/simulation/fleet_machines.py
+++ b/rowanshift/simulation/fleet_machines.py
@@ -144,7 +144,7 @@
                 for unit in self.cores
                 if unit.machine.running
                 and not unit.machine.away
-                and hasattr(unit.program, "replica_host")
+                and getattr(unit.program, "replica_host", None) is not None
                 and unit.program.replica_host.replica.is_primary
             ),
             None,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -31,7 +31,18 @@
     "config": ["get", "put", "diff", "check"],
     "migrate": ["old", "--output", "-o", "--dry-run", "--listen", "--routers", "--ordinal", "--zone"],
     "demo": ["--config", "-c", "--stay", "--no-stay", "--router", "--no-router"],
-    "simulate": ["file", "--seeds", "--seed", "--size", "--workers", "--events", "--shrink", "--json", *SIZES],
+    "simulate": [
+        "file",
+        "--seeds",
+        "--seed",
+        "--core",
+        "--size",
+        "--workers",
+        "--events",
+        "--shrink",
+        "--json",
+        *SIZES,
+    ],
 }
 MODULES = {
     "dataplane": "dataplane",
@@ -93,6 +104,10 @@
             ("simulate --seeds x", "--seeds takes N or FIRST:LAST, not 'x'"),
             ("simulate --seeds 3:3", "--seeds takes 1 to 1,000,000 seeds from 0 up"),
             ("simulate --seeds 1:3 --shrink x", "--events and --shrink go with one seed or file"),
+            ("simulate --core", "give a file, --seed or --seeds"),
+            ("simulate --core --seeds x", "--seeds takes N or FIRST:LAST, not 'x'"),
+            ("simulate --core --seed 1 --shrink x", "--shrink and --size don't go with"),
+            ("simulate --core --seed 1 --size grown", "--shrink and --size don't go with"),
             ("simulate --seed 1 --size vast", "--size is 'vast', not one of small, grown"),
             ("simulate --seed 1 --workers 257", "--workers: 257 is not within 1 and 256"),
         ):
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -44,7 +44,8 @@
 from rowanshift.simulation.shrink import Shrinker
 from rowanshift.simulation.world import World
 
-NAMED = sorted(Path(__file__).parent.parent.glob("examples/scenarios/*.toml"))
+SCENARIOS = Path(__file__).parent.parent / "examples/scenarios"
+NAMED = sorted({*SCENARIOS.glob("*.toml")} - {*SCENARIOS.glob("core-*.toml")})  # those: test_core_scenarios.py
 FOUND = {  # a seed at which each planted fault breaks a rule, and which
     "answers_twice": (0, 1),
     "sends_after_the_grace": (1, 3),
