Read while troubles last, roll versions out as the primary is cut off

A read is judged by the begin of the sending that was answered, not of the whole call, so that an old answer shows.

--- a/rowanshift/core_scenario.py
+++ b/rowanshift/core_scenario.py
@@ -46,22 +46,25 @@
 
 
 class CoreFleet(Struct, frozen=True, forbid_unknown_fields=True):
-    """How many machines of each class there are, how many of the core may be lost at once, and whether the model
-    servers refuse an order with a fence below the highest that they saw."""
+    """How many machines of each class there are, how many of the core may be lost at once, whether the model
+    servers refuse an order with a fence below the highest that they saw, and how long they take to load."""
 
     routers: Count = 2
     cores: Count = 3
     servers: Count = 3
     lost_at_once: Count = 1
     fencing: bool = True
+    load_s: Positive = 0.4
 
 
 class CoreLoad(Struct, frozen=True, forbid_unknown_fields=True):
-    """Clients that ask all the while, and the pause between configurations (0: none but those of troubles)."""
+    """Clients that ask all the while, the pause between configurations (0: none but those of troubles), and the
+    pause between reads of the configuration (0: none but those after orders)."""
 
     clients: Annotated[int, Meta(ge=0, le=100)] = 5
     pause_s: Positive = 0.3
     change_every_s: Seconds = 2.5
+    read_every_s: Seconds = 0.0
 
 
 class CoreExpect(Struct, frozen=True, forbid_unknown_fields=True):
--- a/rowanshift/emulation/system_clients.py
+++ b/rowanshift/emulation/system_clients.py
@@ -347,6 +347,7 @@
 class Reply:
     status: int  # 0: no clear answer in time
     body: bytes = b""
+    sent_at: float = 0.0  # when the sending began that it answers
 
 
 def address_of(text: str) -> Address:
@@ -401,7 +402,7 @@
             config = orjson.loads(reply.body) if reply.status == 200 else None
         except orjson.JSONDecodeError:
             config = {}
-        self.facts.append(ConfigRead(self.now(), since, config))
+        self.facts.append(ConfigRead(self.now(), max(since, reply.sent_at), config))
         return config
 
     async def call(self, method: str, target: str, body: bytes, within: float, *fields: str, name: str = "") -> Reply:
@@ -435,7 +436,7 @@
                 return Reply(0)
             if message.status != 307:
                 lost = self._heard(name, sent_at, address, message.status)
-                return Reply(0) if lost else Reply(message.status, message.body)
+                return Reply(0) if lost else Reply(message.status, message.body, sent_at)
             place, slash, path = field_of(message, b"location").removeprefix("http://").partition("/")
             try:
                 address, target = address_of(place), slash + path
--- a/rowanshift/simulation/core_draw.py
+++ b/rowanshift/simulation/core_draw.py
@@ -13,14 +13,16 @@
 
 SIZES = (
     CoreFleet(),
-    CoreFleet(servers=5, fencing=False),
+    CoreFleet(servers=6, fencing=False, load_s=1.2),
     CoreFleet(cores=5, lost_at_once=2),
-    CoreFleet(cores=5, lost_at_once=2, fencing=False),
+    CoreFleet(cores=5, servers=6, lost_at_once=2, fencing=False, load_s=1.2),
 )
 FIRST_ROUND_S, LAST_ROUND_S = 1.5, 22.0
 SYNC_S = 4.5  # after the last trouble of a round, until all core machines are in sync again
 BUSY_S = 4.0  # in which the troubles of a round begin
 END_S = 2.0
+READ_EVERY_S = 0.15
+ROLL_OUT_BEFORE_S = 0.6  # that a version is named before the primary is cut off
 SLOW_BEFORE_S = 0.5  # before the whole core goes
 WHOLE_SHARE = 0.35  # of rounds in which the whole core goes at once
 WIPED_SHARE = 0.6  # of these, in which the primary's disk is lost as well
@@ -79,7 +81,7 @@
         troubles += _orders(chance, at, ends)
         at = ends + SYNC_S
     seconds = round(at - SYNC_S + END_S, 3)
-    load = CoreLoad(clients=4, change_every_s=chance.choice([0.2, 0.7, 2.0]))
+    load = CoreLoad(clients=4, change_every_s=chance.choice([0.2, 0.7, 2.0]), read_every_s=READ_EVERY_S)
     rows = sorted(troubles, key=lambda trouble: trouble.at_s)
     return CoreScenario(
         name=f"core-seed-{seed}",
@@ -121,7 +123,10 @@
         once = dict.fromkeys(drawn) if victim in ROLES else drawn  # a role may be another machine's the next time
         for what in once:
             after = chance.choice(TRIGGERS)
-            troubles.append(_drawn(chance, what, KINDS[what], at + BUSY_S * chance.random(), [victim], after))
+            drawn_at = at + BUSY_S * chance.random()
+            troubles.append(_drawn(chance, what, KINDS[what], drawn_at, [victim], after))
+            if what == "cut" and victim == "primary":  # in the middle of a roll-out
+                troubles.append(CoreTrouble(round(drawn_at - ROLL_OUT_BEFORE_S, 3), "version"))
     if chance.random() < MORE_SHARE:
         troubles += _more(chance, cores, victims, at)
     if chance.random() < ROUTER_SHARE:
--- a/rowanshift/simulation/core_play.py
+++ b/rowanshift/simulation/core_play.py
@@ -83,6 +83,8 @@
         began = fleet.now()
         if load.change_every_s:
             fleet.nursery.start_soon(fleet.keep_changing, load.change_every_s)
+        if load.read_every_s:
+            fleet.nursery.start_soon(self._keep_reading, load.read_every_s)
         for trouble in self.scenario.trouble:
             self.busy += 1
             fleet.nursery.start_soon(self._befall, trouble, began)
@@ -108,6 +110,13 @@
         if not await fleet.until(lambda: fleet.rolled_out(named)):
             self.unmet.append(f"version {named} did not reach all servers")
 
+    async def _keep_reading(self, pause: float) -> None:
+        """Reads the configuration again and again. What no machine answers in time, as during a standstill of the
+        core, says nothing of the rules: it is read to the end of the run."""
+        while True:
+            await self.fleet.operators[1].read_config(MOST_VIRTUAL_S)
+            await trio.sleep(pause)
+
     async def _watch(self) -> None:
         """Looks at what each router has applied, and at who is primary."""
         known: dict[str, int] = {}
@@ -335,6 +344,7 @@
             f=sizes.lost_at_once,
             zones=max(3, sizes.cores),
             fencing=sizes.fencing,
+            load=sizes.load_s,
         )
     except Exception:
         run.error = traceback.format_exc()
