--- a/tests/test_core_scenarios.py
+++ b/tests/test_core_scenarios.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from rowanshift.controlplane import api
+from rowanshift.controlplane.order_history import NO_ORDERS
 from rowanshift.core_scenario import WHAT, CoreScenario, CoreTrouble, core_scenario_of, is_core, load_core
 from rowanshift.scenario import ScenarioError
 from rowanshift.simulation.core_draw import KINDS, MORE, ORDERS, WHOLE, core_scenario
@@ -110,7 +111,7 @@
         true = api.put_config
 
         def forgetting(state, if_match, body):
-            return true(replace(state, taken=()), if_match, body)
+            return true(replace(state, orders=NO_ORDERS), if_match, body)
 
         trouble = [CoreTrouble(2.0, "send_again", value=1.0)]
         scenario = CoreScenario(seconds=6.0, trouble=trouble)
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -1,14 +1,18 @@
 """Faults that are put into the programs of the whole system, each found by a check of the control side."""
 
 import unittest
+from contextlib import AbstractContextManager
 from dataclasses import replace
 from unittest import mock
 
 import trio
 from loguru import logger
 
-from rowanshift.controlplane import api, protocol
+from rowanshift.controlplane import api
+from rowanshift.controlplane.order_history import NO_ORDERS
 from rowanshift.controlplane.replica_host import ReplicaHost
+from rowanshift.controlplane.replication.core import ReplicaCore
+from rowanshift.controlplane.replication.timing import Timing
 from rowanshift.dataplane import service
 from rowanshift.dataplane.control_client import ControlClient
 from rowanshift.retry_budget import RetryBudget
@@ -23,6 +27,11 @@
     logger.enable("rowanshift")
 
 
+def timing(**changed: float) -> AbstractContextManager:
+    """Replicas with other times, in seconds."""
+    return mock.patch.object(ReplicaCore.__init__, "__defaults__", (0.0, Timing(**changed)))
+
+
 class Planted(unittest.TestCase):
     """A scenario finds nothing without its fault, and a breach of the rule, that says so, with it."""
 
@@ -55,7 +64,9 @@
             for n in range(6):
                 fleet.client(f"c{n}", (RESUMED, ONCE)[n % 2], "key-1", 0.05, 400)
             await trio.sleep(1)
-            fleet.terminate(fleet.routers[0])
+            router = fleet.routers[0]
+            await fleet.until(lambda: router.program.front.open >= 2)  # streams that are cut
+            fleet.terminate(router)
             await trio.sleep(4)
 
         self.found("LOST", "SIGTERM", scenario, mock.patch.multiple(service, NOTICED=0.05, GRACE_LEFT=8.0))
@@ -64,11 +75,12 @@
         true, first = ControlClient._take, {}
 
         def take(client, update):
-            true(client, update)
+            taken = true(client, update)
             if update.has_state and update.revision == 1:
                 first[client] = update
             elif not update.has_state and client.routing_table.revision == 2:
-                true(client, replace(first[client], mark=update.mark, has_rows=False, has_peers=False))
+                true(client, replace(first[client], fingerprint=update.fingerprint, has_rows=False, has_peers=False))
+            return taken
 
         async def scenario(fleet):
             fleet.client("c", ONCE, "key-1", 0.05)
@@ -84,7 +96,7 @@
         true = api.put_config
 
         def forgetting(state, if_match, body):
-            return true(replace(state, taken=()), if_match, body)
+            return true(replace(state, orders=NO_ORDERS), if_match, body)
 
         async def scenario(fleet):
             await fleet.put(config_of(2))
@@ -97,7 +109,7 @@
         true = api.put_config
 
         def forgetting(state, if_match, body):
-            return true(replace(state, taken=()), if_match, body)
+            return true(replace(state, orders=NO_ORDERS), if_match, body)
 
         async def scenario(fleet):
             fleet.operator.lost_acknowledgements = 1.0
@@ -131,7 +143,7 @@
             "is primary of epoch",
             scenario,
             mock.patch.object(ReplicaHost, "change", alone),
-            mock.patch.multiple(protocol, LAPSE=1000.0),
+            timing(lapse=1000.0),
         )
 
     def test_duties_are_held_after_the_lease(self):
@@ -147,7 +159,7 @@
             "ONE",
             "after",
             scenario,
-            mock.patch.multiple(protocol, LEASE=1000.0, LAPSE=1000.0),
+            timing(lease=1000.0, lapse=1000.0),
             servers=6,
             load=2.0,
             fencing=False,
