Split the protocol's explorer into the package rowanshift/modelcheck

The exclusion in tests/test_staff.py is gone, as no module of the control plane defines the checker's constants any more.

--- /dev/null
+++ b/rowanshift/modelcheck/invariants.py
@@ -0,0 +1,99 @@
+"""What must hold over the whole of a run, whoever lives or dies; named as in docs/control-plane.md."""
+
+from __future__ import annotations
+
+from rowanshift.controlplane import replication as p
+
+ControlState = bytes
+
+
+class InvariantViolation(Exception):
+    """An invariant doesn't hold; its name comes first."""
+
+
+class Invariants:
+    """What is checked over the whole of a run, whoever lives or dies; named as in docs/control-plane.md."""
+
+    def __init__(self, first: p.EpochRecord) -> None:
+        self.last = first  # the newest record in force
+        self.values: dict[p.StateVersion, ControlState] = {}
+        self.proposed: dict[int, ControlState] = {}  # token -> state
+        self.commits: dict[p.StateVersion, ControlState] = {
+            p.NO_VERSION: b""
+        }  # committed, by the version it was committed under
+        self.longest: ControlState = b""
+        self.epochs: dict[int, ControlState] = {}  # epoch number -> state it began with
+        self.reads: dict[int, ControlState] = {}  # token -> the longest state committed before it was asked
+        self.observed: list[ControlState] = []
+        self.fence = 0
+
+    def durable(self, durable: p.DurableState) -> None:
+        self.value(durable.version, durable.state)
+        if durable.promised < durable.accepted.number:
+            raise InvariantViolation("PROMISE: a record is accepted above the promise")
+
+    def value(self, version: p.StateVersion, state: ControlState) -> None:
+        if self.values.setdefault(version, state) != state:
+            raise InvariantViolation(f"ONE-VALUE: two states under {version}")
+
+    def sent(self, message: p.Message, disk: p.DurableState | None) -> None:
+        """What a machine says it holds is on its disk."""
+        if isinstance(message, p.Store):
+            self.value(message.version, message.state)
+        match message:
+            case p.Promised(number, True) | p.Accepted(number, True) | p.Stored(number, _, True):
+                held = disk is not None and disk.promised >= number
+            case p.HeartbeatReply(number, _, True):
+                held = disk is not None and disk.accepted.number >= number
+            case _:
+                return
+        if isinstance(message, p.Accepted):
+            held = held and disk.accepted.number >= message.number
+        if isinstance(message, p.Stored):
+            held = held and disk.version >= message.version
+        if not held:
+            raise InvariantViolation(f"DURABLE: {type(message).__name__} is sent before it is on disk")
+
+    def office(self, record: p.EpochRecord, state: ControlState, accepted: dict[int, int]) -> None:
+        """`accepted`: the number of the record on each machine's disk; of a lost one a high number."""
+        number = record.number
+        if number in self.epochs:
+            return
+        before = self.last
+        if number > before.number:
+            self.last = record
+            voters = {machine for machine, held in accepted.items() if held >= number}
+            for members in (record.witnesses, before.witnesses):
+                if not p.has_majority(voters, members):
+                    raise InvariantViolation(f"DECIDED: {record} is in force and on the disks of {voters} alone")
+        self.epochs[number] = state
+        self.committed(p.StateVersion(number, 0), state)
+
+    def committed(self, version: p.StateVersion, state: ControlState) -> None:
+        """Whatever is committed under a lower version is part of it, and it is part of what comes after."""
+        for other, value in self.commits.items():
+            low, high = (value, state) if other <= version else (state, value)
+            if not high.startswith(low):
+                raise InvariantViolation(f"KEPT: {other} and {version} are committed and don't build on one another")
+        self.commits[version] = state
+        self.longest = max(self.longest, state, key=len)
+        for value in self.observed:
+            if not (state.startswith(value) or value.startswith(state)):
+                raise InvariantViolation("READ: a read gave what was never committed")
+
+    def read(self, token: int, state: ControlState) -> None:
+        if not state.startswith(self.reads.pop(token)):
+            raise InvariantViolation("READ: older than a commit that was complete when it was asked")
+        for value in self.commits.values():
+            if not (state.startswith(value) or value.startswith(state)):
+                raise InvariantViolation("READ: a read gave what was never committed")
+        self.observed.append(state)
+
+    def leases(self, holders: list[tuple[int, int]]) -> None:
+        """`holders`: (epoch number, machine) of each that holds a valid lease right now."""
+        if len(holders) > 1:
+            raise InvariantViolation(f"ONE-HOLDER: {holders}")
+        for number, _ in holders:
+            if number < self.fence:
+                raise InvariantViolation("FENCE: a lease is held under a lower number after a higher one")
+            self.fence = number
--- /dev/null
+++ b/rowanshift/modelcheck/world.py
@@ -0,0 +1,146 @@
+"""Machines, their disks, the messages in flight between them, and the clock that only the checker sees."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.invariants import Invariants, InvariantViolation
+
+
+def half() -> float:
+    """No draw: for breadth-first search, where all that happens must follow from the state."""
+    return 0.5
+
+
+@dataclass
+class Host:
+    """A machine: its disk survives a crash, its Replica doesn't."""
+
+    replica: p.Replica | None
+    disk: p.DurableState | None = None
+    save: p.Save | None = None
+    rate: float = 1.0  # of its steady clock
+    offset: float = 0.0  # seconds
+    paused_until: float = 0.0  # seconds of the world
+    down_until: float = 0.0
+    slow_until: float = 0.0  # saves land seldom
+    ready: bool = True
+    gone: bool = False
+    lost: bool = False  # its disk, and not yet made good
+
+
+@dataclass
+class World:
+    """Machines, what is in flight between them, and the clock that only the explorer sees."""
+
+    hosts: dict[int, Host]
+    f: int
+    seeds: tuple[int, ...]
+    now: float = 0.0  # seconds
+    net: list[tuple[int, int, p.Message]] = field(default_factory=list)
+    cuts: dict[tuple[int, int], float] = field(default_factory=dict)  # (from, to) -> until when
+    tokens: int = 0
+    committed: int = 0
+    lost_at: float = -100.0
+    epochs: int = 0
+
+    def __post_init__(self) -> None:
+        self.checks = Invariants(p.EpochRecord(0, 0, self.seeds, self.seeds))
+
+    def clock(self, host: Host) -> float:
+        return host.offset + host.rate * self.now
+
+    def highest(self) -> p.EpochRecord:
+        """The newest record in force or on its way, as a machine that is up would see it."""
+        records = [h.replica.record for h in self.hosts.values() if h.replica is not None]
+        records += [h.disk.accepted for h in self.hosts.values() if h.disk is not None and not h.gone]
+        return max(records, key=lambda record: record.number, default=p.NO_RECORD)
+
+    def collect(self, me: int) -> None:
+        """Take what machine `me` has decided, and check it."""
+        host = self.hosts[me]
+        replica = host.replica
+        for action in replica.drain():
+            match action:
+                case p.Send(to, message):
+                    self.checks.sent(message, host.disk)
+                    if to in self.hosts and not self.hosts[to].gone:
+                        self.net.append((me, to, message))
+                case p.Save(_, durable):
+                    if host.save is not None:
+                        raise InvariantViolation("SAVE: two are outstanding")
+                    self.checks.durable(durable)
+                    host.save = action
+                case p.Committed(token):
+                    self.committed += 1
+                    state = self.checks.proposed[token]
+                    version = next(s for s, value in reversed(self.checks.values.items()) if value == state)
+                    self.checks.committed(max(version, p.StateVersion(replica.record.number, 0)), state)
+                case p.ReadConfirmed(token):
+                    self.checks.read(token, replica.committed_state)
+        if replica.is_primary and replica.record.number not in self.checks.epochs:
+            self.epochs += 1
+            accepted = {
+                m: p.NUMBER_LIMIT if h.lost or h.disk is None else h.disk.accepted.number for m, h in self.hosts.items()
+            }
+            self.checks.office(replica.record, replica.committed_state, accepted)
+
+    def check_leases(self) -> None:
+        holders = []
+        for me, host in self.hosts.items():
+            if host.replica is not None and host.replica.is_primary:
+                clock = self.clock(host)
+                if host.replica.lease_until(clock) > clock:
+                    holders.append((host.replica.record.number, me))
+        self.checks.leases(holders)
+
+    def deliver(self, index: int, keep: bool = False) -> None:
+        sender, to, message = self.net[index] if keep else self.net.pop(index)
+        host = self.hosts[to]
+        host.replica.receive(sender, message, self.clock(host))
+        self.collect(to)
+
+    def sync(self, me: int, ok: bool = True) -> None:
+        host = self.hosts[me]
+        save, host.save = host.save, None
+        if ok:
+            host.disk = save.durable
+            host.replica.saved(save.token, self.clock(host))
+        else:
+            host.replica.save_failed(save.token, self.clock(host))
+        self.collect(me)
+
+    def tick(self, me: int) -> None:
+        host = self.hosts[me]
+        host.replica.tick(self.clock(host))
+        self.collect(me)
+
+    def crash(self, me: int, landed: bool) -> None:
+        """The process or the power goes; an outstanding save has landed or not."""
+        host = self.hosts[me]
+        if landed and host.save is not None:
+            host.disk = host.save.durable
+        host.replica = host.save = None
+
+    def propose(self, me: int) -> None:
+        host = self.hosts[me]
+        self.tokens += 1
+        token = self.tokens
+        state = host.replica.committed_state + token.to_bytes(4, "big")
+        try:
+            host.replica.propose(token, state, self.clock(host))
+        except p.ReplicationError:
+            return
+        self.checks.proposed[token] = state
+        self.collect(me)
+
+    def read(self, me: int) -> None:
+        host = self.hosts[me]
+        self.tokens += 1
+        self.checks.reads[self.tokens] = self.checks.longest
+        try:
+            host.replica.confirm_read(self.tokens, self.clock(host))
+        except p.ReplicationError:
+            return
+        self.collect(me)
--- /dev/null
+++ b/tests/planted_replication_faults.py
@@ -0,0 +1,187 @@
+"""Protocols with one thing wrong each, which the drawn walks of rowanshift.modelcheck must find."""
+
+from __future__ import annotations
+
+from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.hunt import Hunt
+
+
+class AcknowledgesAlone(p.Replica):
+    """The primary commits when its own disk has the state."""
+
+    def _on_stored(self, sender, message):
+        super()._on_stored(sender, message)
+        proposal = self._proposal
+        if proposal is not None and sender == self.me and message.ok and proposal.version == message.version:
+            self._commit()
+
+
+class EmptyDiskVotes(p.Replica):
+    """A machine that lost its disk starts as if it were the first start."""
+
+    def __init__(self, me, f, seeds, bootstrap, durable, now, chance, duty_wait=0.0, timing=p.DEFAULT_TIMING):
+        super().__init__(me, f, seeds, True, durable, now, chance, duty_wait, timing)
+
+
+class AcceptsBeforeSave(p.Replica):
+    def _send_saved(self, to, message):
+        (self._send if isinstance(message, p.Accepted) else super()._send_saved)(to, message)
+
+
+class PromiseNotDurable(p.Replica):
+    def _send_saved(self, to, message):
+        (self._send if isinstance(message, p.Promised) else super()._send_saved)(to, message)
+
+
+class CommitsBeforeOwnSave(p.Replica):
+    """What is stored is acknowledged before it is on the disk of the one that stored it."""
+
+    def _send_saved(self, to, message):
+        (self._send if isinstance(message, p.Stored) else super()._send_saved)(to, message)
+
+
+class OutOfSyncCandidateGoesOn(p.Replica):
+    """A candidate goes on although it isn't in sync."""
+
+    def _has_state(self, record):
+        return True
+
+
+class LostStateGoesOn(p.Replica):
+    """An in-sync machine stands although its disk was lost since."""
+
+    def _has_state(self, record):
+        return self.me in record.in_sync
+
+
+class ReadsUnconfirmed(p.Replica):
+    def confirm_read(self, token, now):
+        if self._epoch is None:
+            raise p.NotPrimary(0)
+        self._actions.append(p.ReadConfirmed(token))
+
+
+class ReadsProposed(p.Replica):
+    """A read gives the state that is proposed and not committed."""
+
+    def _send_proposal(self):
+        self.committed_state = self._proposal.state
+        super()._send_proposal()
+
+
+class AcceptsLowerNumber(p.Replica):
+    def _on_accept(self, sender, message):
+        self._adopt(message.record)
+        self._hold(sender)
+        self._send_saved(sender, p.Accepted(message.number, True, message.number))
+
+
+class IgnoresRecordsRead(p.Replica):
+    """A candidate goes by the record it knew before."""
+
+    def _on_promised(self, sender, message):
+        own = self._candidacy.base if self._candidacy is not None else message.accepted
+        super()._on_promised(sender, p.Promised(message.number, message.ok, message.promised, own))
+
+
+class NewSetAlone(p.Replica):
+    """A change of witnesses is decided by the new set, and the record names no former one."""
+
+    def _deciding(self, c):
+        return (c.record.witnesses,)
+
+    def _next_witnesses(self, c):
+        return super()._next_witnesses(c)[0], ()
+
+
+class OldSetAlone(p.Replica):
+    """A change of witnesses is decided by the old set, and the record names no former one."""
+
+    def _deciding(self, c):
+        return c.base.sets()
+
+    def _next_witnesses(self, c):
+        return super()._next_witnesses(c)[0], ()
+
+
+class LeaseNotAwaited(p.Replica):
+    """A witness promises to a candidate at any time."""
+
+    def _blocked(self, candidate):
+        return False
+
+
+class RestartedDoesNotWait(p.Replica):
+    """A witness that was started anew promises at once."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._held = float("-inf")
+        self._stand_at = self._now
+
+
+class StoresBelowPromise(p.Replica):
+    def _on_store(self, sender, message):
+        if message.version > self._durable.version:
+            promised = max(self._durable.promised, message.number)
+            self._change(promised=promised, version=message.version, state=message.state)
+        self._send_saved(sender, p.Stored(message.number, message.version, True, message.number))
+
+
+class RecoversFromOne(p.Replica):
+    """One answer is enough to vote again after the disk was lost."""
+
+    def _on_recovery_reply(self, sender, message):
+        if self._durable.amnesic and not message.amnesic and message.serial == self._recovery_serial:
+            self._change(promised=message.promised, accepted=message.accepted, amnesic=False)
+            self._start_save()
+
+
+class CountsAnyStored(p.Replica):
+    """An answer to an earlier Store counts for the present proposal."""
+
+    def _on_stored(self, sender, message):
+        if self._proposal is not None and self._candidacy is None and message.ok:
+            message = p.Stored(message.number, self._proposal.version, True, message.promised)
+        super()._on_stored(sender, message)
+
+
+class CountsAnyHeartbeatReply(p.Replica):
+    """An answer to an earlier Confirm counts for the round last asked."""
+
+    def _on_heartbeat_reply(self, sender, message):
+        super()._on_heartbeat_reply(
+            sender, p.HeartbeatReply(message.number, self._serial, message.ok, message.promised, message.version)
+        )
+
+
+class KeepsLeaseTransferring(p.Replica):
+    """A primary with a slow disk nominates its backups and stays."""
+
+    def _transfer_leadership(self):
+        for member in sorted({*self._epoch.witnesses, *self._epoch.in_sync} - {self.me}):
+            self._send(member, p.TransferLeadership(self._epoch.number))
+
+
+FAULTS: dict[type[p.Replica], Hunt] = {
+    AcknowledgesAlone: Hunt(0),
+    EmptyDiskVotes: Hunt(2),
+    AcceptsBeforeSave: Hunt(0, 5, 1, 0, ("stand", "power", "power", "deaf")),
+    PromiseNotDurable: Hunt(0, 5, 1, 0, ("stand", "power", "power", "deaf")),
+    CommitsBeforeOwnSave: Hunt(0),
+    OutOfSyncCandidateGoesOn: Hunt(1),
+    LostStateGoesOn: Hunt(2),
+    ReadsUnconfirmed: Hunt(38),
+    ReadsProposed: Hunt(3),
+    AcceptsLowerNumber: Hunt(29, 5),
+    IgnoresRecordsRead: Hunt(2, 3),
+    NewSetAlone: Hunt(16, 3, 1, 1, ("pause", "cut", "deaf", "stand")),
+    OldSetAlone: Hunt(1, 3, 1, 1, ("pause", "pause", "cut", "deaf")),
+    LeaseNotAwaited: Hunt(4, 3, 1, 0, ("stand", "stand", "pause", "cut")),
+    RestartedDoesNotWait: Hunt(4, 3, 1, 0, ("quake", "quake", "cut")),
+    StoresBelowPromise: Hunt(16, 3, 1, 0, ("pause", "stand", "deaf")),
+    RecoversFromOne: Hunt(22, 3, 1, 0, ("empty", "cut", "stand")),
+    CountsAnyStored: Hunt(83),
+    CountsAnyHeartbeatReply: Hunt(6, 3, 1, 0, ("pause", "pause", "stand", "deaf")),
+    KeepsLeaseTransferring: Hunt(130, 3, 1, 0, ("slow", "fail", "pause")),
+}
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,10 +5,14 @@
 import unittest
 from collections.abc import Callable
 
-from rowanshift.controlplane import explorer
+from planted_replication_faults import FAULTS
+
 from rowanshift.controlplane import replication as p
-from rowanshift.controlplane.explorer import Host, World, half
 from rowanshift.controlplane.replication import timing
+from rowanshift.modelcheck.breadth import breadth
+from rowanshift.modelcheck.hunt import find
+from rowanshift.modelcheck.walk import Walk
+from rowanshift.modelcheck.world import Host, World, half
 
 ME, OTHER, THIRD, FOURTH = 1, 2, 3, 4
 
@@ -430,7 +434,7 @@
     def walk(self, seeds: range, machines: int, f: int, spares: int) -> None:
         committed = 0
         for seed in seeds:
-            outcome = explorer.Walk(seed, machines, f, spares).run(5000)
+            outcome = Walk(seed, machines, f, spares).run(5000)
             self.assertEqual(("", ""), (outcome.broken, outcome.stalled), outcome)
             committed += outcome.committed
         self.assertGreater(committed, 10 * len(seeds))
@@ -445,12 +449,12 @@
         self.walk(range(1000, 1020), 5, 2, 2)
 
     def test_breadth(self):
-        self.assertEqual("", explorer.breadth(1500).broken)
+        self.assertEqual("", breadth(1500).broken)
 
     def test_planted_faults_are_found(self):
-        for fault, hunt in explorer.FAULTS.items():
+        for fault, hunt in FAULTS.items():
             with self.subTest(fault=fault.__name__):
-                self.assertIsNotNone(explorer.find(fault, [hunt.seed, *range(60)]), "not found")
+                self.assertIsNotNone(find(fault, hunt, [hunt.seed, *range(60)]), "not found")
 
 
 if __name__ == "__main__":
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -516,8 +516,6 @@
         for where in WHERE_LIMITS:
             for path in (ROOT / "rowanshift").glob(where):
                 module = ".".join(path.relative_to(ROOT / "rowanshift").with_suffix("").parts)
-                if module == "controlplane.explorer":
-                    continue
                 body = ast.parse(path.read_text()).body
                 names = {
                     node.id
