Check the control plane with operators, routers, changing members and named files

Cause: the model proposed plain lists of ids at the primary and knew no client, no machine that joins with an empty disk in the place of one that left, and no disk whose names may be lost. Change: rowanshift/modelcheck has operators and routers on a service that makes changes as ReplicaHost.change does, with the real put_config; rounds of losses with a bound for redundancy; a file system whose names last only once synced; breadth-first search from four starts. World.version_committed names the version under which the committing machine itself stored a state, as two machines may now propose the same bytes.

--- a/rowanshift/modelcheck/__main__.py
+++ b/rowanshift/modelcheck/__main__.py
@@ -9,10 +9,11 @@
 
 import argparse
 import runpy
+import time
 
 from rowanshift.modelcheck.breadth import breadth
-from rowanshift.modelcheck.hunt import find
-from rowanshift.modelcheck.walk import Walk
+from rowanshift.modelcheck.hunt import WALKS, find
+from rowanshift.modelcheck.starts import STARTS
 
 DEFAULT_PLANTED = "tests/planted_replication_faults.py"
 
@@ -21,7 +22,7 @@
     """Run drawn walks; True if one of them broke or stalled."""
     bad = commits = epochs = 0
     for seed in range(given.first, given.first + given.seeds):
-        outcome = Walk(seed, given.machines, given.f, given.spares).run(given.steps)
+        outcome = WALKS[given.kind](seed, given.machines, given.f, given.spares).run(given.steps)
         commits, epochs = commits + outcome.committed, epochs + outcome.epochs
         if outcome.broken or outcome.stalled:
             bad += 1
@@ -32,9 +33,13 @@
 
 def run_breadth(given: argparse.Namespace) -> bool:
     """Search breadth first; True if an invariant was violated."""
-    result = breadth(given.states)
-    print(result)
-    return bool(result.broken)
+    bad = False
+    for start in STARTS:
+        if given.start in ("", start):
+            result = breadth(given.states, start, most_events=given.events)
+            bad |= bool(result.broken)
+            print(f"{start:20} {result}", flush=True)
+    return bad
 
 
 def run_faults(given: argparse.Namespace) -> bool:
@@ -42,9 +47,10 @@
     missed = 0
     for fault, hunt in runpy.run_path(given.planted)["FAULTS"].items():
         if given.fault in ("", fault.__name__):
+            began = time.monotonic()
             found = find(fault, hunt, range(given.first, given.first + given.seeds), given.steps)
-            missed += found is None
-            at = f"seed {found.seed} step {found.steps} {found.broken}" if found else "-"
+            missed, took = missed + (found is None), time.monotonic() - began
+            at = f"{took:7.2f} s seed {found.seed} step {found.steps} {found.broken}" if found else "-"
             print(f"{fault.__name__:24} {at}", flush=True)
     return bool(missed)
 
@@ -59,11 +65,14 @@
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--steps", type=int, default=8000)
     parser.add_argument("--machines", type=int, default=3)
+    parser.add_argument("--kind", choices=WALKS, default="protocol", help="of walks")
     parser.add_argument("--f", type=int, default=1)
     parser.add_argument("--spares", type=int, default=0)
     parser.add_argument("--planted", default=DEFAULT_PLANTED, help="a file whose FAULTS are looked for")
     parser.add_argument("--fault", default="", help="one planted fault's name")
     parser.add_argument("--states", type=int, default=20_000)
+    parser.add_argument("--start", default="", help="one start of a breadth-first search")
+    parser.add_argument("--events", type=int, default=1000, help="how deep a breadth-first search goes")
     given = parser.parse_args()
     return int(runs[given.what](given))
 
--- a/rowanshift/modelcheck/breadth.py
+++ b/rowanshift/modelcheck/breadth.py
@@ -9,35 +9,8 @@
 
 from rowanshift.controlplane import replication as p
 from rowanshift.modelcheck.invariants import InvariantViolation
-from rowanshift.modelcheck.world import Host, World, half
-
-
-def settled(replica_class: type[p.Replica] = p.Replica) -> World:
-    """Three machines, one primary in office, one commit complete, one proposed and one read asked."""
-    world = World({me: Host(None) for me in (1, 2, 3)}, 1, (1, 2, 3))
-    for me, host in world.hosts.items():
-        host.replica = replica_class(me, 1, world.seeds, True, None, 0.0, half)
-        world.collect(me)
-    proposed = False
-    for _ in range(400):
-        if world.net:
-            world.deliver(0)
-        elif saving := [me for me, host in world.hosts.items() if host.save is not None]:
-            world.sync(saving[0])
-        else:
-            primaries = [me for me, host in world.hosts.items() if host.replica.is_primary]
-            if primaries and world.committed:
-                world.propose(primaries[0])
-                world.read(primaries[0])
-                return world
-            if primaries and not proposed:
-                proposed = True
-                world.propose(primaries[0])
-            else:
-                world.now += 0.1
-                for me in world.hosts:
-                    world.tick(me)
-    raise InvariantViolation("SETTLED: no primary took office")
+from rowanshift.modelcheck.starts import STARTS
+from rowanshift.modelcheck.world import World, half
 
 
 @dataclass
@@ -59,9 +32,9 @@
     for me, host in world.hosts.items():
         if host.save is not None:
             found.append(("sync", me))
-        if host.replica is None:
+        if host.replica is None and not host.gone:
             found.append(("start", me))
-        elif budget["crash"]:
+        elif host.replica is not None and budget["crash"]:
             found.append(("crash", me, False))
             if host.save is not None:
                 found.append(("crash", me, True))
@@ -101,25 +74,29 @@
     world.check_leases()
 
 
-def breadth(states: int, replica_class: type[p.Replica] = p.Replica) -> BreadthResult:
-    """All orders of events from `settled`, nearest first, until `states` different states have been seen."""
+def breadth(
+    states: int,
+    start: str = "quiet-primary",
+    replica_class: type[p.Replica] = p.Replica,
+    most_events: int = 1000,
+) -> BreadthResult:
+    """All orders of events from a start, nearest first, until so many states or so many events deep."""
     began = time.monotonic()
-    start = settled(replica_class)
-    budget = {"crash": 1, "empty": 1, "read": 1, "propose": 1}
-    queue = deque([(0, pickle.dumps((start, budget)))])
-    seen = {digest(start, budget)}
+    first = STARTS[start](replica_class)
+    queue = deque([(0, pickle.dumps((first.world, first.budget)))])
+    seen = {digest(first.world, first.budget)}
     depth = 0
     while queue:
         depth, packed = queue.popleft()
-        if len(seen) >= states:
+        if len(seen) >= states or depth >= most_events:
             break
         world, budget = pickle.loads(packed)
         for event in events(world, budget):
             after, left = pickle.loads(packed)
             try:
                 apply(after, left, event, replica_class)
-            except InvariantViolation as broken:
-                return BreadthResult(len(seen), depth, time.monotonic() - began, str(broken))
+            except InvariantViolation as violation:
+                return BreadthResult(len(seen), depth, time.monotonic() - began, str(violation))
             key = digest(after, left)
             if key not in seen:
                 seen.add(key)
--- /dev/null
+++ b/rowanshift/modelcheck/client_messages.py
@@ -0,0 +1,83 @@
+"""What operators and routers ask of the control plane in the model, and what it answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+Version = tuple[int, int]  # epoch, sequence
+NO_VERSION: Version = (0, 0)
+
+
+class Status(Enum):
+    """The answers of ``PUT /config`` that the model tells apart."""
+
+    TAKEN = 200
+    INVALID = 400
+    STALE = 412
+    UNAVAILABLE = 503  # nobody knows: the order may or may not be in force
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One configuration. ``number`` is unknown to the control plane but as a field that tells contents apart."""
+
+    number: int
+    base: int
+    revision: int
+
+    @property
+    def key(self) -> bytes:
+        """Its id in the history of a state."""
+        return self.number.to_bytes(4, "big")
+
+    @property
+    def body(self) -> bytes:
+        """The body of its ``PUT /config``."""
+        return b'{"revision":%d,"backends":[],"routes":[],"order":%d}' % (self.revision, self.number)
+
+
+@dataclass(frozen=True, slots=True)
+class PutConfig:
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class GetConfig:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """``revision`` is the one in force, if the answer tells it."""
+
+    status: Status
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """``asked`` is the world's time; the machine doesn't look at it."""
+
+    serial: int
+    version: Version
+    asked: float  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """A poll's answer: the state as it was committed under the version."""
+
+    poll: Poll
+    version: Version
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """The machine asked holds no lease."""
+
+    poll: Poll
+
+
+ClientMessage = PutConfig | GetConfig | Reply | Poll | Update | Elsewhere
--- a/rowanshift/modelcheck/hunt.py
+++ b/rowanshift/modelcheck/hunt.py
@@ -4,10 +4,26 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.client_walk import ClientWalk
+from rowanshift.modelcheck.control_service import ControlService
+from rowanshift.modelcheck.files import StoreModel
+from rowanshift.modelcheck.member_walk import MemberWalk
+from rowanshift.modelcheck.routers import Router
 from rowanshift.modelcheck.walk import Outcome, Walk
 
+WALKS: dict[str, type[Walk]] = {"protocol": Walk, "clients": ClientWalk, "members": MemberWalk}
+REPLACED: dict[type, str] = {
+    p.Replica: "replica_class",
+    ControlService: "service_class",
+    Router: "router_class",
+    StoreModel: "store_class",
+}
+BUSY_TROUBLE = 0.015  # faults a step
+BUSY_EAGERNESS = 0.1  # questions a step, of each operator
+
 
 @dataclass(frozen=True)
 class Hunt:
@@ -18,14 +34,24 @@
     f: int = 1
     spares: int = 0
     faults: tuple[str, ...] = ()  # kinds of faults injected; drawn by the seed if none are given
+    kind: str = "protocol"  # of walk, a key of WALKS
+    busy: bool = False  # many faults, and operators that ask often and lose nothing
+
+
+def walk_with(fault: type, hunt: Hunt, seed: int) -> Walk:
+    """A walk in which ``fault`` takes the place of what it is a subclass of."""
+    replaced: dict[str, Any] = {name: fault for base, name in REPLACED.items() if issubclass(fault, base)}
+    walk = WALKS[hunt.kind](seed, hunt.machines, hunt.f, hunt.spares, **replaced)
+    walk.faults = list(hunt.faults) or walk.faults
+    if hunt.busy:
+        walk.trouble, walk.eagerness, walk.client_loss = BUSY_TROUBLE, BUSY_EAGERNESS, 0.0
+    return walk
 
 
-def find(replica_class: type[p.Replica], hunt: Hunt, seeds: Iterable[int], steps: int = 8000) -> Outcome | None:
+def find(fault: type, hunt: Hunt, seeds: Iterable[int], steps: int = 8000) -> Outcome | None:
     """The first walk that finds the planted fault."""
     for seed in seeds:
-        walk = Walk(seed, hunt.machines, hunt.f, hunt.spares, replica_class)
-        walk.faults = list(hunt.faults) or walk.faults
-        outcome = walk.run(steps, calm=False)
+        outcome = walk_with(fault, hunt, seed).run(steps, calm=False)
         if outcome.broken:
             return outcome
     return None
--- a/rowanshift/modelcheck/invariants.py
+++ b/rowanshift/modelcheck/invariants.py
@@ -26,6 +26,15 @@
         self.reads: dict[int, ControlState] = {}  # token -> the longest state committed before it was asked
         self.observed: list[ControlState] = []
         self.fence = 0
+        self.lineage: dict[ControlState, bytes] = {}  # what a state that is no list of ids itself was made of
+
+    def history(self, state: ControlState) -> bytes:
+        """The ids of all changes that a state was made of, four bytes each."""
+        return self.lineage.get(state, state)
+
+    def builds_on(self, state: ControlState, earlier: ControlState) -> bool:
+        """Whether a state holds all changes of an earlier one, in their order."""
+        return self.history(state).startswith(self.history(earlier))
 
     def durable(self, durable: p.DurableState) -> None:
         self.value(durable.version, durable.state)
@@ -73,19 +82,23 @@
         """Whatever is committed under a lower version is part of it, and it is part of what comes after."""
         for other, value in self.commits.items():
             low, high = (value, state) if other <= version else (state, value)
-            if not high.startswith(low):
+            if not self.builds_on(high, low):
                 raise InvariantViolation(f"KEPT: {other} and {version} are committed and don't build on one another")
         self.commits[version] = state
-        self.longest = max(self.longest, state, key=len)
+        self.longest = max(self.longest, state, key=lambda each: len(self.history(each)))
         for value in self.observed:
-            if not (state.startswith(value) or value.startswith(state)):
+            if not (self.builds_on(state, value) or self.builds_on(value, state)):
                 raise InvariantViolation("READ: a read gave what was never committed")
 
     def read(self, token: int, state: ControlState) -> None:
-        if not state.startswith(self.reads.pop(token)):
+        self.read_given(self.reads.pop(token), state)
+
+    def read_given(self, committed: ControlState, state: ControlState) -> None:
+        """A read gave ``state``; ``committed`` is the longest that was committed when it was asked."""
+        if not self.builds_on(state, committed):
             raise InvariantViolation("READ: older than a commit that was complete when it was asked")
         for value in self.commits.values():
-            if not (state.startswith(value) or value.startswith(state)):
+            if not (self.builds_on(state, value) or self.builds_on(value, state)):
                 raise InvariantViolation("READ: a read gave what was never committed")
         self.observed.append(state)
 
--- /dev/null
+++ b/rowanshift/modelcheck/routers.py
@@ -0,0 +1,52 @@
+"""Routers: each holds a poll at some machine and takes what is newer than what it has."""
+
+from __future__ import annotations
+
+from rowanshift.modelcheck.client_invariants import ClientInvariants
+from rowanshift.modelcheck.client_messages import NO_VERSION, Elsewhere, Poll, Update, Version
+
+ANSWER_LIMIT = 1.6  # seconds for a poll's answer; then another machine is asked
+
+
+class Router:
+    """What one router knows. Answers to polls it has given up are taken, too: more than a real one does."""
+
+    def __init__(self, number: int, checks: ClientInvariants) -> None:
+        self.number, self.checks = number, checks
+        self.version: Version = NO_VERSION
+        self.state = b""
+        self.fresh_as_of = 0.0  # seconds of the world
+        self.serial = 0
+        self.asked = -ANSWER_LIMIT  # seconds of the world
+        self.waits = False
+        self.paused_until = 0.0  # seconds of the world
+        self.updates = 0
+
+    def next_poll(self, now: float) -> Poll | None:
+        """The poll to ask now, if it is time for one."""
+        if self.waits and now < self.asked + ANSWER_LIMIT:
+            return None
+        self.serial += 1
+        self.asked, self.waits = now, True
+        return Poll(self.serial, self.version, now)
+
+    def receive(self, answer: Update | Elsewhere, now: float) -> None:
+        """An answer has come, perhaps an old one."""
+        if answer.poll.serial == self.serial:
+            self.waits = False
+        if isinstance(answer, Update) and self._is_news(answer):
+            self._take(answer, now)
+
+    def _is_news(self, update: Update) -> bool:
+        return update.version >= self.version
+
+    def _take(self, update: Update, now: float) -> None:
+        self.updates += 1
+        self.checks.taken(self.state, update.state)
+        self.version, self.state = update.version, update.state
+        self.fresh_as_of = max(self.fresh_as_of, self._confirmed_at(update, now))
+        self.checks.counted_fresh(self.state, self.fresh_as_of)
+
+    def _confirmed_at(self, update: Update, now: float) -> float:
+        """The time as of which an answer makes what it says fresh."""
+        return update.poll.asked
--- a/rowanshift/modelcheck/walk.py
+++ b/rowanshift/modelcheck/walk.py
@@ -90,11 +90,16 @@
             chance = 0.002 if now < host.slow_until and not self.calm else 0.3
             if up and host.save is not None and draw.random() < chance:
                 world.sync(me)
-            if up and host.replica.is_primary and draw.random() < 0.05:
-                (world.propose if draw.random() < 0.5 else world.read)(me)
+            if up and host.replica.is_primary:
+                self.use(me)
         for _ in range(3):
             self.carry()
 
+    def use(self, me: int) -> None:
+        """Ask something of a primary, now and then."""
+        if self.draw.random() < 0.05:
+            (self.world.propose if self.draw.random() < 0.5 else self.world.read)(me)
+
     def carry(self) -> None:
         """One message in flight comes, is lost, comes twice or is put off."""
         world, draw = self.world, self.draw
--- a/rowanshift/modelcheck/world.py
+++ b/rowanshift/modelcheck/world.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from rowanshift.controlplane import replication as p
-from rowanshift.modelcheck.invariants import Invariants, InvariantViolation
+from rowanshift.modelcheck.files import FileSystem, StoreModel
+from rowanshift.modelcheck.invariants import ControlState, Invariants, InvariantViolation
+
+MACHINE_BITS = (1 << 32) - 1  # of an epoch number: the machine that chose it
+
+
+class Service(Protocol):
+    """What runs on a machine on top of its replica."""
+
+    def outcome(self, token: int, succeeded: bool) -> None:
+        """A change or a read that was asked of the replica has ended."""
 
 
 def half() -> float:
@@ -28,6 +39,9 @@
     ready: bool = True
     gone: bool = False
     lost: bool = False  # its disk, and not yet made good
+    service: Service | None = None  # what runs on top of the replica, if the walk has clients
+    files: FileSystem | None = None  # what its disk is made of, if the walk has files
+    store: type[StoreModel] = StoreModel  # how it keeps what is saved in them
 
 
 @dataclass
@@ -75,10 +89,13 @@
                 case p.Committed(token):
                     self.committed += 1
                     state = self.checks.proposed[token]
-                    version = next(s for s, value in reversed(self.checks.values.items()) if value == state)
-                    self.checks.committed(max(version, p.StateVersion(replica.record.number, 0)), state)
+                    self.checks.committed(self.version_committed(me, state), state)
+                    self.tell_service(host, token, True)
                 case p.ReadConfirmed(token):
                     self.checks.read(token, replica.committed_state)
+                    self.tell_service(host, token, True)
+                case p.Failed(token) | p.ReadFailed(token):
+                    self.tell_service(host, token, False)
         if replica.is_primary and replica.record.number not in self.checks.epochs:
             self.epochs += 1
             accepted = {
@@ -86,6 +103,21 @@
             }
             self.checks.office(replica.record, replica.committed_state, accepted)
 
+    def version_committed(self, me: int, state: ControlState) -> p.StateVersion:
+        """The version under which machine ``me`` has just committed a state it proposed."""
+        stored = (
+            version
+            for version, value in reversed(self.checks.values.items())
+            if value == state and version.epoch & MACHINE_BITS == me
+        )
+        return max(next(stored), p.StateVersion(self.hosts[me].replica.record.number, 0))
+
+    @staticmethod
+    def tell_service(host: Host, token: int, succeeded: bool) -> None:
+        """Pass an outcome to what asked for it, if that is more than the walk itself."""
+        if host.service is not None:
+            host.service.outcome(token, succeeded)
+
     def check_leases(self) -> None:
         holders = []
         for me, host in self.hosts.items():
@@ -105,7 +137,7 @@
         host = self.hosts[me]
         save, host.save = host.save, None
         if ok:
-            host.disk = save.durable
+            self.land(host, save.durable)
             host.replica.saved(save.token, self.clock(host))
         else:
             host.replica.save_failed(save.token, self.clock(host))
@@ -120,8 +152,15 @@
         """The process or the power goes; an outstanding save has landed or not."""
         host = self.hosts[me]
         if landed and host.save is not None:
-            host.disk = host.save.durable
-        host.replica = host.save = None
+            self.land(host, host.save.durable)
+        host.replica = host.save = host.service = None
+
+    @staticmethod
+    def land(host: Host, durable: p.DurableState) -> None:
+        """A save is on disk."""
+        host.disk = durable
+        if host.files is not None:
+            host.store.write(host.files, durable)
 
     def propose(self, me: int) -> None:
         host = self.hosts[me]
