Send a change of a large state to the backups as its difference

Cause: each change sent and stored the whole state; at 400 routes and 1,000 tenants that is 155 KB for a route's time-out, and it grows with the history of orders. Change: wire/delta (copies and literals, cut at objects of the JSON text); from 32 KiB on a change goes to a backup that holds its base as StoreDelta, and whole 0.2 s later or wherever the base isn't held. A replica applies it only to the version it names. The disk still gets the whole record.

--- a/rowanshift/controlplane/replication/__init__.py
+++ b/rowanshift/controlplane/replication/__init__.py
@@ -14,7 +14,7 @@
     Send,
     StateTooLarge,
 )
-from rowanshift.controlplane.replication.core import Candidacy
+from rowanshift.controlplane.replication.core import Candidacy, Proposal
 from rowanshift.controlplane.replication.messages import (
     NO_RECORD,
     NO_VERSION,
@@ -37,6 +37,7 @@
     StateVersion,
     Store,
     Stored,
+    StoreDelta,
     TransferLeadership,
 )
 from rowanshift.controlplane.replication.quorum import has_majority, majority
@@ -71,6 +72,7 @@
     "PreVoted",
     "Prepare",
     "Promised",
+    "Proposal",
     "ReadConfirmed",
     "ReadFailed",
     "RecoveryReply",
@@ -85,6 +87,7 @@
     "StateTooLarge",
     "StateVersion",
     "Store",
+    "StoreDelta",
     "Stored",
     "Timing",
     "TransferLeadership",
--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -16,7 +16,7 @@
     RecoveryReply,
     StateVersion,
 )
-from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, LEAST_BANDWIDTH, Timing
+from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, DELTA_FROM, LEAST_BANDWIDTH, Timing
 
 NEVER = float("-inf")
 
@@ -74,6 +74,8 @@
 class ReplicaCore:
     """One machine's state. All of it is plain data, so that a model checker can copy it."""
 
+    delta_from = DELTA_FROM  # bytes
+
     def __init__(
         self,
         me: int,
@@ -150,6 +152,7 @@
         self._reads: list[Read] = []
         self._serial = 0
         self._asked: dict[int, float] = {}  # serial -> when it was asked
+        self._holds: dict[int, StateVersion] = {}  # machine -> the version that it stored last in this epoch
         self._acked: dict[int, int] = {}  # machine -> the highest serial it answered
         self._confirmed: dict[int, float] = {}  # machine -> when it last answered
         self._lease_from = NEVER
--- a/rowanshift/controlplane/replication/messages.py
+++ b/rowanshift/controlplane/replication/messages.py
@@ -89,6 +89,16 @@
     state: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDelta:
+    """Keep the state that ``delta`` makes of the one under ``base``; who lacks that one gets a Store later."""
+
+    number: int
+    version: StateVersion
+    base: StateVersion
+    delta: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Stored:
     number: int
@@ -180,6 +190,7 @@
     | Prepare
     | Promised
     | Store
+    | StoreDelta
     | Stored
     | Accept
     | Accepted
--- a/rowanshift/controlplane/replication/primary.py
+++ b/rowanshift/controlplane/replication/primary.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rowanshift.controlplane.replication.actions import Became, Committed, Failed, ReadConfirmed, ReadFailed
-from rowanshift.controlplane.replication.core import NEVER
+from rowanshift.controlplane.replication.core import NEVER, Proposal
 from rowanshift.controlplane.replication.membership import MembershipRole
 from rowanshift.controlplane.replication.messages import (
     Heartbeat,
@@ -11,10 +11,12 @@
     StateVersion,
     Store,
     Stored,
+    StoreDelta,
     TransferLeadership,
 )
 from rowanshift.controlplane.replication.quorum import majority
 from rowanshift.controlplane.replication.redundancy import NO_REDUNDANCY, Redundancy
+from rowanshift.wire.delta import make_delta
 
 
 class PrimaryRole(MembershipRole):
@@ -25,6 +27,7 @@
         before, self._epoch = self._epoch, candidacy.record
         self._effective, self._sequence, self._refused = self._now, 0, False
         self._acked, self._asked = {}, {}
+        self._holds = dict.fromkeys(candidacy.record.in_sync, StateVersion(candidacy.record.number, 0))
         self._confirmed = dict.fromkeys((*candidacy.record.in_sync, *candidacy.record.witnesses), self._now)
         if before is None:
             self.duty_from = self._now + self.duty_wait
@@ -69,13 +72,27 @@
     # changes
 
     def _send_proposal(self) -> None:
+        """Send it to whoever has not stored it: first as a difference where that is worth it, then whole."""
         proposal, epoch = self._proposal, self._epoch
+        delta = None
         if proposal.version is None:
             self._sequence += 1
             proposal.version, proposal.started = StateVersion(epoch.number, self._sequence), self._now
+            delta = self._delta_of(proposal)
         proposal.sent = self._now
+        whole = Store(epoch.number, proposal.version, proposal.state)
         for member in sorted(set(epoch.in_sync) - proposal.stored):
-            self._send(member, Store(epoch.number, proposal.version, proposal.state))
+            has_base = member != self.me and self._holds.get(member) == self.committed_version
+            self._send(member, delta if delta is not None and has_base else whole)
+
+    def _delta_of(self, proposal: Proposal) -> StoreDelta | None:
+        """The difference to the committed state, None where the state is small or most of it has changed."""
+        if len(proposal.state) < self.delta_from:
+            return None
+        delta = make_delta(self.committed_state, proposal.state)
+        if len(delta) > len(proposal.state) // 2:
+            return None
+        return StoreDelta(self._epoch.number, proposal.version, self.committed_version, delta)
 
     def _proposal_stored(self, sender: int, message: Stored) -> None:
         """An answer to a Store of this epoch, outside a candidacy."""
@@ -84,6 +101,7 @@
             self._refused |= message.promised > self._epoch.number
         elif proposal is not None and proposal.version == message.version and self._candidacy is None:
             proposal.stored.add(sender)
+            self._holds[sender] = message.version
             if proposal.stored >= set(self._epoch.in_sync):
                 self._commit()
 
--- a/rowanshift/controlplane/replication/replica.py
+++ b/rowanshift/controlplane/replication/replica.py
@@ -24,6 +24,7 @@
     messages.Prepare: "_on_prepare",
     messages.Promised: "_on_promised",
     messages.Store: "_on_store",
+    messages.StoreDelta: "_on_store_delta",
     messages.Stored: "_on_stored",
     messages.Accept: "_on_accept",
     messages.Accepted: "_on_accepted",
--- a/rowanshift/controlplane/replication/timing.py
+++ b/rowanshift/controlplane/replication/timing.py
@@ -25,6 +25,7 @@
 REST = 3.0  # that a primary which transferred leadership, or a backup that was too slow, is left aside
 NUMBER_LIMIT = 1 << 53  # epoch numbers stay exact as doubles
 STATE_LIMIT = 16 * 1024 * 1024 - 4096  # bytes: a Store fits into one frame
+DELTA_FROM = 32 * 1024  # bytes of a state, from which a change is sent as a difference first
 LEAST_BANDWIDTH = 10_000_000  # bytes a second between core machines, reckoned with before one counts as slow
 
 
--- a/rowanshift/controlplane/replication/witness.py
+++ b/rowanshift/controlplane/replication/witness.py
@@ -19,8 +19,11 @@
     Promised,
     Store,
     Stored,
+    StoreDelta,
     TransferLeadership,
 )
+from rowanshift.controlplane.replication.timing import STATE_LIMIT
+from rowanshift.wire.delta import apply_delta
 
 
 class WitnessRole(ReplicaCore):
@@ -65,6 +68,15 @@
             self._put_off(self.timing.round)
         self._send_saved(sender, Stored(message.number, message.version, True, message.number))
 
+    def _on_store_delta(self, sender: int, message: StoreDelta) -> None:
+        """One version has one state, so that a delta fits wherever its base is held; else a Store will come."""
+        durable = self._durable
+        if message.number < durable.promised:
+            self._send(sender, Stored(message.number, message.version, False, durable.promised))
+        elif message.base == durable.version:
+            state = apply_delta(durable.state, message.delta, STATE_LIMIT)
+            self._on_store(sender, Store(message.number, message.version, state))
+
     def _on_accept(self, sender: int, message: Accept) -> None:
         if message.number < self._durable.promised:
             self._send(sender, Accepted(message.number, False, self._durable.promised))
--- a/rowanshift/wire/table.py
+++ b/rowanshift/wire/table.py
@@ -32,6 +32,7 @@
     30: (replication.Join, "q"),
     31: (replication.Leave, "q"),
     32: (replication.LeaveReply, "q?"),
+    33: (replication.StoreDelta, "qwwb"),
     64: (replication.DurableState, "qrwb?"),
 }
 NESTED = {"r": (replication.EpochRecord, "qqttt"), "w": (replication.StateVersion, "qq")}
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -16,9 +16,10 @@
 SHORT = ["--rounds", "1", "--requests", "256", "--connections", "64", "--json"]
 
 
-def loaded():
-    spec = importlib.util.spec_from_file_location("proxy_benchmark", PROXY)
+def loaded(name: str = "proxy"):
+    spec = importlib.util.spec_from_file_location(f"{name}_benchmark", PROXY.with_name(f"{name}.py"))
     module = importlib.util.module_from_spec(spec)
+    sys.modules[spec.name] = module
     spec.loader.exec_module(module)
     return module
 
@@ -58,3 +59,14 @@
             with self.subTest(options), redirect_stderr(io.StringIO()), self.assertRaises(SystemExit) as end:
                 loaded().main(options)
             self.assertEqual(end.exception.code, 2)
+
+
+class Changes(unittest.TestCase):
+    def test_a_short_run_keeps_up_and_costs_what_it_changes(self) -> None:
+        changes = loaded("changes")
+        measured = changes.measure(40, 200, 300, whole=False)
+        self.assertEqual((measured.acknowledged + measured.unclear, measured.behind), (40, []))
+        self.assertEqual(set(measured.until_full), set(changes.TROUBLES))
+        self.assertLess(max(measured.until_full.values()), 3.0)
+        self.assertLess(measured.bytes_sent["StoreDelta"], 0.1 * measured.acknowledged * measured.state_bytes)
+        self.assertGreater(measured.bytes_sent["StoreDelta"], 0)
--- /dev/null
+++ b/tests/test_delta.py
@@ -0,0 +1,105 @@
+"""Deltas of byte strings: there and back, their size, and bytes that are none."""
+
+import random
+import unittest
+from contextlib import suppress
+
+import orjson
+
+from rowanshift.controlplane.control_state import ControlState, put_config
+from rowanshift.wire.delta import COPY, LITERAL, LONGEST_BLOCK, OPERATION, BadDelta, apply_delta, blocks, make_delta
+
+MOST = 1 << 24
+
+
+def configuration(revision: int, routes: int = 400, tenants: int = 1000, timeout: int = 5000) -> bytes:
+    """One of the size of which hundreds of changes are to be borne; the route in the middle has this timeout."""
+    rows = [
+        {
+            "name": f"r-{n}",
+            "hostname": f"h{n % 7}.example",
+            "pathPrefix": f"/p{n}/",
+            "routeType": "streaming",
+            "timeoutMs": timeout if n == routes // 2 else 5000,
+            "targetLatencyMs": 600,
+            "priority": 1,
+            "backend": "s",
+            "retries": 2,
+        }
+        for n in range(routes)
+    ]
+    holders = [{"name": f"t-{n}", "apiKeys": [f"key-{n}-a", f"key-{n}-b"]} for n in range(tenants)]
+    made = {"revision": revision, "routes": rows, "backends": [{"name": "s"}], "tenants": holders}
+    return orjson.dumps(made)
+
+
+class ThereAndBack(unittest.TestCase):
+    def test_drawn_changes(self) -> None:
+        draw = random.Random(3)
+        for _ in range(300):
+            old = b"".join(draw.choice((b'{"a":1},', b"},", b"x" * 900, draw.randbytes(50))) for _ in range(40))
+            new = bytearray(old)
+            for _ in range(draw.randrange(6)):
+                at = draw.randrange(len(new) + 1)
+                new[at : at + draw.randrange(300)] = draw.randbytes(draw.randrange(80))
+            self.assertEqual(apply_delta(old, make_delta(old, bytes(new)), MOST), bytes(new))
+
+    def test_edges(self) -> None:
+        for old, new in ((b"", b""), (b"", b"a"), (b"a", b""), (b"ab", b"ab"), (b"},},", b"},"), (b"},", b"},},},")):
+            self.assertEqual(apply_delta(old, make_delta(old, new), MOST), new)
+
+    def test_blocks_cover_all_bytes_in_their_order(self) -> None:
+        data = b"x" * (3 * LONGEST_BLOCK + 5) + b"},},{}" + b"y" * LONGEST_BLOCK
+        self.assertEqual(b"".join(data[start:end] for start, end in blocks(data)), data)
+        self.assertLessEqual(max(end - start for start, end in blocks(data)), LONGEST_BLOCK)
+
+
+class Sizes(unittest.TestCase):
+    def test_a_change_costs_what_it_changes(self) -> None:
+        before, _ = put_config(ControlState(), "0", configuration(1))
+        for revision in range(2, 400):
+            before = ControlState(before.revision, before.config, {}, before.orders.added(revision, bytes(32)))
+        after, _ = put_config(before, "1", configuration(500, timeout=7000))
+        old, new = before.pack(), after.pack()
+        delta = make_delta(old, new)
+        self.assertEqual(apply_delta(old, delta, MOST), new)
+        self.assertGreater(len(new), 100_000)
+        self.assertLess(len(delta), 6 * LONGEST_BLOCK)
+
+    def test_what_is_the_same_costs_one_operation(self) -> None:
+        data = configuration(1)
+        self.assertEqual(len(make_delta(data, data)), OPERATION.size)
+
+
+class NoDeltas(unittest.TestCase):
+    def test_bytes_that_are_none(self) -> None:
+        old = b"abcdef"
+        for delta in (
+            b"\0",
+            OPERATION.pack(COPY, 0, 7),
+            OPERATION.pack(COPY, 9, 1),
+            OPERATION.pack(LITERAL, 0, 3) + b"ab",
+            OPERATION.pack(7, 0, 1),
+            OPERATION.pack(COPY, 0, 6)[:-1],
+        ):
+            with self.subTest(delta=delta), self.assertRaises(BadDelta):
+                apply_delta(old, delta, MOST)
+
+    def test_no_more_than_is_allowed(self) -> None:
+        delta = OPERATION.pack(COPY, 0, 6) * 3
+        self.assertEqual(len(apply_delta(b"abcdef", delta, 18)), 18)
+        with self.assertRaises(BadDelta):
+            apply_delta(b"abcdef", delta, 17)
+
+    def test_any_bytes_changed_are_read_or_refused(self) -> None:
+        draw, old = random.Random(4), configuration(1, 20, 20)
+        delta = make_delta(old, configuration(2, 20, 20, 9000))
+        for _ in range(2000):
+            spoilt = bytearray(delta)
+            spoilt[draw.randrange(len(spoilt))] = draw.randrange(256)
+            with suppress(BadDelta):
+                apply_delta(old, bytes(spoilt), MOST)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_state_delta.py
@@ -0,0 +1,138 @@
+"""Changes that go to the backups as differences: what they hold, and what is lost on the way."""
+
+import unittest
+
+from test_replication import Rig
+
+from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.walk import Walk
+from rowanshift.wire.delta import COPY, LITERAL, OPERATION
+
+ROW = b'{"name":"r-%05d"},'
+ROWS = 3000
+
+
+def state(changed: int) -> bytes:
+    """A state over DELTA_FROM whose row in the middle names the change."""
+    rows = [ROW % n for n in range(ROWS)]
+    rows[ROWS // 2] = ROW % changed
+    return b"".join(rows)
+
+
+class AlwaysByDelta(p.Replica):
+    """States of the model checker only grow: a difference is the state before and what was appended."""
+
+    def _delta_of(self, proposal: p.Proposal) -> p.StoreDelta | None:
+        base = self.committed_state
+        appended = proposal.state[len(base) :]
+        delta = OPERATION.pack(COPY, 0, len(base)) + OPERATION.pack(LITERAL, 0, len(appended)) + appended
+        return p.StoreDelta(self._epoch.number, proposal.version, self.committed_version, delta)
+
+
+class Backups(unittest.TestCase):
+    def sent(self, rig: Rig) -> list[type]:
+        """Types of the Stores that go out from now on, as they do."""
+        kinds: list[type] = []
+
+        def note(sender: int, to: int, message: p.Message) -> bool:
+            if isinstance(message, p.Store | p.StoreDelta):
+                kinds.append(type(message))
+            return False
+
+        rig.drop = note
+        return kinds
+
+    def propose(self, rig: Rig, made: bytes) -> None:
+        primary = rig.primary()
+        rig.world.tokens += 1
+        rig.ledger(primary).propose(rig.world.tokens, made, rig.world.now)
+        rig.world.checks.proposed[rig.world.tokens] = made
+        for action in rig.ledger(primary).drain():
+            self.carry(rig, primary, action)
+        rig.run(0.05)
+
+    def carry(self, rig: Rig, me: int, action: p.Action) -> None:
+        if isinstance(action, p.Send):
+            rig.world.net.append((me, action.to, action.message))
+        elif isinstance(action, p.Save):
+            rig.world.hosts[me].save = action
+
+    def backup(self, rig: Rig) -> int:
+        return next(m for m in rig.ledger(rig.primary()).record.in_sync if m != rig.primary())
+
+
+class Differences(Backups):
+    def test_the_first_state_goes_whole_and_changes_by_their_difference(self) -> None:
+        rig = Rig()
+        rig.world.checks.committed = lambda *_: None  # these states don't grow, as the model's do
+        rig.elect()
+        kinds = self.sent(rig)
+        self.propose(rig, state(90001))
+        self.assertEqual(set(kinds), {p.Store})
+        kinds.clear()
+        self.propose(rig, state(90002))
+        self.assertEqual(kinds, [p.StoreDelta])
+        for member in rig.ledger(rig.primary()).record.in_sync:
+            self.assertEqual(rig.world.hosts[member].disk.state, state(90002))
+
+    def test_one_that_is_lost_is_followed_by_the_whole_state(self) -> None:
+        rig = Rig()
+        rig.world.checks.committed = lambda *_: None
+        rig.elect()
+        self.propose(rig, state(90001))
+        rig.drop = lambda sender, to, message: isinstance(message, p.StoreDelta)
+        self.propose(rig, state(90002))
+        self.assertEqual(rig.world.hosts[self.backup(rig)].disk.state, state(90001))
+        rig.run(0.3)
+        self.assertEqual(rig.world.hosts[self.backup(rig)].disk.state, state(90002))
+        self.assertEqual(rig.ledger(rig.primary()).committed_state, state(90002))
+
+    def test_a_small_state_or_one_that_is_all_new_goes_whole(self) -> None:
+        rig = Rig()
+        rig.world.checks.committed = lambda *_: None
+        rig.elect()
+        kinds = self.sent(rig)
+        for made in (b"small", b"smaller", state(90001), bytes(100_000), state(90002)):
+            self.propose(rig, made)
+        self.assertEqual(set(kinds), {p.Store})
+
+    def test_one_to_another_state_than_is_held_is_left_and_not_answered(self) -> None:
+        """The walks don't come to it: a backup that lost its disk is replaced before it may answer again."""
+        rig = Rig()
+        rig.world.checks.committed = lambda *_: None
+        rig.elect()
+        self.propose(rig, state(90001))
+        replica, primary = rig.ledger(self.backup(rig)), rig.primary()
+        held = replica._durable
+        base = p.StateVersion(held.version.epoch, held.version.sequence + 1)
+        version = p.StateVersion(held.version.epoch, held.version.sequence + 2)
+        delta = OPERATION.pack(COPY, 0, 10)
+        replica.receive(primary, p.StoreDelta(held.version.epoch, version, base, delta), rig.world.now)
+        self.assertEqual((replica.drain(), replica._durable), ([], held))
+        replica.receive(primary, p.StoreDelta(held.version.epoch, base, held.version, delta), rig.world.now)
+        self.assertEqual(replica._durable.state, state(90001)[:10])
+
+    def test_below_its_promise_none_is_taken(self) -> None:
+        rig = Rig()
+        rig.world.checks.committed = lambda *_: None
+        rig.elect()
+        self.propose(rig, state(90001))
+        replica = rig.ledger(self.backup(rig))
+        version = p.StateVersion(0, 5)
+        replica.receive(rig.primary(), p.StoreDelta(0, version, replica._durable.version, b""), rig.world.now)
+        answers = [a.message for a in replica.drain() if isinstance(a, p.Send)]
+        self.assertEqual([(type(m), m.ok) for m in answers], [(p.Stored, False)])
+
+
+class Walks(unittest.TestCase):
+    def test_walks_in_which_all_changes_go_by_their_difference(self) -> None:
+        committed = 0
+        for seed in range(3000, 3012):
+            outcome = Walk(seed, 3, 1, 1, replica_class=AlwaysByDelta).run(5000)
+            self.assertEqual((outcome.broken, outcome.stalled), ("", ""))
+            committed += outcome.committed
+        self.assertGreater(committed, 300)
+
+
+if __name__ == "__main__":
+    unittest.main()
