--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -170,6 +170,30 @@
         self.assertFalse(p.Redundancy(2, 2, 3, 3, changing=True).full)
 
 
+class FirstStart(unittest.TestCase):
+    """All core machines killed before the first record is on any disk: their disks are empty, bootstrap is false."""
+
+    def restarted(self, bootstrap: bool) -> Rig:
+        rig = Rig()
+        for machine in (1, 2, 3):
+            rig.world.crash(machine, landed=False)
+            rig.world.hosts[machine].disk = None
+        for machine in (1, 2, 3):
+            rig.start(machine, bootstrap)
+        rig.run(30.0, lambda: rig.primary() != 0)
+        return rig
+
+    def test_they_never_serve_since_they_can_not_tell_it_from_the_loss_of_all_disks(self) -> None:
+        rig = self.restarted(bootstrap=False)
+        self.assertEqual(rig.primary(), 0)
+        self.assertTrue(all(rig.ledger(machine).is_amnesic for machine in (1, 2, 3)))
+
+    def test_staff_start_them_anew(self) -> None:
+        rig = self.restarted(bootstrap=True)
+        self.assertNotEqual(rig.primary(), 0)
+        self.assertEqual(rig.commit(), 1)
+
+
 def full(fleet: Fleet) -> bool:
     """Whether the primary that holds the lease sees all copies and witnesses that are wanted."""
     hosts = [unit.program.replica_host for unit in fleet.cores if unit.machine.running and unit.program is not None]
