--- a/rowanshift/controlplane/api.py
+++ b/rowanshift/controlplane/api.py
@@ -49,7 +49,10 @@
 
 
 class ConfigResource(OnPrimary):
+    """``/config``: the operator's configuration, read and put."""
+
     async def served(self, message: Message) -> Answer:
+        """200 with the configuration or the revision taken; 400, 404, 405 or 412 otherwise."""
         if message.method == b"GET":
             sheet = unpack(await self.replica_host.read())
             return Answer(200, sheet.config) if sheet.revision else Answer(404, said("no configuration yet"))
@@ -71,7 +74,10 @@
 
 
 class VersionResource(OnPrimary):
+    """``/version-put``: names a version of a model's weights."""
+
     async def served(self, message: Message) -> Answer:
+        """200 once that version, or a newer one, is named; 400 or 405 otherwise."""
         if message.method != b"POST":
             return Answer(405, said("POST"))
         try:
@@ -98,6 +104,7 @@
         self.status = status
 
     async def call(self, message: Message) -> Answer:
+        """The status as JSON."""
         return Answer(200, orjson.dumps(self.status()))
 
 
--- a/rowanshift/controlplane/configuration.py
+++ b/rowanshift/controlplane/configuration.py
@@ -63,17 +63,20 @@
 
 
 def expected(what: str, value: Any) -> InvalidConfiguration:
+    """The error for a value of another type."""
     found = "null" if value is None else type(value).__name__
     return InvalidConfiguration("", f"{what} expected, not {found}")
 
 
 def text(value: Any) -> str:
+    """A text."""
     if type(value) is not str:
         raise expected("text", value)
     return value
 
 
 def number(value: Any) -> float:
+    """A finite number, with or without a fraction."""
     if type(value) is int:
         if value.bit_length() > 64:  # nor does JSON's reader let it pass
             raise InvalidConfiguration("", "a number too large")
@@ -95,12 +98,14 @@
 
 
 def flag(value: Any) -> bool:
+    """True or false."""
     if type(value) is not bool:
         raise expected("true or false", value)
     return value
 
 
 def texts(value: Any) -> list[str]:
+    """A list of texts."""
     if type(value) is not list:
         raise expected("a list", value)
     for place, item in enumerate(value):
@@ -223,6 +228,7 @@
 
     @property
     def streaming(self) -> bool:
+        """Whether its answers are streams of events."""
         return self.route_type == "streaming"
 
     @property
@@ -234,6 +240,8 @@
 @serde(type_check=disabled)
 @dataclass(slots=True)
 class Model:
+    """A model that a service's servers run."""
+
     name: str = wire("name", text)
 
 
@@ -400,6 +408,7 @@
 
 
 def digest_of(raw: dict[str, Any]) -> bytes:
+    """32 bytes that tell whether two JSON objects are the same, whatever the order of their fields."""
     return sha256(orjson.dumps(raw, option=orjson.OPT_SORT_KEYS)).digest()
 
 
--- a/rowanshift/controlplane/replication/messages.py
+++ b/rowanshift/controlplane/replication/messages.py
@@ -61,6 +61,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PreVoted:
+    """The answer to PreVote; nothing was promised."""
+
     number: int
     ok: bool
 
@@ -74,6 +76,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Promised:
+    """The answer to Prepare; ``accepted``: the last record this machine accepted."""
+
     number: int
     ok: bool
     promised: int
@@ -101,6 +105,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Stored:
+    """The answer to Store and StoreDelta; ``ok``: the state of this version is on disk."""
+
     number: int
     version: StateVersion
     ok: bool
@@ -117,6 +123,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """The answer to Accept; ``ok``: the record is on disk."""
+
     number: int
     ok: bool
     promised: int
@@ -133,6 +141,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
+    """The answer to a heartbeat; not ``ok`` below a promise, or where an in-sync machine lacks the state."""
+
     number: int
     serial: int
     ok: bool
@@ -156,6 +166,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RecoveryReply:
+    """What a machine has promised and accepted, for one that lost its disk."""
+
     serial: int
     promised: int
     accepted: EpochRecord
--- a/rowanshift/controlplane/server_registry.py
+++ b/rowanshift/controlplane/server_registry.py
@@ -33,6 +33,7 @@
     failures: int = 0  # of loads
 
     def row(self) -> Row:
+        """The server as routers are told of it."""
         state = (DRAINING if self.draining else UP) | (LOADING if self.loading else 0)
         return Row(self.id, self.service, self.address, self.zone, self.slots, state, dict(self.versions))
 
@@ -62,6 +63,8 @@
 
 @dataclass(slots=True)
 class ServerRegistry:
+    """All servers that the platform's list names, with the version that each has."""
+
     servers: dict[str, Known] = field(default_factory=dict)
     serial: int = 0  # of its changes; 0: the list was not read yet
 
@@ -84,6 +87,7 @@
         return True
 
     def rows(self) -> tuple[Row, ...]:
+        """All servers as routers are told of them."""
         return tuple(known.row() for known in self.servers.values())
 
     def next_load(self, named: dict[str, int], now: float) -> tuple[Known, str, int] | None:
@@ -103,6 +107,7 @@
         return None
 
     def begin(self, known: Known) -> None:
+        """A server is given an order to load: it gets no requests meanwhile."""
         known.loading = True
         self.serial += 1
 
@@ -114,6 +119,7 @@
             self.serial += 1
 
     def failed(self, id: str, now: float) -> None:
+        """A load failed: the server is looked at again later."""
         if (known := self.servers.get(id)) is not None:
             known.loading, known.not_before, known.failures = False, now + AGAIN, known.failures + 1
             self.serial += 1
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -49,6 +49,8 @@
 
 
 class ControlPlaneService:
+    """One core machine: its replica, the operator's API, routers' polls and the singleton tasks."""
+
     def __init__(self, boot: NodeSettings, host: Host = SYSTEM, seed: int | None = None) -> None:
         self.boot, self.host = boot, host
         self.chance = random.Random(seed)
@@ -129,10 +131,12 @@
         return self.store_addresses
 
     def named(self) -> dict[str, int]:
+        """The named version of each model."""
         self.refresh()
         return self.state.versions
 
     def status(self) -> dict:
+        """What this machine knows, for staff."""
         replica, now = self.replica_host.replica, trio.current_time()
         record = replica.record
         return {
@@ -330,6 +334,7 @@
     # phases -----------------------------------------------
 
     async def run(self) -> None:
+        """Serve from the start to the end that a signal asks for."""
         boot, host = self.boot, self.host
         with host.signals() as signals:
             async with host.nursery() as nursery:
--- a/rowanshift/controlplane/singleton_tasks.py
+++ b/rowanshift/controlplane/singleton_tasks.py
@@ -36,6 +36,8 @@
 
 
 class SingletonTasks:
+    """What only the holder of the lease does; all of it stops when the lease does."""
+
     def __init__(
         self,
         host: Host,
@@ -60,6 +62,7 @@
     # the list ---------------------------------------------
 
     async def read_list(self) -> None:
+        """Read the platform's list again and again."""
         while True:
             at = trio.current_time()
             if self.cloud is not None and self.replica_host.holds():
@@ -142,6 +145,7 @@
         return self.replica_host.replica.duty_from <= trio.current_time() and self.replica_host.holds() > SPARE
 
     async def roll_out(self, nursery: Nursery) -> None:
+        """Order servers to load named versions, for good."""
         while True:
             if self._may_order():
                 due = self.registry.next_load(self.named(), trio.current_time())
--- a/rowanshift/controlplane/store.py
+++ b/rowanshift/controlplane/store.py
@@ -216,6 +216,7 @@
             raise
 
     def down(self) -> None:
+        """Close the environment; the next call opens it anew."""
         env, self.env = self.env, None
         if env is not None:
             env.close()
--- a/rowanshift/dataplane/client_answer.py
+++ b/rowanshift/dataplane/client_answer.py
@@ -35,6 +35,7 @@
     last: bytes | None = None  # id of the last event that was passed on
 
     async def send(self, data: bytes) -> None:
+        """Write bytes to the client; ``ClientGone`` if it takes nothing for too long."""
         try:
             if self.connection.push(data):
                 return
@@ -49,6 +50,7 @@
             raise ClientGone from error
 
     def head(self, message: Message, length: int | None) -> bytes:
+        """The head of an answer; ``length`` None: its body comes in chunks, or ends with the connection."""
         lines = [b"HTTP/1.1 %d %s" % (message.status, REASONS.get(message.status, b""))]
         lines += [b"%s: %s" % pair for pair in message.end_to_end()]
         if message.status in NO_BODY:
@@ -67,12 +69,15 @@
         return b"\r\n".join([*lines, b"", b""])
 
     def piece(self, data: bytes) -> bytes:
+        """A part of the body, framed as the head has said."""
         return b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data
 
     async def whole(self, message: Message, body: bytes) -> None:
+        """Send a whole answer of a server."""
         await self.send(self.head(message, len(body)) + body)
 
     async def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of this router's own."""
         body = said(refusal.why)
         lines = [
             b"HTTP/1.1 %d %s" % (refusal.status, REASONS.get(refusal.status, b"")),
--- a/rowanshift/dataplane/endpoints.py
+++ b/rowanshift/dataplane/endpoints.py
@@ -25,14 +25,17 @@
     strikes: int = 0
 
     def sent(self, now: float) -> None:
+        """A request is sent there."""
         if not self.inflight:
             self.heard_at = now
         self.inflight += 1
 
     def ended(self) -> None:
+        """It is over."""
         self.inflight -= 1
 
     def heard(self, now: float) -> None:
+        """Bytes came from there."""
         self.heard_at, self.strikes, self.silent_until = now, 0, 0.0
 
 
@@ -45,6 +48,7 @@
         self.engines: dict[str, Endpoint] = {}
 
     def pool(self, service: str) -> Pool:
+        """The servers of a service that may take requests."""
         if service not in self.pools:
             self.pools[service] = Pool(self.chance)
         return self.pools[service]
--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -52,15 +52,20 @@
     servers: Endpoints
     stored: set[int]  # marks of the parts that a store keeps
 
-    def version(self, model: str, now: float) -> int: ...  # the least that a server must have
+    def version(self, model: str, now: float) -> int:
+        """The least version of a model's weights that a server must have."""
 
-    async def fresh(self, left: float) -> None: ...  # waits, briefly, while what is known may be old
+    async def fresh(self, left: float) -> None:
+        """Wait, briefly, while what is known may be old."""
 
-    async def confirmed(self, within: float) -> bool: ...  # waits until what is known is recent; whether it is
+    async def confirmed(self, within: float) -> bool:
+        """Wait until what is known is recent; whether it is."""
 
-    def may_refuse(self) -> bool: ...  # by what is known, for good
+    def may_refuse(self) -> bool:
+        """Whether a client may be refused for good by what is known."""
 
-    async def changed(self, within: float) -> None: ...
+    async def changed(self, within: float) -> None:
+        """Wait until something was learnt, so many seconds at most."""
 
 
 @dataclass(slots=True)
--- a/rowanshift/dataplane/forwarding.py
+++ b/rowanshift/dataplane/forwarding.py
@@ -35,14 +35,17 @@
 
     @property
     def kind(self) -> Kind:
+        """What may be done with its request."""
         return kind_of(self.route.streaming, self.route.repeatable)
 
     @property
     def until(self) -> float:
+        """The end of its time, in seconds of trio's clock."""
         return min(self.request.until, self.request.came_at + self.route.timeout)
 
     @property
     def service(self) -> str:
+        """The service that its route and draw choose."""
         return self.route.service(self.draw)
 
     @property
@@ -57,6 +60,7 @@
 
     @property
     def progress(self) -> Progress:
+        """What decisions are taken by."""
         left = self.route.servers - len(self.request.tried)
         return Progress(self.may_have_run, self.out.begun, bool(self.out.last), left)
 
--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -58,6 +58,7 @@
     # the listener -----------------------------------------
 
     async def accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
+        """Take connections in, for good."""
         while True:
             await listener.wait()
             for _ in range(AT_ONCE):
@@ -91,6 +92,7 @@
     # one connection ---------------------------------------
 
     async def serve(self, stream: Stream) -> None:
+        """Answer one request after another on a connection."""
         connection = Connection(
             stream, httptools.HttpRequestParser, self.memory, largest=self.state.routing_table.largest_body
         )
--- a/rowanshift/dataplane/load_index.py
+++ b/rowanshift/dataplane/load_index.py
@@ -38,6 +38,7 @@
         self.tokens: dict[int, int] = {}  # by the server's mark
 
     def add(self, who: Address, call: int, server: int, tokens: int, now: float) -> None:
+        """A request with so many tokens to read went to a server."""
         self.done(who, call)
         while self.open and (len(self.open) >= MOST_KEPT or next(iter(self.open.values()))[2] < now):
             self.done(*next(iter(self.open)))
@@ -45,6 +46,7 @@
         self.tokens[server] = self.tokens.get(server, 0) + tokens
 
     def done(self, who: Address, call: int) -> None:
+        """It is read, or over."""
         if (was := self.open.pop((who, call), None)) is not None:
             left = self.tokens.get(was[0], 0) - was[1]
             if left > 0:
@@ -53,12 +55,15 @@
                 self.tokens.pop(was[0], None)
 
     def of(self, server: int, now: float) -> int:
+        """Tokens that a server still has to read."""
         while self.open and next(iter(self.open.values()))[2] < now:
             self.done(*next(iter(self.open)))
         return self.tokens.get(server, 0)
 
 
 class LoadIndex:
+    """Tokens to read at each server, summed over all routers, each server's sum kept by one owner."""
+
     def __init__(self, host: Host, address: Address, machine: int) -> None:
         self.host, self.address, self.machine = host, address, machine
         self.port: Port | None = None
@@ -77,6 +82,7 @@
             self.holder.cache_clear()
 
     async def run(self) -> None:
+        """Take datagrams of other routers in, for good."""
         self.port = self.host.port(self.address)
         while True:
             try:
--- a/rowanshift/dataplane/requests.py
+++ b/rowanshift/dataplane/requests.py
@@ -25,6 +25,8 @@
 
 @dataclass(slots=True)
 class Request:
+    """A client's request as it came, with what its fields say."""
+
     id: bytes
     method: bytes
     target: bytes
@@ -80,6 +82,7 @@
 
 
 def absolute(target: bytes) -> bytes:
+    """The path of a target in absolute form. Raises ``BadMessage``."""
     scheme, slashes, rest = target.partition(b"://")
     if not slashes or scheme.lower() not in (b"http", b"https"):
         raise BadMessage(400, "a path is wanted")
@@ -89,6 +92,7 @@
 
 
 def number(text: bytes, name: str) -> float:
+    """A number of milliseconds. Raises ``BadMessage``."""
     try:
         value = float(text)
     except ValueError:
@@ -110,6 +114,7 @@
 
 
 def tokens_of(text: bytes) -> tuple[int, int]:
+    """Tokens in and, at most, out; 0 where they can't be read."""
     into, _, out = text.partition(b",")
     into, out = into.strip(), out.strip()
     return (int(into) if counted(into) else 0, int(out) if counted(out) else 0)
@@ -160,5 +165,6 @@
 
 
 def priority_of(route: Route, tenant: Tenant | None) -> int:
+    """The rank at a server, 0 the highest: the tenant's before the route's."""
     given = tenant.priority if tenant is not None and tenant.priority is not None else route.priority
     return min(9, max(0, given))
--- a/rowanshift/dataplane/routing_table.py
+++ b/rowanshift/dataplane/routing_table.py
@@ -17,6 +17,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
+    """A service as requests are sent to it."""
+
     name: str
     health: bytes
     connections: int  # that a server takes from all callers
@@ -26,6 +28,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
+    """A route as requests are matched; times in seconds."""
+
     name: str
     host: bytes
     prefix: bytes
@@ -40,6 +44,7 @@
 
     @property
     def streaming(self) -> bool:
+        """Whether its answers are streams of events."""
         return self.kind == STREAMING
 
     @property
@@ -59,6 +64,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
+    """Who holds a key."""
+
     name: bytes
     priority: int | None
     isolated: bool
@@ -66,6 +73,8 @@
 
 @dataclass(slots=True)
 class RoutingTable:
+    """A configuration in the form that requests are matched by."""
+
     revision: int = 0
     routes: dict[bytes, list[Route]] = field(default_factory=dict)  # by host, the longest prefix first
     tenants: dict[bytes, Tenant] | None = None  # by key; None: keys are not asked for
@@ -76,6 +85,7 @@
     idle_for: float = 15.0  # seconds
 
     def match(self, host: bytes, path: bytes) -> Route | None:
+        """The route of a host and path with the longest prefix, None if there is none."""
         for route in self.routes.get(host, ()):
             if path.startswith(route.prefix):
                 return route
@@ -115,6 +125,7 @@
 
 
 def service_of(row: dict[str, Any]) -> Service:
+    """A service from its JSON object."""
     engine = row.get("engine") or {}
     return Service(
         row["name"],
@@ -126,6 +137,7 @@
 
 
 def route_of(row: dict[str, Any]) -> Route:
+    """A route from its JSON object."""
     if row.get("trafficSplit"):
         split = tuple((part["backend"], float(part["weight"])) for part in row["trafficSplit"])
     else:
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -38,11 +38,14 @@
         self.service = service
 
     async def call(self, message: Message) -> Answer:
+        """200 while new connections may come, else 503."""
         ready = self.service.ready()
         return Answer(200 if ready else 503, b'{"ready":%s}' % (b"true" if ready else b"false"))
 
 
 class DataPlaneService:
+    """One router: its frontend, upstream connections, and what it knows of the control plane."""
+
     def __init__(self, boot: NodeSettings, host: Host = SYSTEM, seed: int | None = None) -> None:
         self.boot, self.host = boot, host
         self.chance = random.Random(seed)
@@ -52,6 +55,7 @@
         self.joined_at: float | None = None
 
     def ready(self) -> bool:
+        """Whether new connections may come."""
         return not self.leaving and self.control_client.ready()
 
     def seeds(self) -> list[tuple[str, int]]:
@@ -64,6 +68,7 @@
         return self.boot.seeds
 
     def retries(self, service: str) -> RetryBudget:
+        """The retry budget of a service."""
         bounds = self.boot.bounds
         if service not in self.budgets:
             self.budgets[service] = RetryBudget(
@@ -77,6 +82,7 @@
         return budget
 
     async def run(self) -> None:
+        """Serve from the start to the end that a signal asks for."""
         boot, host = self.boot, self.host
         with host.signals() as signals:
             async with host.nursery() as nursery:
--- a/rowanshift/dataplane/upstream.py
+++ b/rowanshift/dataplane/upstream.py
@@ -37,6 +37,8 @@
 
 
 class SendFailed(Exception):
+    """A send that got no answer for the client; ``outcome`` tells how it ended."""
+
     def __init__(self, outcome: Outcome, why: str) -> None:
         super().__init__(why)
         self.outcome = outcome
@@ -44,6 +46,8 @@
 
 @dataclass(slots=True, eq=False)
 class Link:
+    """One connection to a server, and the answer that is read from it."""
+
     engine: Endpoint
     connection: Connection
     since: float = 0.0  # idle
@@ -54,6 +58,8 @@
 
 
 class Upstream:
+    """Connections to servers: dialled, kept while idle, one exchange at a time on each."""
+
     def __init__(self, host: Host, budget: Budget, memory: Memory) -> None:
         self.host, self.budget, self.memory = host, budget, memory
         self.idle: dict[Endpoint, list[Link]] = {}
@@ -61,6 +67,7 @@
         budget.idle_servers = self.drop_idle
 
     def address(self, engine: Endpoint) -> tuple[str, int]:
+        """A server's IP and port."""
         host, _, port = engine.address.rpartition(":")
         return host, int(port)
 
@@ -72,6 +79,7 @@
             self.close(link)
 
     def drop_idle(self) -> bool:
+        """Close the connection that is idle longest; whether there was one."""
         links = min((links for links in self.idle.values() if links), default=None, key=lambda links: links[0].since)
         if links is None:
             return False
@@ -87,6 +95,7 @@
             del self.idle[engine]
 
     def close(self, link: Link) -> None:
+        """End a connection and give its descriptor back."""
         if not link.closed:
             link.closed = True
             link.connection.close()
--- a/rowanshift/invariants/breaches.py
+++ b/rowanshift/invariants/breaches.py
@@ -53,6 +53,7 @@
 
 
 def by(facts: Iterable[F], name: Callable[[F], Any]) -> dict[Any, list[F]]:
+    """Facts grouped by a key."""
     grouped: dict[Any, list[F]] = defaultdict(list)
     for fact in facts:
         grouped[name(fact)].append(fact)
@@ -60,4 +61,5 @@
 
 
 def by_id(facts: Facts, kind: type[F]) -> dict[str, list[F]]:
+    """Facts of a kind, grouped by their request's id."""
     return by(of_kind(facts, kind), lambda fact: fact.id)
--- a/rowanshift/invariants/checks.py
+++ b/rowanshift/invariants/checks.py
@@ -31,6 +31,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Broken:
+    """A broken rule, with the fact that broke it."""
+
     rule: int  # 1 to 4; 5: something was left over
     at: float
     why: str
@@ -68,6 +70,8 @@
 
 
 class Rules:
+    """The rules of the router for caches, checked fact by fact."""
+
     def __init__(self, terms: Terms) -> None:
         self.terms = terms
         self.broken: list[Broken] = []
@@ -83,6 +87,7 @@
         self.now = 0.0
 
     def see(self, fact: Fact) -> None:
+        """Take one fact in."""
         at, kind, *rest = fact
         self.now = at
         self.counts[kind] = self.counts.get(kind, 0) + 1
--- a/rowanshift/invariants/configuration_rules.py
+++ b/rowanshift/invariants/configuration_rules.py
@@ -11,6 +11,7 @@
 
 
 def route_of(config: dict[str, Any], host: str, target: str) -> dict[str, Any] | None:
+    """The route of a host and target in a configuration, None if there is none."""
     path = target.partition("?")[0]
     fits = [
         route
@@ -47,6 +48,7 @@
 
     @classmethod
     def among(cls, facts: Facts) -> "Configs":
+        """The configurations that facts tell of."""
         answers = of_kind(facts, ConfigAnswered)
         return cls(
             of_kind(facts, ConfigSent),
@@ -55,6 +57,7 @@
         )
 
     def newest_acked(self, at: float) -> int:
+        """The highest revision acknowledged by a time, 0 if there was none."""
         return max((answer.revision for answer in self.acked if answer.at <= at), default=0)
 
     def may_rule(self, at: float, until: float) -> list[ConfigSent]:
--- a/rowanshift/invariants/events.py
+++ b/rowanshift/invariants/events.py
@@ -35,11 +35,14 @@
 
 
 class Events:
+    """A stream of facts for whoever reads it."""
+
     def __init__(self, now: Callable[[], float]) -> None:
         self.now = now
         self.readers: list[Reader] = []
 
     def tell(self, kind: str, *facts: Any) -> None:
+        """Pass facts of a kind on to all readers."""
         if self.readers:
             fact = (self.now(), kind, *facts)
             for reader in self.readers:
--- a/rowanshift/invariants/facts.py
+++ b/rowanshift/invariants/facts.py
@@ -20,6 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fact:
+    """Something that was seen at a time, in seconds of the world's clock."""
+
     at: float
 
 
@@ -175,6 +177,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Loaded(Fact):
+    """A server has loaded a version of its weights."""
+
     instance: str
     model: str
     revision: int
--- a/rowanshift/invariants/planned_work_rules.py
+++ b/rowanshift/invariants/planned_work_rules.py
@@ -35,6 +35,7 @@
     work_until: float  # until when a server was at work on it; before the start of all if none was
 
     def within(self, spans: list[Span]) -> bool:
+        """Whether any of the spans covers it."""
         return any(since <= self.at <= until for since, until in spans)
 
 
--- a/rowanshift/kv_index/index.py
+++ b/rowanshift/kv_index/index.py
@@ -120,8 +120,10 @@
 
 
 def packed(marks: list[int]) -> bytes:
+    """Fingerprints as bytes, eight each."""
     return pack(f">{len(marks)}Q", *marks)
 
 
 def unpacked(data: bytes) -> tuple[int, ...]:
+    """Fingerprints from their bytes."""
     return unpack(f">{len(data) // 8}Q", data[: len(data) // 8 * 8])
--- a/rowanshift/modelcheck/breadth.py
+++ b/rowanshift/modelcheck/breadth.py
@@ -15,6 +15,8 @@
 
 @dataclass
 class BreadthResult:
+    """What a search came to."""
+
     states: int
     depth: int  # every state up to this many events from the start has been seen
     seconds: float
@@ -49,6 +51,7 @@
 
 
 def apply(world: World, budget: dict[str, int], event: tuple, replica_class: type[p.Replica]) -> None:
+    """Carry one event out in the world."""
     kind, *what = event
     if kind in budget:
         budget[kind] -= 1
@@ -105,6 +108,7 @@
 
 
 def digest(world: World, budget: dict[str, int]) -> int:
+    """What two equal states of the world have in common."""
     hosts = [(host.disk, host.save, host.replica and vars(host.replica)) for host in world.hosts.values()]
     checks = (world.checks.commits, world.checks.reads, world.checks.fence)
     return hash((repr(hosts), repr(sorted(map(repr, world.net))), world.now, repr(checks), repr(budget)))
--- a/rowanshift/modelcheck/client_messages.py
+++ b/rowanshift/modelcheck/client_messages.py
@@ -39,12 +39,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PutConfig:
+    """An operator's order."""
+
     order: Order
 
 
 @dataclass(frozen=True, slots=True)
 class GetConfig:
-    pass
+    """A reading of the configuration."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanshift/modelcheck/control_service.py
+++ b/rowanshift/modelcheck/control_service.py
@@ -55,6 +55,8 @@
 
 @dataclass
 class HeldPoll:
+    """A router's question that waits for an answer."""
+
     router: int
     poll: Poll
     until: float  # seconds of the machine's clock
--- a/rowanshift/modelcheck/invariants.py
+++ b/rowanshift/modelcheck/invariants.py
@@ -37,11 +37,13 @@
         return self.history(state).startswith(self.history(earlier))
 
     def durable(self, durable: p.DurableState) -> None:
+        """What a machine's disk holds is consistent."""
         self.value(durable.version, durable.state)
         if durable.promised < durable.accepted.number:
             raise InvariantViolation("PROMISE: a record is accepted above the promise")
 
     def value(self, version: p.StateVersion, state: ControlState) -> None:
+        """One state under one version."""
         if self.values.setdefault(version, state) != state:
             raise InvariantViolation(f"ONE-VALUE: two states under {version}")
 
@@ -91,6 +93,7 @@
                 raise InvariantViolation("READ: a read gave what was never committed")
 
     def read(self, token: int, state: ControlState) -> None:
+        """What a confirmed read gave."""
         self.read_given(self.reads.pop(token), state)
 
     def read_given(self, committed: ControlState, state: ControlState) -> None:
--- a/rowanshift/modelcheck/walk.py
+++ b/rowanshift/modelcheck/walk.py
@@ -32,6 +32,8 @@
 
 @dataclass
 class Outcome:
+    """What a walk came to."""
+
     seed: int
     steps: int
     broken: str  # "" if all held
@@ -74,6 +76,7 @@
         self.steps = 0
 
     def start(self, me: int, bootstrap: bool = False) -> None:
+        """A machine's process begins."""
         world, host = self.world, self.world.hosts[me]
         now = world.clock(host)
         host.replica = self.replica_class(
@@ -82,6 +85,7 @@
         world.collect(me)
 
     def step(self) -> None:
+        """A moment passes, with what the seed draws for it."""
         world, draw = self.world, self.draw
         self.steps += 1
         world.now += self.pace * 2 * draw.random()
@@ -145,6 +149,7 @@
             world.deliver(index, keep=0.95 < fate < 0.97)
 
     def put_off(self, index: int, until: float = 0.0) -> None:
+        """A message in flight arrives later."""
         until = until or self.world.now + self.draw.choice([0.02, 0.3, 2.0, 6.0])
         self.late.append((until, self.world.net.pop(index)))
         self.late.sort(key=lambda entry: entry[0])
@@ -168,5 +173,6 @@
         return Outcome(self.seed, self.steps, "", world.committed, world.epochs, stalled)
 
     def ailing(self) -> str:
+        """What has not healed, empty if all has."""
         amnesic = [m for m, h in self.world.hosts.items() if h.replica is not None and h.replica.is_amnesic]
         return f"{amnesic} have amnesic" if amnesic else ""
--- a/rowanshift/modelcheck/world.py
+++ b/rowanshift/modelcheck/world.py
@@ -63,6 +63,7 @@
         self.checks = Invariants(p.EpochRecord(0, 0, self.seeds, self.seeds))
 
     def clock(self, host: Host) -> float:
+        """A machine's steady clock."""
         return host.offset + host.rate * self.now
 
     def highest(self) -> p.EpochRecord:
@@ -119,6 +120,7 @@
             host.service.outcome(token, succeeded)
 
     def check_leases(self) -> None:
+        """At most one valid lease is held."""
         holders = []
         for me, host in self.hosts.items():
             if host.replica is not None and host.replica.is_primary:
@@ -128,12 +130,14 @@
         self.checks.leases(holders)
 
     def deliver(self, index: int, keep: bool = False) -> None:
+        """A message in flight arrives; ``keep``: it will come once more."""
         sender, to, message = self.net[index] if keep else self.net.pop(index)
         host = self.hosts[to]
         host.replica.receive(sender, message, self.clock(host))
         self.collect(to)
 
     def sync(self, me: int, ok: bool = True) -> None:
+        """A machine's save ends, on disk or refused."""
         host = self.hosts[me]
         save, host.save = host.save, None
         if ok:
@@ -144,6 +148,7 @@
         self.collect(me)
 
     def tick(self, me: int) -> None:
+        """A machine notices the time."""
         host = self.hosts[me]
         host.replica.tick(self.clock(host))
         self.collect(me)
@@ -163,6 +168,7 @@
             host.store.write(host.files, durable)
 
     def propose(self, me: int) -> None:
+        """A machine is asked for a change."""
         host = self.hosts[me]
         self.tokens += 1
         token = self.tokens
@@ -175,6 +181,7 @@
         self.collect(me)
 
     def read(self, me: int) -> None:
+        """A machine is asked for a read."""
         host = self.hosts[me]
         self.tokens += 1
         self.checks.reads[self.tokens] = self.checks.longest
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -342,8 +342,10 @@
     tenants = "no keys are checked" if config.tenants is None else f"{len(config.tenants)} tenants"
     return Shown(
         [
-            f"{file}: revision {config.revision} can be put: {len(config.routes)} routes, "
-            f"{len(config.backends)} services, {tenants}"
+            (
+                f"{file}: revision {config.revision} can be put: {len(config.routes)} routes, "
+                f"{len(config.backends)} services, {tenants}"
+            )
         ]
     )
 
@@ -537,8 +539,10 @@
         f"{boot.name}: {role} at {boot.ip}, zone {boot.zone}; listens on {listens}; internal {{}}:{{}}".format(
             *boot.inner
         ),
-        f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
-        f"{boot.file.fault_tolerance.machines} machines may be lost",
+        (
+            f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
+            f"{boot.file.fault_tolerance.machines} machines may be lost"
+        ),
     ]
     if role == "controlplane":
         lines.append(
--- a/rowanshift/wire/codec.py
+++ b/rowanshift/wire/codec.py
@@ -48,10 +48,12 @@
         return cls(*values)
 
     def fields(self, record: Any, spec: str) -> bytes:
+        """A record's fields as bytes."""
         names = type(record).__dataclass_fields__
         return b"".join(self.put(letter, getattr(record, name)) for letter, name in zip(spec, names, strict=True))
 
     def put(self, letter: str, value: Any) -> bytes:
+        """One field as bytes."""
         match letter:
             case "q":
                 return pack(">Q", value)
@@ -80,6 +82,7 @@
         return self.fields(value, self.nested[letter][1])
 
     def read(self, data: bytes, at: int, spec: str) -> tuple[list[Any], int]:
+        """Values of the fields from an offset, and the offset behind them."""
         values = []
         for letter in spec:
             value, at = self.take(data, at, letter)
@@ -87,6 +90,7 @@
         return values, at
 
     def take(self, data: bytes, at: int, letter: str) -> tuple[Any, int]:
+        """One value from an offset, and the offset behind it."""
         match letter:
             case "q":
                 return unpack_from(">Q", data, at)[0], at + 8
@@ -128,6 +132,7 @@
 
 
 def piece(data: bytes, at: int, size: int) -> bytes:
+    """So many bytes from an offset. Raises ``BadRecord``."""
     made = bytes(data[at : at + size])
     if len(made) != size:
         raise BadRecord(f"{size} bytes wanted, {len(made)} there")
