Leave a silent server only once a connection to another is up

Cause: the other server was named and looked well, the silent one was given up, and only then the other could not be reached: the answer ended with 504 seconds before its time. Change: the connection for the next attempt is made first; if it does not come up, or the silent server speaks meanwhile, its answer is waited for. Each such turn waits: a first run of the tests spun in a planted fault that granted an attempt with no server there.

--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -1,27 +1,28 @@
 """One request to its final answer: attempts at servers, until one has answered it or no more may be made."""
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
 
 import trio
 from loguru import logger
 
 from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
 from rowanshift.dataplane.endpoints import Endpoint, Endpoints
-from rowanshift.dataplane.forwarding import Forwarding
+from rowanshift.dataplane.forwarding import Counts, Forwarding
 from rowanshift.dataplane.kv_moves import KvMoves
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.requests import Request, priority_of, written
 from rowanshift.dataplane.retry_decision import Decision, Ending, Told, decide
 from rowanshift.dataplane.routing_table import Route, RoutingTable, Tenant
-from rowanshift.dataplane.upstream import Link, Outcome, SendFailed, Upstream
+from rowanshift.dataplane.upstream import LOOK, Link, Outcome, SendFailed, Upstream
 from rowanshift.net.connection import Message
 from rowanshift.net.flow import LAST_CHUNK
 from rowanshift.policy.placement import Pool, back_off, is_open, lighter
 from rowanshift.retry_budget import RetryBudget
 
+T = TypeVar("T")
+
 LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
 UNSENT_MOST = 4  # servers that could not be reached, for one request
 HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
@@ -59,19 +60,6 @@
     async def changed(self, within: float) -> None: ...
 
 
-@dataclass(slots=True)
-class Counts:
-    """Of this process, since its start."""
-
-    requests: int = 0
-    whole: int = 0
-    refused: int = 0
-    failed: int = 0
-    gone: int = 0
-    repeats: int = 0
-    resumed: int = 0
-
-
 class Forwarder:
     """Sends requests to servers and passes their answers on."""
 
@@ -108,6 +96,14 @@
         forwarding = Forwarding(request, out, self.draw(), route, tenant)
         self._in_time(forwarding, trio.current_time())
         self.retries(forwarding.service).request(trio.current_time())
+        try:
+            await self._attempts(forwarding)
+        finally:
+            if forwarding.spare is not None:
+                self.upstream.keep(forwarding.spare, trio.current_time())
+
+    async def _attempts(self, forwarding: Forwarding) -> None:
+        """One attempt after another; returns once one has answered."""
         while True:
             endpoint = await self._choose(forwarding)
             try:
@@ -139,6 +135,9 @@
             if not (forwarding.may_have_run or forwarding.out.begun):  # else it goes on as it began
                 forwarding.route, forwarding.tenant = self.allowed(request)
             self._in_time(forwarding, now)
+            if forwarding.spare is not None:
+                forwarding.granted = False
+                return forwarding.spare.engine
             pool = self.state.servers.pool(forwarding.service)
             if not forwarding.excluded:
                 pool.sample(forwarding.mark, now)
@@ -202,10 +201,9 @@
         self.counts.repeats += forwarding.arrived
         endpoint.sent(trio.current_time())
         load = await self.loads.add(endpoint.id, max(1, request.tokens[0]))
-        link = None
+        link, forwarding.spare = forwarding.spare, None
         try:
-            link = self.upstream.kept(endpoint, trio.current_time())
-            link = link or await self.upstream.dial(endpoint, forwarding.until)
+            link = link or await self._connected(endpoint, forwarding.until)
             if self._moved(forwarding, endpoint, version):
                 self.upstream.keep(link, trio.current_time())
                 raise Moved
@@ -220,6 +218,10 @@
             endpoint.ended()
             await self.loads.done(load)
 
+    async def _connected(self, endpoint: Endpoint, until: float) -> Link:
+        """An idle connection or a new one; ``SendFailed`` if none comes up."""
+        return self.upstream.kept(endpoint, trio.current_time()) or await self.upstream.dial(endpoint, until)
+
     def _written(self, forwarding: Forwarding, endpoint: Endpoint, version: int) -> bytes:
         """The request as it goes to a server."""
         request, tenant, now = forwarding.request, forwarding.tenant, trio.current_time()
@@ -288,6 +290,34 @@
         pool = self.state.servers.pool(forwarding.service)
         return self._pick(forwarding, pool, now) is not None and self._granted(forwarding, now)
 
+    async def _patiently(self, forwarding: Forwarding, link: Link, wait: Callable[[], Awaitable[T]]) -> T:
+        """What is waited for; a silent server is left only once a connection to another is up."""
+        while True:
+            try:
+                return await wait()
+            except SendFailed as failure:
+                if failure.outcome is not Outcome.SILENT or await self._other_is_up(forwarding, link):
+                    raise
+
+    async def _other_is_up(self, forwarding: Forwarding, link: Link) -> bool:
+        """Whether there is a connection for the next attempt, and the silent server has still said nothing."""
+        pool = self.state.servers.pool(forwarding.service)
+        endpoint = self._pick(forwarding, pool, trio.current_time())
+        if endpoint is None:
+            await trio.sleep(LOOK)  # never a loop without a wait
+            return False
+        try:
+            spare = await self._connected(endpoint, forwarding.until)
+        except SendFailed:
+            back_off(endpoint, trio.current_time())
+            forwarding.unsent.add(endpoint.id)
+            return False
+        if link.connection.stream.readable():
+            self.upstream.keep(spare, trio.current_time())
+            return False
+        forwarding.spare = spare
+        return True
+
     async def _take(self, forwarding: Forwarding, link: Link, load: tuple[str, int]) -> Ending:
         """Takes the answer of one attempt in, and passes it on if it is the client's."""
         endpoint = link.engine
@@ -295,7 +325,9 @@
         def look() -> Outcome | None:
             return self._look(forwarding, endpoint)
 
-        message = await self.upstream.head(link, forwarding.request.id, forwarding.until, look)
+        message = await self._patiently(
+            forwarding, link, lambda: self.upstream.head(link, forwarding.request.id, forwarding.until, look)
+        )
         await self.loads.done(load)
         endpoint.heard(trio.current_time())
         if 200 <= message.status < 300 and message.flow is not None:
@@ -334,7 +366,7 @@
         """Passes a stream on in whole events; what came of one that broke off is dropped."""
         out, streaming, message, held = forwarding.out, forwarding.route.streaming, link.message, b""
         length = message.length if not streaming else None
-        while data := await self.upstream.body(link, forwarding.until, look):
+        while data := await self._patiently(forwarding, link, lambda: self.upstream.body(link, forwarding.until, look)):
             link.engine.heard(trio.current_time())
             held += data
             cut = end_of_events(held) if streaming else len(held)
--- a/rowanshift/dataplane/forwarding.py
+++ b/rowanshift/dataplane/forwarding.py
@@ -6,6 +6,7 @@
 from rowanshift.dataplane.requests import Request
 from rowanshift.dataplane.retry_decision import Decision, Ending, Kind, Progress, Told, kind_of
 from rowanshift.dataplane.routing_table import Route, Tenant
+from rowanshift.dataplane.upstream import Link
 from rowanshift.policy.placement import mark_of
 
 COME_AGAIN = 0.1  # seconds until a client that was refused may come again
@@ -17,6 +18,19 @@
 }
 
 
+@dataclass(slots=True)
+class Counts:
+    """Of this process, since its start."""
+
+    requests: int = 0
+    whole: int = 0
+    refused: int = 0
+    failed: int = 0
+    gone: int = 0
+    repeats: int = 0
+    resumed: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Forwarding:
     """One request, and how far its attempts have come. Times are trio's, in seconds."""
@@ -30,6 +44,7 @@
     arrived: bool = False  # at a server
     may_have_run: bool = False
     granted: bool = False  # the retry budget was drawn on for the next attempt already
+    spare: Link | None = None  # a connection that is up for the next attempt
     held_until: float = 0.0  # 0: it has not waited for a server yet
     last: Refusal = field(default_factory=lambda: Refusal(503, "no server", COME_AGAIN))  # what it would be told
 
--- a/tests/exchange_rig.py
+++ b/tests/exchange_rig.py
@@ -151,10 +151,10 @@
         self.connections: list[End] = []
 
     async def run(self) -> None:
-        listener = self.machine.listen((self.machine.address, SERVED), 64)
+        self.listener = self.machine.listen((self.machine.address, SERVED), 64)
         while True:
-            await listener.wait()
-            stream = listener.accept()
+            await self.listener.wait()
+            stream = self.listener.accept()
             self.connections.append(stream)
             self.rig.nursery.start_soon(self._serve, stream)
 
--- a/tests/test_exchange_attempts.py
+++ b/tests/test_exchange_attempts.py
@@ -11,10 +11,12 @@
     Asked,
     Behaviour,
     Client,
+    Got,
     Rig,
     Then,
     play,
     rejection,
+    request_bytes,
     whole_answer,
 )
 from loguru import logger
@@ -132,6 +134,37 @@
             got, at, runs = self.late("resumable", 1, None, Behaviour(cut=cut, pause=2.5))
             self.assertEqual((got, runs), ("success", 1), f"{cut} of {size}, after {at} s")
 
+    def test_the_other_server_cannot_be_reached(self) -> None:
+        """It is named and looks well, but its connection does not come up: the silent one is waited for."""
+
+        async def main(rig: Rig, kind: str, pause: float) -> tuple[Got, int]:
+            id, client = rig.next_id(), Client(rig)
+            rig.behaviours[:] = [Behaviour(cut=0, pause=pause)]
+            await client.send(request_bytes(kind, id))
+            await trio.sleep(0.1)
+            for server in rig.servers:
+                if server.machine is not rig.arrivals[id][0].machine:
+                    server.listener.close()
+            got = await client.answer()
+            self.assertEqual(breaches(rig, kind, id, got), [])
+            return got, rig.runs[id]
+
+        for kind in REPEATABLE:
+            for pause in (1.6, 2.0, 2.5, 3.0):
+                got, runs = play(lambda rig, kind=kind, pause=pause: main(rig, kind, pause), 2)
+                self.assertEqual((got.status, got.whole, runs), (200, True, 1), f"{kind}, {pause} s")
+
+    def test_the_silent_server_answers_while_the_other_is_dialled(self) -> None:
+        async def main(rig: Rig, pause: float) -> tuple[str, int]:
+            made = await exchange(rig, "idempotent", Behaviour(cut=0, pause=pause))
+            self.assertEqual(made.breaches, [])
+            return outcome("idempotent", made.id, made.got), made.attempts
+
+        for step in range(60):
+            got, attempts = play(lambda rig, step=step: main(rig, 1.498 + step * 0.0001), 2)
+            self.assertEqual(got, "success")
+            self.assertLessEqual(attempts, 2)
+
     def test_the_budget_is_drawn_on_once_for_one_attempt(self) -> None:
         async def main(rig: Rig) -> int:
             await exchange(rig, "idempotent", Behaviour(then=Then.SILENCE, cut=0))
--- a/tests/test_exchange_faults.py
+++ b/tests/test_exchange_faults.py
@@ -136,10 +136,20 @@
         self.found(test_exchanges.AnswersBrokenOff, "test_reset_in_the_answer_to_stream", patch)
 
     def test_a_silent_server_is_left_whether_another_is_there_or_not(self) -> None:
-        patch = mock.patch.object(Forwarder, "_sure_of_another", lambda *given: True)
+        async def left(*given: Any) -> bool:
+            return True
+
+        patch = mock.patch.multiple(Forwarder, _sure_of_another=lambda *given: True, _other_is_up=left)
         for name in ("test_no_other_server_is_there", "test_the_budget_grants_no_attempt"):
             self.found(test_exchange_attempts.Silence, name, patch)
 
+    def test_a_silent_server_is_left_before_a_connection_to_another_is_up(self) -> None:
+        async def left(*given: Any) -> bool:
+            return True
+
+        patch = mock.patch.object(Forwarder, "_other_is_up", left)
+        self.found(test_exchange_attempts.Silence, "test_the_other_server_cannot_be_reached", patch)
+
     def test_a_part_of_an_event_is_passed_on(self) -> None:
         patch = mock.patch.object(forwarder, "end_of_events", len)
         self.found(test_exchanges.AnswersBrokenOff, "test_reset_in_the_answer_to_resumable", patch)
