--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -76,10 +76,13 @@
         )
     except ValueError as error:  # no such level
         fail(error, UNUSABLE)
+    ended: list[BaseException] = []  # SystemExit within except* is shown as a group by Python 3.11.2
     try:
         trio.run(Service(config, arguments.config).run)
     except* OSError as group:
-        fail(group.exceptions[0], 1)
+        ended += group.exceptions
+    if ended:
+        fail(ended[0], 1)
     return 0
 
 
