--- a/tests/test_state_delta.py
+++ b/tests/test_state_delta.py
@@ -6,6 +6,7 @@
 
 from rowanshift.controlplane import replication as p
 from rowanshift.modelcheck.walk import Walk
+from rowanshift.modelcheck.world import half
 from rowanshift.wire.delta import COPY, LITERAL, OPERATION
 
 ROW = b'{"name":"r-%05d"},'
@@ -124,6 +125,31 @@
         self.assertEqual([(type(m), m.ok) for m in answers], [(p.Stored, False)])
 
 
+class AppliesToAnyBase(p.Replica):
+    """Planted: a backup takes a difference to a state that it doesn't hold."""
+
+    def _on_store_delta(self, sender: int, message: p.StoreDelta) -> None:
+        held = self._durable.version
+        super()._on_store_delta(sender, p.StoreDelta(message.number, message.version, held, message.delta))
+
+
+class AnotherBase(unittest.TestCase):
+    def state_after(self, replica_class: type[p.Replica]) -> bytes:
+        """What a backup holds after a difference to a version that it never stored."""
+        epoch = 1 << 32 | 2
+        replica = replica_class(1, 1, (1, 2, 3), True, None, 0.0, half)
+        replica.receive(2, p.Store(epoch, p.StateVersion(epoch, 1), state(1)), 1.0)
+        delta = OPERATION.pack(COPY, 0, 10)
+        replica.receive(2, p.StoreDelta(epoch, p.StateVersion(epoch, 3), p.StateVersion(epoch, 2), delta), 1.1)
+        return replica._durable.state
+
+    def test_it_keeps_what_it_holds(self) -> None:
+        self.assertEqual(self.state_after(p.Replica), state(1))
+
+    def test_one_that_applies_it_all_the_same_is_found(self) -> None:
+        self.assertNotEqual(self.state_after(AppliesToAnyBase), state(1))
+
+
 class Walks(unittest.TestCase):
     def test_walks_in_which_all_changes_go_by_their_difference(self) -> None:
         committed = 0
