Tell how each request that a router has read ended, and log those of a leave

Cause: after a SIGTERM a router cut requests, and nothing it logged told how a request ended, on which kind of connection it came, or how much of the grace was left.

Change: RequestEndings opens each request that was read whole and closes it with exactly one ending; a cancellation that passes through the answer is CUT_BY_ROUTER. A request closed twice, never closed or cut by the router is a violation, counted by phase. Requests that end while leaving get a line each (event=request_ended_while_leaving), violations a warning at any time (event=request_cut). event=stopped is logged after everything has ended, with the counts; event=left tells new connections, idle ones closed and the longest standstill of the loop. What the router decides is unchanged.

--- a/rowanshift/dataplane/client_answer.py
+++ b/rowanshift/dataplane/client_answer.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from rowanshift.dataplane.request_endings import RequestEnding
 from rowanshift.net.calls import REASONS, said
 from rowanshift.net.connection import NO_BODY, Connection, Message
 
@@ -33,9 +34,13 @@
     begun: bool = False
     chunked: bool = False
     last: bytes | None = None  # id of the last event that was passed on
+    passed_on: int = 0  # bytes that were handed to the connection
+    status: int = 0  # of a refusal
+    ending: RequestEnding = RequestEnding.CUT_BY_ROUTER  # until it came to another
 
     async def send(self, data: bytes) -> None:
         """Write bytes to the client; ``ClientGone`` if it takes nothing for too long."""
+        self.passed_on += len(data)
         try:
             if self.connection.push(data):
                 return
@@ -90,6 +95,7 @@
             lines.append(b"Connection: close")
         self.begun = True
         await self.send(b"\r\n".join([*lines, b"", body]))
+        self.ending, self.status = RequestEnding.REFUSAL, refusal.status
 
     def left(self) -> bool:
         """Whether the client has ended its connection."""
--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -9,9 +9,10 @@
 
 from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
 from rowanshift.dataplane.endpoints import Endpoint, Endpoints
-from rowanshift.dataplane.forwarding import Counts, Forwarding
+from rowanshift.dataplane.forwarding import LEAST_LEFT, Counts, Forwarding
 from rowanshift.dataplane.kv_moves import KvMoves
 from rowanshift.dataplane.load_index import LoadIndex
+from rowanshift.dataplane.request_endings import RequestEnding
 from rowanshift.dataplane.requests import Request, priority_of, written
 from rowanshift.dataplane.retry_decision import Decision, Ending, Told, decide
 from rowanshift.dataplane.routing_table import Route, RoutingTable, Tenant
@@ -23,7 +24,6 @@
 
 T = TypeVar("T")
 
-LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
 UNSENT_MOST = 4  # servers that could not be reached, for one request
 HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
 LOAD_HOLD, LOAD_PART = 2.0, 0.4  # seconds, and of what is left, where servers take new weights
@@ -107,6 +107,11 @@
         self.retries(forwarding.service).request(trio.current_time())
         try:
             await self._attempts(forwarding)
+            out.ending = RequestEnding.WHOLE_ANSWER
+        except Refusal:
+            if out.begun:
+                out.ending = forwarding.ending_once_begun(trio.current_time())
+            raise
         finally:
             if forwarding.spare is not None:
                 self.upstream.keep(forwarding.spare, trio.current_time())
--- a/rowanshift/dataplane/forwarding.py
+++ b/rowanshift/dataplane/forwarding.py
@@ -3,12 +3,14 @@
 from dataclasses import dataclass, field
 
 from rowanshift.dataplane.client_answer import Out, Refusal
+from rowanshift.dataplane.request_endings import RequestEnding
 from rowanshift.dataplane.requests import Request
 from rowanshift.dataplane.retry_decision import Decision, Ending, Kind, Progress, Told, kind_of
 from rowanshift.dataplane.routing_table import Route, Tenant
 from rowanshift.dataplane.upstream import Link
 from rowanshift.policy.placement import mark_of
 
+LEAST_LEFT = 0.02  # seconds under which nothing is sent to a server
 COME_AGAIN = 0.1  # seconds until a client that was refused may come again
 REASON_OF = {  # what a client is told; of all other endings, that its request may have run
     Ending.MISDIRECTED: "the server was another",
@@ -43,6 +45,7 @@
     unsent: set[str] = field(default_factory=set)  # servers that could not be reached
     arrived: bool = False  # at a server
     may_have_run: bool = False
+    left_silent: bool = False  # the last server that worked on it was given up, and did not end it itself
     granted: bool = False  # the retry budget was drawn on for the next attempt already
     spare: Link | None = None  # a connection that is up for the next attempt
     held_until: float = 0.0  # 0: it has not waited for a server yet
@@ -82,6 +85,8 @@
     def note(self, ending: Ending, decision: Decision) -> None:
         """Takes in how an attempt that reached a server ended, without an answer for the client."""
         self.arrived = True
+        if decision.may_have_run:
+            self.left_silent = ending is Ending.SILENT
         self.may_have_run = self.may_have_run or decision.may_have_run
         told = self.progress.told(decision)
         why = REASON_OF.get(ending, "it may have run")
@@ -89,3 +94,9 @@
             self.last = Refusal(told.status, why, COME_AGAIN)
         else:  # with ``CUT`` the status is not sent
             self.last = Refusal(502 if told is Told.CUT else told.status, why)
+
+    def ending_once_begun(self, now: float) -> RequestEnding:
+        """How its request ends if its answer had begun and no further attempt is made."""
+        if self.until - now < LEAST_LEFT:
+            return RequestEnding.TIME_UP
+        return RequestEnding.CUT_BY_ROUTER if self.left_silent else RequestEnding.SERVER_BROKE_OFF
--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -10,6 +10,7 @@
 from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
 from rowanshift.dataplane.forwarder import Forwarder, State
 from rowanshift.dataplane.load_index import LoadIndex
+from rowanshift.dataplane.request_endings import EndedRequest, RequestEnding, RequestEndings
 from rowanshift.dataplane.requests import Request, request_of
 from rowanshift.dataplane.retry_decision import PROMISES
 from rowanshift.dataplane.upstream import Upstream
@@ -32,6 +33,8 @@
 
     connection: Connection
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    connected_at: float = field(default_factory=trio.current_time)
+    requests: int = 0  # read whole
 
 
 class Frontend:
@@ -53,6 +56,7 @@
         self.idle: dict[Client, None] = {}
         self.open = 0  # requests
         self.leaving = False
+        self.endings = RequestEndings()
         budget.idle_clients = self.drop_idle
 
     # the listener -----------------------------------------
@@ -73,6 +77,7 @@
                     logger.warning("event=accept_failed error={!r}", error)
                     await pause(0.02)
                     break
+                self._note_connection()
                 nursery.start_soon(self.serve, stream)
 
     def drop_idle(self) -> bool:
@@ -86,8 +91,22 @@
 
     def leave(self) -> None:
         """Closes what is idle."""
+        closed = 0
         while self.drop_idle():
-            pass
+            closed += 1
+        if closed and (leave := self.endings.leave) is not None:
+            leave.idle_closed += closed
+            since = leave.since_signal(trio.current_time())
+            logger.info("event=idle_closed_while_leaving connections={} since_signal={:.3f}", closed, since)
+
+    def _note_connection(self) -> None:
+        """A new connection was accepted, which matters while leaving."""
+        if (leave := self.endings.leave) is None:
+            return
+        now = trio.current_time()
+        leave.connected(now)
+        if leave.connections == 1:
+            logger.info("event=first_connection_while_leaving since_signal={:.3f}", leave.since_signal(now))
 
     # one connection ---------------------------------------
 
@@ -104,7 +123,7 @@
                     return
                 connection.release()
         except BadMessage as error:
-            await self._bad(connection, error)
+            await self._bad(Out(connection, keep=False, old=False), error)
         except (ClientGone, OSError, trio.ClosedResourceError):
             pass
         except Exception:
@@ -141,9 +160,9 @@
             if not connection.receive():
                 return None
 
-    async def _bad(self, connection: Connection, error: BadMessage) -> None:
+    async def _bad(self, out: Out, error: BadMessage) -> None:
         """One 4xx, and the close; reads on for a moment so that it arrives."""
-        out = Out(connection, keep=False, old=False)
+        connection, out.keep = out.connection, False
         try:
             await out.refuse(Refusal(error.status, str(error)))
             connection.stream.end()
@@ -153,13 +172,32 @@
                     await connection.stream.wait_readable()
                     if not connection.stream.recv_into(space):
                         return
-        except (ClientGone, OSError, trio.ClosedResourceError):
+        except ClientGone:
+            out.ending = RequestEnding.CLIENT_LEFT
+        except (OSError, trio.ClosedResourceError):
             pass
 
     async def _answer(self, client: Client, message: Message) -> bool:
-        """Answers one request; whether the connection is kept."""
+        """Answers one request, which ends in exactly one way; whether the connection is kept."""
         self.counts.requests += 1
+        client.requests += 1
+        id = dict(message.fields).get(b"request-id", b"").decode("latin-1")
+        opened = self.endings.opened(id, client.connected_at, client.requests, trio.current_time())
         out = Out(client.connection, message.keep and not self.leaving, message.old)
+        try:
+            return await self._final_answer(message, out)
+        except BadMessage as error:
+            await self._bad(out, error)
+            return False
+        except ClientGone:
+            out.ending = RequestEnding.CLIENT_LEFT
+            raise
+        finally:  # also when it is cancelled
+            now = trio.current_time()
+            log_ending(self.endings.closed(opened, out.ending, now, out.status, out.passed_on))
+
+    async def _final_answer(self, message: Message, out: Out) -> bool:
+        """Answers one request by a server's answer or a refusal; whether the connection is kept."""
         request = request_of(message, trio.current_time())
         self.open += 1
         try:
@@ -203,3 +241,32 @@
         if refusal.status in DENIALS and not self.state.may_refuse():
             return Refusal(503, "the configuration could not be confirmed", CONFIRM_AGAIN)
         return refusal
+
+
+def log_ending(ended: EndedRequest) -> None:
+    """One line for a request that ended while leaving, or that must not have ended so."""
+    if ended.violation is None and ended.since_signal is None:
+        return
+    request = ended.request
+    fields = [
+        f"ending={ended.ending.value}",
+        f"request={request.id}",
+        f"took={ended.at - request.came_at:.3f}",
+        f"connection={'kept' if request.kept else 'new'}",
+        f"nth={request.nth}",
+        f"bytes={ended.passed_on}",
+    ]
+    if ended.status:
+        fields.append(f"status={ended.status}")
+    if ended.since_signal is not None:
+        fields += [
+            f"since_signal={ended.since_signal:.3f}",
+            f"grace_left={ended.grace_left:.3f}",
+            f"came_since_signal={ended.came_since_signal:.3f}",
+            f"grace_left_at_arrival={ended.grace_left_at_arrival:.3f}",
+            f"connected_since_signal={ended.connected_since_signal:.3f}",
+        ]
+    if ended.violation is None:
+        logger.info("event=request_ended_while_leaving {}", " ".join(fields))
+    else:
+        logger.warning("event=request_cut violation={} {}", ended.violation.value, " ".join(fields))
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from rowanshift.dataplane.control_client import ControlClient
-from rowanshift.dataplane.frontend import BACKLOG, Frontend
+from rowanshift.dataplane.frontend import BACKLOG, Frontend, log_ending
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.upstream import Upstream
 from rowanshift.logs import log_to_stderr
@@ -51,6 +51,8 @@
         self.chance = random.Random(seed)
         self.leaving = False
         self.told_to_stop = trio.Event()
+        self.told_at = 0.0  # trio's time of the signal
+        self.front: Frontend | None = None  # until it serves
         self.budgets: dict[str, RetryBudget] = {}
         self.joined_at: float | None = None
 
@@ -82,7 +84,36 @@
         return budget
 
     async def run(self) -> None:
-        """Serve from the start to the end that a signal asks for."""
+        """Serve from the start to the end that a signal asks for, and tell how its requests ended."""
+        try:
+            await self._serve()
+        finally:
+            self._log_end()
+
+    def _log_end(self) -> None:
+        """Log how the requests of this process ended, once nothing of it runs any more."""
+        if self.front is None:
+            return
+        endings, now = self.front.endings, trio.current_time()
+        for ended in endings.process_ended(now):
+            log_ending(ended)
+        logger.info("event=stopped counts={} {}", self.front.counts, endings.counts())
+        if (leave := endings.leave) is None:
+            return
+        logger.info(
+            "event=left seconds={:.3f} grace={:.3f} new_connections={} first_connection={} last_connection={} "
+            "idle_closed={} longest_standstill={:.3f}",
+            leave.since_signal(now),
+            leave.grace,
+            leave.connections,
+            f"{leave.since_signal(leave.first_connection_at):.3f}" if leave.connections else "none",
+            f"{leave.since_signal(leave.last_connection_at):.3f}" if leave.connections else "none",
+            leave.idle_closed,
+            leave.longest_standstill,
+        )
+
+    async def _serve(self) -> None:
+        """Serve until a signal asks for the end, and finish what is open."""
         boot, host = self.boot, self.host
         with host.signals() as signals:
             async with host.nursery() as nursery:
@@ -117,6 +148,7 @@
                 await self.told_to_stop.wait()
 
                 self.leaving = self.front.leaving = True
+                self.front.endings.begin_leave(self.told_at, boot.bounds.grace_s)
                 logger.info("event=leaving open={}", self.front.open)
                 end = trio.current_time() + boot.bounds.grace_s - GRACE_LEFT
                 await trio.sleep(min(NOTICED, boot.bounds.grace_s / 3))
@@ -126,12 +158,12 @@
                         break
                     await trio.sleep(0.05)
                 listener.close()
-                logger.info("event=stopped counts={}", self.front.counts)
                 nursery.cancel_scope.cancel()
 
     async def _heed(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
             if number != signal.SIGHUP:
+                self.told_at = self.told_at or trio.current_time()
                 self.told_to_stop.set()
 
     async def _watch(self) -> None:
@@ -141,6 +173,8 @@
             at = trio.current_time()
             await self.host.pause(BEAT)
             now = trio.current_time()
+            if (leave := self.front.endings.leave) is not None:
+                leave.longest_standstill = max(leave.longest_standstill, now - at - BEAT)
             if now - at - BEAT > STOOD_STILL:
                 logger.warning("event=stood_still seconds={:.2f}", now - at - BEAT)
                 self.control_client.doubt()
--- /dev/null
+++ b/tests/test_request_endings.py
@@ -0,0 +1,226 @@
+"""Each request that a router has read ends in exactly one way, and what must not happen to one is counted."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from exchange_rig import FRONT, KINDS, Behaviour, Client, Rig, Then, rejection, request_bytes
+from exchange_rig import play as play_exchange
+from loguru import logger
+
+from rowanshift.dataplane.request_endings import (
+    OpenRequest,
+    Phase,
+    RequestEnding,
+    RequestEndings,
+    Violation,
+)
+from rowanshift.emulation.system_clients import Patron
+from rowanshift.net.transport import connect, send_all
+from rowanshift.simulation.fleet import ONCE, REPEATED, Fleet, play
+
+GRACE = 6.0  # seconds
+MIDWAY = 200  # bytes of an answer, in the middle of its events
+LONG = 3.0  # seconds in which an exchange is surely over
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class Counts(unittest.TestCase):
+    def setUp(self) -> None:
+        self.endings = RequestEndings()
+
+    def opened(self, now: float = 1.0, nth: int = 1) -> OpenRequest:
+        return self.endings.opened("r", now, nth, now)
+
+    def test_an_ending_is_counted_once_in_the_phase_of_its_end(self) -> None:
+        early, late = self.opened(), self.opened()
+        self.endings.closed(early, RequestEnding.WHOLE_ANSWER, 2.0)
+        self.endings.begin_leave(3.0, GRACE)
+        self.endings.closed(late, RequestEnding.REFUSAL, 4.0, status=503)
+        self.assertEqual(self.endings.endings[Phase.SERVING], {RequestEnding.WHOLE_ANSWER: 1})
+        self.assertEqual(self.endings.endings[Phase.LEAVING], {RequestEnding.REFUSAL: 1})
+        self.assertEqual((self.endings.violated(), self.endings.process_ended(5.0)), (0, []))
+
+    def test_only_a_cut_by_the_router_is_a_violation_by_itself(self) -> None:
+        for ending in RequestEnding:
+            with self.subTest(ending=ending):
+                endings = RequestEndings()
+                ended = endings.closed(endings.opened("r", 0.0, 1, 0.0), ending, 1.0)
+                cut = ending is RequestEnding.CUT_BY_ROUTER
+                self.assertEqual(endings.violated(), int(cut))
+                self.assertEqual(ended.violation, Violation.CUT_BY_ROUTER if cut else None)
+
+    def test_a_request_closed_twice(self) -> None:
+        request = self.opened()
+        self.endings.closed(request, RequestEnding.WHOLE_ANSWER, 2.0)
+        ended = self.endings.closed(request, RequestEnding.REFUSAL, 3.0)
+        self.assertEqual(ended.violation, Violation.CLOSED_TWICE)
+        self.assertEqual(self.endings.violations[Phase.SERVING], {Violation.CLOSED_TWICE: 1})
+        self.assertEqual(self.endings.endings[Phase.SERVING], {RequestEnding.WHOLE_ANSWER: 1})
+
+    def test_a_request_never_closed(self) -> None:
+        request = self.opened()
+        self.endings.begin_leave(3.0, GRACE)
+        self.assertEqual([ended.request for ended in self.endings.process_ended(9.0)], [request])
+        self.assertEqual(self.endings.violations[Phase.LEAVING], {Violation.NEVER_CLOSED: 1})
+        self.assertEqual(self.endings.process_ended(9.0), [])
+        self.assertEqual(
+            self.endings.closed(request, RequestEnding.WHOLE_ANSWER, 9.0).violation, Violation.CLOSED_TWICE
+        )
+
+    def test_times_of_the_leave(self) -> None:
+        request = self.endings.opened("r", 8.0, 2, 11.0)
+        self.endings.begin_leave(10.0, GRACE)
+        self.endings.begin_leave(12.0, GRACE)  # a second signal changes nothing
+        ended = self.endings.closed(request, RequestEnding.CUT_BY_ROUTER, 15.0, passed_on=7)
+        self.assertEqual((ended.since_signal, ended.grace_left), (5.0, 1.0))
+        self.assertEqual((ended.came_since_signal, ended.grace_left_at_arrival), (1.0, 5.0))
+        self.assertEqual((ended.connected_since_signal, request.kept, ended.passed_on), (-2.0, True, 7))
+
+    def test_no_times_of_a_leave_while_serving(self) -> None:
+        ended = self.endings.closed(self.opened(), RequestEnding.WHOLE_ANSWER, 2.0)
+        self.assertEqual((ended.since_signal, ended.grace_left, ended.came_since_signal), (None, None, None))
+
+    def test_connections_since_the_signal(self) -> None:
+        leave = self.endings.begin_leave(10.0, GRACE)
+        for at in (10.5, 11.0, 12.0):
+            leave.connected(at)
+        self.assertEqual((leave.connections, leave.first_connection_at, leave.last_connection_at), (3, 10.5, 12.0))
+
+
+class AtAFrontend(unittest.TestCase):
+    """Each ending, as an exchange in the virtual network comes to it."""
+
+    def ending(self, main: Callable[[Rig, Client], Awaitable[Any]], *behaviours: Behaviour) -> RequestEnding:
+        """The ending of the one request that ``main`` sends by a client."""
+
+        async def run(rig: Rig) -> RequestEndings:
+            rig.behaviours += behaviours
+            await main(rig, Client(rig))
+            await trio.sleep(LONG)
+            return rig.front.endings
+
+        endings = play_exchange(run, servers=2)
+        (ending,) = endings.endings[Phase.SERVING].elements()
+        self.assertEqual(len(endings.open), 0)
+        self.assertEqual(endings.violated(), int(ending is RequestEnding.CUT_BY_ROUTER))
+        return ending
+
+    def of_one(self, kind: str, *behaviours: Behaviour) -> RequestEnding:
+        """The ending of a request whose client waits for it."""
+
+        async def main(rig: Rig, client: Client) -> None:
+            await client.ask(kind, "r1")
+
+        return self.ending(main, *behaviours)
+
+    def test_a_whole_answer(self) -> None:
+        for kind in KINDS:
+            self.assertEqual(self.of_one(kind), RequestEnding.WHOLE_ANSWER)
+
+    def test_a_whole_answer_of_a_second_server(self) -> None:
+        self.assertEqual(self.of_one("idempotent", Behaviour(cut=0, then=Then.RESET)), RequestEnding.WHOLE_ANSWER)
+        self.assertEqual(self.of_one("resumable", Behaviour(cut=MIDWAY, then=Then.RESET)), RequestEnding.WHOLE_ANSWER)
+
+    def test_a_refusal(self) -> None:
+        self.assertEqual(self.of_one("non_idempotent", Behaviour(cut=0, then=Then.RESET)), RequestEnding.REFUSAL)
+
+    def test_a_refusal_of_a_request_that_is_not_well_formed(self) -> None:
+        async def main(rig: Rig, client: Client) -> None:
+            await client.send(b"GET /idempotent/ HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertEqual((await client.answer()).status, 400)
+
+        self.assertEqual(self.ending(main), RequestEnding.REFUSAL)
+
+    def test_a_server_that_breaks_off(self) -> None:
+        for then in (Then.RESET, Then.CLOSE):
+            self.assertEqual(self.of_one("stream", Behaviour(cut=MIDWAY, then=then)), RequestEnding.SERVER_BROKE_OFF)
+
+    def test_its_time_is_up(self) -> None:
+        silent = Behaviour(cut=MIDWAY, then=Then.SILENCE)
+        self.assertEqual(self.of_one("stream", silent), RequestEnding.TIME_UP)
+
+    def test_the_client_leaves(self) -> None:
+        async def main(rig: Rig, client: Client) -> None:
+            await client.send(request_bytes("stream", "r1"))
+            await trio.sleep(0.1)
+            client.close()
+
+        for cut in (0, MIDWAY):
+            self.assertEqual(self.ending(main, Behaviour(cut=cut, then=Then.SILENCE)), RequestEnding.CLIENT_LEFT)
+
+    def test_a_server_that_is_given_up_after_its_answer_had_begun(self) -> None:
+        """It says nothing for long, and no other takes its stream up."""
+        silent = Behaviour(cut=MIDWAY, then=Then.SILENCE)
+        refused = Behaviour(rejection(503, b"Not-Executed: 1"))
+        self.assertEqual(self.of_one("resumable", silent, refused), RequestEnding.CUT_BY_ROUTER)
+
+    def test_a_request_that_is_cancelled(self) -> None:
+        """Before its answer has begun, and in the middle of it."""
+        for cut in (0, MIDWAY):
+
+            async def main(rig: Rig, cut: int = cut) -> RequestEndings:
+                rig.behaviours.append(Behaviour(cut=cut, then=Then.SILENCE))
+                stream = rig.client_machine.stream()
+                await connect(stream, (rig.router.address, FRONT))
+                await send_all(stream, request_bytes("stream", "r1"))
+                await trio.sleep(0.1)
+                self.assertEqual(len(rig.front.endings.open), 1)
+                return rig.front.endings
+
+            endings = play_exchange(main, servers=1)
+            self.assertEqual(endings.endings[Phase.SERVING], {RequestEnding.CUT_BY_ROUTER: 1})
+            self.assertEqual(endings.violations[Phase.SERVING], {Violation.CUT_BY_ROUTER: 1})
+            self.assertEqual(len(endings.open), 0)
+
+
+class WhileLeaving(unittest.TestCase):
+    def lines(self) -> list[str]:
+        """What a router logs that gets SIGTERM while one client goes on asking."""
+        lines: list[str] = []
+
+        async def main(fleet: Fleet) -> None:
+            await fleet.start()
+            unit = fleet.routers[0]
+            kept = Patron(fleet.outside, "kept", fleet.now, fleet.facts, fleet.fronts[:1], fleet.chance, True)
+            await kept.ask(fleet.work(REPEATED, "key-1", "own-0"))
+            fleet.terminate(unit)
+            await trio.sleep(0.5)
+            await kept.ask(fleet.work(REPEATED, "key-1", "own-1"))
+            new = Patron(fleet.outside, "new", fleet.now, fleet.facts, fleet.fronts[:1], fleet.chance, False)
+            await new.ask(fleet.work(ONCE, "key-1", "own-2"))
+            await fleet.until(lambda: not unit.machine.running)
+
+        sink = logger.add(lambda message: lines.append(message.record["message"]), level="INFO")
+        logger.enable("rowanshift")
+        try:
+            play(main)
+        finally:
+            logger.disable("rowanshift")
+            logger.remove(sink)
+        return lines
+
+    def test_what_is_logged(self) -> None:
+        lines = self.lines()
+        ended = [line for line in lines if "event=request_ended_while_leaving" in line]
+        self.assertEqual(len(ended), 2)
+        self.assertRegex(ended[0], r"ending=whole_answer request=\S+ .*connection=kept nth=2 bytes=[1-9]")
+        self.assertRegex(ended[0], r" since_signal=0\.\d+ grace_left=7\.\d+ came_since_signal=0\.5")
+        self.assertRegex(ended[1], r"connection=new nth=1 ")
+        self.assertTrue(any("event=first_connection_while_leaving" in line for line in lines))
+        stopped = next(line for line in lines if "event=stopped counts=" in line)
+        self.assertIn("serving_whole_answer=1 leaving_whole_answer=2 violations=0", stopped)
+        left = next(line for line in lines if "event=left" in line)
+        self.assertRegex(left, r"new_connections=1 first_connection=0\.\d+ last_connection=0\.\d+ idle_closed=")
+
+
+if __name__ == "__main__":
+    unittest.main()
