--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -103,7 +103,7 @@
         if (leave := endings.leave) is None:
             return
         logger.info(
-            "event=left seconds={:.3f} grace={:.3f} new_connections={} first_connection={} last_connection={} "
+            "event=leave_ended seconds={:.3f} grace={:.3f} new_connections={} first_connection={} last_connection={} "
             "requests_on_kept={} requests_on_new={} last_request={} idle_closed={} longest_standstill={:.3f}",
             leave.since_signal(now),
             leave.grace,
--- a/tests/test_request_endings.py
+++ b/tests/test_request_endings.py
@@ -271,7 +271,7 @@
         self.assertTrue(any("event=first_connection_while_leaving" in line for line in lines))
         stopped = next(line for line in lines if "event=stopped counts=" in line)
         self.assertIn("serving_whole_answer=1 leaving_whole_answer=2 excused=0 violations=0", stopped)
-        left = next(line for line in lines if "event=left" in line)
+        left = next(line for line in lines if "event=leave_ended" in line)
         self.assertRegex(left, r"new_connections=1 first_connection=0\.\d+ last_connection=0\.\d+ ")
         self.assertRegex(left, r"requests_on_kept=1 requests_on_new=1 last_request=0\.\d+ idle_closed=\d+ longest_st")
 
