Let one place decide what a leaving router takes, and end without a crash

Cause: a router that got SIGTERM went on taking each request with its whole time (15 s) until 0.7 s of its 8 s grace were left, and then closed what was open; a trickle of requests kept it there. Nothing weighed what a request may take against the grace. Its listener was closed while accept waited at it: ExceptionGroup, exit 1. Change: dataplane/drain.py decides, without I/O or clock, from the grace, the request's own bound and the longest duration of such requests lately: for 2.6 s what is expected to end in time is taken, then only what surely does; the rest gets 503 with Retry-After at once. It is asked when a request comes and before each attempt. A router ends once nothing is being read or answered; at the end of its work each open request gets 502 or 503, and only an answer that has begun is cut. accept stops by its own cancel scope and closes the listener.

--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -8,8 +8,9 @@
 from loguru import logger
 
 from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
+from rowanshift.dataplane.drain import Drain
 from rowanshift.dataplane.endpoints import Endpoint, Endpoints
-from rowanshift.dataplane.forwarding import LEAST_LEFT, Counts, Forwarding
+from rowanshift.dataplane.forwarding import COME_AGAIN, LEAST_LEFT, Counts, Forwarding
 from rowanshift.dataplane.kv_moves import KvMoves
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.request_endings import RequestEnding
@@ -24,6 +25,7 @@
 
 T = TypeVar("T")
 
+LEAVING = "this router is leaving"  # what a client is told that is sent elsewhere
 UNSENT_MOST = 4  # servers that could not be reached, for one request
 HOLD_PART, HOLD_MOST = 0.2, 0.3  # of the aim, and seconds, that a request waits for a server to be there
 LOAD_HOLD, LOAD_PART = 2.0, 0.4  # seconds, and of what is left, where servers take new weights
@@ -79,8 +81,10 @@
         retries: Callable[[str], RetryBudget],
         draw: Callable[[], float],
         loads: LoadIndex,
+        drain: Drain,
     ) -> None:
         self.state, self.upstream, self.retries, self.draw, self.loads = state, upstream, retries, draw, loads
+        self.drain = drain
         self.counts = Counts()
         self.moves = KvMoves(state)
 
@@ -99,6 +103,14 @@
                 raise Refusal(401, "the key is not known")
         return route, tenant
 
+    def refuse_if_leaving(self, request: Request, out: Out) -> None:
+        """``Refusal`` if this router leaves and could not surely finish the request."""
+        try:
+            route, tenant = self.allowed(request)
+        except Refusal:  # whether it stands is found out first, as for any request
+            return
+        self._before_the_end(Forwarding(request, out, self.draw(), route, tenant), trio.current_time())
+
     async def forward(self, request: Request, out: Out) -> None:
         """Sends a request to servers until one has answered it, or ``Refusal``."""
         route, tenant = self.allowed(request)
@@ -107,6 +119,7 @@
         self.retries(forwarding.service).request(trio.current_time())
         try:
             await self._attempts(forwarding)
+            self._finished(forwarding, trio.current_time())
             out.ending = RequestEnding.WHOLE_ANSWER
         except Refusal:
             if out.begun:
@@ -116,6 +129,10 @@
             if forwarding.spare is not None:
                 self.upstream.keep(forwarding.spare, trio.current_time())
 
+    def _finished(self, forwarding: Forwarding, now: float) -> None:
+        """Remembers how long a request took that got its whole answer."""
+        self.drain.durations.finished(forwarding.request_kind, now - forwarding.request.came_at, now)
+
     async def _attempts(self, forwarding: Forwarding) -> None:
         """One attempt after another; returns once one has answered."""
         while True:
@@ -141,6 +158,15 @@
         if forwarding.until - now < LEAST_LEFT:
             raise Refusal(504, "its time was up") if forwarding.may_have_run else forwarding.last
 
+    def _before_the_end(self, forwarding: Forwarding, now: float) -> None:
+        """``Refusal`` if this router leaves and could not surely finish it; an answer that has begun goes on."""
+        came_at, until = forwarding.request.came_at, forwarding.until
+        if forwarding.out.begun or self.drain.may_send(now, came_at, until, forwarding.request_kind):
+            return
+        if forwarding.may_have_run:
+            raise forwarding.last
+        raise Refusal(503, LEAVING, COME_AGAIN)
+
     async def _choose(self, forwarding: Forwarding) -> Endpoint:
         """The server for the next attempt; ``Refusal`` if there is none, or none is granted."""
         request = forwarding.request
@@ -149,6 +175,7 @@
             if not (forwarding.may_have_run or forwarding.out.begun):  # else it goes on as it began
                 forwarding.route, forwarding.tenant = self.allowed(request)
             self._in_time(forwarding, now)
+            self._before_the_end(forwarding, now)
             if forwarding.spare is not None:
                 forwarding.granted = False
                 return forwarding.spare.engine
--- a/rowanshift/dataplane/forwarding.py
+++ b/rowanshift/dataplane/forwarding.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from rowanshift.dataplane.client_answer import Out, Refusal
+from rowanshift.dataplane.drain import RequestKind, request_kind
 from rowanshift.dataplane.request_endings import RequestEnding
 from rowanshift.dataplane.requests import Request
 from rowanshift.dataplane.retry_decision import Decision, Ending, Kind, Progress, Told, kind_of
@@ -66,6 +67,11 @@
         """The service that its route and draw choose."""
         return self.route.service(self.draw)
 
+    @property
+    def request_kind(self) -> RequestKind:
+        """The requests that last about as long as this one."""
+        return request_kind(self.service, self.request.tokens[1])
+
     @property
     def mark(self) -> int:
         """The place of its prefix on the ring."""
--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -8,7 +8,9 @@
 from loguru import logger
 
 from rowanshift.dataplane.client_answer import ClientGone, Out, Refusal
-from rowanshift.dataplane.forwarder import Forwarder, State
+from rowanshift.dataplane.drain import Drain
+from rowanshift.dataplane.forwarder import LEAVING, Forwarder, State
+from rowanshift.dataplane.forwarding import COME_AGAIN
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.request_endings import EndedRequest, RequestEnding, RequestEndings
 from rowanshift.dataplane.requests import Request, request_of
@@ -49,21 +51,35 @@
         retries: Callable[[str], RetryBudget],
         draw: Callable[[], float],
         loads: LoadIndex,
+        drain: Drain,
         endings: RequestEndings | None = None,
     ) -> None:
-        self.state, self.budget, self.memory = state, budget, memory
-        self.forwarder = Forwarder(state, back, retries, draw, loads)
+        self.state, self.budget, self.memory, self.drain = state, budget, memory, drain
+        self.forwarder = Forwarder(state, back, retries, draw, loads, drain)
         self.counts = self.forwarder.counts
         self.idle: dict[Client, None] = {}
         self.open = 0  # requests
-        self.leaving = False
+        self.reading: set[Client] = set()  # connections of which a part of a request was read
+        self.answering: dict[trio.CancelScope, Out] = {}  # what gives up each request that is open
+        self.accepting = trio.CancelScope()
         self.endings = endings or RequestEndings()
         budget.idle_clients = self.drop_idle
 
     # the listener -----------------------------------------
 
     async def accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
-        """Take connections in, for good."""
+        """Take connections in until ``stop_accepting``; the listener is closed then."""
+        try:
+            with self.accepting:
+                await self._accept(listener, nursery, pause)
+        finally:
+            listener.close()
+
+    def stop_accepting(self) -> None:
+        """Take no more connections."""
+        self.accepting.cancel()
+
+    async def _accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
         while True:
             await listener.wait()
             for _ in range(AT_ONCE):
@@ -90,7 +106,22 @@
                 return True
         return False
 
-    def leave(self) -> None:
+    @property
+    def unfinished(self) -> int:
+        """Requests that are being read or answered."""
+        return len(self.reading) + self.open
+
+    def begin_leave(self) -> None:
+        """Tell each client whose answer has not begun that its connection ends with it."""
+        for out in self.answering.values():
+            out.keep = out.keep and out.begun
+
+    def give_up(self) -> None:
+        """End each open request now: with a final answer, or by a cut if its answer has begun."""
+        for scope in [*self.answering]:
+            scope.cancel()
+
+    def close_idle(self) -> None:
         """Closes what is idle."""
         closed = 0
         while self.drop_idle():
@@ -136,6 +167,12 @@
 
     async def _request(self, client: Client) -> Message | None:
         """The next request, whole; None when the client has ended or says nothing for too long."""
+        try:
+            return await self._next_message(client)
+        finally:
+            self.reading.discard(client)
+
+    async def _next_message(self, client: Client) -> Message | None:
         connection, routing_table = client.connection, self.state.routing_table
         connection.largest = routing_table.largest_body
         until, began = trio.current_time() + routing_table.idle_for, 0.0
@@ -144,6 +181,7 @@
                 return message
             now = trio.current_time()
             if connection.partial:
+                self.reading.add(client)
                 began = began or now
                 until = began + (routing_table.header_within if connection.in_head else BODY_WITHIN)
                 self.idle.pop(client, None)
@@ -184,7 +222,7 @@
         client.requests += 1
         id = dict(message.fields).get(b"request-id", b"").decode("latin-1")
         opened = self.endings.opened(id, client.connected_at, client.requests, trio.current_time())
-        out = Out(client.connection, message.keep and not self.leaving, message.old)
+        out = Out(client.connection, message.keep and not self.drain.leaving, message.old)
         try:
             return await self._final_answer(message, out)
         except BadMessage as error:
@@ -202,9 +240,7 @@
         request = request_of(message, trio.current_time())
         self.open += 1
         try:
-            await self.state.fresh(request.until - request.came_at)
-            await self._confirm_refusal(request)
-            await self.forwarder.forward(request, out)
+            await self._forward_unless_given_up(request, out)
             self.counts.whole += 1
         except Refusal as refused:
             refusal = self._unless_old(refused)
@@ -212,7 +248,7 @@
             self.counts.failed += refusal.status not in PROMISES
             if out.begun:  # what went out must not look whole
                 return False
-            out.keep = out.keep and not self.leaving
+            out.keep = out.keep and not self.drain.leaving
             await out.refuse(refusal)
         except ClientGone:
             self.counts.gone += 1
@@ -227,6 +263,27 @@
             self.open -= 1
         return out.keep
 
+    async def _forward_unless_given_up(self, request: Request, out: Out) -> None:
+        """Forwards a request; ``Refusal`` once it is given up because this router ends."""
+        scope = trio.CancelScope()
+        self.answering[scope] = out
+        try:
+            with scope:
+                await self._forward(request, out)
+                return
+        finally:
+            del self.answering[scope]
+        if request.tried:
+            raise Refusal(502, f"{LEAVING}; it may have run")
+        raise Refusal(503, LEAVING, COME_AGAIN)
+
+    async def _forward(self, request: Request, out: Out) -> None:
+        if self.drain.leaving:
+            self.forwarder.refuse_if_leaving(request, out)
+        await self.state.fresh(request.until - request.came_at)
+        await self._confirm_refusal(request)
+        await self.forwarder.forward(request, out)
+
     async def _confirm_refusal(self, request: Request) -> None:
         """A request that would be refused for good waits, briefly, until what is known is surely recent."""
         if self.state.may_refuse():
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from rowanshift.dataplane.control_client import ControlClient
+from rowanshift.dataplane.drain import Drain, Phase
 from rowanshift.dataplane.frontend import BACKLOG, Frontend, log_ending
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.request_endings import RequestEndings
@@ -23,8 +24,9 @@
 
 BEAT, STOOD_STILL = 0.25, 0.5  # seconds
 SWEEP = 0.5  # seconds between sweeps of idle connections
-NOTICED = 2.6  # seconds after which the platform sends no new connections to one that is not ready
-GRACE_LEFT = 0.7  # seconds of the grace kept for the end
+LEAVE_STEP = 0.05  # seconds between looks at what is open while leaving
+LAST_ANSWERS = 0.25  # seconds for the last answers to go out
+LAST_STEP = 0.01  # seconds between looks at whether they have
 FILES = 200  # descriptors that sockets may not use
 MEMORY_PART = 0.5  # of the limit, for bodies and what carries them
 
@@ -50,7 +52,7 @@
     def __init__(self, boot: NodeSettings, host: Host = SYSTEM, seed: int | None = None) -> None:
         self.boot, self.host = boot, host
         self.chance = random.Random(seed)
-        self.leaving = False
+        self.drain = Drain(boot.bounds.grace_s)
         self.told_to_stop = trio.Event()
         self.told_at = 0.0  # trio's time of the signal
         self.endings = RequestEndings()
@@ -60,7 +62,7 @@
 
     def ready(self) -> bool:
         """Whether new connections may come."""
-        return not self.leaving and self.control_client.ready()
+        return not self.drain.leaving and self.control_client.ready()
 
     def seeds(self) -> list[tuple[str, int]]:
         """The seeds as the settings name them now."""
@@ -147,6 +149,7 @@
                     self.retries,
                     self.chance.random,
                     self.loads,
+                    self.drain,
                     self.endings,
                 )
                 nursery.start_soon(self.loads.run)
@@ -160,20 +163,27 @@
                 host.settled()
                 logger.info("event=started role=dataplane name={}", boot.name)
                 await self.told_to_stop.wait()
-
-                self.leaving = self.front.leaving = True
-                self.endings.begin_leave(self.told_at, boot.bounds.grace_s)
-                logger.info("event=leaving open={}", self.front.open)
-                end = trio.current_time() + boot.bounds.grace_s - GRACE_LEFT
-                await trio.sleep(min(NOTICED, boot.bounds.grace_s / 3))
-                while trio.current_time() < end:
-                    self.front.leave()
-                    if not self.front.open and not budget.clients:
-                        break
-                    await trio.sleep(0.05)
-                listener.close()
+                await self._leave(self.front, budget)
                 nursery.cancel_scope.cancel()
 
+    async def _leave(self, front: Frontend, budget: Budget) -> None:
+        """Serve on as ``Drain`` says, then end what is open and stop; returns within the grace."""
+        self.drain.begin(self.told_at)
+        front.endings.begin_leave(self.told_at, self.drain.grace)
+        front.begin_leave()
+        logger.info("event=leaving open={}", front.open)
+        while (phase := self.drain.phase(trio.current_time(), front.unfinished)) is not Phase.OVER:
+            if phase is Phase.REFUSING:
+                front.close_idle()
+            await trio.sleep(LEAVE_STEP)
+        self.drain.finish()
+        front.stop_accepting()
+        front.give_up()
+        with trio.move_on_after(LAST_ANSWERS):
+            while budget.clients:
+                front.close_idle()
+                await trio.sleep(LAST_STEP)
+
     async def _heed(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
             if number != signal.SIGHUP:
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,123 @@
+"""What a router that leaves may still take: each phase, both sides of each bound."""
+
+import unittest
+
+from rowanshift.dataplane.drain import (
+    END_RESERVE,
+    MOST_KINDS,
+    NOTICE,
+    REMEMBERED,
+    Drain,
+    Phase,
+    RequestDurations,
+    request_kind,
+)
+
+GRACE, BEGAN = 8.0, 100.0
+KIND = request_kind("chat", 50)
+LONG = 15.0  # seconds that a request has
+
+
+def leaving(longest: float = 0.0) -> Drain:
+    """A drain that began at ``BEGAN``; requests of ``KIND`` took ``longest`` seconds at most."""
+    drain = Drain(GRACE)
+    if longest:
+        drain.durations.finished(KIND, longest, BEGAN)
+    drain.begin(BEGAN)
+    return drain
+
+
+class Phases(unittest.TestCase):
+    def test_a_router_serves_until_the_signal(self) -> None:
+        drain = Drain(GRACE)
+        self.assertEqual(drain.phase(BEGAN, 0), Phase.SERVING)
+        self.assertTrue(drain.may_send(BEGAN, BEGAN, BEGAN + 3600, KIND))
+
+    def test_phases_follow_each_other(self) -> None:
+        drain, notice, end = leaving(), BEGAN + NOTICE, BEGAN + GRACE - END_RESERVE
+        for at, open_requests, phase in (
+            (BEGAN, 0, Phase.ANNOUNCED),
+            (notice - 0.001, 0, Phase.ANNOUNCED),
+            (notice, 1, Phase.REFUSING),
+            (notice, 0, Phase.OVER),
+            (end - 0.001, 1, Phase.REFUSING),
+            (end, 1, Phase.OVER),
+        ):
+            with self.subTest(at=at, open=open_requests):
+                self.assertEqual(drain.phase(at, open_requests), phase)
+
+    def test_a_second_signal_changes_nothing(self) -> None:
+        drain = leaving()
+        drain.begin(BEGAN + 5.0)
+        self.assertEqual(drain.work_ends_at, BEGAN + GRACE - END_RESERVE)
+
+    def test_a_short_grace_shortens_the_notice(self) -> None:
+        drain = Drain(3.0)
+        drain.begin(BEGAN)
+        self.assertEqual(drain.notice_ends_at, BEGAN + 1.0)
+
+    def test_a_grace_shorter_than_its_reserve_leaves_no_time(self) -> None:
+        drain = Drain(0.5)
+        drain.begin(BEGAN)
+        self.assertEqual(drain.phase(BEGAN, 3), Phase.OVER)
+
+
+class Admission(unittest.TestCase):
+    def test_announced_takes_what_it_expects_to_finish(self) -> None:
+        left = GRACE - END_RESERVE
+        for came, longest, taken in (
+            (0.0, left, True),
+            (0.0, left + 0.01, False),
+            (2.5, 4.8, True),
+            (2.5, 4.81, False),
+        ):
+            with self.subTest(came=came, longest=longest):
+                now = BEGAN + came
+                self.assertEqual(leaving(longest).may_send(now, now, now + LONG, KIND), taken)
+
+    def test_announced_takes_what_it_knows_nothing_of(self) -> None:
+        self.assertTrue(leaving().may_send(BEGAN + 1.0, BEGAN + 1.0, BEGAN + 1.0 + LONG, KIND))
+
+    def test_one_that_waited_is_weighed_again_before_it_is_sent(self) -> None:
+        came = BEGAN + 1.0
+        self.assertTrue(leaving(3.0).may_send(BEGAN + 4.0, came, came + LONG, KIND))
+        self.assertFalse(leaving(3.0).may_send(BEGAN + 4.4, came, came + LONG, KIND))
+        self.assertFalse(leaving().may_send(BEGAN + NOTICE, came, came + LONG, KIND))
+
+    def test_refusing_takes_what_surely_ends_in_time_by_its_own_bound(self) -> None:
+        now, end = BEGAN + NOTICE, BEGAN + GRACE - END_RESERVE
+        self.assertTrue(leaving(0.1).may_send(now, now, end, KIND))
+        self.assertFalse(leaving(0.1).may_send(now, now, end + 0.001, KIND))
+
+    def test_finished_takes_nothing(self) -> None:
+        drain = leaving()
+        drain.finish()
+        self.assertFalse(drain.may_send(BEGAN, BEGAN, BEGAN + 0.1, KIND))
+
+
+class Durations(unittest.TestCase):
+    def test_the_longest_is_known_for_one_to_two_spans(self) -> None:
+        durations = RequestDurations()
+        durations.finished(KIND, 2.0, 1.0)
+        durations.finished(KIND, 1.0, 2.0)
+        for at, longest in ((3.0, 2.0), (REMEMBERED + 1.0, 2.0), (2 * REMEMBERED + 2.0, 0.0)):
+            self.assertEqual(durations.longest(KIND, at), longest)
+
+    def test_a_long_silence_forgets_all(self) -> None:
+        durations = RequestDurations()
+        durations.finished(KIND, 2.0, 1.0)
+        self.assertEqual(durations.longest(KIND, 5 * REMEMBERED), 0.0)
+
+    def test_kinds_are_bounded(self) -> None:
+        durations = RequestDurations()
+        for number in range(MOST_KINDS + 5):
+            durations.finished(request_kind(f"service-{number}", 50), 1.0, 1.0)
+        self.assertEqual(len(durations.current), MOST_KINDS)
+
+    def test_answers_of_another_length_are_another_kind(self) -> None:
+        self.assertEqual(request_kind("chat", 33), KIND)
+        self.assertNotEqual(request_kind("chat", 9), KIND)
+
+
+if __name__ == "__main__":
+    unittest.main()
