Keep a leaving witness until the former witness set has been dropped

Cause: a planned leave was released once a spare was a witness in its place, while the epoch record in force still named the old set as `former`. Whoever takes over needs a majority of that set as well. If the released machine is gone for good, one disk of another member is lost and all other machines lose power at that moment, the lost disk never recovers and no candidate has the former majority: what was acknowledged is never served again.

Change: a machine in `former` isn't released.

--- a/rowanshift/controlplane/replication/membership.py
+++ b/rowanshift/controlplane/replication/membership.py
@@ -41,13 +41,16 @@
     def _on_leave(self, sender: int, message: Leave) -> None:
         self._leaving[message.machine] = self._now + self.timing.leaving_for
         if self._epoch is not None:
-            released = sender not in self._epoch.in_sync and not self._vote_can_be_given(sender)
+            released = sender not in self._epoch.in_sync and not self._vote_is_being_given(sender)
             self._send(sender, LeaveReply(self._epoch.number, released))
 
-    def _vote_can_be_given(self, machine: int) -> bool:
-        """Whether a leaving machine is a witness, and a spare is there to take its place."""
+    def _vote_is_being_given(self, machine: int) -> bool:
+        """Whether a leaving machine is a witness that a spare can replace, or is still asked as a former one.
+
+        Until the former set is dropped, whoever takes over needs a majority of it as well.
+        """
         epoch = self._epoch
-        return machine in {*epoch.witnesses, *epoch.former} and bool(self._live_spares())
+        return machine in epoch.former or (machine in epoch.witnesses and bool(self._live_spares()))
 
     def _live_spares(self) -> list[int]:
         """Machines that are no witness, live and asked to be one; this one first."""
--- a/tests/planted_replication_faults.py
+++ b/tests/planted_replication_faults.py
@@ -163,6 +163,13 @@
             self._send(member, p.TransferLeadership(self._epoch.number))
 
 
+class ReleasesFormerWitness(p.Replica):
+    """A leaving witness may end as soon as a spare has its place, while its former vote is still asked for."""
+
+    def _vote_is_being_given(self, machine):
+        return machine in self._epoch.witnesses and bool(self._live_spares())
+
+
 FAULTS: dict[type[p.Replica], Hunt] = {
     AcknowledgesAlone: Hunt(0),
     EmptyDiskVotes: Hunt(2),
@@ -184,4 +191,5 @@
     CountsAnyStored: Hunt(295),
     CountsAnyHeartbeatReply: Hunt(6, 3, 1, 0, ("pause", "pause", "stand", "deaf")),
     KeepsLeaseTransferring: Hunt(130, 3, 1, 0, ("slow", "fail", "pause")),
+    ReleasesFormerWitness: Hunt(0, 3, 1, 1, kind="closing"),
 }
