Give copies and votes to machines that count alone

Cause: `quorumMember` was read from the settings and used nowhere. A core machine for which it is false may be lost with its disk beyond f, yet it asked to join, replaced a witness that was silent for 2 s and could be chosen as a backup. The f + 1 copies, or the majority that a lost disk recovers from, then lay partly on a machine that may go at any time.

Change: a machine that doesn't count and has no part in the record says nothing but RecoveryRequest, so that nobody takes it for a live one; it follows heartbeats and sends callers to the primary. As a member by a first start it asks to be replaced once a machine that counts asks to join. No record and no message has changed, older programs never choose it either. The setting left out means true; it is read again at SIGHUP.

--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -14,6 +14,7 @@
     EpochRecord,
     Message,
     RecoveryReply,
+    RecoveryRequest,
     StateVersion,
 )
 from rowanshift.controlplane.replication.timing import DEFAULT_TIMING, DELTA_FROM, LEAST_BANDWIDTH, Timing
@@ -75,6 +76,7 @@
     """One machine's state. All of it is plain data, so that a model checker can copy it."""
 
     delta_from = DELTA_FROM  # bytes
+    counts = True  # among the machines of which f may be lost; any number of others may go, with their disks
 
     def __init__(
         self,
@@ -207,6 +209,8 @@
     # sending and saving
 
     def _send(self, to: int, message: Message) -> None:
+        if self._observes() and not isinstance(message, RecoveryRequest):
+            return  # whoever is heard may be chosen for a copy or a vote
         if to == self.me:
             self._to_self.append(message)
         else:
@@ -259,6 +263,10 @@
         """Seconds that a state may be under way to another machine."""
         return len(state) / LEAST_BANDWIDTH
 
+    def _observes(self) -> bool:
+        """Whether this machine has no part in the record and may have none, as it doesn't count."""
+        return not self.counts and self.me not in self._durable.accepted.members()
+
     def _leaves(self, machine: int) -> bool:
         """Whether a machine has said lately that it ends soon."""
         return self._now < self._leaving.get(machine, NEVER)
@@ -270,3 +278,6 @@
 
     def _step_down(self) -> None:
         raise NotImplementedError
+
+    def _ask_for_records(self) -> None:
+        raise NotImplementedError
--- a/rowanshift/controlplane/replication/membership.py
+++ b/rowanshift/controlplane/replication/membership.py
@@ -19,15 +19,34 @@
     def _tick_leaving(self) -> None:
         if self.released or self._now < self._leave_sent + self.timing.retry:
             return
-        if self._durable.amnesic:
+        if self._durable.amnesic or self._observes():
             self.released = True  # it holds nothing and counts for nothing
             return
+        self._ask_to_be_replaced()
+
+    def _ask_to_be_replaced(self) -> None:
+        """Have the primary give this machine's copy and vote to others; as primary, give leadership first."""
         if self._epoch is not None and not self._give_leadership():
             return
         self._leave_sent = self._now
         for machine in sorted(self.known):
             self._send(machine, Leave(self.me))
 
+    def _tick_uncounted(self) -> None:
+        """One that doesn't count learns of the record; a member by a first start makes room for a spare that does."""
+        if self._observes():
+            if self._now >= self._joined + self.timing.join_gap:
+                self._joined = self._now
+                self._ask_for_records()
+        elif self._knows_spare() and self._now >= self._leave_sent + self.timing.retry:
+            self._ask_to_be_replaced()
+
+    def _knows_spare(self) -> bool:
+        """Whether a machine that is no witness has asked lately to be one: only those that count do."""
+        witnesses = self._durable.accepted.witnesses
+        since = self._now - self.timing.spare_fresh
+        return any(asked > since and machine not in witnesses for machine, asked in self._spares.items())
+
     def _give_leadership(self) -> bool:
         """As primary, once nothing is under way; whether it is given."""
         if len(self._epoch.in_sync) == 1:
--- a/rowanshift/controlplane/replication/recovery.py
+++ b/rowanshift/controlplane/replication/recovery.py
@@ -37,5 +37,9 @@
         due = max(self._started + self.timing.recovery_wait, self._asked_recovery + self.timing.retry)
         if self._now >= due:
             self._asked_recovery = self._now
-            for machine in sorted(self.known):
-                self._send(machine, RecoveryRequest(self._recovery_serial))
+            self._ask_for_records()
+
+    def _ask_for_records(self) -> None:
+        """Whoever is asked knows this machine from then on, and takes it for nothing more."""
+        for machine in sorted(self.known):
+            self._send(machine, RecoveryRequest(self._recovery_serial))
--- a/rowanshift/controlplane/replication/replica.py
+++ b/rowanshift/controlplane/replication/replica.py
@@ -97,6 +97,10 @@
         self._settle()
 
     def _tick_member(self) -> None:
+        if not self.counts:
+            self._tick_uncounted()
+            if self._observes():
+                return
         if self._epoch is not None:
             self._tick_primary()
         if self._candidacy is not None:
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -352,6 +352,7 @@
                     self.chance.random,
                     boot.bounds.lease_ms / 1000 + 0.3,
                 )
+                replica.counts = file.quorum_member
                 self.replica_host = ReplicaHost(
                     host, self.machine, boot.inner[1], replica, store, nursery, self._became, self.refresh
                 )
@@ -401,6 +402,7 @@
                     self.boot = load_node_settings(self.boot.path)
                     if self.replica_host is not None:
                         self.replica_host.replica.known |= {*self._seeds()} - {self.machine}
+                        self.replica_host.replica.counts = self.boot.file.quorum_member
                 except NodeSettingsError as error:
                     logger.warning("event=settings_kept why={!r}", str(error))
 
--- a/rowanshift/modelcheck/closing_walk.py
+++ b/rowanshift/modelcheck/closing_walk.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from rowanshift.controlplane import replication as p
 from rowanshift.modelcheck.files import FileSystem
 from rowanshift.modelcheck.member_walk import DOWN_TIMES, GRACE, JOIN_DELAYS, MemberWalk
+from rowanshift.modelcheck.world import Host
 
 BEFORE = ("nothing", "leave", "gone")  # what befalls a machine just before the closing fault
 APART = (0.0, 0.02, 0.1, 0.3, 1.0)  # seconds from that to the closing fault, at most
@@ -90,3 +92,35 @@
         until = self.world.now + seconds
         while self.world.now < until:
             self.step()
+
+
+class UncountedWalk(ClosingWalk):
+    """A closing walk with one machine more, which doesn't count: it goes for good in each closing fault, beyond f."""
+
+    def __init__(
+        self,
+        seed: int,
+        machines: int,
+        f: int,
+        spares: int = 1,
+        replica_class: type[p.Replica] = p.Replica,
+        timing: p.Timing | None = None,
+    ) -> None:
+        self.uncounted = machines + spares + 1
+        super().__init__(seed, machines, f, spares + 1, replica_class, timing=timing)
+
+    def _start_replica(self, me: int, host: Host, bootstrap: bool) -> None:
+        super()._start_replica(me, host, bootstrap)
+        host.replica.counts = me != self.uncounted
+
+    def _has_spare(self) -> bool:
+        witnesses = self.world.highest().witnesses
+        return any(self._lives(me) and me not in {*witnesses, self.uncounted} for me in self._present())
+
+    def _strike(self, disks: int) -> None:
+        if not self.world.hosts[self.uncounted].gone:
+            self._end(self.uncounted)
+            self.joining.pop()
+        super()._strike(disks)
+        self._join()
+        self.uncounted = max(self.world.hosts)
--- a/rowanshift/modelcheck/hunt.py
+++ b/rowanshift/modelcheck/hunt.py
@@ -8,14 +8,20 @@
 
 from rowanshift.controlplane import replication as p
 from rowanshift.modelcheck.client_walk import ClientWalk
-from rowanshift.modelcheck.closing_walk import ClosingWalk
+from rowanshift.modelcheck.closing_walk import ClosingWalk, UncountedWalk
 from rowanshift.modelcheck.control_service import ControlService
 from rowanshift.modelcheck.files import StoreModel
 from rowanshift.modelcheck.member_walk import MemberWalk
 from rowanshift.modelcheck.routers import Router
 from rowanshift.modelcheck.walk import Outcome, Walk
 
-WALKS: dict[str, type[Walk]] = {"protocol": Walk, "clients": ClientWalk, "members": MemberWalk, "closing": ClosingWalk}
+WALKS: dict[str, type[Walk]] = {
+    "protocol": Walk,
+    "clients": ClientWalk,
+    "members": MemberWalk,
+    "closing": ClosingWalk,
+    "uncounted": UncountedWalk,
+}
 REPLACED: dict[type, str] = {
     p.Replica: "replica_class",
     ControlService: "service_class",
--- a/rowanshift/node_settings.py
+++ b/rowanshift/node_settings.py
@@ -63,7 +63,7 @@
     internal_ports: tuple[int, int]
     seed_nodes: list[str]
     bootstrap: bool = False
-    quorum_member: bool = False
+    quorum_member: bool = True  # whether it is one of the machines that `fault_tolerance` speaks of
     region: str = ""
     zones: dict[str, str] = {}
     data_dir: str | None = None
--- a/rowanshift/simulation/fleet.py
+++ b/rowanshift/simulation/fleet.py
@@ -160,11 +160,11 @@
             },
         )
 
-    def spare(self) -> Unit:
+    def spare(self, counts: bool = True) -> Unit:
         """One more core machine, with an empty disk, started now. Operators find it by a 307."""
         n, seeds = len(self.cores), self.cores[0].boot["seedNodes"]
         unit = self._unit(self.network.machine(f"core-{n}", n % self.zones), True, seeds)
-        unit.boot["bootstrap"] = False
+        unit.boot |= {"bootstrap": False, "quorumMember": counts}
         self.cores.append(unit)
         self.units.append(unit)
         self._mark("started", unit)
--- a/tests/planted_replication_faults.py
+++ b/tests/planted_replication_faults.py
@@ -170,6 +170,16 @@
         return machine in self._epoch.witnesses and bool(self._live_spares())
 
 
+class CountsEveryMachine(p.Replica):
+    """A machine that doesn't count takes copies and votes like any other."""
+
+    def _observes(self):
+        return False
+
+    def _knows_spare(self):
+        return False
+
+
 FAULTS: dict[type[p.Replica], Hunt] = {
     AcknowledgesAlone: Hunt(0),
     EmptyDiskVotes: Hunt(2),
@@ -192,4 +202,5 @@
     CountsAnyHeartbeatReply: Hunt(6, 3, 1, 0, ("pause", "pause", "stand", "deaf")),
     KeepsLeaseTransferring: Hunt(130, 3, 1, 0, ("slow", "fail", "pause")),
     ReleasesFormerWitness: Hunt(0, 3, 1, 1, kind="closing"),
+    CountsEveryMachine: Hunt(0, 3, 1, 1, kind="uncounted"),
 }
--- a/tests/test_closing_fault.py
+++ b/tests/test_closing_fault.py
@@ -2,18 +2,36 @@
 
 import unittest
 
+import trio
+from loguru import logger
 from test_replication import FOURTH, Rig
 
-from rowanshift.modelcheck.closing_walk import ClosingWalk
+from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.closing_walk import ClosingWalk, UncountedWalk
+from rowanshift.simulation.fleet import Fleet, config_of, play
 
 SEEDS = {(3, 1, 1): range(5000, 5006), (5, 2, 1): range(5000, 5003)}  # by machines, f, spares
 STEPS = 8000
 READ_BACK_WITHIN = 20.0  # seconds
 
 
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
 class ClosingRig(Rig):
     """A rig whose machines may all lose power at one moment, some of them with their disks."""
 
+    uncounted: frozenset[int] | set[int] = frozenset()
+
+    def start(self, me: int, bootstrap: bool = False) -> None:
+        super().start(me, bootstrap)
+        self.ledger(me).counts = me not in self.uncounted
+
     def strike(self, wiped: int, gone: int = 0) -> None:
         """Disks keep what was synced, but for the one that is wiped; a machine that is gone stays away."""
         hosts = self.world.hosts
@@ -68,9 +86,113 @@
         for (machines, f, spares), seeds in SEEDS.items():
             for seed in seeds:
                 with self.subTest(machines=machines, seed=seed):
-                    outcome = ClosingWalk(seed, machines, f, spares).run(STEPS)
-                    self.assertEqual("", outcome.broken)
-                    self.assertGreater(outcome.committed, 0)
+                    self.lose_nothing(ClosingWalk(seed, machines, f, spares))
+
+    def test_nothing_is_lost_with_a_machine_that_does_not_count(self) -> None:
+        for seed in range(5000, 5004):
+            with self.subTest(seed=seed):
+                self.lose_nothing(UncountedWalk(seed, 3, 1, 1))
+
+    def lose_nothing(self, walk: ClosingWalk) -> None:
+        outcome = walk.run(STEPS)
+        self.assertEqual("", outcome.broken)
+        self.assertGreater(outcome.committed, 0)
+
+
+class Uncounted(unittest.TestCase):
+    """A fourth machine whose settings say that it doesn't count: it may go with its disk, beyond f."""
+
+    def rig(self, uncounted: int = FOURTH, spares: int = 1) -> ClosingRig:
+        rig = ClosingRig(spares=spares)
+        rig.uncounted = {uncounted}
+        rig.ledger(uncounted).counts = False
+        rig.elect()
+        rig.run(6.0)
+        rig.commit()
+        return rig
+
+    def record(self, rig: Rig) -> p.EpochRecord:
+        return rig.ledger(rig.primary()).record
+
+    def test_it_takes_neither_copy_nor_vote_whoever_is_away(self) -> None:
+        for away in (1, 2, 3):
+            with self.subTest(away=away):
+                rig = self.rig()
+                rig.world.crash(away, landed=False)
+                rig.run(6.0)
+                self.assertEqual(rig.commit(), 2)
+                self.assertNotIn(FOURTH, self.record(rig).members())
+
+    def test_nothing_is_lost_when_it_goes_with_f_disks(self) -> None:
+        for away in (1, 2, 3):
+            for wiped in (1, 2, 3):
+                with self.subTest(away=away, wiped=wiped):
+                    rig = self.rig()
+                    rig.world.crash(away, landed=False)
+                    rig.run(6.0)
+                    rig.start(away)
+                    rig.run(6.0)
+                    rig.commit()
+                    kept = rig.ledger(rig.primary()).committed_state
+                    rig.strike(wiped, gone=FOURTH)
+                    self.assertEqual(rig.read_back(), kept)
+
+    def test_it_knows_the_record_and_the_primary(self) -> None:
+        rig = self.rig()
+        rig.world.crash(rig.primary(), landed=False)
+        rig.run(6.0)
+        replica = rig.ledger(FOURTH)
+        self.assertFalse(replica.is_amnesic)
+        self.assertEqual((replica.primary_hint, replica.record), (rig.primary(), self.record(rig)))
+
+    def test_it_may_end_at_once(self) -> None:
+        rig = self.rig()
+        rig.ledger(FOURTH).leave(rig.world.now)
+        self.assertTrue(rig.ledger(FOURTH).released)
+
+    def test_one_of_the_first_members_makes_room_for_a_spare_that_counts(self) -> None:
+        for uncounted in (1, 2, 3):
+            with self.subTest(uncounted=uncounted):
+                rig = self.rig(uncounted)
+                self.assertEqual(self.record(rig).members(), {1, 2, 3, FOURTH} - {uncounted})
+                self.assertEqual(rig.commit(), 2)
+
+    def test_where_none_counts_the_first_members_go_on(self) -> None:
+        rig = ClosingRig()
+        for machine in (1, 2, 3):
+            rig.ledger(machine).counts = False
+        rig.elect()
+        rig.world.crash(self.record(rig).in_sync[0], landed=False)
+        rig.run(6.0)
+        self.assertEqual(rig.commit(), 1)
+
+
+class UncountedFleet(unittest.TestCase):
+    """The same as whole programs in the virtual network, told by their settings."""
+
+    def test_what_was_acknowledged_outlasts_a_disk_and_a_machine_that_does_not_count(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                revision, read = play(self._play, f"uncounted/{seed}")[0]
+                self.assertEqual(read, revision)
+
+    async def _play(self, fleet: Fleet) -> tuple[int, int]:
+        await fleet.start()
+        extra = fleet.spare(counts=False)
+        await trio.sleep(4.0)
+        away = fleet.backups()[1]
+        fleet.cut_power(away)
+        await trio.sleep(4.0)
+        fleet.back(away)
+        await trio.sleep(4.0)
+        await fleet.put(config_of(fleet.sent + 1))
+        counted = fleet.cores[:3]
+        fleet.cut_power(extra, *fleet.routers)
+        fleet.empty_disk(counted[0])
+        fleet.cut_power(*counted[1:])
+        await trio.sleep(1.0)
+        fleet.back(*counted, *fleet.routers)
+        return fleet.revision, (await fleet.operator.read_config(20.0) or {}).get("revision", 0)
 
 
 if __name__ == "__main__":
