Answer the calls and polls that a control plane has read before it ends

Cause: 0.1 s after its release, or after the end of the wait for it, the nursery was cancelled whatever had been read and not answered. Where the machine can't be released (a change that waits for a disk keeps leadership), changes and held polls were cut. The listener was never closed, so that connections in its queue were reset. The wait for a change under way came on top of the wait for the release, so that both could outlast the grace. `CALLERS` idle connections shut out all further callers.

Change: `CallServer.leave` takes in what waits at the listener, closes it, closes idle connections, answers what was read, refuses what is read from then on (503, Retry-After), and at its end tells callers of unfinished calls that they may be in force. The control plane leaves so within 0.8 s of the 1.5 s that it keeps of its grace, and answers held polls at once. The wait for the change under way counts as part of the wait for the release. A caller beyond `CALLERS` takes the place of the connection that has been idle longest.

--- a/rowanshift/controlplane/replica_host.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -120,10 +120,11 @@
 
     async def leave(self, within: float) -> bool:
         """Give leadership, copy and vote to others before this machine ends; whether that was done in time."""
-        async with self.turn:  # a change under way is answered first
-            self.replica.leave(trio.current_time())
-            self.act()
         until = trio.current_time() + within
+        with trio.move_on_at(until):
+            async with self.turn:  # a change under way is answered first
+                self.replica.leave(trio.current_time())
+                self.act()
         while not self.replica.released and trio.current_time() < until:
             await self.host.pause(TICK / 5)
         return self.replica.released
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -41,7 +41,8 @@
 OPEN_AGAIN = 0.5  # seconds between tries to open the disk
 WRITE_WITHIN = 2.0  # seconds for a router to take an answer
 GRACE_LEFT = 1.5  # seconds of the grace that are kept: until then this machine waits for its release
-FAREWELL = 0.1  # seconds from its release to the end, in which answers still go out
+ANSWERED_WITHIN = 0.8  # of these, for calls and polls that were read to be answered
+FAREWELL = 0.1  # seconds from then to the end, in which answers still go out
 LINKS = 2048  # connections of routers and core machines at once
 
 
@@ -64,6 +65,8 @@
         self.members: dict[int, float] = {}  # routers by machine, with trio's time of their last poll
         self.primary_since: float | None = None
         self.links = 0
+        self.polls = 0  # that were read and have no answer yet
+        self.leaving = False  # released, or the grace is nearly over: nothing is held or begun any more
         self.rows_of: tuple[ServerRegistry | None, int] = (None, 0)
         self.rows = b""
         self.peers: tuple[int, ...] = ()  # routers that are members, as they were told last
@@ -198,6 +201,8 @@
         search_until = now + FIND_PRIMARY
         while True:
             now = trio.current_time()
+            if self.leaving:
+                return self._elsewhere()
             if not self.replica_host.holds():
                 if self._names_another() or now >= search_until:
                     return self._elsewhere()
@@ -312,9 +317,13 @@
             record = record.upgraded(int(1000 * HOLD))
         if not isinstance(record, Poll):
             raise BadRecord(f"{type(record).__name__} was not expected")
-        answer = CODEC.pack(await self._poll(record), number)
-        with trio.fail_after(WRITE_WITHIN):
-            await send_all(stream, answer)
+        self.polls += 1
+        try:
+            answer = CODEC.pack(await self._poll(record), number)
+            with trio.fail_after(WRITE_WITHIN):
+                await send_all(stream, answer)
+        finally:
+            self.polls -= 1
 
     async def _accept(self, listener: Listener, nursery: trio.Nursery) -> None:
         while True:
@@ -388,9 +397,19 @@
                 logger.info("event=stopping primary={}", replica.is_primary)
                 released = await self.replica_host.leave(boot.bounds.grace_s - GRACE_LEFT)
                 logger.info("event=left released={}", released)
-                await host.pause(FAREWELL)
+                await self._finish(calls)
                 nursery.cancel_scope.cancel()
 
+    async def _finish(self, calls: CallServer) -> None:
+        """Answer the calls and polls that were read, and refuse what comes, within what is kept of the grace."""
+        self.leaving = True
+        self._tell()
+        until = trio.current_time() + ANSWERED_WITHIN
+        await calls.leave(ANSWERED_WITHIN, self.host.pause)
+        while self.polls and trio.current_time() < until:
+            await self.host.pause(LOOK)
+        await self.host.pause(FAREWELL)
+
     async def _heed(self, signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
         async for number in signals:
             if number != signal.SIGHUP:
--- a/rowanshift/net/calls.py
+++ b/rowanshift/net/calls.py
@@ -18,6 +18,9 @@
 CALLERS = 256  # connections at once; more are closed
 CALL_WITHIN = 10.0  # seconds for a whole request to come, and for an answer to be taken
 IDLE_FOR = 15.0  # seconds that a caller's connection may stand idle
+LOOK = 0.01  # seconds between looks at the calls that are open while the server leaves
+LAST_WRITES = 0.1  # seconds in which the answers to calls that are given up go out
+COME_BACK = b"0.3"  # seconds after which a caller that is refused may ask another machine
 
 
 class CallFailed(Exception):
@@ -56,40 +59,91 @@
 
     def __init__(self, resources: Mapping[bytes, Resource], memory: Memory, largest: int = 1 << 16) -> None:
         self.resources, self.memory, self.largest = resources, memory, largest
-        self.open = 0
+        self.leaving = False
+        self.accepting = trio.CancelScope()
+        self.connections: dict[Connection, None] = {}  # of callers, the oldest first
+        self.answering: dict[Connection, trio.CancelScope] = {}  # of these, those whose call was read
+
+    @property
+    def open(self) -> int:
+        """How many callers are connected."""
+        return len(self.connections)
 
     async def serve(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
-        while True:
-            await listener.wait()
-            try:
-                stream = listener.accept()
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                logger.warning("event=accept_failed error={!r}", error)
-                await pause(0.02)
-                continue
-            if self.open >= CALLERS:
-                stream.close()
-                continue
-            self.open += 1
-            nursery.start_soon(self._caller, stream)
-
-    async def _caller(self, stream: Stream) -> None:
+        """Answer calls until ``leave``; then the listener is closed, once what it holds has been taken in."""
+        with self.accepting:
+            while True:
+                await listener.wait()
+                if not self._accept(listener, nursery):
+                    await pause(0.02)
+        while self._accept(listener, nursery, last=True):
+            pass
+        listener.close()
+
+    def _accept(self, listener: Listener, nursery: Nursery, last: bool = False) -> bool:
+        """Take in a connection that waits; False after an error, and where none waits if it is the ``last`` time."""
+        try:
+            stream = listener.accept()
+        except BlockingIOError:
+            return not last
+        except OSError as error:
+            logger.warning("event=accept_failed error={!r}", error)
+            return False
+        if self.open >= CALLERS and not self._close_idle(1):
+            stream.close()
+            return True
         connection = Connection(stream, httptools.HttpRequestParser, self.memory, largest=self.largest)
+        self.connections[connection] = None
+        nursery.start_soon(self._caller, stream, connection)
+        return True
+
+    async def leave(self, within: float, pause: Callable[[float], Awaitable[None]]) -> None:
+        """Take no more connections, refuse calls that are read from now on, and answer those that were read before.
+
+        What is not answered within so many seconds is given up: its caller is told that it may be in force.
+        """
+        self.leaving = True
+        self.accepting.cancel()
+        until = trio.current_time() + within
+        while trio.current_time() < until:
+            await pause(LOOK)
+            self._close_idle(self.open)
+            if not self.open:
+                return
+        for scope in self.answering.values():
+            scope.cancel()
+        await pause(LAST_WRITES)
+
+    def _close_idle(self, most: int) -> bool:
+        """Close the oldest connections on which nothing has come, so many at most; whether there was one."""
+        idle = [connection for connection in self.connections if self._idle(connection)][:most]
+        for connection in idle:
+            del self.connections[connection]
+            connection.close()
+        return bool(idle)
+
+    def _idle(self, connection: Connection) -> bool:
+        """Whether no call that was read waits for its answer there, and no byte of another has come."""
+        if connection in self.answering or connection.closed():
+            return False
+        return connection.clean() and not connection.stream.readable()
+
+    async def _caller(self, stream: Stream, connection: Connection) -> None:
         try:
             keep = True
             while keep:
                 message = await self._request(connection)
                 if message is None:
                     return
+                self.answering[connection] = trio.CancelScope()
+                answer = await self._answer_in_time(connection, message)
                 keep = message.keep
-                answer = await self._answer(message)
                 connection.release()
                 with trio.move_on_after(CALL_WITHIN) as scope:
                     await send_all(stream, answer.bytes(keep))
                 if scope.cancelled_caught:
                     return
+                del self.answering[connection]
         except BadMessage as error:
             with trio.move_on_after(1.0):
                 await send_all(stream, Answer(error.status, said(str(error))).bytes(False))
@@ -98,7 +152,8 @@
         except Exception:
             logger.exception("event=call_failed")
         finally:
-            self.open -= 1
+            self.connections.pop(connection, None)
+            self.answering.pop(connection, None)
             connection.close()
 
     async def _request(self, connection: Connection) -> Message | None:
@@ -113,6 +168,18 @@
             if scope.cancelled_caught or not connection.receive():
                 return None
 
+    async def _answer_in_time(self, connection: Connection, message: Message) -> Answer:
+        """The answer to a call; a refusal where the server leaves."""
+        if self.leaving:
+            message.keep = False
+            return refusal("this machine ends, and took nothing of the call")
+        with self.answering[connection] as scope:
+            answer = await self._answer(message)
+        if scope.cancelled_caught:
+            answer = refusal("this machine ends: what was asked for may or may not be in force")
+        message.keep = message.keep and not self.leaving
+        return answer
+
     async def _answer(self, message: Message) -> Answer:
         resource = self.resources.get(message.target.split(b"?", 1)[0])
         if resource is None:
@@ -120,6 +187,11 @@
         return await resource.call(message)
 
 
+def refusal(why: str) -> Answer:
+    """503, with the time after which to ask again."""
+    return Answer(503, said(why), [(b"Retry-After", COME_BACK)])
+
+
 def said(why: str) -> bytes:
     """An error's text as a JSON body."""
     escaped = "".join(c if c.isprintable() and c not in '"\\' else f"\\u{ord(c) & 0xFFFF:04x}" for c in why)
