Heed SIGTERM and SIGHUP of a role from its first lines on

Cause: a role heeded signals only once its service ran, after 0.7 to 1 s of imports on a busy machine: until then SIGTERM ended it by the signal (-15), and so did SIGHUP (-1), which should do nothing. Nothing was lost by it, as nothing had been taken, but whoever looks at exit codes saw a crash.

Change: `run_role` and `serve` set both handlers before they import the rest: SIGTERM ends the process with 0, SIGHUP does nothing. What is left is the interpreter's own start and the imports of the command line (up to about 0.1 s here).

--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -3,6 +3,7 @@
 import argparse
 import errno
 import os
+import signal
 import sys
 from collections.abc import Callable
 from importlib import import_module
@@ -51,11 +52,20 @@
         fail(error, UNUSABLE)
 
 
+def end_well(number: int, frame: object) -> NoReturn:
+    """End at once, as nothing has been taken yet, or nothing is left: no handler of an import may swallow it."""
+    os._exit(0)
+
+
+def heed_signals_early() -> None:
+    """Until a service heeds them itself, and once it has ended: SIGTERM ends the process well, SIGHUP does nothing."""
+    signal.signal(signal.SIGTERM, end_well)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def serve(arguments: argparse.Namespace) -> int:
     """Run a router until SIGTERM; SIGHUP has it read its configuration again."""
-    import signal
-
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the service heeds it, and while it ends
+    heed_signals_early()
 
     import trio
     from loguru import logger
@@ -227,6 +237,9 @@
 
 
 def run_role(name: str, arguments: argparse.Namespace) -> int | None:
+    """Run a role's service until SIGTERM. Signals are heeded before the settings are read and all else is imported."""
+    heed_signals_early()
+
     from rowanshift.node_settings import NodeSettingsError, load_node_settings
 
     try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,6 @@
 """Builds settings, lists and routers for the tests, and runs the command line."""
 
+import signal
 from contextlib import redirect_stderr, redirect_stdout
 from io import StringIO
 
@@ -65,9 +66,13 @@
 def invoke(*arguments) -> tuple[int, str]:
     """The exit status of the command line within this process, and what it said on both streams."""
     said = StringIO()
+    heeded = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP)}
     with redirect_stdout(said), redirect_stderr(said):
         try:
             main([str(a) for a in arguments])
         except SystemExit as end:
             return end.code or 0, said.getvalue()
+        finally:
+            for number, handler in heeded.items():
+                signal.signal(number, handler)
     raise AssertionError("the command line came back")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -213,6 +213,34 @@
         )
 
 
+class EarlySignals(unittest.TestCase):
+    """Signals that come while a role is being imported, and after it has ended."""
+
+    CODE = """
+import os, signal, sys
+from rowanshift import cli, node_settings
+def import_module(name):
+    os.kill(os.getpid(), signal.Signals[sys.argv[1]])
+    raise SystemExit(7)
+cli.import_module, node_settings.load_node_settings = import_module, lambda path: None
+cli.main([sys.argv[2]])
+"""
+
+    def test_sigterm_ends_it_well_and_sighup_does_nothing(self) -> None:
+        for role in ("dataplane", "controlplane"):
+            for number, status in (("SIGTERM", 0), ("SIGHUP", 7)):
+                with self.subTest(role, signal=number):
+                    done = run("-c", self.CODE, number, role)
+                    self.assertEqual((done.returncode, done.stderr), (status, ""))
+
+    def test_sigterm_before_the_router_for_caches_has_its_configuration(self) -> None:
+        code = self.CODE.replace("cli.main([sys.argv[2]])", "cli.loaded = import_module\ncli.main(['serve'])")
+        for number, status in (("SIGTERM", 0), ("SIGHUP", 7)):
+            with self.subTest(number):
+                done = run("-c", code, number)
+                self.assertEqual((done.returncode, done.stderr), (status, ""))
+
+
 class Ends(unittest.TestCase):
     def test_a_reader_that_goes_and_an_interrupt(self) -> None:
         with subprocess.Popen(
--- a/tests/test_control_leaving.py
+++ b/tests/test_control_leaving.py
@@ -1,9 +1,14 @@
 """What was read is answered before a process of the control plane ends: calls, polls, changes under way."""
 
+import os
 import signal
+import subprocess
+import sys
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import orjson
 import trio
@@ -21,6 +26,7 @@
 from rowanshift.wire.delivery import Poll, Update
 from rowanshift.wire.table import CODEC
 
+ROOT = Path(__file__).parents[1]
 PORT = 700
 GRACE = BOUNDS["graceS"]  # seconds
 CROSSING = 0.02  # seconds in which a poll may cross the close of its connection
@@ -289,5 +295,56 @@
         play(main)
 
 
+class Process(unittest.TestCase):
+    """A real process of the control plane, told to stop."""
+
+    def told_to_stop(self, event: str, signals: list[signal.Signals], data_is_a_file: bool = False) -> tuple[int, str]:
+        """The exit code, and what was logged after the line of this event, at which the signals were sent."""
+        folder = Path(self.enterContext(TemporaryDirectory()))
+        ip = f"127.{os.getpid() >> 8 & 0x7F}.{os.getpid() & 0xFF}.9"
+        if data_is_a_file:
+            (folder / "data").write_text("")
+        boot = {
+            "nodeName": "core-1",
+            "machineClass": "core",
+            "ip": ip,
+            "zone": "z",
+            "listenAddresses": {"controlPlane": f"{ip}:8500"},
+            "internalPorts": [7400, 7401],
+            "bootstrap": True,
+            "seedNodes": [f"{ip}:8500"],
+            "dataDir": str(folder / "data"),
+        }
+        (folder / "boot.json").write_bytes(orjson.dumps(boot))
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "rowanshift.py"), "controlplane", "--boot", str(folder / "boot.json")],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            while event not in (line := process.stderr.readline()):
+                self.assertNotEqual(line, "", "it ended before")
+            for number in signals:
+                process.send_signal(number)
+            _, said = process.communicate(timeout=30)
+        finally:
+            process.kill()
+            process.stderr.close()
+        return process.returncode, said
+
+    def test_it_ends_well_however_many_signals_come(self) -> None:
+        for signals in ([signal.SIGTERM], [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM]):
+            with self.subTest(signals=signals):
+                code, said = self.told_to_stop("event=started", signals)
+                self.assertEqual(code, 0, said)
+                self.assertIn("event=left released=True", said)
+                self.assertNotIn("Traceback", said)
+
+    def test_it_ends_well_while_its_disk_can_not_be_opened(self) -> None:
+        code, said = self.told_to_stop("event=disk_not_open", [signal.SIGTERM], data_is_a_file=True)
+        self.assertEqual(code, 0, said)
+        self.assertNotIn("Traceback", said)
+
+
 if __name__ == "__main__":
     unittest.main()
