--- a/tests/test_closing_fault.py
+++ b/tests/test_closing_fault.py
@@ -9,9 +9,13 @@
 from rowanshift.controlplane import replication as p
 from rowanshift.modelcheck.closing_walk import ClosingWalk, UncountedWalk
 from rowanshift.simulation.fleet import Fleet, config_of, play
+from rowanshift.simulation.fleet_machines import Unit
 
 SEEDS = {(3, 1, 1): range(5000, 5006), (5, 2, 1): range(5000, 5003)}  # by machines, f, spares
 STEPS = 8000
+APART = (0.0, 0.05, 0.2, 1.0)  # seconds from the end of a machine that leaves to the closing fault, at most
+SYNCED = 4.0  # seconds for which a machine counts as lost after its start
+CHANGE_PAUSE = 0.05  # seconds
 READ_BACK_WITHIN = 20.0  # seconds
 
 
@@ -167,6 +171,82 @@
         self.assertEqual(rig.commit(), 1)
 
 
+class DrawnFleet(unittest.TestCase):
+    """Whole programs under changes without a pause: machines leave, are replaced or join; then the closing fault."""
+
+    def test_the_newest_acknowledged_configuration_is_read_back(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                acknowledged, read = play(closing_day, f"closing/{seed}")[0]
+                self.assertGreaterEqual(read, acknowledged)
+                self.assertGreater(acknowledged, 10)
+
+
+async def closing_day(fleet: Fleet) -> tuple[int, int]:
+    """The revision that was acknowledged last before the closing fault, and the one that is read afterwards."""
+    chance = fleet.chance
+    await fleet.start()
+    extra = fleet.spare(counts=False)
+    changing = trio.CancelScope()
+    fleet.nursery.start_soon(keep_changing, fleet, changing)
+    left, wiped = await BEFORE[chance.choice(sorted(BEFORE))](fleet)
+    await trio.sleep(chance.choice(APART) * chance.random())
+    acknowledged = fleet.revision
+    fleet.cut_power(extra, *fleet.routers)
+    fleet.empty_disk(wiped)
+    fleet.cut_power(*(unit for unit in left if unit is not wiped))
+    changing.cancel()
+    await trio.sleep(1.0)
+    fleet.back(*left, *fleet.routers)
+    return acknowledged, (await fleet.operator.read_config(20.0) or {}).get("revision", 0)
+
+
+async def nothing(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """The machines that return after the closing fault, and the one whose disk is lost in it; as of those below."""
+    await trio.sleep(SYNCED)
+    left = fleet.cores[:3]
+    return left, fleet.chance.choice(left)
+
+
+async def leaves(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A spare has long been there, and a machine leaves as planned."""
+    spare, leaving = fleet.spare(), fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.terminate(leaving)
+    await fleet.until(lambda: not leaving.machine.running)
+    left = [unit for unit in (*fleet.cores[:3], spare) if unit is not leaving]
+    return left, fleet.chance.choice(left)
+
+
+async def is_replaced(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A machine is gone without a word, and another has taken its place for as long as that counts as lost."""
+    gone = fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.empty_disk(gone)
+    left = [unit for unit in (*fleet.cores[:3], fleet.spare()) if unit is not gone]
+    await trio.sleep(SYNCED)
+    return left, fleet.chance.choice(left)
+
+
+async def joins(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A machine has just been told to stop, and another starts in its place: that one's disk is lost."""
+    leaving = fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.terminate(leaving)
+    await trio.sleep(fleet.chance.random() * SYNCED)
+    joined = fleet.spare()
+    await trio.sleep(fleet.chance.random() * SYNCED)
+    return [*fleet.cores[:3], joined], joined
+
+
+BEFORE = {before.__name__: before for before in (nothing, leaves, is_replaced, joins)}
+
+
+async def keep_changing(fleet: Fleet, scope: trio.CancelScope) -> None:
+    with scope:
+        await fleet.keep_changing(CHANGE_PAUSE)
+
+
 class UncountedFleet(unittest.TestCase):
     """The same as whole programs in the virtual network, told by their settings."""
 
