Take a call connection that is closed before its task begins for an end, not a failure

Cause: `CallServer.leave` may close an idle connection whose task has not begun; waiting on its closed socket raised a ValueError, logged as event=call_failed. Change: the task looks whether its connection is closed before it waits. Result: tests/test_control_leaving.py test_a_connection_that_is_closed_before_its_task_begins_is_no_failure failed before, passes after.

--- a/rowanshift/net/calls.py
+++ b/rowanshift/net/calls.py
@@ -158,7 +158,7 @@
 
     async def _request(self, connection: Connection) -> Message | None:
         until = trio.current_time() + IDLE_FOR
-        while True:
+        while not connection.closed():
             if (message := connection.next()) is not None:
                 return message
             if connection.partial:
@@ -167,6 +167,7 @@
                 await connection.stream.wait_readable()
             if scope.cancelled_caught or not connection.receive():
                 return None
+        return None  # it made room for another, or the server leaves
 
     async def _answer_in_time(self, connection: Connection, message: Message) -> Answer:
         """The answer to a call; a refusal where the server leaves."""
--- a/tests/test_control_leaving.py
+++ b/tests/test_control_leaving.py
@@ -14,6 +14,7 @@
 import trio
 from loguru import logger
 
+from rowanshift import staff
 from rowanshift.net import calls
 from rowanshift.net.calls import Answer, CallFailed, CallServer, call
 from rowanshift.net.connection import Message
@@ -166,6 +167,31 @@
 
         self.played(main, 0.1)
 
+    def test_a_connection_that_is_closed_before_its_task_begins_is_no_failure(self) -> None:
+        async def main() -> None:
+            said: list[str] = []
+            sink = logger.add(said.append, format="{message}")
+            logger.enable("rowanshift")
+            try:
+                async with trio.open_nursery() as nursery:
+                    server = CallServer({}, self.fleet.memory)
+                    listener = staff.SYSTEM.listen(("127.0.0.1", 0), 4)
+                    stream = staff.SYSTEM.stream()
+                    await connect(stream, listener.sock.getsockname())
+                    nursery.start_soon(server.serve, listener, nursery, trio.sleep)
+                    await listener.wait()
+                    server.accepting.cancel()
+                    while not server.open:
+                        await trio.lowlevel.checkpoint()
+                    server._close_idle(1)
+                stream.close()
+            finally:
+                logger.disable("rowanshift")
+                logger.remove(sink)
+            self.assertEqual(said, [])
+
+        self.played(main, 0.1)
+
     def test_an_idle_connection_makes_room_for_a_call(self) -> None:
         async def main() -> None:
             for _ in range(calls.CALLERS):
