--- a/tests/test_closing_fault.py
+++ b/tests/test_closing_fault.py
@@ -1,6 +1,7 @@
 """The worst loss that is to be borne: f disks gone, and all other machines without power at the same moment."""
 
 import unittest
+from dataclasses import dataclass
 
 import trio
 from loguru import logger
@@ -10,11 +11,13 @@
 from rowanshift.modelcheck.closing_walk import ClosingWalk, UncountedWalk
 from rowanshift.simulation.fleet import Fleet, config_of, play
 from rowanshift.simulation.fleet_machines import Unit
+from rowanshift.simulation.fleet_settings import MODEL
 
 SEEDS = {(3, 1, 1): range(5000, 5006), (5, 2, 1): range(5000, 5003)}  # by machines, f, spares
 STEPS = 8000
 APART = (0.0, 0.05, 0.2, 1.0)  # seconds from the end of a machine that leaves to the closing fault, at most
 SYNCED = 4.0  # seconds for which a machine counts as lost after its start
+NAMED = 2  # the version of the model that is named before the closing fault
 CHANGE_PAUSE = 0.05  # seconds
 READ_BACK_WITHIN = 20.0  # seconds
 
@@ -174,22 +177,33 @@
 class DrawnFleet(unittest.TestCase):
     """Whole programs under changes without a pause: machines leave, are replaced or join; then the closing fault."""
 
-    def test_the_newest_acknowledged_configuration_is_read_back(self) -> None:
+    def test_the_newest_acknowledged_configuration_and_version_are_read_back(self) -> None:
         for seed in range(8):
             with self.subTest(seed=seed):
-                acknowledged, read = play(closing_day, f"closing/{seed}")[0]
-                self.assertGreaterEqual(read, acknowledged)
-                self.assertGreater(acknowledged, 10)
+                day = play(closing_day, f"closing/{seed}")[0]
+                self.assertGreaterEqual(day.read, day.acknowledged)
+                self.assertEqual(day.version, NAMED)
+                self.assertGreater(day.acknowledged, 10)
 
 
-async def closing_day(fleet: Fleet) -> tuple[int, int]:
-    """The revision that was acknowledged last before the closing fault, and the one that is read afterwards."""
+@dataclass(frozen=True)
+class ClosingDay:
+    """Revisions of the configuration, and the version that the model has afterwards."""
+
+    acknowledged: int  # last, before the closing fault
+    read: int  # afterwards; 0: none
+    version: int
+
+
+async def closing_day(fleet: Fleet) -> ClosingDay:
+    """Changes without a pause, something that befalls a machine, and the closing fault."""
     chance = fleet.chance
     await fleet.start()
     extra = fleet.spare(counts=False)
     changing = trio.CancelScope()
     fleet.nursery.start_soon(keep_changing, fleet, changing)
     left, wiped = await BEFORE[chance.choice(sorted(BEFORE))](fleet)
+    await fleet.name_version(NAMED)
     await trio.sleep(chance.choice(APART) * chance.random())
     acknowledged = fleet.revision
     fleet.cut_power(extra, *fleet.routers)
@@ -198,7 +212,9 @@
     changing.cancel()
     await trio.sleep(1.0)
     fleet.back(*left, *fleet.routers)
-    return acknowledged, (await fleet.operator.read_config(20.0) or {}).get("revision", 0)
+    read = (await fleet.operator.read_config(READ_BACK_WITHIN) or {}).get("revision", 0)
+    primary = fleet.primary()
+    return ClosingDay(acknowledged, read, primary.program.named().get(MODEL, 0) if primary else 0)
 
 
 async def nothing(fleet: Fleet) -> tuple[list[Unit], Unit]:
