Let a machine that doesn't count ask for the record only while it hears no primary

Cause: it asked all machines that it knows each 0.3 s for good, and each answered.

Change: it asks while it hears no primary; a primary that knows it sends it heartbeats. The walk keeps its number of machines.

--- a/rowanshift/controlplane/replication/membership.py
+++ b/rowanshift/controlplane/replication/membership.py
@@ -33,9 +33,9 @@
             self._send(machine, Leave(self.me))
 
     def _tick_uncounted(self) -> None:
-        """One that doesn't count learns of the record; a member by a first start makes room for a spare that does."""
+        """One that doesn't count makes itself known to the primary; a first member makes room for a spare that does."""
         if self._observes():
-            if self._now >= self._joined + self.timing.join_gap:
+            if not self.primary_hint and self._now >= self._joined + self.timing.join_gap:
                 self._joined = self._now
                 self._ask_for_records()
         elif self._knows_spare() and self._now >= self._leave_sent + self.timing.retry:
--- a/rowanshift/modelcheck/closing_walk.py
+++ b/rowanshift/modelcheck/closing_walk.py
@@ -117,10 +117,14 @@
         witnesses = self.world.highest().witnesses
         return any(self._lives(me) and me not in {*witnesses, self.uncounted} for me in self._present())
 
+    def _end(self, me: int) -> None:
+        super()._end(me)
+        if me == self.uncounted:
+            self.joining.pop()  # the next one comes after the closing fault: the machines don't grow in number
+
     def _strike(self, disks: int) -> None:
         if not self.world.hosts[self.uncounted].gone:
             self._end(self.uncounted)
-            self.joining.pop()
         super()._strike(disks)
         self._join()
         self.uncounted = max(self.world.hosts)
