--- /dev/null
+++ b/tests/test_closing_fault.py
@@ -0,0 +1,295 @@
+"""The worst loss that is to be borne: f disks gone, and all other machines without power at the same moment."""
+
+import unittest
+from dataclasses import dataclass
+
+import trio
+from loguru import logger
+from test_replication import FOURTH, Rig
+
+from rowanshift.controlplane import replication as p
+from rowanshift.modelcheck.closing_walk import ClosingWalk, UncountedWalk
+from rowanshift.simulation.fleet import Fleet, config_of, play
+from rowanshift.simulation.fleet_machines import Unit
+from rowanshift.simulation.fleet_settings import MODEL
+
+SEEDS = {(3, 1, 1): range(5000, 5006), (5, 2, 1): range(5000, 5003)}  # by machines, f, spares
+STEPS = 8000
+APART = (0.0, 0.05, 0.2, 1.0)  # seconds from the end of a machine that leaves to the closing fault, at most
+SYNCED = 4.0  # seconds for which a machine counts as lost after its start
+NAMED = 2  # the version of the model that is named before the closing fault
+CHANGE_PAUSE = 0.05  # seconds
+READ_BACK_WITHIN = 20.0  # seconds
+
+
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
+class ClosingRig(Rig):
+    """A rig whose machines may all lose power at one moment, some of them with their disks."""
+
+    uncounted: frozenset[int] | set[int] = frozenset()
+
+    def start(self, me: int, bootstrap: bool = False) -> None:
+        super().start(me, bootstrap)
+        self.ledger(me).counts = me not in self.uncounted
+
+    def strike(self, wiped: int, gone: int = 0) -> None:
+        """Disks keep what was synced, but for the one that is wiped; a machine that is gone stays away."""
+        hosts = self.world.hosts
+        for machine in hosts:
+            self.world.crash(machine, landed=False)
+        self.world.net.clear()
+        hosts[wiped].disk = None
+        for machine in hosts:
+            if machine != gone:
+                self.start(machine)
+
+    def read_back(self) -> bytes | None:
+        """The state of the next primary, None if there is none in time."""
+        self.run(READ_BACK_WITHIN, lambda: self.primary() != 0)
+        return self.ledger(self.primary()).committed_state if self.primary() else None
+
+
+class AfterARelease(unittest.TestCase):
+    """A spare has long been there; a machine leaves as planned, and all is lost that may be lost right after it."""
+
+    def test_what_was_acknowledged_is_there_whoever_left_and_whichever_disk_is_lost(self) -> None:
+        for leaving in (1, 2, 3):
+            for wiped in {1, 2, 3, FOURTH} - {leaving}:
+                with self.subTest(leaving=leaving, wiped=wiped):
+                    rig = ClosingRig(spares=1)
+                    rig.elect()
+                    rig.run(6.0)
+                    rig.commit()
+                    kept = rig.ledger(rig.primary()).committed_state
+                    self.leave(rig, leaving)
+                    rig.strike(wiped, gone=leaving)
+                    self.assertEqual(rig.read_back(), kept)
+
+    def leave(self, rig: Rig, leaving: int) -> None:
+        replica = rig.ledger(leaving)
+        replica.leave(rig.world.now)
+        rig.world.collect(leaving)
+        rig.run(3.0, lambda: replica.released)
+        self.assertTrue(replica.released)
+
+    def test_a_machine_is_not_released_while_its_former_vote_is_asked_for(self) -> None:
+        rig = ClosingRig(spares=1)
+        rig.elect()
+        rig.run(6.0)
+        leaving = next(m for m in (1, 2, 3) if m not in rig.ledger(rig.primary()).record.in_sync)
+        self.leave(rig, leaving)
+        self.assertNotIn(leaving, rig.ledger(rig.primary()).record.members())
+
+
+class ClosingWalks(unittest.TestCase):
+    def test_nothing_is_lost(self) -> None:
+        for (machines, f, spares), seeds in SEEDS.items():
+            for seed in seeds:
+                with self.subTest(machines=machines, seed=seed):
+                    self.lose_nothing(ClosingWalk(seed, machines, f, spares))
+
+    def test_nothing_is_lost_with_a_machine_that_does_not_count(self) -> None:
+        for seed in range(5000, 5004):
+            with self.subTest(seed=seed):
+                self.lose_nothing(UncountedWalk(seed, 3, 1, 1))
+
+    def lose_nothing(self, walk: ClosingWalk) -> None:
+        outcome = walk.run(STEPS)
+        self.assertEqual("", outcome.broken)
+        self.assertGreater(outcome.committed, 0)
+
+
+class Uncounted(unittest.TestCase):
+    """A fourth machine whose settings say that it doesn't count: it may go with its disk, beyond f."""
+
+    def rig(self, uncounted: int = FOURTH, spares: int = 1) -> ClosingRig:
+        rig = ClosingRig(spares=spares)
+        rig.uncounted = {uncounted}
+        rig.ledger(uncounted).counts = False
+        rig.elect()
+        rig.run(6.0)
+        rig.commit()
+        return rig
+
+    def record(self, rig: Rig) -> p.EpochRecord:
+        return rig.ledger(rig.primary()).record
+
+    def test_it_takes_neither_copy_nor_vote_whoever_is_away(self) -> None:
+        for away in (1, 2, 3):
+            with self.subTest(away=away):
+                rig = self.rig()
+                rig.world.crash(away, landed=False)
+                rig.run(6.0)
+                self.assertEqual(rig.commit(), 2)
+                self.assertNotIn(FOURTH, self.record(rig).members())
+
+    def test_nothing_is_lost_when_it_goes_with_f_disks(self) -> None:
+        for away in (1, 2, 3):
+            for wiped in (1, 2, 3):
+                with self.subTest(away=away, wiped=wiped):
+                    rig = self.rig()
+                    rig.world.crash(away, landed=False)
+                    rig.run(6.0)
+                    rig.start(away)
+                    rig.run(6.0)
+                    rig.commit()
+                    kept = rig.ledger(rig.primary()).committed_state
+                    rig.strike(wiped, gone=FOURTH)
+                    self.assertEqual(rig.read_back(), kept)
+
+    def test_it_knows_the_record_and_the_primary(self) -> None:
+        rig = self.rig()
+        rig.world.crash(rig.primary(), landed=False)
+        rig.run(6.0)
+        replica = rig.ledger(FOURTH)
+        self.assertFalse(replica.is_amnesic)
+        self.assertEqual((replica.primary_hint, replica.record), (rig.primary(), self.record(rig)))
+
+    def test_it_may_end_at_once(self) -> None:
+        rig = self.rig()
+        rig.ledger(FOURTH).leave(rig.world.now)
+        self.assertTrue(rig.ledger(FOURTH).released)
+
+    def test_one_of_the_first_members_makes_room_for_a_spare_that_counts(self) -> None:
+        for uncounted in (1, 2, 3):
+            with self.subTest(uncounted=uncounted):
+                rig = self.rig(uncounted)
+                self.assertEqual(self.record(rig).members(), {1, 2, 3, FOURTH} - {uncounted})
+                self.assertEqual(rig.commit(), 2)
+
+    def test_where_none_counts_the_first_members_go_on(self) -> None:
+        rig = ClosingRig()
+        for machine in (1, 2, 3):
+            rig.ledger(machine).counts = False
+        rig.elect()
+        rig.world.crash(self.record(rig).in_sync[0], landed=False)
+        rig.run(6.0)
+        self.assertEqual(rig.commit(), 1)
+
+
+class DrawnFleet(unittest.TestCase):
+    """Whole programs under changes without a pause: machines leave, are replaced or join; then the closing fault."""
+
+    def test_the_newest_acknowledged_configuration_and_version_are_read_back(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                day = play(closing_day, f"closing/{seed}")[0]
+                self.assertGreaterEqual(day.read, day.acknowledged)
+                self.assertEqual(day.version, NAMED)
+                self.assertGreater(day.acknowledged, 10)
+
+
+@dataclass(frozen=True)
+class ClosingDay:
+    """Revisions of the configuration, and the version that the model has afterwards."""
+
+    acknowledged: int  # last, before the closing fault
+    read: int  # afterwards; 0: none
+    version: int
+
+
+async def closing_day(fleet: Fleet) -> ClosingDay:
+    """Changes without a pause, something that befalls a machine, and the closing fault."""
+    chance = fleet.chance
+    await fleet.start()
+    extra = fleet.spare(counts=False)
+    changing = trio.CancelScope()
+    fleet.nursery.start_soon(keep_changing, fleet, changing)
+    left, wiped = await BEFORE[chance.choice(sorted(BEFORE))](fleet)
+    await fleet.name_version(NAMED)
+    await trio.sleep(chance.choice(APART) * chance.random())
+    acknowledged = fleet.revision
+    fleet.cut_power(extra, *fleet.routers)
+    fleet.empty_disk(wiped)
+    fleet.cut_power(*(unit for unit in left if unit is not wiped))
+    changing.cancel()
+    await trio.sleep(1.0)
+    fleet.back(*left, *fleet.routers)
+    read = (await fleet.operator.read_config(READ_BACK_WITHIN) or {}).get("revision", 0)
+    primary = fleet.primary()
+    return ClosingDay(acknowledged, read, primary.program.named().get(MODEL, 0) if primary else 0)
+
+
+async def nothing(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """The machines that return after the closing fault, and the one whose disk is lost in it; as of those below."""
+    await trio.sleep(SYNCED)
+    left = fleet.cores[:3]
+    return left, fleet.chance.choice(left)
+
+
+async def leaves(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A spare has long been there, and a machine leaves as planned."""
+    spare, leaving = fleet.spare(), fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.terminate(leaving)
+    await fleet.until(lambda: not leaving.machine.running)
+    left = [unit for unit in (*fleet.cores[:3], spare) if unit is not leaving]
+    return left, fleet.chance.choice(left)
+
+
+async def is_replaced(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A machine is gone without a word, and another has taken its place for as long as that counts as lost."""
+    gone = fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.empty_disk(gone)
+    left = [unit for unit in (*fleet.cores[:3], fleet.spare()) if unit is not gone]
+    await trio.sleep(SYNCED)
+    return left, fleet.chance.choice(left)
+
+
+async def joins(fleet: Fleet) -> tuple[list[Unit], Unit]:
+    """A machine has just been told to stop, and another starts in its place: that one's disk is lost."""
+    leaving = fleet.chance.choice(fleet.cores[:3])
+    await trio.sleep(SYNCED)
+    fleet.terminate(leaving)
+    await trio.sleep(fleet.chance.random() * SYNCED)
+    joined = fleet.spare()
+    await trio.sleep(fleet.chance.random() * SYNCED)
+    return [*fleet.cores[:3], joined], joined
+
+
+BEFORE = {before.__name__: before for before in (nothing, leaves, is_replaced, joins)}
+
+
+async def keep_changing(fleet: Fleet, scope: trio.CancelScope) -> None:
+    with scope:
+        await fleet.keep_changing(CHANGE_PAUSE)
+
+
+class UncountedFleet(unittest.TestCase):
+    """The same as whole programs in the virtual network, told by their settings."""
+
+    def test_what_was_acknowledged_outlasts_a_disk_and_a_machine_that_does_not_count(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                revision, read = play(self._play, f"uncounted/{seed}")[0]
+                self.assertEqual(read, revision)
+
+    async def _play(self, fleet: Fleet) -> tuple[int, int]:
+        await fleet.start()
+        extra = fleet.spare(counts=False)
+        await trio.sleep(4.0)
+        away = fleet.backups()[1]
+        fleet.cut_power(away)
+        await trio.sleep(4.0)
+        fleet.back(away)
+        await trio.sleep(4.0)
+        await fleet.put(config_of(fleet.sent + 1))
+        counted = fleet.cores[:3]
+        fleet.cut_power(extra, *fleet.routers)
+        fleet.empty_disk(counted[0])
+        fleet.cut_power(*counted[1:])
+        await trio.sleep(1.0)
+        fleet.back(*counted, *fleet.routers)
+        return fleet.revision, (await fleet.operator.read_config(20.0) or {}).get("revision", 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
