Add a soak: real processes on loopback under drawn troubles, and a checker

Cause: no test ran the system's own processes, with real signals, cuts and lost disks, under load. Change: rowanshift soak draws a plan from a seed, plays it between the emulated servers, platform, operators and clients, with a relay on each link, and checks the records.

--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -226,6 +226,18 @@
     return capacity(arguments)
 
 
+def soak(arguments: argparse.Namespace) -> int:
+    """Play real processes of the whole system on loopback under drawn troubles, and check what was recorded."""
+    from rowanshift.soak import command
+    from rowanshift.soak.plan import BadPlan
+
+    try:
+        plans = command.plans(arguments.seeds, arguments.seconds, arguments.routers, arguments.plan)
+        return command.soak(plans, arguments.net or command.own_net(), arguments.found)
+    except BadPlan as error:
+        fail(error, UNUSABLE)
+
+
 def run_role(name: str, arguments: argparse.Namespace) -> int | None:
     from rowanshift.node_settings import NodeSettingsError, load_node_settings
 
@@ -361,6 +373,10 @@
 
     add_options(add(capacity))
 
+    from rowanshift.soak import options
+
+    options.add_options(add(soak))
+
     under = add(simulate)
     under.add_argument("file", type=Path, nargs="?", help="a scenario as TOML")
     under.add_argument("--seeds", default="", help="N, or FIRST:LAST without the last")
--- /dev/null
+++ b/rowanshift/soak/command.py
@@ -0,0 +1,159 @@
+"""``rowanshift soak``: plays plans, prints a line for each, and keeps what a failing one left."""
+
+import os
+import shlex
+import shutil
+import signal
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from rowanshift.invariants.breaches import Breach, Facts, of_kind
+from rowanshift.invariants.facts import Answered, Asked, ConfigAnswered, ConfigSent
+from rowanshift.soak import checker, plan, records
+from rowanshift.soak.plan import BadPlan, Plan
+from rowanshift.soak.records import TroubleMet
+from rowanshift.soak.run import Run
+
+WELL, BROKEN, UNUSABLE = 0, 1, 2  # exit codes
+MOST_SEEDS = 10_000
+MOST_SHOWN = 20  # breaches of a seed that are printed
+PLAN, RECORDS, COMMAND, BREACHES = "plan.json", "records.jsonl", "command.txt", "breaches.txt"
+
+
+class Told(Exception):
+    """SIGTERM came to the soak itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a run showed."""
+
+    plan: Plan
+    seconds: float  # of wall time
+    facts: Facts
+    breaches: list[Breach]
+
+    def line(self) -> str:
+        """The run in a line of key=value pairs."""
+        met = Counter(str(one.trouble) for one in of_kind(self.facts, TroubleMet))
+        ends = of_kind(self.facts, Answered)
+        whole = sum(end.whole and 200 <= end.status < 300 for end in ends)
+        refused = sum(end.whole and not 200 <= end.status < 300 for end in ends)
+        changes = of_kind(self.facts, ConfigAnswered)
+        rules = Counter(breach.rule for breach in self.breaches)
+        pairs = {
+            "seed": self.plan.seed,
+            "wall_s": f"{self.seconds:.1f}",
+            "troubles": shown(met),
+            "overlap": overlap(self.facts),
+            "requests": len(of_kind(self.facts, Asked)),
+            "whole": whole,
+            "refused": refused,
+            "changes": len(of_kind(self.facts, ConfigSent)),
+            "acknowledged": sum(answer.status == 200 for answer in changes),
+            "breaches": shown(rules),
+        }
+        return " ".join(f"{name}={value}" for name, value in pairs.items())
+
+
+def shown(counts: Counter) -> str:
+    """A sum and its parts, without blanks."""
+    parts = ",".join(f"{name.replace(' ', '-')}:{count}" for name, count in sorted(counts.items()))
+    return f"{counts.total()}({parts})" if parts else "0"
+
+
+def overlap(facts: Facts) -> int:
+    """The most troubles that there were at one moment."""
+    met = of_kind(facts, TroubleMet)
+    return max((sum(one.at <= moment.at < one.until for one in met) for moment in met), default=0)
+
+
+async def _until_told(run: Run) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_heed)
+        await run.play()
+        nursery.cancel_scope.cancel()
+
+
+async def _heed() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise Told
+
+
+def play(drawn: Plan, folder: Path, net: str) -> Result:
+    """Plays a plan with all its files under a folder, and checks what was recorded."""
+    facts: list = []
+
+    async def all_of_it() -> None:
+        run = Run(drawn, folder, net)
+        try:
+            await _until_told(run)
+        finally:
+            facts.extend(run.facts)
+
+    began = time.monotonic()
+    (folder / PLAN).write_bytes(plan.to_json(drawn))
+    try:
+        trio.run(all_of_it)
+    finally:
+        records.write(folder / RECORDS, facts)
+    seconds = time.monotonic() - began
+    return Result(drawn, seconds, facts, checker.check(facts, folder / "logs"))
+
+
+def keep(result: Result, folder: Path, found: Path, net: str) -> Path:
+    """Moves what a failing run left to where it is kept, with its plan and command line."""
+    place = found / f"soak-{result.plan.seed}-{time.strftime('%Y%m%d-%H%M%S')}-{os.getpid()}"
+    place.mkdir(parents=True)
+    for name in (PLAN, RECORDS, "logs"):
+        shutil.move(folder / name, place / name)
+    (place / BREACHES).write_text("".join(f"{breach}\n" for breach in result.breaches))
+    command = ["rowanshift", "soak", "--plan", str(place / PLAN), "--net", net]
+    (place / COMMAND).write_text(shlex.join(command) + "\n")
+    return place
+
+
+def own_net() -> str:
+    """Addresses that two soaks at once do not share, as far as their process ids tell."""
+    number = os.getpid()
+    return f"127.{100 + number % 100}.{number // 100 % 250}."
+
+
+def plans(seeds: str, seconds: float, routers: int | None, file: Path | None) -> list[Plan]:
+    """The plans that are asked for; ``BadPlan`` if they can't be used."""
+    if file is not None:
+        try:
+            return [plan.from_json(file.read_bytes())]
+        except OSError as error:
+            raise BadPlan(f"{file}: {error.strerror}") from error
+    first, colon, last = seeds.partition(":")
+    try:
+        numbers = range(int(first), int(last)) if colon else range(int(first))
+    except ValueError:
+        raise BadPlan(f"--seeds: N or FIRST:LAST expected, not {seeds!r}") from None
+    if not 0 < len(numbers) <= MOST_SEEDS:
+        raise BadPlan(f"--seeds: 1 to {MOST_SEEDS} seeds expected, not {len(numbers)}")
+    return [plan.draw(seed, seconds, routers) for seed in numbers]
+
+
+def soak(wanted: list[Plan], net: str, found: Path) -> int:
+    """Plays plans one after another and prints a line for each; the exit code."""
+    code = WELL
+    for drawn in wanted:
+        with tempfile.TemporaryDirectory(prefix="rowanshift-soak-") as temporary:
+            folder = Path(temporary)
+            result = play(drawn, folder, net)
+            print(result.line(), flush=True)
+            if result.breaches:
+                code = BROKEN
+                place = keep(result, folder, found, net)
+                for breach in result.breaches[:MOST_SHOWN]:
+                    print(f"  {breach}", flush=True)
+                print(f"  kept: {place}; again: {(place / COMMAND).read_text().strip()}", flush=True)
+    return code
--- /dev/null
+++ b/rowanshift/soak/load.py
@@ -0,0 +1,217 @@
+"""Who asks the system of a soak run: clients on all kinds of routes, and operators that change its configuration."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import trio
+
+from rowanshift.emulation.model_server import Registry
+from rowanshift.emulation.system_clients import Operator, Patron, Work
+from rowanshift.invariants.facts import ConfigAnswered, ConfigRead, ConfigSent, Fact
+from rowanshift.net.budget import Memory
+from rowanshift.net.calls import CallFailed, call
+from rowanshift.net.transport import Address, Host
+from rowanshift.simulation.fleet_settings import (
+    CATALOGUES,
+    HOST,
+    KEYS,
+    MODEL,
+    ONCE,
+    REPEATED,
+    RESUMED,
+    SERVICE,
+    config_of,
+    routes_of,
+)
+from rowanshift.soak.layout import Layout
+from rowanshift.soak.plan import Plan
+
+OTHER = "other"  # the second service
+PROBE, MISSES = 0.5, 4  # seconds between looks whether a router is ready, and failures until clients leave it
+PAUSE = 0.25  # seconds between two requests of a client, on average
+LENGTHS, LENGTH_WEIGHTS = (40, 200, 600), (6, 3, 1)  # tokens of an answer
+DEADLINE = 6.0  # seconds of a request
+MOST_REQUESTS = 200_000  # of a run; no more are sent
+MOST_ROUTES = 24  # beside the first
+CHANGE_WITHIN = 6.0  # seconds for an operator's call
+VERSION_EVERY = 7.0  # seconds between named versions
+REPEAT_SHARE = 0.05  # of changes are sent again as they were
+
+
+class Balancer:
+    """Which routers clients are sent to: those that say they are ready, known as late as a platform knows it."""
+
+    def __init__(self, host: Host, layout: Layout) -> None:
+        self.host, self.layout, self.memory = host, layout, Memory(4096)
+        self.ready: list[Address] = []
+        self.says_ready: dict[str, bool] = dict.fromkeys(layout.routers, False)  # as each said last
+
+    async def probe(self, name: str) -> None:
+        """Ask one router again and again, for good."""
+        front, missed = self.layout.front(name), 0
+        while True:
+            self.says_ready[name] = await self._is_ready(name)
+            missed = 0 if self.says_ready[name] else missed + 1
+            if not missed and front not in self.ready:
+                self.ready.append(front)
+            elif missed >= MISSES and front in self.ready and len(self.ready) > 1:
+                self.ready.remove(front)
+            await trio.sleep(PROBE)
+
+    async def _is_ready(self, name: str) -> bool:
+        address = self.layout.readiness(name)
+        try:
+            answer = await call(self.host, self.memory, address, b"GET", b"/readiness", within=PROBE)
+        except CallFailed:
+            return False
+        return answer.status == 200
+
+
+class Clients:
+    """Clients that ask one request after another until they are told to end.
+
+    A third chooses anew among the ready routers each time; a third keeps to the router of its kept connection; a
+    third knows all routers and never asks which are ready.
+    """
+
+    def __init__(
+        self, plan: Plan, host: Host, layout: Layout, balancer: Balancer, now: Callable[[], float], facts: list[Fact]
+    ) -> None:
+        self.plan, self.host, self.layout, self.balancer, self.now, self.facts = (
+            plan,
+            host,
+            layout,
+            balancer,
+            now,
+            facts,
+        )
+        self.fronts = [layout.front(name) for name in layout.routers]
+        self.requests = 0
+
+    async def run(self) -> None:
+        """All clients, for good."""
+        async with trio.open_nursery() as nursery:
+            for number in range(self.plan.clients):
+                nursery.start_soon(self._ask, number)
+
+    async def _ask(self, number: int) -> None:
+        chance = random.Random(f"{self.plan.seed}/client/{number}")
+        name = f"c{number}"
+        patron = Patron(self.host, name, self.now, self.facts, self.fronts, chance, keeps=number % 3 == 1)
+        key = [held[0] for held in KEYS.values()][number // 3 % len(KEYS)]
+        prefix = (RESUMED, ONCE, REPEATED)[number // 3 % 3]
+        try:
+            while self.requests < MOST_REQUESTS:
+                self.requests += 1
+                patron.fronts = self._choices(number, patron)
+                await patron.call(work_of(prefix, key, f"{name}-own-{patron.calls}", chance))
+                await trio.sleep(PAUSE * (0.5 + chance.random()))
+        finally:
+            patron.close()
+
+    def _choices(self, number: int, patron: Patron) -> list[Address]:
+        if number % 3 == 2:
+            return self.fronts
+        if patron.kept:
+            return [*patron.kept]
+        return self.balancer.ready or self.fronts
+
+
+def work_of(prefix: str, key: str, own: str, chance: random.Random) -> Work:
+    """One request: a shared prompt, a part of its own, and an answer of some length."""
+    tenant = next(name for name, held in KEYS.items() if key in held)
+    prompt = ("preamble", 200), (f"catalogue-{chance.randrange(CATALOGUES)}", 100), (own, 30)
+    return Work(
+        HOST,
+        f"{prefix}x",
+        MODEL,
+        prompt,
+        chance.choices(LENGTHS, LENGTH_WEIGHTS)[0],
+        key,
+        tenant,
+        repeatable=prefix != ONCE,
+        resumable=prefix == RESUMED,
+        within=DEADLINE,
+        body=orjson.dumps({"own": own}),
+    )
+
+
+def config_at(revision: int) -> dict[str, Any]:
+    """The configuration of a revision: one route moves between two services, and further ones come and go."""
+    routes = routes_of()
+    routes[1]["backend"] = (SERVICE, OTHER)[revision % 2]
+    more = [
+        routes[0] | {"name": f"more-{n}", "pathPrefix": f"/more-{n}/", "timeoutMs": 5000 + revision % 100}
+        for n in range(revision % (MOST_ROUTES + 1))
+    ]
+    return config_of(revision, routes=[*routes, *more])
+
+
+class Changes:
+    """The operators' calls: one configuration after another, now and then one again as it was, and versions."""
+
+    def __init__(
+        self, plan: Plan, host: Host, layout: Layout, registry: Registry, now: Callable[[], float], facts: list[Fact]
+    ) -> None:
+        self.plan, self.facts = plan, facts
+        self.chance = random.Random(f"{plan.seed}/operators")
+        self.operator, self.second = (
+            Operator(host, name, now, facts, layout.controls(), random.Random(f"{plan.seed}/{name}"), registry)
+            for name in ("op1", "op2")
+        )
+        self.acknowledged = self.sent = 0  # revisions
+
+    async def first(self, within: float) -> bool:
+        """Send the first configuration; whether it was acknowledged."""
+        return await self._put(1, within) == 200
+
+    async def run(self) -> None:
+        """Change the configuration and name versions, for good."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._change)
+            nursery.start_soon(self._name_versions)
+
+    async def read(self, within: float) -> dict[str, Any] | None:
+        """The configuration as the core has it; what did not come is no fact."""
+        config = await self.operator.read_config(within)
+        if config is None and self.facts and type(self.facts[-1]) is ConfigRead:
+            self.facts.pop()
+        return config
+
+    async def _change(self) -> None:
+        while True:
+            if await self._put(self.sent + 1, CHANGE_WITHIN) != 200:
+                await self._learn()
+            elif self.chance.random() < REPEAT_SHARE:
+                await self._send_again()
+            await trio.sleep(self.chance.uniform(0.5, 1.5) / self.plan.changes_per_second)
+
+    async def _put(self, revision: int, within: float) -> int:
+        self.sent = revision
+        status = await self.operator.put_config(config_at(revision), self.acknowledged, within)
+        if status == 200:
+            self.acknowledged = revision
+        return status
+
+    async def _learn(self) -> None:
+        """Which revision is in force, after an answer that did not tell."""
+        if (config := await self.read(CHANGE_WITHIN)) is not None:
+            self.acknowledged = max(self.acknowledged, config.get("revision", 0))
+
+    async def _send_again(self) -> None:
+        taken = [fact for fact in self.facts[-500:] if type(fact) is ConfigAnswered and fact.status == 200]
+        if not taken:
+            return
+        for fact in reversed(self.facts):
+            if type(fact) is ConfigSent and fact.call == taken[-1].call:
+                await self.second.put_config(fact.config, fact.base, CHANGE_WITHIN)
+                return
+
+    async def _name_versions(self) -> None:
+        revision = 2
+        while True:
+            await trio.sleep(VERSION_EVERY * self.chance.uniform(0.5, 1.5))
+            if 200 <= await self.second.name_version(MODEL, revision, CHANGE_WITHIN) < 300:
+                revision += 1
--- /dev/null
+++ b/rowanshift/soak/run.py
@@ -0,0 +1,292 @@
+"""Plays one plan: starts the system between its emulated surroundings, brings the troubles about, records all.
+
+Nothing is left running when ``play`` returns or raises.
+"""
+
+import random
+import signal
+from collections.abc import Callable
+from contextlib import contextmanager
+from pathlib import Path
+
+import trio
+
+from rowanshift.emulation.cluster import Inside
+from rowanshift.emulation.model_server import ModelServer, Registry, Traits
+from rowanshift.emulation.platform import PlatformList
+from rowanshift.invariants.facts import Fact, Resumed
+from rowanshift.simulation.fleet_settings import MODEL, SERVICE
+from rowanshift.soak.layout import GRACE, Layout, Wire, relays_by_link
+from rowanshift.soak.load import OTHER, Balancer, Changes, Clients
+from rowanshift.soak.plan import Plan, Trouble, TroubleKind
+from rowanshift.soak.processes import Processes
+from rowanshift.soak.records import LoadEnded, ReadBack, Stalled, TroubleMet
+
+START_APART = 0.3  # seconds in which all processes start
+START_WITHIN = 20.0  # seconds until all is ready
+RECOVER_WITHIN = 20.0  # seconds from the last trouble until all is ready again
+READ_WITHIN = 10.0  # seconds for the last reading
+KILL_AFTER = 1.0  # seconds beyond the grace; then a process that was told to stop is killed
+LOOK = 0.05  # seconds
+OVERHEAD = START_WITHIN + RECOVER_WITHIN + READ_WITHIN + 2 * (GRACE + KILL_AFTER) + 30.0  # seconds beside the load
+MOST_FACTS = 3_000_000
+TRAITS = Traits(slots=8, queue=8, kv_tokens=20_000, load=0.4, gap=0.01, prefill=0.00002)
+
+
+class TooManyFacts(Exception):
+    """The run recorded more than ``MOST_FACTS``."""
+
+
+class Run:
+    """One run of a plan under a folder, at the addresses that begin with ``net``."""
+
+    def __init__(self, plan: Plan, folder: Path, net: str) -> None:
+        self.plan, self.chance = plan, random.Random(f"{plan.seed}/run")
+        self.began = trio.current_time()
+        self.facts: list[Fact] = []
+        self.host = Inside()
+        self.layout = Layout(plan, folder, net)
+        self.registry = Registry()
+        self.wires: list[Wire] = [*self.layout.wires(self.host)]
+        self.relays = relays_by_link(self.wires)
+        self.balancer = Balancer(self.host, self.layout)
+        self.clients = Clients(plan, self.host, self.layout, self.balancer, self.now, self.facts)
+        self.changes = Changes(plan, self.host, self.layout, self.registry, self.now, self.facts)
+        self.platform = PlatformList(self.host, self.layout.platform(), 40.0, 800.0, self.now, self.facts)
+        self.servers = [self._server(name) for name in self.layout.servers]
+        self.bootstrap = True
+
+    def now(self) -> float:
+        """Seconds since the run began."""
+        return trio.current_time() - self.began
+
+    def _server(self, name: str) -> ModelServer:
+        service = OTHER if name == self.layout.servers[-1] else SERVICE
+        server = ModelServer(
+            self.host,
+            self.layout.server(name),
+            name,
+            service,
+            self.now,
+            self.facts,
+            self.registry,
+            {MODEL: 1},
+            TRAITS,
+            chance=random.Random(f"{self.plan.seed}/{name}"),
+        )
+        server.name = "{}:{}".format(*self.layout.listed(name))  # others reach it through its relay
+        return server
+
+    async def play(self) -> None:
+        """From the start of all processes to their end."""
+        try:
+            with trio.fail_after(self.plan.seconds + OVERHEAD), Processes(self.layout, self.now, self.facts) as made:
+                self.processes = made.by_name
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(made.watch)
+                    nursery.start_soon(self._bound)
+                    await self._surround(nursery)
+                    if await self._start(nursery):
+                        await self._load()
+                    nursery.cancel_scope.cancel()
+        finally:
+            self.host.close()
+
+    async def _bound(self) -> None:
+        while len(self.facts) <= MOST_FACTS:
+            await trio.sleep(1.0)
+        raise TooManyFacts
+
+    async def _surround(self, nursery: trio.Nursery) -> None:
+        """Servers, the platform's list, relays and the balancer's probes."""
+        for wire in self.wires:
+            await nursery.start(wire.relay.run)
+        for server in self.servers:
+            nursery.start_soon(server.run)
+            self.platform.add(server)
+        nursery.start_soon(self.platform.run)
+        for name in self.layout.routers:
+            nursery.start_soon(self.balancer.probe, name)
+
+    async def _start(self, nursery: trio.Nursery) -> bool:
+        """Starts the system on empty disks and gives it a configuration; whether it became ready."""
+        await self._start_apart(self.layout.machines)
+        if not await self.changes.first(START_WITHIN):
+            self._stalled(f"no configuration was acknowledged within {START_WITHIN:g} s of the start")
+            return False
+        if not await self._ready(START_WITHIN):
+            return False
+        self.bootstrap = False
+        for name in self.layout.machines:
+            self._write_settings(name)
+        return True
+
+    async def _start_apart(self, names: list[str]) -> None:
+        """Starts machines in any order within ``START_APART``."""
+        order = self.chance.sample(names, len(names))
+        for name in order:
+            self._write_settings(name)
+            self.processes[name].start()
+            await trio.sleep(START_APART / len(order))
+
+    def _write_settings(self, name: str) -> None:
+        self.layout.write_settings(name, self.bootstrap, self.chance)
+
+    async def _ready(self, within: float) -> bool:
+        """Waits until every router says that it is ready."""
+        with trio.move_on_after(within):
+            while not all(self.balancer.says_ready.values()):
+                await trio.sleep(LOOK)
+            return True
+        late = [name for name, ready in self.balancer.says_ready.items() if not ready]
+        self._stalled(f"not ready within {within:g} s: {', '.join(late)}")
+        return False
+
+    def _stalled(self, what: str) -> None:
+        self.facts.append(Stalled(self.now(), what))
+
+    async def _load(self) -> None:
+        """Clients, changes and troubles, then the end."""
+        async with trio.open_nursery() as clients:
+            clients.start_soon(self.clients.run)
+            async with trio.open_nursery() as changes:
+                changes.start_soon(self.changes.run)
+                async with trio.open_nursery() as troubles:
+                    for trouble in self.plan.troubles:
+                        troubles.start_soon(self._befall, trouble)
+                    await trio.sleep(self.plan.seconds)
+                changes.cancel_scope.cancel()
+            await self._recover()
+            await self._end_all()
+            self.facts.append(LoadEnded(self.now()))
+            clients.cancel_scope.cancel()
+
+    async def _recover(self) -> None:
+        """All processes run again and are ready; the configuration is read back."""
+        for name in self.layout.machines:
+            self.processes[name].start()
+            self.balancer.says_ready.update({name: False} if name in self.layout.routers else {})
+        await self._ready(RECOVER_WITHIN)
+        config = await self.changes.read(READ_WITHIN)
+        self.facts.append(ReadBack(self.now(), config))
+
+    async def _end_all(self) -> None:
+        """Every process is told to stop, while clients go on."""
+        async with trio.open_nursery() as nursery:
+            for name in self.layout.machines:
+                nursery.start_soon(self._stop, name)
+
+    async def _stop(self, name: str) -> None:
+        """Tells a process to stop and waits for its end; one that is late is killed."""
+        process = self.processes[name]
+        life = process.life
+        if not process.send(signal.SIGTERM):
+            return
+        with trio.move_on_after(GRACE + KILL_AFTER):
+            await process.ended.wait()
+            return
+        if process.life == life:
+            process.kill()
+
+    # troubles ---------------------------------------------
+
+    async def _befall(self, trouble: Trouble) -> None:
+        await trio.sleep(trouble.at)
+        begun = self.now()
+        methods: dict[TroubleKind, Callable] = {
+            TroubleKind.KILL: self._kill,
+            TroubleKind.PAUSE: self._pause,
+            TroubleKind.STOP: self._stop_and_start,
+            TroubleKind.RELOAD: self._reload,
+            TroubleKind.CUT: self._cut,
+            TroubleKind.LOSE_ANSWERS: self._lose_answers,
+            TroubleKind.WIPE: self._wipe,
+        }
+        await methods[trouble.kind](trouble)
+        self.facts.append(TroubleMet(begun, self.now(), trouble.kind, trouble.machines, trouble.links))
+
+    async def _kill(self, trouble: Trouble) -> None:
+        for name in trouble.machines:
+            self.processes[name].kill()
+        await trio.sleep(trouble.lasts)
+        self._start_again(trouble.machines)
+
+    def _start_again(self, names: tuple[str, ...] | list[str]) -> None:
+        for name in names:
+            self.processes[name].start()
+
+    async def _pause(self, trouble: Trouble) -> None:
+        paused = [(name, self.processes[name].life) for name in trouble.machines if self._sent(name, signal.SIGSTOP)]
+        await trio.sleep(trouble.lasts)
+        for name, life in paused:
+            process = self.processes[name]
+            if process.life == life and process.send(signal.SIGCONT):
+                self._resumed(name)
+
+    def _sent(self, name: str, number: signal.Signals) -> bool:
+        return self.processes[name].send(number)
+
+    def _resumed(self, name: str) -> None:
+        control = "{}:{}".format(*self.layout.control(name)) if name in self.layout.cores else ""
+        self.facts.append(Resumed(self.now(), name, control))
+
+    async def _stop_and_start(self, trouble: Trouble) -> None:
+        async with trio.open_nursery() as nursery:
+            for name in trouble.machines:
+                nursery.start_soon(self._stop_then_start, name, trouble.lasts)
+
+    async def _stop_then_start(self, name: str, pause: float) -> None:
+        await self._stop(name)
+        await trio.sleep(pause)
+        self.processes[name].start()
+
+    async def _reload(self, trouble: Trouble) -> None:
+        for name in trouble.machines:
+            self._write_settings(name)
+            self._sent(name, signal.SIGHUP)
+        await trio.sleep(trouble.lasts)
+
+    async def _cut(self, trouble: Trouble) -> None:
+        relays = [relay for link in trouble.links for relay in self.relays(link)]
+        for relay in relays:
+            relay.cut(trouble.direction)
+        await trio.sleep(trouble.lasts)
+        for relay in relays:
+            relay.join(trouble.direction)
+        for name in {end for link in trouble.links for end in (link.caller, link.target)} & {*self.layout.machines}:
+            self._resumed(name)
+
+    async def _lose_answers(self, trouble: Trouble) -> None:
+        relays = [relay for link in trouble.links for relay in self.relays(link)]
+        with losing(relays):
+            await trio.sleep(trouble.lasts)
+
+    async def _wipe(self, trouble: Trouble) -> None:
+        """Every process is killed in one step of the soak's own process, and one disk is lost."""
+        for process in self.processes.values():
+            process.send(signal.SIGKILL)
+        for process in self.processes.values():
+            process.kill()
+        for name in trouble.machines:
+            self.processes[name].wipe()
+        await trio.sleep(trouble.lasts)
+        await self._start_apart(self.layout.machines)
+
+
+@contextmanager
+def losing(relays: list):
+    """Within it the relays drop all answers."""
+    for relay in relays:
+        relay.losing += 1
+    try:
+        yield
+    finally:
+        for relay in relays:
+            relay.losing -= 1
+
+
+async def play(plan: Plan, folder: Path, net: str) -> list[Fact]:
+    """Plays a plan and gives what was recorded."""
+    run = Run(plan, folder, net)
+    await run.play()
+    return run.facts
