Test the soak: plan, relay, records, planted breaches, its short form with real processes

Cause: a checker that finds nothing must be shown to find what is planted. Change: unit tests of each part with planted breaches; two short runs of real processes; what is started ends with the soak, also at SIGINT, SIGTERM and SIGKILL. Operators also race.

--- a/rowanshift/soak/load.py
+++ b/rowanshift/soak/load.py
@@ -38,6 +38,7 @@
 CHANGE_WITHIN = 6.0  # seconds for an operator's call
 VERSION_EVERY = 7.0  # seconds between named versions
 REPEAT_SHARE = 0.05  # of changes are sent again as they were
+RACE_SHARE = 0.05  # of changes are sent at once with another operator's of the same number, on the same base
 READ_EVERY = 1.0  # seconds between an operator's readings of the configuration
 
 
@@ -189,9 +190,12 @@
 
     async def _change(self) -> None:
         while True:
-            if await self._put(self.sent + 1, CHANGE_WITHIN) != 200:
+            drawn = self.chance.random()
+            if drawn < RACE_SHARE:
+                await self._race()
+            elif await self._put(self.sent + 1, CHANGE_WITHIN) != 200:
                 await self._learn()
-            elif self.chance.random() < REPEAT_SHARE:
+            elif drawn > 1 - REPEAT_SHARE:
                 await self._send_again()
             await trio.sleep(self.chance.uniform(0.5, 1.5) / self.plan.changes_per_second)
 
@@ -202,6 +206,17 @@
             self.acknowledged = revision
         return status
 
+    async def _race(self) -> None:
+        """Two operators send different configurations of one number on top of the same one."""
+        self.sent += 1
+        ours = config_at(self.sent)
+        theirs = ours | {"routes": [*ours["routes"][:-1], ours["routes"][-1] | {"targetLatencyMs": 700}]}
+        base = self.acknowledged
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.operator.put_config, ours, base, CHANGE_WITHIN)
+            nursery.start_soon(self.second.put_config, theirs, base, CHANGE_WITHIN)
+        await self._learn()
+
     async def _learn(self) -> None:
         """Which revision is in force, after an answer that did not tell."""
         if (config := await self.read(CHANGE_WITHIN)) is not None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,631 @@
+"""The soak: its plan, relay, records, checker and command, and its short form with real processes."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
+from pathlib import Path
+from unittest import mock
+from zlib import crc32
+
+import msgspec
+import pytest
+import trio
+
+from rowanshift import cli
+from rowanshift.invariants.facts import (
+    Answered,
+    Asked,
+    Began,
+    ConfigAnswered,
+    ConfigRead,
+    ConfigSent,
+    Finished,
+    Lost,
+    Piece,
+    Reached,
+    digest_of,
+)
+from rowanshift.net.transport import SYSTEM, connect, send_all
+from rowanshift.soak import checker, command, plan, records
+from rowanshift.soak.layout import GRACE, Layout
+from rowanshift.soak.plan import BadPlan, Direction, Link, Trouble, TroubleKind
+from rowanshift.soak.records import (
+    BadRecords,
+    Lagged,
+    ProcessEnded,
+    ProcessSignalled,
+    ProcessStarted,
+    ReadBack,
+    Recovered,
+    Stalled,
+    TroubleMet,
+)
+from rowanshift.soak.relay import DatagramRelay, Relay
+from rowanshift.soak.run import Run
+
+ROOT = Path(__file__).parents[1]
+SHORT_SEEDS = 1, 4
+SEEDS = range(60)  # that are drawn without being played
+
+
+class Plans(unittest.TestCase):
+    def test_the_same_seed_draws_the_same_plan(self) -> None:
+        self.assertEqual(plan.draw(3, 30.0), plan.draw(3, 30.0))
+        self.assertNotEqual(plan.draw(3, 30.0).troubles, plan.draw(4, 30.0).troubles)
+
+    def test_what_is_drawn(self) -> None:
+        plans = [plan.draw(seed, 60.0) for seed in SEEDS]
+        for drawn in plans:
+            self.assertIn(drawn.routers, (4, 5, 6))
+            self.assertGreaterEqual(drawn.overlap(), 2)
+            self.assertLessEqual(drawn.overlap(), 4)
+            self.assertLessEqual(drawn.kinds().get("wipe", 0), 1)
+            self.assertGreater(drawn.changes_per_second * drawn.seconds, 400)
+        self.assertEqual({kind for drawn in plans for kind in drawn.kinds()}, {*map(str, TroubleKind)})
+        links = {link for drawn in plans for one in drawn.troubles for link in one.links}
+        self.assertTrue({"clients", "operators", "system", "core-1", "router-1"} <= {link.caller for link in links})
+        directions = {one.direction for drawn in plans for one in drawn.troubles if one.kind is TroubleKind.CUT}
+        self.assertEqual(directions, {*Direction})
+
+    def test_a_plan_in_a_file(self) -> None:
+        drawn = plan.draw(5, 20.0)
+        self.assertEqual(plan.from_json(plan.to_json(drawn)), drawn)
+
+    def test_plans_that_can_not_be_played(self) -> None:
+        drawn = plan.draw_short(1)
+        wipe = Trouble(TroubleKind.WIPE, 1.0, 0.5, ("core-1",))
+        for broken, why in (
+            (dict(seconds=1.0), "seconds"),
+            (dict(seconds=float("nan")), "seconds"),
+            (dict(seconds=1e6), "seconds"),
+            (dict(routers=50), "routers"),
+            (dict(cores=5), "cores"),
+            (dict(clients=1000), "clients"),
+            (dict(changes_per_second=0.0), "changes_per_second"),
+            (dict(troubles=(wipe, wipe)), "disks"),
+            (dict(troubles=(replace_struct(wipe, machines=("core-1", "core-2")),)), "disks"),
+            (dict(troubles=(replace_struct(wipe, machines=("router-1",)),)), "no such machine"),
+            (dict(troubles=(replace_struct(wipe, at=7.0),)), "within"),
+            (dict(troubles=(replace_struct(wipe, lasts=-1.0),)), "within"),
+            (dict(troubles=(Trouble(TroubleKind.KILL, 1.0, 1.0),)), "machines"),
+            (dict(troubles=(Trouble(TroubleKind.CUT, 1.0, 1.0, ("core-1",)),)), "links"),
+            (dict(troubles=(Trouble(TroubleKind.CUT, 1.0, 1.0, links=(Link("a", "b"),)),)), "no such link"),
+            (dict(troubles=(Trouble(TroubleKind.RELOAD, 1.0, 0.0, ("core-1",)),) * 3000), "at most"),
+        ):
+            with self.subTest(broken=broken), self.assertRaisesRegex(BadPlan, why):
+                plan.check(replace_struct(drawn, **broken))
+        for data in (b"", b"[]", b'{"seed": 1}', b"\xff", plan.to_json(drawn).replace(b'"seed"', b'"sead"')):
+            with self.subTest(data=data), self.assertRaises(BadPlan):
+                plan.from_json(data)
+        for seconds in (float("inf"), -1.0):
+            with self.assertRaises(BadPlan):
+                plan.draw(1, seconds)
+
+
+def replace_struct(struct, **changes):
+    return msgspec.structs.replace(struct, **changes)
+
+
+class Layouts(unittest.TestCase):
+    def test_each_listener_has_an_address_of_its_own(self) -> None:
+        drawn = replace_struct(plan.draw_short(1), routers=plan.MOST_ROUTERS, troubles=())
+        layout = Layout(drawn, Path("/none"), "127.92.9.")
+        wires = [*layout.wires(SYSTEM)]
+        streams = [wire.relay.address for wire in wires if isinstance(wire.relay, Relay)]
+        streams += [layout.internal(name) for name in layout.cores]
+        streams += [layout.control(name) for name in layout.cores]
+        streams += [layout.readiness(name) for name in layout.routers]
+        streams += [layout.server(name) for name in layout.servers]
+        self.assertEqual(len(streams), len(set(streams)))
+        datagrams = [wire.relay.address for wire in wires if isinstance(wire.relay, DatagramRelay)]
+        datagrams += [layout.internal(name) for name in layout.routers]
+        self.assertEqual(len(datagrams), len(set(datagrams)))
+        self.assertEqual({wire.link for wire in wires}, plan.known_links(drawn))
+
+
+# the relay --------------------------------------------------
+
+
+class Echo:
+    """Sends back what comes in, and keeps it."""
+
+    def __init__(self, address):
+        self.address, self.got = address, b""
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        listeners = await trio.open_tcp_listeners(self.address[1], host=self.address[0])
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    async def _serve(self, stream):
+        with suppress(trio.BrokenResourceError):
+            async for data in stream:
+                self.got += data
+                await stream.send_all(data)
+
+
+class Relays(unittest.TestCase):
+    def setUp(self) -> None:
+        """Addresses that tests of other workers do not have."""
+        number = crc32(self.id().encode())
+        net = f"127.93.{number % 250}."
+        self.port = 10_000 + number // 250 % 20_000
+        self.listen, self.target, self.nobody = ((f"{net}{last}", self.port) for last in (1, 2, 3))
+
+    def play(self, main) -> None:
+        async def run():
+            echo, relay = Echo(self.target), Relay(SYSTEM, self.listen, self.target)
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(echo.run)
+                    await nursery.start(relay.run)
+                    await main(relay, echo)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    @asynccontextmanager
+    async def caller(self):
+        stream = SYSTEM.stream()
+        try:
+            await connect(stream, self.listen)
+            yield stream
+        finally:
+            stream.close()
+
+    @staticmethod
+    async def heard(stream, within: float = 0.3) -> bytes | None:
+        """What comes next; none: nothing within the time."""
+        space = memoryview(bytearray(1 << 16))
+        with trio.move_on_after(within):
+            await stream.wait_readable()
+            return bytes(space[: stream.recv_into(space)])
+        return None
+
+    def test_it_passes_both_ways_and_the_end(self) -> None:
+        async def main(relay, echo):
+            async with self.caller() as stream:
+                await send_all(stream, b"hello")
+                self.assertEqual(await self.heard(stream), b"hello")
+                stream.end()
+                self.assertEqual(await self.heard(stream), b"")
+            await trio.sleep(0.05)
+            self.assertEqual(relay.open, 0)
+
+        self.play(main)
+
+    def test_a_cut_towards_the_target_holds_the_question(self) -> None:
+        async def main(relay, echo):
+            async with self.caller() as stream:
+                await send_all(stream, b"1")
+                self.assertEqual(await self.heard(stream), b"1")
+                relay.cut(Direction.TOWARDS)
+                await send_all(stream, b"2")
+                self.assertIsNone(await self.heard(stream))
+                self.assertEqual(echo.got, b"1")
+                relay.join(Direction.TOWARDS)
+                self.assertEqual(await self.heard(stream), b"2")
+
+        self.play(main)
+
+    def test_a_cut_on_the_way_back_holds_the_answer(self) -> None:
+        async def main(relay, echo):
+            async with self.caller() as stream:
+                await send_all(stream, b"1")
+                self.assertEqual(await self.heard(stream), b"1")
+                relay.cut(Direction.BACK)
+                await send_all(stream, b"2")
+                self.assertIsNone(await self.heard(stream))
+                self.assertEqual(echo.got, b"12")
+                relay.join(Direction.BACK)
+                self.assertEqual(await self.heard(stream), b"2")
+
+        self.play(main)
+
+    def test_two_cuts_at_once_end_with_the_last(self) -> None:
+        async def main(relay, echo):
+            relay.cut(Direction.BOTH)
+            relay.cut(Direction.TOWARDS)
+            async with self.caller() as stream:
+                await send_all(stream, b"1")
+                relay.join(Direction.BOTH)
+                self.assertIsNone(await self.heard(stream))
+                self.assertEqual(echo.got, b"")
+                relay.join(Direction.TOWARDS)
+                self.assertEqual(await self.heard(stream), b"1")
+
+        self.play(main)
+
+    def test_an_answer_is_lost_after_the_question_came(self) -> None:
+        async def main(relay, echo):
+            async with self.caller() as stream:
+                relay.losing += 1
+                await send_all(stream, b"1")
+                self.assertEqual(await self.heard(stream), b"")
+                self.assertEqual(echo.got, b"1")
+                relay.losing -= 1
+            async with self.caller() as stream:
+                await send_all(stream, b"2")
+                self.assertEqual(await self.heard(stream), b"2")
+
+        self.play(main)
+
+    def test_nobody_listens_behind_it(self) -> None:
+        async def main(relay, echo):
+            relay.target = self.nobody
+            async with self.caller() as stream:
+                with self.assertRaises(OSError):
+                    self.assertEqual(await self.heard(stream, 2.0), b"an error")
+
+        self.play(main)
+
+    def test_datagrams(self) -> None:
+        caller, target = self.listen, (self.target[0], self.port + 1)
+        between = self.target
+
+        async def main():
+            relay = DatagramRelay(SYSTEM, between, caller, target)
+            ports = SYSTEM.port(caller), SYSTEM.port(target)
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(relay.run)
+                    await ports[0].send(b"ask", between)
+                    payload, sender = await ports[1].receive(100)
+                    self.assertEqual((payload, sender), (b"ask", between))
+                    relay.cut(Direction.BACK)
+                    await ports[1].send(b"lost", sender)
+                    await trio.sleep(0.05)
+                    relay.join(Direction.BACK)
+                    await ports[1].send(b"told", sender)
+                    self.assertEqual((await ports[0].receive(100))[0], b"told")
+                    nursery.cancel_scope.cancel()
+            for port in ports:
+                port.close()
+
+        trio.run(main)
+
+
+# the checker ------------------------------------------------
+
+FRONT = "127.0.0.11:8180"
+CONFIG = {"revision": 1, "routes": [], "backends": []}
+
+
+def a_run(code: int = 0, took: float = 3.0) -> list:
+    """A router's life, told to stop at 20 s, and a configuration that is there at the end."""
+    return [
+        ProcessStarted(0.0, "router-1", 1, "router-1.1.log", FRONT),
+        ConfigSent(1.0, "op-1", 0, 1, CONFIG),
+        ConfigAnswered(1.1, "op-1", 0, 1, 200),
+        ReadBack(19.0, CONFIG),
+        ProcessSignalled(20.0, "router-1", 1, "SIGTERM"),
+        ProcessEnded(20.0 + took, "router-1", 1, code),
+    ]
+
+
+def a_request(at: float = 10.0, id: str = "r1", within: float = 6.0, repeatable: bool = False) -> list:
+    """A request that reached a server, which began to work on it."""
+    asked = Asked(at, id, "h", "POST", "/x", b"{}", front=FRONT, within=within, repeatable=repeatable)
+    return [
+        asked,
+        Reached(at + 0.01, id, "server-1", "llm"),
+        Began(at + 0.02, id, "server-1", "llm", f"run-{id}", f"seal-{id}", "h", "POST", "/x", b"{}"),
+    ]
+
+
+def cut_off(at: float, id: str = "r1") -> Answered:
+    return Answered(at, id, 200, f"seal-{id}", id, whole=False)
+
+
+class Checks(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def rules(self, facts: list) -> list[str]:
+        """The rules that are broken. Configurations of these facts have no routes, so that rules on routes are
+        not asked."""
+        found = checker.check(facts, self.folder)
+        return [breach.rule for breach in found if breach.rule not in ("ROUTE", "CONFIG")]
+
+    def well(self, *more) -> None:
+        self.assertEqual(self.rules([*a_run(), *more]), [])
+
+    def broken(self, rule: str, *more) -> None:
+        self.assertEqual(self.rules([*a_run(), *more]), [rule])
+
+    # processes
+
+    def test_a_calm_run(self) -> None:
+        whole = Answered(10.5, "r1", 200, "seal-r1", "r1")
+        self.well(*a_request(), Finished(10.5, "r1", "run-r1", "done"), whole)
+
+    def test_exit_codes_after_sigterm(self) -> None:
+        self.assertEqual(self.rules(a_run()), [])
+        for code in (1, 2, -15, -9, -11):
+            with self.subTest(code=code):
+                self.assertEqual(self.rules(a_run(code)), ["EXIT"])
+        self.assertEqual(self.rules(a_run(took=GRACE - 0.1)), [])
+        self.assertEqual(self.rules(a_run(took=GRACE + 0.5)), ["EXIT"])
+        self.assertEqual(self.rules(a_run()[:-1]), ["EXIT"])
+
+    def test_what_excuses_an_end_after_sigterm(self) -> None:
+        killed = ProcessSignalled(22.9, "router-1", 1, "SIGKILL")
+        self.assertEqual(self.rules([*a_run(-9), killed]), [])
+        self.assertEqual(self.rules([*a_run(1), killed]), ["EXIT"])
+        late = ProcessSignalled(29.0, "router-1", 1, "SIGKILL")  # the soak's own, after the grace
+        self.assertEqual(self.rules([*a_run(-9, 9.1), late]), ["EXIT"])
+        paused = [ProcessSignalled(21.0, "router-1", 1, "SIGSTOP"), ProcessSignalled(24.0, "router-1", 1, "SIGCONT")]
+        self.assertEqual(self.rules([*a_run(0, 10.0), *paused]), [])
+        self.assertEqual(self.rules([*a_run(-9, 9.1), *paused, late]), [])
+        self.assertEqual(self.rules([*a_run(1, 5.0), *paused]), ["EXIT"])
+        before = [replace(one, at=one.at - 10) for one in paused]
+        self.assertEqual(self.rules([*a_run(0, 10.0), *before]), ["EXIT"])
+
+    def test_a_process_that_ends_by_itself(self) -> None:
+        ended = [ProcessStarted(0.0, "core-1", 1, "core-1.1.log"), ProcessEnded(5.0, "core-1", 1, 0)]
+        self.broken("OWN END", *ended)
+        self.broken("OWN END", *ended[:1], replace(ended[1], code=-11))
+        self.broken("OWN END", *ended[:1], replace(ended[1], code=-9))  # nobody here killed it
+        kill = ProcessSignalled(4.99, "core-1", 1, "SIGKILL")
+        self.well(ended[0], kill, replace(ended[1], code=-9))
+        self.broken("OWN END", ended[0], kill, replace(ended[1], code=1))
+
+    def test_logs(self) -> None:
+        log = self.folder / "router-1.1.log"
+        log.write_text("12:00 level=INFO event=stopped counts=1\n")
+        self.well()
+        for line in ("Traceback (most recent call last):", "  | Traceback (most recent call last):"):
+            log.write_text(f"event=started\n{line}\n")
+            self.broken("LOG")
+        for line in ("event=request_cut id=r1", "event=invariant_violated what=x"):
+            log.write_text(f"12:00 level=ERROR {line}\n")
+            self.broken("LOG")
+            self.well(TroubleMet(5.0, 6.0, TroubleKind.KILL, ("router-1",)))
+            self.broken("LOG", TroubleMet(5.0, 6.0, TroubleKind.STOP, ("router-1",)))
+            self.broken("LOG", TroubleMet(5.0, 6.0, TroubleKind.KILL, ("router-2",)))
+        log.write_text("Traceback (most recent call last):\n")
+        self.broken("LOG", TroubleMet(5.0, 6.0, TroubleKind.KILL, ("router-1",)))
+
+    # configuration
+
+    def test_a_lost_configuration(self) -> None:
+        newer = CONFIG | {"revision": 2}
+        sent = [ConfigSent(2.0, "op-2", 1, 2, newer), ConfigAnswered(2.1, "op-2", 1, 2, 200)]
+        self.broken("LOST CONFIGURATION", *sent)
+        self.broken("LOST CONFIGURATION", *sent, ReadBack(19.5, None))
+        self.broken("LOST CONFIGURATION", *sent, ReadBack(19.5, newer | {"backends": [1]}))
+        self.broken("LOST CONFIGURATION", *sent, ReadBack(19.5, {}))
+        self.well(*sent, ReadBack(19.5, newer))
+        unclear = replace(sent[1], status=0)
+        self.well(sent[0], unclear)
+        self.well(sent[0], unclear, ReadBack(19.5, newer))
+
+    def test_an_old_configuration_that_is_read_between(self) -> None:
+        newer = CONFIG | {"revision": 2}
+        facts = [
+            *a_run(),
+            ConfigSent(2.0, "op-2", 1, 2, newer),
+            ConfigAnswered(2.1, "op-2", 1, 2, 200),
+            ReadBack(19.5, newer),
+        ]
+        self.assertEqual(checker.check([*facts, ConfigRead(3.0, 2.2, newer)], self.folder), [])
+        found = checker.check([*facts, ConfigRead(3.0, 2.2, CONFIG)], self.folder)
+        self.assertEqual([breach.rule for breach in found], ["CONFIG"])
+
+    # requests
+
+    def test_a_cut_in_the_answer(self) -> None:
+        self.broken("CUT", *a_request(), cut_off(10.5))
+
+    def test_a_cut_without_an_answer(self) -> None:
+        self.broken("CUT", *a_request(), Lost(10.05, "r1", "closed"))
+        asked = a_request()[:1]
+        self.broken("CUT", *asked, Lost(10.5, "r1", "closed"))
+        self.well(*asked, Lost(10.1, "r1", "closed"))  # it crossed the close
+        self.well(*asked, Lost(10.5, "r1", "closed"), Lagged(10.45, 0.4))  # the soak itself was late
+        self.well(*asked, Lost(10.5, "r1", "no way"))
+        self.well(*asked, Lost(13.0, "r1", "left"))
+
+    def test_cuts_around_sigterm(self) -> None:
+        told = 20.0
+        for sent, cut in ((told - 1, told + 1), (told + 5.5, told + 7.33), (told - 1, told + 6.5)):
+            with self.subTest(sent=sent, cut=cut):
+                facts = [*a_run(took=7.4), *a_request(sent, within=60.0), cut_off(cut)]
+                self.assertEqual(self.rules(facts), ["CUT"])
+        facts = [*a_run(took=7.4), *a_request(told + 2.9, within=60.0), cut_off(told + 7.3)]
+        self.assertEqual(self.rules(facts), [])  # a server at work in the last sixth, sent within 3 s
+        ended = Finished(told + 6.5, "r1", "run-r1", "done")
+        self.assertEqual(self.rules([*facts, ended]), ["CUT"])
+        facts = [*a_run(took=7.4), *a_request(told + 3.1, within=60.0), cut_off(told + 7.3)]
+        self.assertEqual(self.rules(facts), ["CUT"])
+
+    def test_what_excuses_a_cut(self) -> None:
+        cut = [*a_request(), cut_off(10.5)]
+        self.well(*a_request(within=0.4), cut_off(10.5))
+        self.well(*cut, Finished(10.4, "r1", "run-r1", "crash"))
+        for kind in (TroubleKind.KILL, TroubleKind.PAUSE):
+            self.well(*cut, TroubleMet(6.0, 7.5, kind, ("router-1",)))
+            self.broken("CUT", *cut, TroubleMet(6.0, 6.9, kind, ("router-1",)))
+            self.broken("CUT", *cut, TroubleMet(6.0, 11.0, kind, ("router-2", "core-1")))
+            self.broken("CUT", *cut, TroubleMet(10.6, 11.0, kind, ("router-1",)))
+        self.well(*cut, TroubleMet(6.0, 7.5, TroubleKind.WIPE, ("core-1",)))
+        for kind in (TroubleKind.CUT, TroubleKind.LOSE_ANSWERS):
+            for link in (Link("clients", "router-1"), Link("router-1", "core-2"), Link("system", "server-1")):
+                self.well(*cut, TroubleMet(9.0, 11.0, kind, links=(link,)))
+            for link in (Link("clients", "router-2"), Link("core-1", "core-2"), Link("system", "server-2")):
+                self.broken("CUT", *cut, TroubleMet(9.0, 11.0, kind, links=(link,)))
+        for kind in (TroubleKind.STOP, TroubleKind.RELOAD):
+            self.broken("CUT", *cut, TroubleMet(9.0, 11.0, kind, ("router-1",)))
+
+    def test_a_request_that_runs_twice(self) -> None:
+        whole = Answered(10.5, "r1", 200, "seal-r1", "r1")
+        asked, reached, began = a_request()
+        again = replace(began, run="run-2", at=10.3, instance="server-2")
+        self.broken("TWICE", asked, reached, began, again, whole)
+        self.well(replace(asked, repeatable=True), reached, began, again, whole)
+
+    def test_a_mixed_answer(self) -> None:
+        self.broken("MIXED", *a_request(), Answered(10.5, "r1", 200, "seal-r1", "r2"))
+        self.broken("MIXED", *a_request(), Answered(10.5, "r1", 200, "another", "r1"))
+        of = digest_of("POST", "/x", b"{}")
+        whole = Answered(10.5, "r1", 200, "seal-r1", "r1")
+        self.well(*a_request(), Piece(10.2, "r1", 0, 4, of, "run-r1", True), whole)
+        self.broken("MIXED", *a_request(), Piece(10.2, "r1", 0, 4, "other", "run-r1", True), whole)
+
+    def test_a_run_that_does_not_come_so_far(self) -> None:
+        self.broken("STALLED", Stalled(5.0, "not ready"))
+
+    def test_a_system_that_does_not_serve_again(self) -> None:
+        end = Lost(19.0, "r1", "no way")
+        self.broken("RECOVER", Recovered(17.0), ReadBack(19.2, CONFIG), *a_request(18.0)[:1], end)
+        whole = Answered(18.5, "r1", 200, "seal-r1", "r1")
+        self.well(Recovered(17.0), ReadBack(19.2, CONFIG), *a_request(18.0), whole)
+
+    # records
+
+    def test_records_as_they_are_written_and_read(self) -> None:
+        facts = [
+            *a_run(),
+            *a_request(),
+            cut_off(10.5),
+            TroubleMet(1.0, 2.0, TroubleKind.CUT, (), (Link("clients", "router-1"),)),
+        ]
+        path = self.folder / "records.jsonl"
+        records.write(path, facts)
+        self.assertEqual(records.read(path), facts)
+        self.assertEqual(self.rules(records.read(path)), ["CUT"])
+        for line in ("{", "[]", "{}", '{"kind": "Nothing"}', '{"kind": "Lost", "at": "x"}'):
+            path.write_text(line + "\n")
+            with self.subTest(line=line), self.assertRaisesRegex(BadRecords, r"records.jsonl, line 1"):
+                records.read(path)
+
+
+# the command ------------------------------------------------
+
+
+def soak(*arguments: object) -> int:
+    with pytest.raises(SystemExit) as ended:
+        cli.main(["soak", *map(str, arguments)])
+    return ended.value.code
+
+
+class Commands(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_input_that_can_not_be_used(self) -> None:
+        bad = self.folder / "bad.json"
+        bad.write_text("{}")
+        for arguments in (
+            ["--seeds", "x"],
+            ["--seeds", "5:5"],
+            ["--seeds", "-3:5"],
+            ["--seeds", "1:1000000"],
+            ["--seconds", "0"],
+            ["--routers", "99"],
+            ["--plan", bad],
+            ["--plan", self.folder / "none.json"],
+            ["--net", "10.0.0."],
+            ["--net", "x"],
+        ):
+            with self.subTest(arguments=arguments):
+                self.assertEqual(soak(*arguments), 2)
+
+    def test_an_address_that_is_taken(self) -> None:
+        drawn = plan.draw_short(1)
+        address = Layout(drawn, self.folder, "127.92.3.").front("router-1")
+        with socket.socket() as taken:
+            taken.bind(address)
+            taken.listen()
+            self.assertEqual(soak("--short", "--net", "127.92.3.", "--found", self.folder / "found"), 2)
+
+    def test_a_failing_run_is_kept(self) -> None:
+        found, plan_file = self.folder / "found", self.folder / "plan.json"
+        drawn = replace_struct(plan.draw_short(1), seconds=3.0, troubles=())
+        plan_file.write_bytes(plan.to_json(drawn))
+
+        async def fails(run: Run) -> None:
+            (run.layout.folder / "logs").mkdir()
+            (run.layout.folder / "logs" / "router-1.1.log").write_text("Traceback (most recent call last):\n")
+            run.facts += a_run(1)
+
+        with mock.patch.object(Run, "play", fails):
+            self.assertEqual(soak("--plan", plan_file, "--net", "127.92.4", "--found", found), 1)
+        (kept,) = found.iterdir()
+        self.assertEqual(plan.from_json((kept / "plan.json").read_bytes()), drawn)
+        self.assertEqual(records.read(kept / "records.jsonl"), a_run(1))
+        self.assertEqual((kept / "logs" / "router-1.1.log").read_text(), "Traceback (most recent call last):\n")
+        self.assertIn("EXIT", (kept / "breaches.txt").read_text())
+        self.assertIn(f"soak --plan {kept}/plan.json", (kept / "command.txt").read_text())
+
+    def test_a_run_that_takes_too_long(self) -> None:
+        async def hangs(run: Run) -> None:
+            (run.layout.folder / "logs").mkdir()
+            with trio.fail_after(0.01):
+                await trio.sleep_forever()
+
+        with mock.patch.object(Run, "play", hangs):
+            self.assertEqual(soak("--short", "--found", self.folder / "found"), 1)
+
+
+# real processes ---------------------------------------------
+
+
+def children(pid: int) -> list[int]:
+    try:
+        return [int(child) for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+    except FileNotFoundError:
+        return []
+
+
+def alive(pid: int) -> bool:
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except FileNotFoundError:
+        return False
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+def test_nothing_is_left_running(number: signal.Signals, tmp_path: Path) -> None:
+    net = f"127.92.{100 + number}."
+    arguments = ["--short", "--net", net, "--found", tmp_path]
+    with subprocess.Popen(
+        [sys.executable, "-m", "rowanshift", "soak", *arguments],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+    ) as process:
+        ends = time.monotonic() + 20
+        while len(started := children(process.pid)) < 7 and time.monotonic() < ends:
+            time.sleep(0.05)
+        process.send_signal(number)
+        said = process.communicate(timeout=20)
+    assert len(started) == 7
+    assert process.returncode == (-number if number == signal.SIGKILL else 130)
+    assert said == ("", "")
+    ends = time.monotonic() + 5
+    while any(map(alive, started)) and time.monotonic() < ends:
+        time.sleep(0.05)
+    assert [pid for pid in started if alive(pid)] == []
+
+
+@pytest.mark.parametrize("seed", SHORT_SEEDS)
+def test_the_short_form(seed: int, tmp_path: Path) -> None:
+    """All that the processes promise, under the troubles of these seeds."""
+    drawn = plan.draw_short(seed)
+    result = command.play(drawn, tmp_path, f"127.91.{seed}.")
+    assert [str(breach) for breach in result.breaches] == []
+    assert result.line().startswith(f"seed={seed} ")
+    assert len(result.facts) > 1000
