--- a/rowanshift/soak/checker.py
+++ b/rowanshift/soak/checker.py
@@ -145,6 +145,9 @@
     if life.ended is None:
         return f"it did not end; SIGTERM came {age}"
     took, code = life.ended.at - told_at, life.ended.code
+    again = [one.at for one in life.signals if one.signal == "SIGTERM"][1:]
+    if again:
+        age += f", and again {again[-1] - told_at:.2f} s later"
     if code == KILLED and (killed or paused):
         return ""
     if code != 0:
--- a/rowanshift/soak/load.py
+++ b/rowanshift/soak/load.py
@@ -30,7 +30,7 @@
 
 OTHER = "other"  # the second service
 PROBE, MISSES = 0.5, 4  # seconds between looks whether a router is ready, and failures until clients leave it
-PAUSE = 0.2  # seconds between two requests of a client, on average
+PAUSE = 0.15  # seconds between two requests of a client, on average
 LENGTHS, LENGTH_WEIGHTS = (40, 200, 600), (6, 3, 1)  # tokens of an answer
 DEADLINE = 6.0  # seconds of a request
 MOST_REQUESTS = 200_000  # of a run; no more are sent
@@ -74,8 +74,8 @@
 class Clients:
     """Clients that ask one request after another until they are told to end.
 
-    A third chooses anew among the ready routers each time; a third keeps to the router of its kept connection; a
-    third knows all routers and never asks which are ready. Which of them has which key and kind of route differs.
+    Half choose anew among the ready routers each time; a quarter keep to the router of a kept connection; a quarter
+    know all routers and never ask which are ready. Of each four the key and the kind of route differ.
     """
 
     def __init__(
@@ -101,9 +101,9 @@
     async def _ask(self, number: int) -> None:
         chance = random.Random(f"{self.plan.seed}/client/{number}")
         name = f"c{number}"
-        patron = Patron(self.host, name, self.now, self.facts, self.fronts, chance, keeps=number % 3 == 1)
-        key = [held[0] for held in KEYS.values()][(number + number // 3) % len(KEYS)]
-        prefix = (RESUMED, ONCE, REPEATED)[number // 3 % 3]
+        patron = Patron(self.host, name, self.now, self.facts, self.fronts, chance, keeps=number % 4 == 1)
+        key = [held[0] for held in KEYS.values()][(number + number // 4) % len(KEYS)]
+        prefix = (RESUMED, ONCE, REPEATED)[number % 3]
         try:
             while self.requests < MOST_REQUESTS:
                 self.requests += 1
@@ -114,7 +114,7 @@
             patron.close()
 
     def _choices(self, number: int, patron: Patron) -> list[Address]:
-        if number % 3 == 2:
+        if number % 4 == 3:
             return self.fronts
         if patron.kept:
             return [*patron.kept]
--- a/rowanshift/soak/plan.py
+++ b/rowanshift/soak/plan.py
@@ -130,7 +130,7 @@
         seed,
         seconds,
         routers,
-        clients=3 * routers,
+        clients=4 * routers,
         changes_per_second=round(chance.uniform(*CHANGES_PER_SECOND), 1),
         troubles=tuple(sorted(_Draw(chance, seconds, routers, tracks).troubles(), key=lambda trouble: trouble.at)),
     )
--- a/rowanshift/soak/run.py
+++ b/rowanshift/soak/run.py
@@ -57,6 +57,7 @@
         self.platform = PlatformList(self.host, self.layout.platform(), 40.0, 800.0, self.now, self.facts)
         self.servers = [self._server(name) for name in self.layout.servers]
         self.bootstrap = True
+        self.asking = trio.CancelScope()  # of the clients
 
     def now(self) -> float:
         """Seconds since the run began."""
@@ -159,8 +160,8 @@
 
     async def _load(self) -> None:
         """Clients, changes and troubles, then the end."""
-        async with trio.open_nursery() as clients:
-            clients.start_soon(self.clients.run)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask)
             async with trio.open_nursery() as changes:
                 changes.start_soon(self.changes.run)
                 async with trio.open_nursery() as troubles:
@@ -170,8 +171,12 @@
                 changes.cancel_scope.cancel()
             await self._recover()
             await self._end_all()
-            self.facts.append(LoadEnded(self.now()))
-            clients.cancel_scope.cancel()
+
+    async def _ask(self) -> None:
+        """Clients, until no router runs any more."""
+        with self.asking:
+            await self.clients.run()
+        self.facts.append(LoadEnded(self.now()))
 
     async def _recover(self) -> None:
         """All processes run again and are ready; the configuration is read back."""
@@ -185,10 +190,14 @@
         self.facts.append(ReadBack(self.now(), config))
 
     async def _end_all(self) -> None:
-        """Every process is told to stop, while clients go on."""
-        async with trio.open_nursery() as nursery:
-            for name in self.layout.machines:
-                nursery.start_soon(self._stop, name)
+        """Every process is told to stop, while clients go on until the last router has ended."""
+        async with trio.open_nursery() as cores:
+            for name in self.layout.cores:
+                cores.start_soon(self._stop, name)
+            async with trio.open_nursery() as routers:
+                for name in self.layout.routers:
+                    routers.start_soon(self._stop, name)
+            self.asking.cancel()
 
     async def _stop(self, name: str) -> None:
         """Tells a process to stop and waits for its end; one that is late is killed."""
