--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -236,6 +236,17 @@
     return capacity(arguments)
 
 
+def soak(arguments: argparse.Namespace) -> int:
+    """Play real processes of the whole system on loopback under drawn troubles, and check what was recorded."""
+    from rowanshift.soak import command
+    from rowanshift.soak.plan import BadPlan
+
+    try:
+        return command.soak(command.plans(arguments), arguments.net or command.own_net(), arguments.found)
+    except BadPlan as error:
+        fail(error, UNUSABLE)
+
+
 def run_role(name: str, arguments: argparse.Namespace) -> int | None:
     """Run a role's service until SIGTERM. Signals are heeded before the settings are read and all else is imported."""
     heed_signals_early()
@@ -374,6 +385,10 @@
 
     add_options(add(capacity))
 
+    from rowanshift.soak import options
+
+    options.add_options(add(soak))
+
     under = add(simulate)
     under.add_argument("file", type=Path, nargs="?", help="a scenario as TOML")
     under.add_argument("--seeds", default="", help="N, or FIRST:LAST without the last")
