Soak: send no signal before a started interpreter can heed one

Change: SIGTERM and SIGHUP wait until a process is 0.15 s old. Later ones count as before, also during the start.

--- a/rowanshift/soak/processes.py
+++ b/rowanshift/soak/processes.py
@@ -23,6 +23,7 @@
 PROGRAM = "rowanshift.py"
 PASSED_ON = ("PATH", "HOME", "LANG")  # of the environment
 LOOK = 0.02  # seconds between looks whether processes have ended
+BORN_WITHIN = 0.15  # seconds from a start in which the interpreter comes up; no program can heed a signal before
 REAPED_WITHIN = 5.0  # seconds in which a killed process is over
 LARGEST_LOG = 16 << 20  # bytes of a life's log; a larger one ends the run
 PR_SET_PDEATHSIG = 1  # of prctl: the signal that the end of the parent brings
@@ -46,6 +47,7 @@
         self.is_router = name in layout.routers
         self.role = "dataplane" if self.is_router else "controlplane"
         self.life = 0
+        self.started_at = 0.0
         self.popen: subprocess.Popen | None = None
         self.ended = trio.Event()  # this life
         self.ended.set()
@@ -83,10 +85,15 @@
                 stderr=log,
                 preexec_fn=_die_with_parent,
             )
+        self.started_at = self.now()
         self.facts.append(ProcessStarted(self.now(), self.name, self.life, self.log.name, self.front))
         if self.is_router:
             self.facts.append(RouterStarted(self.now(), self.name, self.front))
 
+    async def born(self) -> None:
+        """Wait until the interpreter of this life is up, as far as time tells."""
+        await trio.sleep(max(0.0, self.started_at + BORN_WITHIN - self.now()))
+
     def send(self, number: signal.Signals) -> bool:
         """Signal it; whether there was a process to signal."""
         self.look()
--- a/rowanshift/soak/run.py
+++ b/rowanshift/soak/run.py
@@ -202,6 +202,7 @@
     async def _stop(self, name: str) -> None:
         """Tells a process to stop and waits for its end; one that is late is killed."""
         process = self.processes[name]
+        await process.born()
         life = process.life
         if not process.send(signal.SIGTERM):
             return
@@ -272,6 +273,7 @@
     async def _reload(self, trouble: Trouble) -> None:
         for name in trouble.machines:
             self._write_settings(name)
+            await self.processes[name].born()
             self._sent(name, signal.SIGHUP)
         await trio.sleep(trouble.lasts)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 import trio
+from trio.testing import MockClock
 
 from rowanshift import cli
 from rowanshift.invariants.facts import (
@@ -36,6 +37,7 @@
 from rowanshift.soak import checker, command, plan, records
 from rowanshift.soak.layout import GRACE, Layout
 from rowanshift.soak.plan import BadPlan, Direction, Link, Trouble, TroubleKind
+from rowanshift.soak.processes import BORN_WITHIN, Process
 from rowanshift.soak.records import (
     BadRecords,
     Lagged,
@@ -130,6 +132,22 @@
         self.assertEqual({wire.link for wire in wires}, plan.known_links(drawn))
 
 
+class Signals(unittest.TestCase):
+    def test_none_comes_before_the_interpreter_is_up(self) -> None:
+        layout = Layout(plan.draw_short(1), Path("/none"), "127.92.9.")
+
+        async def waited(age: float) -> float:
+            process = Process("router-1", layout, lambda: 10.0 + age, [])
+            process.started_at = 10.0
+            before = trio.current_time()
+            await process.born()
+            return trio.current_time() - before
+
+        for age, expected in ((0.0, BORN_WITHIN), (0.1, BORN_WITHIN - 0.1), (0.2, 0.0), (60.0, 0.0)):
+            with self.subTest(age=age):
+                self.assertAlmostEqual(trio.run(waited, age, clock=MockClock(autojump_threshold=0)), expected)
+
+
 # the relay --------------------------------------------------
 
 
