Fork players of seeds from one thread; read cuts by the life of the process; wait for new connections

Cause: (1) a run of the suite hung for 19 minutes: a child forked by a test's pool inside a worker of xdist, which has a thread of its own, waited on a futex with no processor time used. (3) A leaving router closed a new connection before its first request came. Change: (1) worker_pool forks from a server process of one thread. (2) The checker counts the time in which a process was there to read; as strict for one that lives. (3) A new connection has 0.2 s for its first request.

--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -26,6 +26,7 @@
 LINGER_FOR = 0.5  # seconds read on after an error, so that it arrives
 DENIALS = (401, 404)  # statuses of this router's own that are final for the client
 CONFIRM_WITHIN = 0.6  # seconds that a request which would be denied waits for what is known to be confirmed
+FIRST_WITHIN = 0.2  # seconds for the first request of a connection that a leaving router took
 CONFIRM_AGAIN = 0.3  # seconds after which its client may come again if it was not
 
 
@@ -122,14 +123,22 @@
             scope.cancel()
 
     def close_idle(self) -> None:
-        """Closes what is idle."""
-        closed = 0
-        while self.drop_idle():
-            closed += 1
+        """Closes connections that are idle; a new one is given ``FIRST_WITHIN`` for its first request."""
+        now = trio.current_time()
+        closed = [client for client in self.idle if self._closes(client, now)]
+        for client in closed:
+            del self.idle[client]
+            client.scope.cancel()
         if closed and (leave := self.endings.leave) is not None:
-            leave.idle_closed += closed
-            since = leave.since_signal(trio.current_time())
-            logger.info("event=idle_closed_while_leaving connections={} since_signal={:.3f}", closed, since)
+            leave.idle_closed += len(closed)
+            since = leave.since_signal(now)
+            logger.info("event=idle_closed_while_leaving connections={} since_signal={:.3f}", len(closed), since)
+
+    @staticmethod
+    def _closes(client: Client, now: float) -> bool:
+        """Whether an idle connection is closed by a router that leaves."""
+        expected = not client.requests and now < client.connected_at + FIRST_WITHIN
+        return not expected and not client.connection.stream.readable()
 
     def _note_connection(self) -> None:
         """A new connection was accepted, which matters while leaving."""
--- a/rowanshift/simulation/command.py
+++ b/rowanshift/simulation/command.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from functools import partial
 from hashlib import blake2b
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -23,9 +22,11 @@
 from rowanshift.simulation.core_draw import core_scenario
 from rowanshift.simulation.draw import SIZES, scenario
 from rowanshift.simulation.shrink import Shrinker
+from rowanshift.simulation.worker_pool import worker_pool
 from rowanshift.simulation.world import World
 
 MOST_SHOWN = 3  # broken rules of one seed
+SEEDS_A_PROCESS = 50  # until a process is replaced
 DEFAULT_SIZE = "small"
 
 say = partial(print, flush=True)  # also into a pipe, while it goes on
@@ -82,7 +83,7 @@
     if workers == 1:
         yield from map(_play_seed, jobs)
         return
-    with get_context("fork").Pool(workers, maxtasksperchild=50) as pool:
+    with worker_pool(workers, SEEDS_A_PROCESS) as pool:
         yield from pool.imap(_play_seed, jobs)
 
 
--- a/rowanshift/simulation/core_command.py
+++ b/rowanshift/simulation/core_command.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 from functools import partial
 from hashlib import blake2b
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +15,7 @@
 from rowanshift.invariants.facts import Fact
 from rowanshift.simulation.core_draw import core_scenario
 from rowanshift.simulation.core_play import CoreRun, play_core
+from rowanshift.simulation.worker_pool import worker_pool
 
 MOST_SHOWN = 5  # things that went wrong, of one run
 SEEDS_A_PROCESS = 20  # until a process is replaced
@@ -34,7 +34,7 @@
     if workers == 1:
         yield from map(play_seed, seeds)
         return
-    with get_context("fork").Pool(workers, maxtasksperchild=SEEDS_A_PROCESS) as pool:
+    with worker_pool(workers, SEEDS_A_PROCESS) as pool:
         yield from pool.imap(play_seed, seeds)
 
 
--- a/rowanshift/soak/checker.py
+++ b/rowanshift/soak/checker.py
@@ -35,6 +35,7 @@
 ROUNDED = 0.002  # seconds that a deadline loses as it is told in whole milliseconds
 SERVED_LEAST = 0.25  # part of the requests after the last trouble that is served
 EXIT_SLACK = 0.25  # seconds by which an end may be noticed late
+EXIT_TAKES = 0.5  # seconds from the close of a process's sockets until its end is noticed
 KILLED = -9
 TRACEBACK = "Traceback (most recent call last)"
 REPORTED = re.compile(r"event=(request_cut|invariant\w*)")  # what a process says of its own breaches
@@ -204,6 +205,9 @@
         self.began, self.finished = by_id(facts, Began), by_id(facts, Finished)
         self.routers = {one.front: one.machine for one in of_kind(facts, ProcessStarted) if one.front}
         self.lags = of_kind(facts, Lagged)
+        self.lives: dict[str, list[Life]] = defaultdict(list)
+        for life in lives_of(facts):
+            self.lives[life.started.machine].append(life)
         self.terms: dict[str, list[float]] = defaultdict(list)
         for signalled in of_kind(facts, ProcessSignalled):
             if signalled.signal == "SIGTERM":
@@ -227,7 +231,15 @@
         if isinstance(end, Answered):
             return not end.whole and not end.left
         slack = RULES.loss_slack + sum(one.seconds for one in self.lags if ours.at <= one.at <= end.at + one.seconds)
-        return end.how == "closed" and (bool(self.reached.get(end.id)) or end.at > ours.at + slack)
+        if end.how != "closed":
+            return False
+        return bool(self.reached.get(end.id)) or self._readable_for(end, ours) > slack
+
+    def _readable_for(self, end: Lost, ours: Asked) -> float:
+        """Seconds from its sending to its end in which a process was there to read it: none reads after its end."""
+        lives = self.lives[self.routers[ours.front]]
+        spans = [min(end.at, life.until - EXIT_TAKES) - max(ours.at, life.started.at) for life in lives]
+        return max([0.0, *spans])
 
     def _excused(self, end: Lost | Answered, ours: Asked, router: str) -> bool:
         if end.at + ROUNDED >= ours.at + time_limit(self.configs, ours):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -465,6 +465,18 @@
         facts = [*a_run(took=7.4), *a_request(told + 3.1, within=60.0), cut_off(told + 7.3)]
         self.assertEqual(self.rules(facts), ["CUT"])
 
+    def test_a_request_that_a_process_could_not_read_any_more(self) -> None:
+        told, over = 20.0, 27.4
+        for sent, cut, found in (
+            (over - 0.6, over + 0.3, []),  # it came as the process closed its sockets
+            (over - 0.8, over + 0.3, ["CUT"]),
+            (over + 0.1, over + 0.6, []),  # nothing listened there
+            (told + 1.0, told + 1.3, ["CUT"]),
+        ):
+            with self.subTest(sent=sent, cut=cut):
+                facts = [*a_run(took=over - told), *a_request(sent, within=60.0)[:1], Lost(cut, "r1", "closed")]
+                self.assertEqual(self.rules(facts), found)
+
     def test_what_excuses_a_cut(self) -> None:
         cut = [*a_request(), cut_off(10.5)]
         self.well(*a_request(within=0.4), cut_off(10.5))
