Wait for a silent server where a leaving router may ask no other

Cause: a router that leaves gave a silent server up once another was there, and only then found that it may send the request nowhere any more: the client got a 504 although the server was about to answer. Change: whether an attempt may still be made is asked before the server is given up, and again once the connection to the other is up.

--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -160,13 +160,17 @@
 
     def _before_the_end(self, forwarding: Forwarding, now: float) -> None:
         """``Refusal`` if this router leaves and could not surely finish it; an answer that has begun goes on."""
-        came_at, until = forwarding.request.came_at, forwarding.until
-        if forwarding.out.begun or self.drain.may_send(now, came_at, until, forwarding.request_kind):
+        if self._may_be_sent(forwarding, now):
             return
         if forwarding.may_have_run:
             raise forwarding.last
         raise Refusal(503, LEAVING, COME_AGAIN)
 
+    def _may_be_sent(self, forwarding: Forwarding, now: float) -> bool:
+        """Whether a leaving router may still make an attempt; where an answer has begun it may."""
+        came_at, until = forwarding.request.came_at, forwarding.until
+        return forwarding.out.begun or self.drain.may_send(now, came_at, until, forwarding.request_kind)
+
     async def _choose(self, forwarding: Forwarding) -> Endpoint:
         """The server for the next attempt; ``Refusal`` if there is none, or none is granted."""
         request = forwarding.request
@@ -328,6 +332,8 @@
         """Whether a further attempt has a server and is granted; else a silent server is waited for."""
         if forwarding.out.begun and not forwarding.out.last:  # it could not be taken up
             return False
+        if not self._may_be_sent(forwarding, now):
+            return False
         pool = self.state.servers.pool(forwarding.service)
         return self._pick(forwarding, pool, now) is not None and self._granted(forwarding, now)
 
@@ -353,8 +359,9 @@
             back_off(endpoint, trio.current_time())
             forwarding.unsent.add(endpoint.id)
             return False
-        if link.connection.stream.readable():
-            self.upstream.keep(spare, trio.current_time())
+        now = trio.current_time()
+        if link.connection.stream.readable() or not self._may_be_sent(forwarding, now):
+            self.upstream.keep(spare, now)
             return False
         forwarding.spare = spare
         return True
