Refuse at once what a router reads within its last answers

Cause: a request whose route is unknown or whose key is denied waits until what is known is confirmed. Change: a router that takes nothing more refuses without looking at the configuration.

--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -105,6 +105,8 @@
 
     def refuse_if_leaving(self, request: Request, out: Out) -> None:
         """``Refusal`` if this router leaves and could not surely finish the request."""
+        if self.drain.finished:  # no time is left to find out anything
+            raise Refusal(503, LEAVING, COME_AGAIN)
         try:
             route, tenant = self.allowed(request)
         except Refusal:  # whether it stands is found out first, as for any request
--- a/tests/test_drain_review.py
+++ b/tests/test_drain_review.py
@@ -6,13 +6,14 @@
 from types import SimpleNamespace
 
 import trio
-from exchange_rig import Behaviour, Client, Got, Rig, play
+from exchange_rig import Behaviour, Client, Got, Rig, play, request_bytes
 from loguru import logger
 
-from rowanshift.dataplane.drain import request_kind
+from rowanshift.dataplane.drain import END_RESERVE, request_kind
 from rowanshift.dataplane.request_endings import RequestEndings
 from rowanshift.dataplane.service import DataPlaneService
 
+GIVEN_UP_AT = 8.0 - END_RESERVE
 LASTS = 5.5  # seconds that requests of the kind of these tests took lately
 WITHIN = 7.9  # seconds that a client waits, longer than the router stays
 NO_TOKENS = request_kind("s", 0)  # the kind of each request of the rig
@@ -68,5 +69,25 @@
                 self.assertEqual(self.got(longest).status, 200)
 
 
+class LastAnswers(unittest.TestCase):
+    def test_a_request_read_at_the_very_end_is_refused_at_once(self) -> None:
+        """Its route is not known, and what is known could not be confirmed before the process ends."""
+        for path in ("idempotent", "nowhere"):
+
+            async def clients(rig: Rig, path: str = path) -> None:
+                rig.front.state.may_refuse = lambda: False
+                rig.front.state.confirmed = trio.sleep
+                data = request_bytes(path, "r1", within=WITHIN)
+                client = Client(rig)
+                await client.send(data[:-1])
+                await trio.sleep(GIVEN_UP_AT + 0.1)
+                await client.send(data[-1:])
+
+            with self.subTest(path=path):
+                endings = until_its_end(clients)
+                self.assertEqual(endings.violated(), 0, endings.counts())
+                self.assertIn("leaving_refusal=1", endings.counts())
+
+
 if __name__ == "__main__":
     unittest.main()
