Stay for last answers that are not made yet, up to 0.15 s before the grace is up

Cause: 0.25 s after it gave up what was open, a router cancelled all its tasks. Where a slow processor takes longer for the ends of many requests, those whose datagram to the load index was under way were cut without an answer. Change: the 0.25 s are for clients to take answers; while answers are still to be made the router stays until 0.15 s of the grace are left (Drain.stays).

--- a/rowanshift/dataplane/drain.py
+++ b/rowanshift/dataplane/drain.py
@@ -18,6 +18,7 @@
 NOTICE = 2.6  # seconds after which the platform sends no new connections to a router that is not ready
 NOTICE_PART = 1 / 3  # of the grace, if that is less
 END_RESERVE = 0.7  # seconds of the grace kept for last answers and the end of the process
+EXIT_RESERVE = 0.15  # seconds of it kept for the end of the process alone
 REMEMBERED = 30.0  # seconds; durations are remembered for one to two of these
 MOST_KINDS = 256  # kinds of request whose durations are remembered; further ones are unknown
 
@@ -105,6 +106,16 @@
         """When what is still open is given up."""
         return self._began() + max(0.0, self.grace - END_RESERVE)
 
+    @property
+    def answers_end_at(self) -> float:
+        """When the process ends, whether all last answers were made or not."""
+        return self._began() + max(0.0, self.grace - EXIT_RESERVE)
+
+    def stays(self, now: float, open_requests: int, taken_until: float) -> bool:
+        """Whether the process goes on for its last answers: those that are not made yet, and those that clients may
+        take until ``taken_until``."""
+        return now < (self.answers_end_at if open_requests else min(taken_until, self.answers_end_at))
+
     def phase(self, now: float, open_requests: int) -> Phase:
         """How far the leave has come, with so many requests being read or answered."""
         if not self.leaving:
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -25,7 +25,7 @@
 BEAT, STOOD_STILL = 0.25, 0.5  # seconds
 SWEEP = 0.5  # seconds between sweeps of idle connections
 LEAVE_STEP = 0.05  # seconds between looks at what is open while leaving
-LAST_ANSWERS = 0.25  # seconds for the last answers to go out
+LAST_ANSWERS = 0.25  # seconds for clients to take the last answers
 LAST_STEP = 0.01  # seconds between looks at whether they have
 FILES = 200  # descriptors that sockets may not use
 MEMORY_PART = 0.5  # of the limit, for bodies and what carries them
@@ -179,10 +179,10 @@
         self.drain.finish()
         front.stop_accepting()
         front.give_up()
-        with trio.move_on_after(LAST_ANSWERS):
-            while budget.clients:
-                front.close_idle()
-                await trio.sleep(LAST_STEP)
+        taken_until = trio.current_time() + LAST_ANSWERS
+        while budget.clients and self.drain.stays(trio.current_time(), front.open, taken_until):
+            front.close_idle()
+            await trio.sleep(LAST_STEP)
 
     async def _heed(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
--- a/tests/test_drain_review.py
+++ b/tests/test_drain_review.py
@@ -4,16 +4,19 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
+from unittest import mock
 
 import trio
-from exchange_rig import Behaviour, Client, Got, Rig, play, request_bytes
+from exchange_rig import Behaviour, Client, Got, NoLoads, Rig, Then, play, request_bytes
 from loguru import logger
 
-from rowanshift.dataplane.drain import END_RESERVE, request_kind
+from rowanshift.dataplane.drain import END_RESERVE, EXIT_RESERVE, Drain, request_kind
 from rowanshift.dataplane.request_endings import RequestEndings
 from rowanshift.dataplane.service import DataPlaneService
+from rowanshift.dataplane.upstream import Upstream
 
-GIVEN_UP_AT = 8.0 - END_RESERVE
+GRACE = 8.0
+GIVEN_UP_AT = GRACE - END_RESERVE
 LASTS = 5.5  # seconds that requests of the kind of these tests took lately
 WITHIN = 7.9  # seconds that a client waits, longer than the router stays
 NO_TOKENS = request_kind("s", 0)  # the kind of each request of the rig
@@ -88,6 +91,53 @@
                 self.assertEqual(endings.violated(), 0, endings.counts())
                 self.assertIn("leaving_refusal=1", endings.counts())
 
+    def test_all_are_answered_where_giving_up_takes_long(self) -> None:
+        """A slow processor takes longer for the ends of all requests than the time set aside for last answers."""
+        requests, seconds_each = 40, 0.01
+        true = Upstream.close
+
+        async def clients(rig: Rig) -> None:
+            rig.front.forwarder.loads = SlowLoads()
+
+            def close(*given: object) -> None:
+                rig.clock.time += seconds_each
+                true(*given)
+
+            rig.nursery.start_soon(patch_close, close)
+            for number in range(requests):
+                await Client(rig).send(request_bytes("stream", f"r{number}", within=WITHIN))
+
+        async def patch_close(close: Callable[..., None]) -> None:
+            await trio.sleep(GIVEN_UP_AT - 0.1)
+            Upstream.close = close
+
+        with mock.patch.object(Upstream, "close", true):
+            endings = until_its_end(clients, *[Behaviour(cut=0, then=Then.SILENCE)] * requests)
+        self.assertEqual(endings.violated() + endings.excused, 0, endings.counts())
+
+    def test_how_long_the_process_stays_for_them(self) -> None:
+        drain = Drain(GRACE)
+        drain.begin(100.0)
+        taken_until, last = 107.55, 100.0 + GRACE - EXIT_RESERVE
+        for now, open_requests, stays in (
+            (107.54, 0, True),
+            (taken_until, 0, False),
+            (taken_until, 1, True),
+            (last - 0.001, 1, True),
+            (last, 1, False),
+        ):
+            with self.subTest(now=now, open=open_requests):
+                self.assertEqual(drain.stays(now, open_requests, taken_until), stays)
+        self.assertFalse(drain.stays(last, 0, last + 1.0))
+
+
+class SlowLoads(NoLoads):
+    """Tells of each end in a datagram, as a router does, which takes a turn of the loop and cannot be cancelled."""
+
+    async def done(self, told: tuple[str, int]) -> None:
+        with trio.CancelScope(shield=True):
+            await trio.lowlevel.checkpoint()
+
 
 if __name__ == "__main__":
     unittest.main()
