Give nothing up before the last sixth of a short grace

Cause: 0.7 s of the grace were kept for the end whatever it was. Of a grace under 4.2 s that is more than its last sixth, and a cut before that is not excused. Change: 0.15 of the grace are kept where that is less, and of these 0.05 for the exit. Tests: a grace of 0.5 s was expected to be over at once, which cuts all that is open in the first sixth; both sides of the end of 0.5 and 4 s are looked at instead, and no time with no grace.

--- a/rowanshift/dataplane/drain.py
+++ b/rowanshift/dataplane/drain.py
@@ -18,7 +18,9 @@
 NOTICE = 2.6  # seconds after which the platform sends no new connections to a router that is not ready
 NOTICE_PART = 1 / 3  # of the grace, if that is less
 END_RESERVE = 0.7  # seconds of the grace kept for last answers and the end of the process
-EXIT_RESERVE = 0.15  # seconds of it kept for the end of the process alone
+END_PART = 0.15  # of the grace, if that is less; under a sixth, as a cut is excused in the last sixth only
+EXIT_RESERVE = 0.15  # seconds of the grace kept for the end of the process alone
+EXIT_PART = 0.05  # of the grace, if that is less
 REMEMBERED = 30.0  # seconds; durations are remembered for one to two of these
 MOST_KINDS = 256  # kinds of request whose durations are remembered; further ones are unknown
 
@@ -104,12 +106,12 @@
     @property
     def work_ends_at(self) -> float:
         """When what is still open is given up."""
-        return self._began() + max(0.0, self.grace - END_RESERVE)
+        return self._began() + self.grace - min(END_RESERVE, self.grace * END_PART)
 
     @property
     def answers_end_at(self) -> float:
         """When the process ends, whether all last answers were made or not."""
-        return self._began() + max(0.0, self.grace - EXIT_RESERVE)
+        return self._began() + self.grace - min(EXIT_RESERVE, self.grace * EXIT_PART)
 
     def stays(self, now: float, open_requests: int, taken_until: float) -> bool:
         """Whether the process goes on for its last answers: those that are not made yet, and those that clients may
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,6 +3,7 @@
 import unittest
 
 from rowanshift.dataplane.drain import (
+    END_PART,
     END_RESERVE,
     MOST_KINDS,
     NOTICE,
@@ -56,8 +57,17 @@
         drain.begin(BEGAN)
         self.assertEqual(drain.notice_ends_at, BEGAN + 1.0)
 
-    def test_a_grace_shorter_than_its_reserve_leaves_no_time(self) -> None:
-        drain = Drain(0.5)
+    def test_a_short_grace_shortens_the_reserve(self) -> None:
+        for grace in (0.5, 4.0):
+            drain = Drain(grace)
+            drain.begin(BEGAN)
+            end = BEGAN + grace * (1 - END_PART)
+            for at, phase in ((end - 0.001, Phase.REFUSING), (end + 0.001, Phase.OVER)):
+                with self.subTest(grace=grace, at=at):
+                    self.assertEqual(drain.phase(at, 3), phase)
+
+    def test_no_grace_leaves_no_time(self) -> None:
+        drain = Drain(0.0)
         drain.begin(BEGAN)
         self.assertEqual(drain.phase(BEGAN, 3), Phase.OVER)
 
--- a/tests/test_drain_review.py
+++ b/tests/test_drain_review.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from rowanshift.dataplane.drain import END_RESERVE, EXIT_RESERVE, Drain, request_kind
-from rowanshift.dataplane.request_endings import RequestEndings
+from rowanshift.dataplane.request_endings import EXCUSED_PART, RequestEndings
 from rowanshift.dataplane.service import DataPlaneService
 from rowanshift.dataplane.upstream import Upstream
 
@@ -139,5 +139,15 @@
             await trio.lowlevel.checkpoint()
 
 
+class ShortGrace(unittest.TestCase):
+    def test_nothing_is_given_up_before_the_last_sixth(self) -> None:
+        """A cut is excused from there on only."""
+        for grace in (1.0, 2.0, 3.0, 4.0, 5.0, GRACE, 30.0):
+            with self.subTest(grace=grace):
+                drain = Drain(grace)
+                drain.begin(100.0)
+                self.assertGreaterEqual(drain.work_ends_at, 100.0 + EXCUSED_PART * grace)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_request_endings.py
+++ b/tests/test_request_endings.py
@@ -300,7 +300,7 @@
         play(self.scenario)
 
     def test_requests_that_are_cut_at_sigterm(self) -> None:
-        with mock.patch.multiple(drain, NOTICE=0.05, END_RESERVE=8.0):
+        with mock.patch.multiple(drain, NOTICE=0.05, END_RESERVE=8.0, END_PART=1.0):
             self.found("cut_by_router")
 
     def test_a_router_that_is_asked_on_until_it_ends(self) -> None:
@@ -360,7 +360,7 @@
             fleet.terminate(router)
 
         with (
-            mock.patch.multiple(drain, NOTICE=0.05, END_RESERVE=8.0),
+            mock.patch.multiple(drain, NOTICE=0.05, END_RESERVE=8.0, END_PART=1.0),
             self.assertRaisesRegex(ViolatedEndings, "router-0: cut_by_router"),
         ):
             play(partial(self.scenario, trouble=trouble))
