--- /dev/null
+++ b/tests/test_drain_review.py
@@ -0,0 +1,153 @@
+"""Orders of events around SIGTERM in which a request could end wrongly, each played at one frontend in the virtual
+network. Times are seconds from the SIGTERM on."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from unittest import mock
+
+import trio
+from exchange_rig import Behaviour, Client, Got, NoLoads, Rig, Then, play, request_bytes
+from loguru import logger
+
+from rowanshift.dataplane.drain import END_RESERVE, EXIT_RESERVE, Drain, request_kind
+from rowanshift.dataplane.request_endings import EXCUSED_PART, RequestEndings
+from rowanshift.dataplane.service import DataPlaneService
+from rowanshift.dataplane.upstream import Upstream
+
+GRACE = 8.0
+GIVEN_UP_AT = GRACE - END_RESERVE
+LASTS = 5.5  # seconds that requests of the kind of these tests took lately
+WITHIN = 7.9  # seconds that a client waits, longer than the router stays
+NO_TOKENS = request_kind("s", 0)  # the kind of each request of the rig
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+async def leave(rig: Rig) -> None:
+    """What the service does from SIGTERM on; the end of the play is the end of the process."""
+    service = SimpleNamespace(drain=rig.front.drain, told_at=trio.current_time())
+    await DataPlaneService._leave(service, rig.front, rig.front.budget)
+
+
+def until_its_end(
+    clients: Callable[[Rig], Awaitable[None]], *behaviours: Behaviour, longest: float = 0.0
+) -> RequestEndings:
+    """The endings at a router that gets SIGTERM as ``clients`` start."""
+
+    async def main(rig: Rig) -> RequestEndings:
+        rig.behaviours += behaviours
+        if longest:
+            rig.front.drain.durations.finished(NO_TOKENS, longest, trio.current_time())
+        rig.nursery.start_soon(clients, rig)
+        await leave(rig)
+        return rig.front.endings
+
+    return play(main, servers=2)
+
+
+class Silence(unittest.TestCase):
+    """A server's silence is no reason to end an answer sooner."""
+
+    def got(self, longest: float) -> Got:
+        """What the client of a repeatable request gets that a server answers after a silence, before the end."""
+        answers: list[Got] = []
+
+        async def clients(rig: Rig) -> None:
+            await trio.sleep(1.5)
+            answers.append(await Client(rig).ask("idempotent", "r1", within=WITHIN))
+
+        until_its_end(clients, Behaviour(wait=4.0), longest=longest)
+        return answers[0]
+
+    def test_a_silent_server_is_waited_for_where_no_other_may_be_asked(self) -> None:
+        for longest in (0.0, LASTS):
+            with self.subTest(longest=longest):
+                self.assertEqual(self.got(longest).status, 200)
+
+
+class LastAnswers(unittest.TestCase):
+    def test_a_request_read_at_the_very_end_is_refused_at_once(self) -> None:
+        """Its route is not known, and what is known could not be confirmed before the process ends."""
+        for path in ("idempotent", "nowhere"):
+
+            async def clients(rig: Rig, path: str = path) -> None:
+                rig.front.state.may_refuse = lambda: False
+                rig.front.state.confirmed = trio.sleep
+                data = request_bytes(path, "r1", within=WITHIN)
+                client = Client(rig)
+                await client.send(data[:-1])
+                await trio.sleep(GIVEN_UP_AT + 0.1)
+                await client.send(data[-1:])
+
+            with self.subTest(path=path):
+                endings = until_its_end(clients)
+                self.assertEqual(endings.violated(), 0, endings.counts())
+                self.assertIn("leaving_refusal=1", endings.counts())
+
+    def test_all_are_answered_where_giving_up_takes_long(self) -> None:
+        """A slow processor takes longer for the ends of all requests than the time set aside for last answers."""
+        requests, seconds_each = 40, 0.01
+        true = Upstream.close
+
+        async def clients(rig: Rig) -> None:
+            rig.front.forwarder.loads = SlowLoads()
+
+            def close(*given: object) -> None:
+                rig.clock.time += seconds_each
+                true(*given)
+
+            rig.nursery.start_soon(patch_close, close)
+            for number in range(requests):
+                await Client(rig).send(request_bytes("stream", f"r{number}", within=WITHIN))
+
+        async def patch_close(close: Callable[..., None]) -> None:
+            await trio.sleep(GIVEN_UP_AT - 0.1)
+            Upstream.close = close
+
+        with mock.patch.object(Upstream, "close", true):
+            endings = until_its_end(clients, *[Behaviour(cut=0, then=Then.SILENCE)] * requests)
+        self.assertEqual(endings.violated() + endings.excused, 0, endings.counts())
+
+    def test_how_long_the_process_stays_for_them(self) -> None:
+        drain = Drain(GRACE)
+        drain.begin(100.0)
+        taken_until, last = 107.55, 100.0 + GRACE - EXIT_RESERVE
+        for now, open_requests, stays in (
+            (107.54, 0, True),
+            (taken_until, 0, False),
+            (taken_until, 1, True),
+            (last - 0.001, 1, True),
+            (last, 1, False),
+        ):
+            with self.subTest(now=now, open=open_requests):
+                self.assertEqual(drain.stays(now, open_requests, taken_until), stays)
+        self.assertFalse(drain.stays(last, 0, last + 1.0))
+
+
+class SlowLoads(NoLoads):
+    """Tells of each end in a datagram, as a router does, which takes a turn of the loop and cannot be cancelled."""
+
+    async def done(self, told: tuple[str, int]) -> None:
+        with trio.CancelScope(shield=True):
+            await trio.lowlevel.checkpoint()
+
+
+class ShortGrace(unittest.TestCase):
+    def test_nothing_is_given_up_before_the_last_sixth(self) -> None:
+        """A cut is excused from there on only."""
+        for grace in (1.0, 2.0, 3.0, 4.0, 5.0, GRACE, 30.0):
+            with self.subTest(grace=grace):
+                drain = Drain(grace)
+                drain.begin(100.0)
+                self.assertGreaterEqual(drain.work_ends_at, 100.0 + EXCUSED_PART * grace)
+
+
+if __name__ == "__main__":
+    unittest.main()
