--- /dev/null
+++ b/tests/test_frontend_leaving.py
@@ -0,0 +1,59 @@
+"""Connections that a leaving router takes: how long one waits for its first request. Times are seconds of the virtual
+clock from the SIGTERM on."""
+
+import unittest
+
+import trio
+from exchange_rig import FRONT, Behaviour, Client, Got, Rig, request_bytes
+from loguru import logger
+from test_drain_review import WITHIN, until_its_end
+
+from rowanshift.dataplane.drain import NOTICE
+from rowanshift.dataplane.frontend import FIRST_WITHIN
+from rowanshift.dataplane.service import LEAVE_STEP
+from rowanshift.net.transport import connect
+
+LATE = NOTICE + 0.2  # when the new connection comes
+KEEPS_IT_OPEN = 5.0  # seconds of a request that holds the router until then
+
+
+def setUpModule():
+    logger.disable("rowanshift")
+
+
+def tearDownModule():
+    logger.enable("rowanshift")
+
+
+class NewConnections(unittest.TestCase):
+    def got(self, silent_for: float) -> Got:
+        """What a client gets that connects at ``LATE`` and sends its request ``silent_for`` seconds later."""
+        answers: list[Got] = []
+
+        async def clients(rig: Rig) -> None:
+            await Client(rig).send(request_bytes("non_idempotent", "first", within=WITHIN))
+            await trio.sleep(LATE)
+            client = Client(rig)
+            client.stream = rig.client_machine.stream()
+            await connect(client.stream, (rig.router.address, FRONT))
+            await trio.sleep(silent_for)
+            try:
+                answers.append(await client.ask("idempotent", "second", within=WITHIN))
+            except OSError:
+                answers.append(Got(ended=True))
+
+        endings = until_its_end(clients, Behaviour(wait=KEEPS_IT_OPEN - 1.0))
+        self.assertEqual(endings.violated(), 0, endings.counts())
+        return answers[0]
+
+    def test_a_first_request_that_comes_soon_is_refused_with_a_time_to_come_back(self) -> None:
+        got = self.got(FIRST_WITHIN - 0.02)
+        self.assertEqual((got.status, b"retry-after" in {name.lower() for name in got.fields}), (503, True))
+
+    def test_a_connection_that_stays_silent_is_closed_unread(self) -> None:
+        got = self.got(FIRST_WITHIN + 2 * LEAVE_STEP)
+        self.assertEqual((got.status, got.ended), (0, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
