Tell the error within nested groups, in one place

Cause: the demo of the router for caches failed once in a whole suite and said only "Exceptions from Trio nursery (1 sub-exception)": five places unwrapped groups each in its own way, two of them by one level alone. Change: error_groups.first_of, used by the roles, the router, both demos and the soak.

--- a/rowanshift/cli.py
+++ b/rowanshift/cli.py
@@ -70,6 +70,7 @@
     import trio
     from loguru import logger
 
+    from rowanshift.error_groups import first_of
     from rowanshift.net.lines import Lines
     from rowanshift.net.service import Service
 
@@ -90,7 +91,7 @@
     try:
         trio.run(Service(config, arguments.config).run)
     except* OSError as group:
-        ended += group.exceptions
+        ended.append(first_of(group))
     if ended:
         fail(ended[0], 1)
     return 0
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -18,6 +18,7 @@
 from rowanshift.controlplane.singleton_tasks import SingletonTasks
 from rowanshift.controlplane.store import DamagedRecord, NewerFormat, StoreError
 from rowanshift.dataplane.routing_table import routing_table_of
+from rowanshift.error_groups import first_of
 from rowanshift.kv_index.index import packed
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.budget import Memory
@@ -451,9 +452,9 @@
     try:
         trio.run(ControlPlaneService(boot).run)
     except* NewerFormat as group:
-        logger.error("event=ended why={!r}", str(group.exceptions[0]))
+        logger.error("event=ended why={!r}", str(first_of(group)))
         code = 2
     except* (OSError, NodeSettingsError) as group:
-        logger.error("event=ended why={!r}", str(group.exceptions[0]))
+        logger.error("event=ended why={!r}", str(first_of(group)))
         code = 1
     return code
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -13,6 +13,7 @@
 from rowanshift.dataplane.load_index import LoadIndex
 from rowanshift.dataplane.request_endings import RequestEndings
 from rowanshift.dataplane.upstream import Upstream
+from rowanshift.error_groups import first_of
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import Answer, CallServer
@@ -217,6 +218,6 @@
     try:
         trio.run(DataPlaneService(boot).run)
     except* (OSError, NodeSettingsError) as group:
-        logger.error("event=ended why={!r}", str(group.exceptions[0]))
+        logger.error("event=ended why={!r}", str(first_of(group)))
         code = 1
     return code
--- a/rowanshift/emulation/cluster.py
+++ b/rowanshift/emulation/cluster.py
@@ -26,6 +26,7 @@
 from rowanshift.emulation.model_server import ModelServer, Registry
 from rowanshift.emulation.platform import PlatformList
 from rowanshift.emulation.system_clients import Operator, StreamReader, Try
+from rowanshift.error_groups import first_of
 from rowanshift.logs import log_to_stderr
 from rowanshift.net.transport import Address, Listener, Stream, System, connect, send_all
 from rowanshift.node_settings import load_node_settings
@@ -298,8 +299,7 @@
         logger.remove()
     if why is None:
         return 0
-    while isinstance(why, BaseExceptionGroup):
-        why = why.exceptions[0]
+    why = first_of(why)
     said = f"nothing serves after {START_WITHIN} s" if isinstance(why, trio.TooSlowError) else why
     print(f"rowanshift: {said}", file=sys.stderr)
     return 1
--- a/rowanshift/emulation/demo.py
+++ b/rowanshift/emulation/demo.py
@@ -13,6 +13,7 @@
 from rowanshift.emulation.discovery import Agent, row_of
 from rowanshift.emulation.http import Ledger, field_of
 from rowanshift.emulation.servers import Cache, Kind, Origin
+from rowanshift.error_groups import first_of
 from rowanshift.invariants.events import Events
 from rowanshift.net.budget import Memory
 from rowanshift.net.config import ConfigError, load
@@ -137,6 +138,6 @@
     except* KeyboardInterrupt:
         pass
     except* OSError as group:
-        print(f"rowanshift: {group.exceptions[0]}", file=sys.stderr)
+        print(f"rowanshift: {first_of(group)}", file=sys.stderr)
         status = 1
     return status
--- a/rowanshift/soak/command.py
+++ b/rowanshift/soak/command.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from rowanshift.error_groups import first_of
 from rowanshift.invariants.breaches import Breach, Facts, of_kind
 from rowanshift.invariants.facts import Answered, Asked, ConfigAnswered, ConfigSent
 from rowanshift.soak import checker, plan, records
@@ -114,14 +115,6 @@
     return Result(drawn, seconds, facts, checker.check(facts, folder / "logs"))
 
 
-def first_of(group: BaseExceptionGroup) -> BaseException:
-    """The first error in a group of groups."""
-    why: BaseException = group
-    while isinstance(why, BaseExceptionGroup):
-        why = why.exceptions[0]
-    return why
-
-
 def keep(result: Result, folder: Path, found: Path, net: str) -> Path:
     """Moves what a failing run left to where it is kept, with its plan and command line."""
     place = found / f"soak-{result.plan.seed}-{time.strftime('%Y%m%d-%H%M%S')}-{os.getpid()}"
