Let one rare long request not turn all others away during the notice

Cause: a leaving router compared what is left with the longest duration of a kind in the last 30 to 60 s. One of 7 s had all requests of its kind refused for the whole notice. Change: the last 64 durations of a kind and span are remembered, and up to 0.05 of them may be longer than what is left.

--- a/rowanshift/dataplane/drain.py
+++ b/rowanshift/dataplane/drain.py
@@ -3,7 +3,7 @@
 From SIGTERM to its end a router goes through three phases:
 
 - **announced**, for ``NOTICE`` seconds: it is not ready, and the platform still sends it connections. It takes what it
-  expects to finish, by how long requests of the same kind took lately.
+  expects to finish, by how long nearly all requests of the same kind took lately.
 - **refusing**: whoever still comes is sent elsewhere. It takes only what surely ends in time, by the request's own
   bound.
 - **over**: once nothing that it took is open, and at the latest ``END_RESERVE`` seconds before the grace is up, when
@@ -12,6 +12,7 @@
 One rule decides for every request, when it comes and again before each attempt at a server (``Drain.may_send``).
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -22,6 +23,8 @@
 EXIT_RESERVE = 0.15  # seconds of the grace kept for the end of the process alone
 EXIT_PART = 0.05  # of the grace, if that is less
 REMEMBERED = 30.0  # seconds; durations are remembered for one to two of these
+MOST_OF_KIND = 64  # durations of one kind that are remembered of each span; the oldest goes
+MOST_LATE = 0.05  # share of a kind that may have taken longer than is left; a cut of one that comes so early is excused
 MOST_KINDS = 256  # kinds of request whose durations are remembered; further ones are unknown
 
 
@@ -49,22 +52,28 @@
 
 @dataclass(slots=True)
 class RequestDurations:
-    """The longest duration in seconds of each kind of request, over the last one to two spans of ``REMEMBERED``."""
+    """The last durations in seconds of each kind of request, over the last one to two spans of ``REMEMBERED``."""
 
     began_at: float = 0.0
-    current: dict[RequestKind, float] = field(default_factory=dict)
-    previous: dict[RequestKind, float] = field(default_factory=dict)
+    current: dict[RequestKind, deque[float]] = field(default_factory=dict)
+    previous: dict[RequestKind, deque[float]] = field(default_factory=dict)
 
     def finished(self, kind: RequestKind, seconds: float, now: float) -> None:
         """A request of ``kind`` got its whole answer after ``seconds``."""
         self._age(now)
-        if kind in self.current or len(self.current) < MOST_KINDS:
-            self.current[kind] = max(seconds, self.current.get(kind, 0.0))
-
-    def longest(self, kind: RequestKind, now: float) -> float:
-        """Seconds that the longest of them took lately; 0.0 if none is known."""
+        if kind not in self.current:
+            if len(self.current) >= MOST_KINDS:
+                return
+            self.current[kind] = deque(maxlen=MOST_OF_KIND)
+        self.current[kind].append(seconds)
+
+    def share_late(self, kind: RequestKind, now: float, ends_at: float) -> float | None:
+        """The share of them, from 0 to 1, that would end after ``ends_at`` if they began now; None if none is known."""
         self._age(now)
-        return max(self.current.get(kind, 0.0), self.previous.get(kind, 0.0))
+        known = [*self.previous.get(kind, ()), *self.current.get(kind, ())]
+        if not known:
+            return None
+        return sum(now + took > ends_at for took in known) / len(known)
 
     def _age(self, now: float) -> None:
         spans = int((now - self.began_at) / REMEMBERED)
@@ -141,10 +150,10 @@
             return True
         if came_at >= self.notice_ends_at:
             return False
-        longest = self.durations.longest(kind, now)
-        if not longest and now >= self.notice_ends_at:
-            return False
-        return now + longest <= self.work_ends_at
+        late = self.durations.share_late(kind, now, self.work_ends_at)
+        if late is None:
+            return now < self.notice_ends_at
+        return late <= MOST_LATE
 
     def _began(self) -> float:
         if self.began_at is None:
