Count a cut after the request's time as time_up where its client took nothing

Cause: a router that waits for a slow client doesn't look at the request's time. Given up at the end of a leave, such a request counted as cut by the router, a violation if it had come later than 3 s after SIGTERM, although its deadline had passed before. Change: when its forwarding is cancelled after its time, its ending is time_up.

--- a/rowanshift/dataplane/forwarder.py
+++ b/rowanshift/dataplane/forwarder.py
@@ -127,6 +127,10 @@
             if out.begun:
                 out.ending = forwarding.ending_once_begun(trio.current_time())
             raise
+        except trio.Cancelled:  # it is given up, perhaps after its time, where its client takes nothing
+            if out.begun and trio.current_time() >= forwarding.until:
+                out.ending = RequestEnding.TIME_UP
+            raise
         finally:
             if forwarding.spare is not None:
                 self.upstream.keep(forwarding.spare, trio.current_time())
--- a/tests/test_drain_review.py
+++ b/tests/test_drain_review.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 import trio
-from exchange_rig import Behaviour, Client, Got, NoLoads, Rig, Then, play, request_bytes
+from exchange_rig import Asked, Behaviour, Client, Got, NoLoads, Rig, Then, chunk, head, play, request_bytes
 from loguru import logger
 
 from rowanshift.dataplane.drain import END_RESERVE, EXIT_RESERVE, Drain, request_kind
@@ -139,6 +139,34 @@
             await trio.lowlevel.checkpoint()
 
 
+class SlowClient(unittest.TestCase):
+    def ending(self, within: float) -> RequestEndings:
+        """The ending of a request, sent 4 s after the SIGTERM, whose client takes a part of a long answer only."""
+
+        async def clients(rig: Rig) -> None:
+            await Client(rig).send(request_bytes("stream", "open", within=WITHIN))  # without it the router would end
+            await trio.sleep(4.0)
+            await Client(rig).send(request_bytes("stream", "r1", within=within))
+
+        async def main(rig: Rig) -> RequestEndings:
+            rig.behaviours += [Behaviour(cut=0, then=Then.SILENCE), Behaviour(answer=long_stream)]
+            rig.nursery.start_soon(clients, rig)
+            await leave(rig)
+            return rig.front.endings
+
+        return play(main, servers=2, window=1 << 12)
+
+    def test_a_cut_after_its_time_is_up_is_none_of_the_router(self) -> None:
+        endings = self.ending(within=3.0)
+        self.assertEqual(endings.violated(), 0, endings.counts())
+        self.assertIn("leaving_time_up=1", endings.counts())
+
+
+def long_stream(asked: Asked) -> bytes:
+    events = b"".join(chunk(b"id: %d\ndata: %s\n\n" % (number, b"x" * 4000)) for number in range(1, 40))
+    return head(asked, 200, b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked") + events + chunk(b"")
+
+
 class ShortGrace(unittest.TestCase):
     def test_nothing_is_given_up_before_the_last_sixth(self) -> None:
         """A cut is excused from there on only."""
