--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -63,22 +63,40 @@
         self.reading: set[Client] = set()  # connections of which a part of a request was read
         self.answering: dict[trio.CancelScope, Out] = {}  # what gives up each request that is open
         self.accepting = trio.CancelScope()
+        self.listener_closed = trio.Event()
         self.endings = endings or RequestEndings()
         budget.idle_clients = self.drop_idle
 
     # the listener -----------------------------------------
 
     async def accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
-        """Take connections in until ``stop_accepting``; the listener is closed then."""
+        """Take connections in until ``stop_accepting``; then those that wait, so that their requests are refused, and
+        the listener is closed."""
         try:
             with self.accepting:
                 await self._accept(listener, nursery, pause)
+            self._take_waiting(listener, nursery)
         finally:
             listener.close()
+            self.listener_closed.set()
 
-    def stop_accepting(self) -> None:
-        """Take no more connections."""
+    def _take_waiting(self, listener: Listener, nursery: Nursery) -> None:
+        """Take in the connections that wait to be accepted, as far as there is room."""
+        for _ in range(BACKLOG):
+            if not self.budget.take_client_now():
+                return
+            try:
+                stream = listener.accept()
+            except OSError:  # none waits, or no descriptor is left
+                self.budget.give_client()
+                return
+            self._note_connection()
+            nursery.start_soon(self.serve, stream)
+
+    async def stop_accepting(self) -> None:
+        """Take no more connections but those that wait already; returns once the listener is closed."""
         self.accepting.cancel()
+        await self.listener_closed.wait()
 
     async def _accept(self, listener: Listener, nursery: Nursery, pause: Callable[[float], Awaitable[None]]) -> None:
         while True:
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -178,7 +178,7 @@
                 front.close_idle()
             await trio.sleep(LEAVE_STEP)
         self.drain.finish()
-        front.stop_accepting()
+        await front.stop_accepting()
         front.give_up()
         taken_until = trio.current_time() + LAST_ANSWERS
         while budget.clients and self.drain.stays(trio.current_time(), front.open, taken_until):
--- a/rowanshift/net/budget.py
+++ b/rowanshift/net/budget.py
@@ -88,6 +88,13 @@
                 await self.freed.wait()
         self.clients += 1
 
+    def take_client_now(self) -> bool:
+        """Whether a client's connection may be accepted at once; it is counted if so."""
+        if self._crowded() or self._short():
+            return False
+        self.clients += 1
+        return True
+
     def give_client(self) -> None:
         self.clients -= 1
         self.freed.set()
--- a/rowanshift/soak/checker.py
+++ b/rowanshift/soak/checker.py
@@ -38,7 +38,7 @@
 EXIT_TAKES = 0.5  # seconds from the close of a process's sockets until its end is noticed
 KILLED = -9
 TRACEBACK = "Traceback (most recent call last)"
-REPORTED = re.compile(r"event=(request_cut|invariant\w*)")  # what a process says of its own breaches
+REPORTED = re.compile(r"event=(request_cut|call_cut)")  # what a process says of its own breaches
 LONGEST_SHOWN = 200  # characters of a log line
 
 OWN_END, EXIT, LOG, CUT = "OWN END", "EXIT", "LOG", "CUT"
@@ -206,12 +206,11 @@
         self.routers = {one.front: one.machine for one in of_kind(facts, ProcessStarted) if one.front}
         self.lags = of_kind(facts, Lagged)
         self.lives: dict[str, list[Life]] = defaultdict(list)
+        self.terms: dict[str, list[float]] = defaultdict(list)  # the first of each life: a second gives no more grace
         for life in lives_of(facts):
             self.lives[life.started.machine].append(life)
-        self.terms: dict[str, list[float]] = defaultdict(list)
-        for signalled in of_kind(facts, ProcessSignalled):
-            if signalled.signal == "SIGTERM":
-                self.terms[signalled.machine].append(signalled.at)
+            if (told_at := life.first("SIGTERM")) is not None:
+                self.terms[life.started.machine].append(told_at)
 
     def cuts(self) -> list[Breach]:
         """CUT: a router without unplanned trouble ends the connection of a request that it has read with no
--- a/tests/test_frontend_leaving.py
+++ b/tests/test_frontend_leaving.py
@@ -2,6 +2,7 @@
 clock from the SIGTERM on."""
 
 import unittest
+from unittest import mock
 
 import trio
 from exchange_rig import FRONT, Behaviour, Client, Got, Rig, request_bytes
@@ -9,11 +10,12 @@
 from test_drain_review import WITHIN, until_its_end
 
 from rowanshift.dataplane.drain import NOTICE
-from rowanshift.dataplane.frontend import FIRST_WITHIN
+from rowanshift.dataplane.frontend import FIRST_WITHIN, Frontend
 from rowanshift.dataplane.service import LEAVE_STEP
 from rowanshift.net.transport import connect
 
 LATE = NOTICE + 0.2  # when the new connection comes
+WAITING = 20  # connections
 KEEPS_IT_OPEN = 5.0  # seconds of a request that holds the router until then
 
 
@@ -54,6 +56,22 @@
         got = self.got(FIRST_WITHIN + 2 * LEAVE_STEP)
         self.assertEqual((got.status, got.ended), (0, True))
 
+    def test_those_that_wait_to_be_accepted_at_the_end_are_refused_and_not_reset(self) -> None:
+        """As after a standstill of the loop, which finds the signal's notice over and its listener full."""
+
+        async def clients(rig: Rig) -> None:
+            await trio.sleep(NOTICE - 0.3)
+            for number in range(WAITING):
+                await Client(rig).send(request_bytes("non_idempotent", f"r{number}", within=WITHIN))
+
+        async def stands_still(*given: object) -> None:
+            await trio.sleep_forever()
+
+        with mock.patch.object(Frontend, "_accept", stands_still):
+            endings = until_its_end(clients)
+        self.assertEqual(endings.violated(), 0, endings.counts())
+        self.assertIn(f"leaving_refusal={WAITING} ", endings.counts())
+
 
 if __name__ == "__main__":
     unittest.main()
