End a soak at SIGINT also where it comes during a fork

Cause: test_nothing_is_left_running failed once in a whole suite for SIGINT: the signal came as the soak's seventh process was forked, and the KeyboardInterrupt was raised in logging's callback after a fork (_releaseLock), where it is ignored, as the process's own message says; the soak went on. Change: a run takes SIGINT as it takes SIGTERM, by trio's receiver, which is there before the first process starts.

--- a/rowanshift/soak/command.py
+++ b/rowanshift/soak/command.py
@@ -80,13 +80,16 @@
 
 async def _until_told(run: Run) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_heed)
+        await nursery.start(_heed)
         await run.play()
         nursery.cancel_scope.cancel()
 
 
-async def _heed() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+async def _heed(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+    """Ends the run at a signal. A KeyboardInterrupt would be lost where it is raised in a callback, as those of a fork
+    are."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
         async for _ in signals:
             raise Told
 
