--- a/tests/test_frontend_leaving.py
+++ b/tests/test_frontend_leaving.py
@@ -1,6 +1,7 @@
 """Connections that a leaving router takes: how long one waits for its first request. Times are seconds of the virtual
 clock from the SIGTERM on."""
 
+import math
 import unittest
 from unittest import mock
 
@@ -12,10 +13,12 @@
 from rowanshift.dataplane.drain import NOTICE
 from rowanshift.dataplane.frontend import FIRST_WITHIN, Frontend
 from rowanshift.dataplane.service import LEAVE_STEP
+from rowanshift.net.budget import CLIENTS, OWN, Budget
 from rowanshift.net.transport import connect
 
 LATE = NOTICE + 0.2  # when the new connection comes
 WAITING = 20  # connections
+LEAST_DESCRIPTORS = OWN + 40  # of a process with room for 40 connections
 KEEPS_IT_OPEN = 5.0  # seconds of a request that holds the router until then
 
 
@@ -73,5 +76,15 @@
         self.assertIn(f"leaving_refusal={WAITING} ", endings.counts())
 
 
+class Room(unittest.TestCase):
+    def test_connections_are_taken_at_once_as_far_as_clients_have_room(self) -> None:
+        budget = Budget(LEAST_DESCRIPTORS)
+        most = math.ceil(CLIENTS * budget.limit)
+        self.assertEqual([budget.take_client_now() for _ in range(most + 1)], [True] * most + [False])
+        self.assertEqual(budget.clients, most)
+        budget.give_client()
+        self.assertTrue(budget.take_client_now())
+
+
 if __name__ == "__main__":
     unittest.main()
