--- /dev/null
+++ b/tests/test_inherited_names.py
@@ -0,0 +1,125 @@
+"""Named versions that a primary takes over: when each was named, as routers tell that lived through it."""
+
+import unittest
+from unittest import mock
+
+import trio
+from loguru import logger
+
+from rowanshift.controlplane import singleton_tasks
+from rowanshift.controlplane.server_registry import Known, ServerRegistry
+from rowanshift.invariants.facts import VersionNamed
+from rowanshift.simulation.fleet import Fleet, play
+from rowanshift.simulation.fleet_settings import MODEL
+from rowanshift.simulation.fleet_troubles import Unit
+
+CLOSE = 0.3  # seconds by which a date may differ from when the name was acknowledged
+AGE = 2.5  # seconds from a name to the trouble
+
+
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
+def server(id: str, service: str, **versions: int) -> Known:
+    return Known(id, service, "10.0.0.1:80", "z", 1, False, versions)
+
+
+class LateLook(unittest.TestCase):
+    """A primary that first looks at the servers long after its takeover."""
+
+    def test_an_inherited_version_is_due_since_the_takeover(self) -> None:
+        registry = ServerRegistry(roll_out_within=5.0)
+        registry.note({"m": 2}, 0.0)  # named by a former primary
+        registry.note({"m": 2, "n": 2}, 1.0)
+        registry.take([server("z", "s", m=1), server("y", "s", m=2), server("a", "t", n=1)])
+        self.assertEqual(registry.next_load({"m": 2, "n": 2}, 20.0)[0].id, "z")
+
+
+def named_at(fleet: Fleet) -> float:
+    """When the last version was acknowledged."""
+    return max(fact.at for fact in fleet.of(VersionNamed))
+
+
+def dated_at(unit: Unit) -> float:
+    """When a program takes version 2 to have been named."""
+    holder = unit.program.tasks.registry if unit.core else unit.program.control_client
+    return holder.names.lacking_since(MODEL, 1) or 0.0
+
+
+class Takeovers(unittest.TestCase):
+    """The date of a name outlives the primary that acknowledged it."""
+
+    async def name(self, fleet: Fleet) -> None:
+        """A version is named that no server loads, as no order is given."""
+        await fleet.start()
+        await fleet.name_version(2)
+        await trio.sleep(AGE)
+
+    def off_after(self, trouble, seed: str, routers: int = 2) -> float:
+        """Seconds between the name's acknowledgement and its date at the primary that follows a trouble."""
+
+        async def main(fleet: Fleet) -> float:
+            await self.name(fleet)
+            former = fleet.primary()
+            await trouble(fleet, former)
+            await fleet.until(lambda: fleet.primary() not in (None, former) or former.lives > 1 and fleet.primary())
+            await trio.sleep(2.0)
+            return abs(dated_at(fleet.primary()) - named_at(fleet))
+
+        with mock.patch.object(singleton_tasks.SingletonTasks, "_may_order", lambda tasks: False):
+            return play(main, seed, routers=routers)[0]
+
+    def test_a_primary_that_is_killed(self) -> None:
+        async def trouble(fleet: Fleet, primary: Unit) -> None:
+            fleet.kill(primary)
+
+        for seed in range(4):
+            self.assertLess(self.off_after(trouble, str(seed)), CLOSE)
+
+    def test_the_whole_core_that_is_killed(self) -> None:
+        async def trouble(fleet: Fleet, primary: Unit) -> None:
+            fleet.kill(*fleet.cores)
+            await trio.sleep(0.5)
+            fleet.back(*fleet.cores)
+
+        for seed in range(4):
+            self.assertLess(self.off_after(trouble, str(seed)), CLOSE)
+
+    def test_takeovers_in_series_do_not_add_up(self) -> None:
+        async def trouble(fleet: Fleet, primary: Unit) -> None:
+            for _ in range(6):
+                fleet.kill(*fleet.cores)
+                await trio.sleep(0.2)
+                fleet.back(*fleet.cores)
+                await fleet.until(fleet.primary)
+                await trio.sleep(1.0)
+
+        self.assertLess(self.off_after(trouble, "series"), CLOSE)
+
+    def test_a_router_that_starts_after_it(self) -> None:
+        """It goes by the name's own date, not by a shorter time for names of which nobody knows it."""
+
+        async def main(fleet: Fleet) -> float:
+            await self.name(fleet)
+            fleet.kill(fleet.primary())
+            await fleet.until(fleet.primary)
+            await trio.sleep(2.0)
+            started = fleet.routers[0]
+            fleet.kill(started)
+            fleet.back(started)
+            await fleet.until(lambda: started.lives > 1 and started.program and started.program.ready())
+            await trio.sleep(1.0)
+            return abs(dated_at(started) - named_at(fleet))
+
+        with mock.patch.object(singleton_tasks.SingletonTasks, "_may_order", lambda tasks: False):
+            for seed in range(4):
+                self.assertLess(play(main, f"starts {seed}")[0], 2 * CLOSE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -297,6 +297,31 @@
         made.failed("a", 0.0)
         self.assertEqual(self.begun(made), ["b"])
 
+    def test_a_failed_load_of_one_model_holds_up_no_other(self):
+        one = known("a")
+        one.versions["n"] = 1
+        made = registry(one)
+        made.failed("a", "n", 5.0)
+        self.assertEqual((made.next_load({"m": 2, "n": 2}, 5.0) or (None, None))[1], "m")
+        self.assertEqual(made.next_load({"n": 2}, 5.0), None)
+        self.assertEqual(made.next_load({"n": 2}, 5.0 + AGAIN)[1], "n")
+
+    def test_failures_of_one_model_put_a_server_back_for_no_other(self):
+        first, second = known("a"), known("b")
+        first.versions["n"] = second.versions["n"] = 1
+        made = registry(first, second)
+        made.failed("a", "n", 0.0)
+        self.assertEqual(made.next_load({"m": 2}, 100.0)[0].id, "a")
+        self.assertEqual(made.next_load({"n": 2}, 100.0)[0].id, "b")
+
+    def test_a_load_of_one_model_ends_no_failures_of_another(self):
+        one = known("a")
+        one.versions["n"] = 1
+        made = registry(one)
+        made.failed("a", "n", 0.0)
+        made.loaded("a", "m", 2, 0.1)
+        self.assertIsNone(made.next_load({"n": 2}, 0.2))
+
     def test_a_second_model(self):
         one = known("a", 2)
         one.versions["n"] = 1
