Date inherited named versions by the routers that lived through them

Change: routers tell whoever may be a new primary the dates they know (wire kinds 7 and 8; older kinds stay readable), which also holds after the whole core was killed; a router that starts gets them; failures and pauses are kept by model; a primary keeps its dates over the loss of its office, and an inherited name without a date counts from the takeover.

--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -247,7 +247,7 @@
 
 UNPACKED: dict[bytes, Any] = {}  # answers that many routers of this process get alike
 MOST_UNPACKED = 8
-ASKED_WITH = ("version", "fingerprint", "registry", "stock", "peers")  # what a router has, in a Poll and an Update
+ASKED_WITH = ("version", "fingerprint", "registry", "stock", "peers", "names_serial")  # of a Poll and an Update
 
 
 def unpacked(kind: int, body: bytes) -> Any:
--- a/rowanshift/capacity/sizes.py
+++ b/rowanshift/capacity/sizes.py
@@ -10,7 +10,19 @@
 from rowanshift.wire.delivery import CODEC, KINDS, Poll, Update
 
 DAY = 86400  # seconds
-FIXED = {"q": 8, "?": 1, "d": 8, "p": 16, "s": 2, "b": 4, "t": 2, "v": 2, "o": 4, "n": 4}  # bytes of a field, empty
+FIXED = {
+    "q": 8,
+    "?": 1,
+    "d": 8,
+    "p": 16,
+    "s": 2,
+    "b": 4,
+    "t": 2,
+    "v": 2,
+    "o": 4,
+    "n": 4,
+    "y": 4,
+}  # bytes of a field, empty
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +100,8 @@
 ) -> int:
     """Bytes of an Update's frame. ``core``: machines named; ``config``: bytes of it, compressed; ``rows``:
     bytes of all rows; ``marks``: parts that stores keep or dropped; ``members``: routers named; ``names``: the model of
-    each named version that goes with its age."""
-    lists = 8 * (core + marks + members) + sum(text(model) + 16 for model in names)
+    each named version that goes with its date."""
+    lists = 8 * (core + marks + members) + sum(text(model) + 17 for model in names)
     return empty(Update) + config + versions(named or {}) - 2 + rows + lists
 
 
--- a/rowanshift/controlplane/server_registry.py
+++ b/rowanshift/controlplane/server_registry.py
@@ -3,12 +3,13 @@
 Of the list, of reports and of orders' answers the newest version counts: an incarnation never goes back.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import ceil
 from typing import Any
 
-from rowanshift.version_names import VersionNames
-from rowanshift.wire.delivery import DRAINING, LOADING, UP, Row
+from rowanshift.version_names import VersionName, VersionNames
+from rowanshift.wire.delivery import DRAINING, LOADING, UP, NamedVersion, Row
 
 AT_ONCE = 0.4  # part of a service's servers that may load at once, one at least
 FIRST_LOAD = 1.5  # seconds that a load is taken to need, with all around it, until one has told
@@ -17,12 +18,25 @@
 AGAIN = 0.6  # seconds until a server whose order failed is looked at again
 FAILED_LATER = 2.0  # seconds by which each failed load puts a server back behind others
 NAMES_KEPT_FOR = 60.0  # seconds for which the time of a name is known after a newer one
+DATED_EARLIER = 0.25  # seconds by which a router's date of a name must lie before a known one to be news
+MOST_TOLD = 256  # names of one router's poll that are looked at
 
 
 class BadList(ValueError):
     """An answer of the platform that is no list."""
 
 
+@dataclass(slots=True, frozen=True)
+class FailedLoads:
+    """Loads of one model that failed at a server since the last that went well."""
+
+    failures: int = 0
+    not_before: float = 0.0  # when the model may be ordered there again
+
+
+NO_FAILED_LOADS = FailedLoads()
+
+
 @dataclass(slots=True)
 class Known:
     """One incarnation of a server."""
@@ -35,8 +49,7 @@
     draining: bool
     versions: dict[str, int]
     loading: bool = False
-    not_before: float = 0.0  # when it may be ordered again
-    failures: int = 0  # of loads
+    failed_loads: dict[str, FailedLoads] = field(default_factory=dict)  # by model
     began_at: float = 0.0  # when it was last ordered to load
 
     def row(self) -> Row:
@@ -88,9 +101,10 @@
     roll_out_within: float = 0.0  # seconds in which all servers should have a named version; 0: as soon as may be
     load_takes: float = FIRST_LOAD  # seconds, smoothed
     names_kept_for: float = NAMES_KEPT_FOR
-    names: VersionNames = field(default_factory=VersionNames)  # since when each version has been named, as met here
+    names: VersionNames = field(default_factory=VersionNames)  # since when each version has been named
+    names_serial: int = 1  # of the changes of names
     inherited: dict[str, int] | None = None  # of the first call, until the servers of the model were looked at
-    late: dict[str, tuple[int, float]] = field(default_factory=dict)  # versions that a former primary rolled out
+    late_models: set[str] = field(default_factory=set)  # whose inherited version a former primary had begun to roll out
 
     def take(self, entries: list[Known]) -> bool:
         """Takes a whole list in; whether anything changed."""
@@ -99,8 +113,8 @@
         for entry in entries:
             known = self.servers.get(entry.id)
             if known is not None:
-                entry.loading, entry.not_before = known.loading, known.not_before
-                entry.failures, entry.began_at = known.failures, known.began_at
+                entry.loading, entry.began_at = known.loading, known.began_at
+                entry.failed_loads = known.failed_loads
                 for model, version in known.versions.items():
                     entry.versions[model] = max(version, entry.versions.get(model, 0))
             made[entry.id] = entry
@@ -116,12 +130,32 @@
 
     def note(self, named: dict[str, int], now: float) -> None:
         """Take down which versions are named: those of the first call were named by a former primary, if any."""
+        is_dated = self.inherited is not None
         if self.inherited is None:
             self.inherited = dict(named)
-        for model, version in named.items():
-            self.names.note(model, version, now)
+        new = [name for name in named.items() if self.names.named(*name) is None]
+        self.names_serial += self.names.note_all((model, VersionName(version, now, is_dated)) for model, version in new)
         self.names.forget_before(now - self.names_kept_for)
 
+    def take_dates(self, told: Sequence[NamedVersion], named: dict[str, int], now: float) -> bool:
+        """Take in when versions were named, as a router tells that knows it; whether anything changed.
+
+        Routers outlive primaries, and the whole core: what a primary has inherited is dated by them.
+        """
+        dated = [
+            (name.model, VersionName(name.version, now - name.age_ms / 1000))
+            for name in told[:MOST_TOLD]
+            if name.is_dated and name.version <= named.get(name.model, 0)
+        ]
+        changed = self.names.note_all(pair for pair in dated if self._is_news(*pair))
+        self.names_serial += changed
+        return changed
+
+    def _is_news(self, model: str, told: VersionName) -> bool:
+        """Whether a date differs from what is known by more than messages take."""
+        known = self.names.named(model, told.version)
+        return known is None or not known.is_dated or told.named_at < known.named_at - DATED_EARLIER
+
     def next_load(self, named: dict[str, int], now: float) -> tuple[Known, str, int] | None:
         """The next server to be ordered, with the model and version; None if none should be now.
 
@@ -133,7 +167,7 @@
             having = [known for known in self.servers.values() if model in known.versions and not known.draining]
             for service in dict.fromkeys(known.service for known in having):
                 fellows = [known for known in having if known.service == service]
-                self._note_late(model, fellows, now)
+                self._note_late(model, fellows)
                 if (found := self._most_urgent(model, version, fellows, now)) is not None:
                     urgent.append((self._due(model, found), found.id, found, model, version))
         if not urgent:
@@ -144,7 +178,7 @@
     def _most_urgent(self, model: str, version: int, fellows: list[Known], now: float) -> Known | None:
         """The server of a service that should be ordered now; None if none should be."""
         lacking = [known for known in fellows if known.versions[model] < version]
-        behind = [known for known in lacking if not known.loading and known.not_before <= now]
+        behind = [known for known in lacking if not known.loading and failed_loads(known, model).not_before <= now]
         if not behind:
             return None
         dues = [self._due(model, known) for known in lacking]
@@ -152,23 +186,21 @@
             return None
         return min(behind, key=lambda known: (self._due(model, known), known.id))
 
-    def _note_late(self, model: str, fellows: list[Known], now: float) -> None:
-        """A roll-out that was begun by another primary may be late already: it goes on as fast as may be."""
+    def _note_late(self, model: str, fellows: list[Known]) -> None:
+        """A roll-out that was begun by another primary may be late already: it goes on as fast as may be, unless
+        somebody knows when its version was named."""
         version = (self.inherited or {}).pop(model, None)
         if version is not None and any(known.versions[model] >= version for known in fellows):
-            self.late[model] = version, now
+            self.late_models.add(model)
 
     def _due(self, model: str, known: Known) -> float:
         """When a server should have a newer version: ``roll_out_within`` after the first name that it lacks; somewhat
         later where loads failed, so that one which fails for good doesn't keep the others waiting."""
-        version = known.versions[model]
-        late_version, late_since = self.late.get(model, (0, 0.0))
-        if version < late_version:
-            due = late_since
-        else:
-            since = self.names.lacking_since(model, version)
-            due = float("inf") if since is None else since + self.roll_out_within
-        return due + FAILED_LATER * known.failures
+        name = self.names.first_lacking(model, known.versions[model])
+        if name is None:
+            return float("inf")
+        within = 0.0 if model in self.late_models and not name.is_dated else self.roll_out_within
+        return name.named_at + within + FAILED_LATER * failed_loads(known, model).failures
 
     def at_once(self, dues: list[float], fellows: int, now: float) -> int:
         """How many of a service's servers may load at once: as few as bring each of those that lack a version, or load
@@ -201,11 +233,18 @@
             if known.loading:
                 self.load_takes += SMOOTHING * (now - known.began_at - self.load_takes)
             known.versions[model] = max(version, known.versions.get(model, 0))
-            known.loading, known.failures = False, 0
+            known.loading = False
+            known.failed_loads.pop(model, None)
             self.serial += 1
 
-    def failed(self, id: str, now: float) -> None:
-        """A load failed: the server is looked at again later."""
+    def failed(self, id: str, model: str, now: float) -> None:
+        """A load failed: the server is looked at again for that model later."""
         if (known := self.servers.get(id)) is not None:
-            known.loading, known.not_before, known.failures = False, now + AGAIN, known.failures + 1
+            known.loading = False
+            known.failed_loads[model] = FailedLoads(failed_loads(known, model).failures + 1, now + AGAIN)
             self.serial += 1
+
+
+def failed_loads(known: Known, model: str) -> FailedLoads:
+    """The loads of a model that failed at a server since the last that went well."""
+    return known.failed_loads.get(model, NO_FAILED_LOADS)
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -26,8 +26,18 @@
 from rowanshift.net.links import Inbox, LinkFailed
 from rowanshift.net.transport import SYSTEM, Disk, Host, Listener, Stream, send_all
 from rowanshift.node_settings import NodeSettings, NodeSettingsError, load_node_settings
+from rowanshift.version_names import age_ms
 from rowanshift.wire.codec import BadRecord
-from rowanshift.wire.delivery import Elsewhere, NamedVersion, Poll, PollOfFormat1, PollOfFormat2, Update
+from rowanshift.wire.delivery import (
+    Elsewhere,
+    NamedVersion,
+    Poll,
+    PollOfFormat1,
+    PollOfFormat2,
+    PollOfFormat3,
+    Update,
+    UpdateOfFormat1,
+)
 from rowanshift.wire.machines import ip_of, machine_of
 from rowanshift.wire.table import CODEC, Hello
 
@@ -45,7 +55,6 @@
 ANSWERED_WITHIN = 0.8  # of these, for calls and polls that were read to be answered
 FAREWELL = 0.1  # seconds from then to the end, in which answers still go out
 LINKS = 2048  # connections of routers and core machines at once
-MOST_AGE_MS = 24 * 3600 * 1000  # that is told of a named version; older ones are told as this old
 MOST_BEHIND = 50  # servers in the status that lack a named version
 
 
@@ -107,6 +116,7 @@
         self.members.clear()
         self.peers, self.peers_serial = (), 0
         self.tasks.forget()
+        self.raw = None  # what is named was inherited, also where the state is the one of an earlier time as primary
         self.refresh()
         self._tell()
 
@@ -206,7 +216,7 @@
 
     # routers ---------------------------------------------
 
-    async def _poll(self, poll: Poll) -> Update | Elsewhere:
+    async def _poll(self, poll: PollOfFormat3) -> Update | Elsewhere:
         """Hold a router's question until there is something newer than it has, as long as it allows.
 
         The answer is made under a lease that was looked at after the question came in.
@@ -225,6 +235,7 @@
                 continue
             self.members[poll.machine] = now
             self.refresh()
+            self._take_dates(poll)
             if now >= until or self._has_news(poll):
                 return self._update(poll, now)
             news = self.news
@@ -240,7 +251,13 @@
         replica = self.replica_host.replica
         return Elsewhere(0 if replica.is_primary else replica.primary_hint, self._core())
 
-    def _has_news(self, poll: Poll) -> bool:
+    def _take_dates(self, poll: PollOfFormat3) -> None:
+        """Takes in when versions were named, if the asker tells it."""
+        told = poll.names if isinstance(poll, Poll) else ()
+        if told and self.tasks.registry.take_dates(told, self.state.versions, trio.current_time()):
+            self._tell()
+
+    def _has_news(self, poll: PollOfFormat3) -> bool:
         """Whether there is anything that the asker lacks."""
         epoch, registry = self.replica_host.replica.record.number, self.tasks.registry
         return (
@@ -248,9 +265,10 @@
             or (registry.serial > 0 and poll.registry != (epoch, registry.serial))
             or poll.stock != (epoch, self.tasks.stock.serial)
             or (self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial))
+            or (isinstance(poll, Poll) and poll.names_serial != (epoch, registry.names_serial))
         )
 
-    def _update(self, poll: Poll, now: float) -> Update:
+    def _update(self, poll: PollOfFormat3, now: float) -> Update:
         """All that the asker lacks, as it is committed."""
         replica, registry, stock = self.replica_host.replica, self.tasks.registry, self.tasks.stock
         epoch, state = replica.record.number, self.state
@@ -258,6 +276,8 @@
         has_state = poll.fingerprint != self.fingerprint
         has_rows = registry.serial > 0 and poll.registry != (epoch, registry.serial)
         has_peers = self.peers_serial > 0 and poll.peers != (epoch, self.peers_serial)
+        names_serial = epoch, registry.names_serial
+        has_names = has_state or not isinstance(poll, Poll) or poll.names_serial != names_serial
         counted = sum(now - at < COUNTED_FOR for at in self.members.values())
         known = self.primary_since is not None and now - self.primary_since > MEMBER_FOR
         whole, kept, dropped = stock.since(poll.stock[1] if poll.stock[0] == epoch else 0)
@@ -280,14 +300,16 @@
             has_peers=has_peers,
             machines=self.peers if has_peers else (),
             core=self._core(),
-            names=self._named_versions(now) if has_state else (),
+            names_serial=names_serial,
+            has_names=has_names,
+            names=self._named_versions(now) if has_names else (),
         )
 
     def _named_versions(self, now: float) -> tuple[NamedVersion, ...]:
-        """The names whose deadlines may be still to come, with how long ago they were acknowledged: this machine met
-        each as it was committed, or as it became primary, which unsettles the core."""
+        """The names whose deadlines may be still to come, with how long ago they were acknowledged, as this machine met
+        each as it was committed or as a router told it; else since this machine became primary, undated."""
         return tuple(
-            NamedVersion(model, name.version, min(MOST_AGE_MS, int(1000 * max(0.0, now - name.named_at))))
+            NamedVersion(model, name.version, age_ms(now - name.named_at), name.is_dated)
             for model, name in self.tasks.registry.names.all()
         )
 
@@ -339,13 +361,11 @@
         """Answer one question of a router on its connection."""
         if isinstance(record, PollOfFormat1):
             record = record.upgraded(int(1000 * HOLD))
-        if not isinstance(record, Poll):
+        if not isinstance(record, PollOfFormat3):
             raise BadRecord(f"{type(record).__name__} was not expected")
         self.polls += 1
         try:
-            found = await self._poll(record)
-            if isinstance(record, PollOfFormat2) and isinstance(found, Update):
-                found = found.of_format_1()
+            found = readable_by(record, await self._poll(record))
             answer = CODEC.pack(found, number)
             with trio.fail_after(WRITE_WITHIN):
                 await send_all(stream, answer)
@@ -474,6 +494,13 @@
                     logger.warning("event=settings_kept why={!r}", str(error))
 
 
+def readable_by(poll: PollOfFormat3, found: Update | Elsewhere) -> UpdateOfFormat1 | Elsewhere:
+    """An answer in the form that the router which asked knows."""
+    if isinstance(poll, Poll) or isinstance(found, Elsewhere):
+        return found
+    return found.of_format_1() if isinstance(poll, PollOfFormat2) else found.of_format_2()
+
+
 def run(boot: NodeSettings, level: str = "INFO", former_role: str = "") -> int:
     """Serve until SIGTERM and return the exit code; ``former_role`` is the withdrawn name it was started by."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/rowanshift/controlplane/singleton_tasks.py
+++ b/rowanshift/controlplane/singleton_tasks.py
@@ -60,8 +60,10 @@
         self.orders = 0
 
     def forget(self) -> None:
-        """Another machine is primary, or this one has just become it: the list is read anew."""
-        self.registry, self.stock = ServerRegistry(roll_out_within=self.roll_out_within), KvIndex()
+        """Another machine is primary, or this one has just become it: the list is read anew. When versions were named
+        is not forgotten."""
+        names = self.registry.names
+        self.registry, self.stock = ServerRegistry(roll_out_within=self.roll_out_within, names=names), KvIndex()
 
     # the list ---------------------------------------------
 
@@ -174,7 +176,7 @@
                 registry.loaded(known.id, model, version, trio.current_time())
                 logger.info("event=loaded server={} model={} version={}", known.id, model, version)
             else:
-                registry.failed(known.id, trio.current_time())
+                registry.failed(known.id, model, trio.current_time())
             self.changed()
 
     async def _left_alone(self, known: Known) -> None:
--- a/rowanshift/dataplane/control_client.py
+++ b/rowanshift/dataplane/control_client.py
@@ -21,7 +21,7 @@
 from rowanshift.net.links import Caller, LinkFailed
 from rowanshift.net.transport import Address, Host
 from rowanshift.node_settings import Bounds
-from rowanshift.version_names import VersionNames
+from rowanshift.version_names import VersionName, VersionNames, age_ms
 from rowanshift.wire.delivery import CODEC, DRAINING, LOADING, Elsewhere, NamedVersion, Poll, Row, Update
 from rowanshift.wire.machines import ip_of, machine_of
 
@@ -80,7 +80,10 @@
         self.machines: tuple[int, ...] = ()  # the members
         self.met: Callable[[tuple[int, ...]], None] = lambda machines: None
         self.stored: set[int] = set()  # fingerprints of parts that a store keeps
-        self.names = VersionNames()  # trio's time at which each version was named
+        self.names = VersionNames()  # trio's time at which each version was named, or somewhat before
+        self.latest_dates = VersionNames()  # the same of those whose date is known, or somewhat after: to be told on
+        self.names_serial = NO_VERSION  # epoch and serial of the dates
+        self.told_epoch = 0  # of the primary that was told the dates
         self.members = 0
         self.core: tuple[int, ...] = ()
         self.freshness = Freshness(0.0, REFUSE_PART * bounds.config_apply_ms / 1000, bounds.revoke_within)
@@ -111,20 +114,43 @@
     def _note_versions(self, versions: dict[str, int], asked_at: float, names: Iterable[NamedVersion] = ()) -> None:
         """Takes down when each version was named, by the answer to a poll that was asked at that time.
 
-        ``names`` tells how long before the answer that was, at least; what it lacks counts as named when it was asked.
-        A former primary may have taken a name that the primary has met as it took over. Where such times count in sum,
-        a router that starts uses older weights only for a part of the time in which it is not yet in touch.
+        ``names`` tells how long before the answer that was; what it lacks counts as named when it was asked. Where
+        nobody knows when, and such times count in sum, a router that starts uses older weights only for a part of the
+        time in which it is not yet in touch.
         """
-        ages = {(name.model, name.version): name.age_ms / 1000 for name in names}
-        ages = dict.fromkeys(versions.items(), 0.0) | ages
+        told = {(name.model, name.version): name for name in names}
+        unknown = [NamedVersion(*name, 0, is_dated=False) for name in versions.items() if name not in told]
         latest = asked_at
         if self.bounds.version_all_ms and not self.routing_table.revision:
             latest += OLD_AT_START * self.bounds.contact_ms / 1000 - self.version_within
-        for (model, version), age in ages.items():
-            self.names.note(model, version, min(asked_at - age, latest))
-            if version > self.routing_table.versions.get(model, 0):
-                logger.info("event=version_named model={} version={} age_s={:.3f}", model, version, age)
-        self.names.forget_before(asked_at - NAMES_KEPT * self.bounds.version_ms / 1000)
+        noted = []
+        for name in [*told.values(), *unknown]:
+            named_at = asked_at - name.age_ms / 1000
+            named_at = named_at if name.is_dated else min(named_at, latest)
+            noted.append((name.model, VersionName(name.version, named_at, name.is_dated)))
+            if name.version > self.routing_table.versions.get(name.model, 0):
+                age = name.age_ms / 1000
+                logger.info("event=version_named model={} version={} age_s={:.3f}", name.model, name.version, age)
+        self.names.note_all(noted)
+        self.names.forget_before(self._kept_since(asked_at))
+
+    def _note_latest_dates(self, names: Iterable[NamedVersion], received_at: float) -> None:
+        """Takes down the same for primaries to come, so that what is told on and on doesn't move to earlier times."""
+        dated = [name for name in names if name.is_dated]
+        self.latest_dates.note_all(
+            (name.model, VersionName(name.version, received_at - name.age_ms / 1000)) for name in dated
+        )
+        self.latest_dates.forget_before(self._kept_since(received_at))
+
+    def _kept_since(self, now: float) -> float:
+        return now - NAMES_KEPT * self.bounds.version_ms / 1000
+
+    def _dates(self) -> tuple[NamedVersion, ...]:
+        """The dates of names as a primary is told them."""
+        now = trio.current_time()
+        return tuple(
+            NamedVersion(model, name.version, age_ms(now - name.named_at)) for model, name in self.latest_dates.all()
+        )
 
     async def fresh(self, left: float) -> None:
         """Waits while what is known may be old, or nothing is known yet; ``left`` is what the client has."""
@@ -224,7 +250,8 @@
         """One poll; whether the machine answered as the primary, and with nothing older than is known."""
         asked_at = trio.current_time()
         within = HOLD + ANSWER_WITHIN if hold else SEARCH_WITHIN
-        answer = await caller.ask(self._poll(hold), within)
+        poll = self._poll(hold)
+        answer = await caller.ask(poll, within)
         if isinstance(answer, Elsewhere):
             self.core = answer.core or self.core
             self.search.named(answer.primary if answer.primary != machine else 0)
@@ -232,13 +259,16 @@
         if not isinstance(answer, Update) or answer.version < self.state_version:
             return False
         self.failures = 0
+        if poll.names:
+            self.told_epoch = answer.version[0]
         if self._take(answer, asked_at) and self.freshness.confirmed(asked_at):
             self._tell()
         return True
 
     def _poll(self, hold: float) -> Poll:
         has = self.state_version, self.fingerprint, self.registry, self.stock, self.peers
-        return Poll(self.machine, self.started, *has, int(1000 * hold))
+        names = self._dates() if not hold or self.told_epoch != self.state_version[0] else ()
+        return Poll(self.machine, self.started, *has, int(1000 * hold), self.names_serial, names)
 
     def _core_machines(self) -> set[int]:
         return {*self.core, *(machine_of(seed[0]) for seed in self.seeds())}
@@ -258,8 +288,11 @@
     def _take(self, update: Update, asked_at: float) -> bool:
         """Takes the answer to a poll in; whether all of it could be read."""
         self.members, self.core = update.members or self.members, update.core or self.core
-        if update.has_state and not self._take_state(update, asked_at):
-            return False
+        if update.has_state:
+            if not self._take_state(update, asked_at):
+                return False
+        elif update.has_names:
+            self._take_names(self.routing_table.versions, update, asked_at)
         self.state_version = update.version
         if update.has_peers:
             self.peers, self.machines = update.peers, update.machines
@@ -274,6 +307,12 @@
             self._take_servers(update)
         return True
 
+    def _take_names(self, versions: dict[str, int], update: Update, asked_at: float) -> None:
+        """When versions were named, of which ``versions`` are the newest."""
+        self.names_serial = update.names_serial
+        self._note_versions(versions, asked_at, update.names)
+        self._note_latest_dates(update.names, trio.current_time())
+
     def _take_state(self, update: Update, asked_at: float) -> bool:
         """The configuration and the named versions; whether they can be read."""
         try:
@@ -281,7 +320,7 @@
         except (BadControlState, zlib.error) as error:
             logger.error("event=bad_state version={} why={!r}", update.version, str(error))
             return False
-        self._note_versions(table.versions, asked_at, update.names)
+        self._take_names(table.versions, update, asked_at)
         if table.revision != self.routing_table.revision:
             routes = sum(map(len, table.routes.values()))
             logger.info("event=config revision={} routes={}", table.revision, routes)
--- a/rowanshift/version_names.py
+++ b/rowanshift/version_names.py
@@ -5,18 +5,24 @@
 """
 
 from bisect import bisect_left, bisect_right
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 MOST_NAMES = 64  # that are kept of one model; then the two oldest become one, as strict as both
+MOST_AGE_MS = 24 * 3600 * 1000  # that is told of a name; older ones are told as this old
 MOST_MODELS = 1024  # with names; of further ones only the newest version is known, without a time
 
 
 @dataclass(frozen=True, slots=True)
 class VersionName:
-    """A version of a model's weights, and when it was named."""
+    """A version of a model's weights, and when it was named.
+
+    ``is_dated``: by whoever knows when that was; else ``named_at`` is a bound that stands in for it until then.
+    """
 
     version: int
     named_at: float
+    is_dated: bool = True
 
 
 class VersionNames:
@@ -28,24 +34,46 @@
     def __init__(self) -> None:
         self._names: dict[str, list[VersionName]] = {}
 
-    def note(self, model: str, version: int, named_at: float) -> None:
-        """Take a name in; of one that is known already the earlier time counts."""
+    def note(self, model: str, version: int, named_at: float, is_dated: bool = True) -> bool:
+        """Take a name in; whether that changed anything.
+
+        Of one that is known already the earlier time counts, but a dated one before one that is not.
+        """
         names = self._names.get(model, [])
         if not names and len(self._names) >= MOST_MODELS:
-            return
+            return False
+        known = self.named(model, version)
+        if known is not None and known.is_dated and not is_dated:
+            return False
+        if known is not None and is_dated and not known.is_dated:
+            names = [name for name in names if name is not known]
         if any(name.version >= version and name.named_at <= named_at for name in names):
-            return
+            return False
         later = [name for name in names if name.version > version]
         earlier = [name for name in names if name.version < version and name.named_at < named_at]
-        self._names[model] = self._limited([*earlier, VersionName(version, named_at), *later])
+        self._names[model] = self._limited([*earlier, VersionName(version, named_at, is_dated), *later])
+        return True
+
+    def note_all(self, told: Iterable[tuple[str, VersionName]]) -> bool:
+        """Take names in, the newest first: a date for one may keep older ones that its bound made pointless. Whether
+        that changed anything."""
+        changed = False
+        for model, name in sorted(told, key=lambda pair: -pair[1].version):
+            changed |= self.note(model, name.version, name.named_at, name.is_dated)
+        return changed
 
     @staticmethod
     def _limited(names: list[VersionName]) -> list[VersionName]:
         """At most ``MOST_NAMES``: whoever lacks the two oldest is held to the newer of them from the older's time."""
         while len(names) > MOST_NAMES:
-            names[:2] = [VersionName(names[1].version, names[0].named_at)]
+            first, second = names[:2]
+            names[:2] = [VersionName(second.version, first.named_at, first.is_dated and second.is_dated)]
         return names
 
+    def named(self, model: str, version: int) -> VersionName | None:
+        """The name of this very version, ``None`` if it is not known."""
+        return next((name for name in self._names.get(model, []) if name.version == version), None)
+
     def forget_before(self, time: float) -> None:
         """Drop names that a newer one, named at that time or before, makes pointless to whoever asks for later."""
         for model, names in self._names.items():
@@ -57,12 +85,22 @@
         known = bisect_right(names, named_by, key=lambda name: name.named_at)
         return names[known - 1].version if known else 0
 
-    def lacking_since(self, model: str, version: int) -> float | None:
-        """When the oldest known name newer than ``version`` was named; ``None`` if there is none."""
+    def first_lacking(self, model: str, version: int) -> VersionName | None:
+        """The oldest known name newer than ``version``; ``None`` if there is none."""
         names = self._names.get(model, [])
         first = bisect_left(names, version + 1, key=lambda name: name.version)
-        return names[first].named_at if first < len(names) else None
+        return names[first] if first < len(names) else None
+
+    def lacking_since(self, model: str, version: int) -> float | None:
+        """When that name was named; ``None`` if there is none."""
+        name = self.first_lacking(model, version)
+        return None if name is None else name.named_at
 
     def all(self) -> list[tuple[str, VersionName]]:
         """Each name with its model, those of a model from the oldest on."""
         return [(model, name) for model, names in self._names.items() for name in names]
+
+
+def age_ms(age: float) -> int:
+    """An age of so many seconds as it is told, in whole milliseconds."""
+    return min(MOST_AGE_MS, int(1000 * max(0.0, age)))
--- a/rowanshift/wire/codec.py
+++ b/rowanshift/wire/codec.py
@@ -7,7 +7,7 @@
     s  text, UTF-8, 64 KiB at most     b  bytes              p  pair of whole numbers
     t  tuple of whole numbers, 65,535  r  epoch record       v  dict of text to whole number
     o  rows of servers                 w  version of a state
-    n  named versions
+    n  named versions                  y  named versions with whether they are dated
 """
 
 from struct import Struct, error, pack, unpack_from
@@ -75,7 +75,7 @@
                 return pack(">H", len(value)) + b"".join(
                     self.put("s", name) + pack(">Q", number) for name, number in sorted(value.items())
                 )
-            case "o" | "n":
+            case "o" | "n" | "y":
                 if isinstance(value, bytes):  # packed before, for many
                     return value
                 spec = self.nested[letter][1]
@@ -117,7 +117,7 @@
                     (name, number), at = self.read(data, at, "sq")
                     made[name] = number
                 return made, at
-            case "o" | "n":
+            case "o" | "n" | "y":
                 cls, spec = self.nested[letter]
                 size, at = unpack_from(">I", data, at)[0], at + 4
                 if size > len(data):
--- a/rowanshift/wire/delivery.py
+++ b/rowanshift/wire/delivery.py
@@ -1,6 +1,7 @@
 """What routers and the control plane say to each other."""
 
 from dataclasses import dataclass, field, fields
+from typing import Any
 
 from rowanshift.wire.codec import Codec
 
@@ -22,7 +23,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class NamedVersion:
+class NamedVersionOfFormat1:
     """A version of a model's weights, and how long ago it was named."""
 
     model: str
@@ -31,8 +32,18 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Poll:
-    """A router asks with what it has, and renews its lease with that."""
+class NamedVersion:
+    """A version of a model's weights, and how long ago it was named, when the message was made."""
+
+    model: str
+    version: int
+    age_ms: int
+    is_dated: bool = True  # else it was named so long ago or longer, and nobody who was asked knows when
+
+
+@dataclass(slots=True, frozen=True)
+class PollOfFormat3:
+    """A poll of routers up to 0.2, which tell no dates of named versions: what a router has, and its lease renewed."""
 
     machine: int  # its IP as a number
     started: int  # drawn at its start
@@ -44,12 +55,23 @@
     hold_ms: int  # how long the poll may be held while there is nothing newer; 0: answer at once
 
 
-class PollOfFormat2(Poll):
+class PollOfFormat2(PollOfFormat3):
     """A poll of routers up to 0.2, which know of no ages of named versions; the same fields."""
 
     __slots__ = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Poll(PollOfFormat3):
+    """A router asks with what it has, and renews its lease with that.
+
+    To a primary that may be new it tells the named versions whose dates it knows.
+    """
+
+    names_serial: tuple[int, int] = (0, 0)  # epoch and serial of the dates that it has
+    names: tuple[NamedVersion, ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class PollOfFormat1:
     """A poll of routers up to 0.2, held as long as the primary likes."""
@@ -92,15 +114,33 @@
     core: tuple[int, ...] = ()  # machines of the core that may be asked next time
 
 
+@dataclass(slots=True, frozen=True)
+class UpdateOfFormat2(UpdateOfFormat1):
+    """The answer to ``PollOfFormat3``: with the state, all named versions whose deadlines may still be to come."""
+
+    names: tuple[NamedVersionOfFormat1, ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class Update(UpdateOfFormat1):
-    """The answer to ``Poll``: with the state, all named versions whose deadlines may still be to come."""
+    """The answer to ``Poll``: all named versions whose deadlines may still be to come, where the asker lacks any of
+    them or its date."""
 
+    names_serial: tuple[int, int] = (0, 0)
+    has_names: bool = False
     names: tuple[NamedVersion, ...] = ()
 
     def of_format_1(self) -> UpdateOfFormat1:
         """The same answer for a router that knows of no ages."""
-        return UpdateOfFormat1(*(getattr(self, field.name) for field in fields(UpdateOfFormat1)))
+        return UpdateOfFormat1(*self._former_fields())
+
+    def of_format_2(self) -> UpdateOfFormat2:
+        """The same answer for a router that knows of no dates."""
+        names = [NamedVersionOfFormat1(name.model, name.version, name.age_ms) for name in self.names]
+        return UpdateOfFormat2(*self._former_fields(), tuple(names) if self.has_state else ())
+
+    def _former_fields(self) -> list[Any]:
+        return [getattr(self, field.name) for field in fields(UpdateOfFormat1)]
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,8 +156,14 @@
     2: (UpdateOfFormat1, "pq?qbvp?oqp?bbp?tt"),
     3: (Elsewhere, "qt"),
     4: (PollOfFormat2, "qqpqpppq"),
-    5: (Poll, "qqpqpppq"),
-    6: (Update, "pq?qbvp?oqp?bbp?ttn"),
+    5: (PollOfFormat3, "qqpqpppq"),
+    6: (UpdateOfFormat2, "pq?qbvp?oqp?bbp?ttn"),
+    7: (Poll, "qqpqpppqpy"),
+    8: (Update, "pq?qbvp?oqp?bbp?ttp?y"),
+}
+NESTED: dict[str, tuple[type, str]] = {
+    "o": (Row, "ssssqqv"),
+    "n": (NamedVersionOfFormat1, "sqq"),
+    "y": (NamedVersion, "sqq?"),
 }
-NESTED: dict[str, tuple[type, str]] = {"o": (Row, "ssssqqv"), "n": (NamedVersion, "sqq")}
 CODEC = Codec(KINDS, NESTED)  # all that a router needs
--- a/tests/test_inherited_names.py
+++ b/tests/test_inherited_names.py
@@ -67,7 +67,7 @@
             await self.name(fleet)
             former = fleet.primary()
             await trouble(fleet, former)
-            await fleet.until(lambda: fleet.primary() not in (None, former) or former.lives > 1 and fleet.primary())
+            await fleet.until(lambda: fleet.primary() not in (None, former) or (former.lives > 1 and fleet.primary()))
             await trio.sleep(2.0)
             return abs(dated_at(fleet.primary()) - named_at(fleet))
 
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -3,7 +3,15 @@
 import random
 import unittest
 
-from rowanshift.controlplane.server_registry import AGAIN, AT_ONCE, BadList, Known, ServerRegistry, known_of
+from rowanshift.controlplane.server_registry import (
+    AGAIN,
+    AT_ONCE,
+    BadList,
+    FailedLoads,
+    Known,
+    ServerRegistry,
+    known_of,
+)
 from rowanshift.wire.delivery import CODEC, DRAINING, LOADING, UP, Row, Update
 
 
@@ -176,14 +184,14 @@
         made.begin(made.servers["a"], 0.0)
         made.take([known("a")])
         self.assertTrue(made.servers["a"].loading)
-        made.failed("a", 10.0)
+        made.failed("a", "m", 10.0)
         made.take([known("a")])
         server = made.servers["a"]
-        self.assertEqual((server.loading, server.not_before, server.failures), (False, 10.0 + AGAIN, 1))
+        self.assertEqual((server.loading, server.failed_loads), (False, {"m": FailedLoads(1, 10.0 + AGAIN)}))
 
     def test_ends_of_loads_of_servers_that_are_gone(self):
         made = registry(known("a"))
-        made.failed("gone", 1.0)
+        made.failed("gone", "m", 1.0)
         made.loaded("gone", "m", 2, 0.0)
         self.assertEqual((made.serial, set(made.servers)), (1, {"a"}))
 
@@ -275,7 +283,7 @@
     def test_failures_come_last(self):
         made = registry(known("a"), known("b"), known("c"))
         for id in "aab":
-            made.failed(id, 0.0)
+            made.failed(id, "m", 0.0)
         order = []
         while (found := made.next_load({"m": 2}, 100.0)) is not None:
             order.append(found[0].id)
@@ -286,7 +294,7 @@
     def test_not_before_its_time(self):
         made = registry(known("a"))
         made.begin(made.servers["a"], 0.0)
-        made.failed("a", 5.0)
+        made.failed("a", "m", 5.0)
         self.assertIsNone(made.next_load({"m": 2}, 5.0))
         self.assertIsNone(made.next_load({"m": 2}, 5.0 + AGAIN - 0.01))
         self.assertEqual(made.next_load({"m": 2}, 5.0 + AGAIN)[0].id, "a")
@@ -294,7 +302,7 @@
     def test_a_failed_load_lets_another_begin(self):
         made = registry(known("a"), known("b"))
         self.assertEqual(self.begun(made), ["a"])
-        made.failed("a", 0.0)
+        made.failed("a", "m", 0.0)
         self.assertEqual(self.begun(made), ["b"])
 
     def test_a_failed_load_of_one_model_holds_up_no_other(self):
--- a/tests/test_version_names.py
+++ b/tests/test_version_names.py
@@ -8,11 +8,11 @@
 from loguru import logger
 
 from rowanshift.controlplane.server_registry import FAILED_LATER, NAMES_KEPT_FOR, Known, ServerRegistry
-from rowanshift.controlplane.service import MOST_AGE_MS, ControlPlaneService
+from rowanshift.controlplane.service import ControlPlaneService
 from rowanshift.net.links import Caller
 from rowanshift.simulation.fleet import Fleet, play
 from rowanshift.simulation.fleet_settings import INNER
-from rowanshift.version_names import MOST_MODELS, MOST_NAMES, VersionNames
+from rowanshift.version_names import MOST_AGE_MS, MOST_MODELS, MOST_NAMES, VersionNames
 from rowanshift.wire.delivery import CODEC, NamedVersion, Poll, PollOfFormat2, Update, UpdateOfFormat1
 
 
@@ -98,7 +98,7 @@
             made.note({}, 0.0)  # no former primary has left a name
             made.note({"m": 2}, 100.0)
             made.note({"m": 3}, 100.0 + apart)
-            made.failed("a", 100.0)
+            made.failed("a", "m", 100.0)
             self.assertEqual(made.next_load({"m": 3}, 110.0)[0].id, first)
 
     def test_servers_behind_and_for_how_long(self) -> None:
@@ -118,9 +118,11 @@
     def test_ages_as_routers_are_told_them(self) -> None:
         service = object.__new__(ControlPlaneService)
         service.tasks = SimpleNamespace(registry=self.registry())
-        service.tasks.registry.note({"m": 2}, 10.0)
+        service.tasks.registry.note({"m": 2}, 10.0)  # a former primary named it
         told = [service._named_versions(now)[0] for now in (12.5, 9.0, 1e9)]
-        self.assertEqual(told, [NamedVersion("m", 2, age) for age in (2500, 0, MOST_AGE_MS)])
+        self.assertEqual(told, [NamedVersion("m", 2, age, is_dated=False) for age in (2500, 0, MOST_AGE_MS)])
+        service.tasks.registry.note({"m": 3}, 11.0)
+        self.assertEqual(service._named_versions(12.5)[1], NamedVersion("m", 3, 1500, is_dated=True))
 
 
 class FormerRouters(unittest.TestCase):
--- a/tests/test_wire_records.py
+++ b/tests/test_wire_records.py
@@ -41,7 +41,7 @@
             return tuple(chance.choice(NUMBERS) for _ in range(chance.choice((0, 1, 5))))
         case "v":
             return {f"m{n}": chance.choice(NUMBERS) for n in range(chance.choice((0, 1, 4)))}
-        case "o" | "n":
+        case "o" | "n" | "y":
             cls, spec = nested[letter]
             return tuple(cls(*(drawn(chance, part, nested) for part in spec)) for _ in range(chance.choice((0, 1, 3))))
     cls, spec = nested[letter]
