--- /dev/null
+++ b/rowanshift/net/signals.py
@@ -0,0 +1,53 @@
+"""Signals of a process with the time at which each was handled, however late the loop takes it up."""
+
+import signal
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from types import FrameType
+
+import trio
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedSignal:
+    """A signal, and trio's time at which its handler ran."""
+
+    number: int
+    at: float
+
+
+class SignalReceiver:
+    """Handles signals for as long as they are asked for; of each number one waits at most, the first."""
+
+    def __init__(self) -> None:
+        self.pending: dict[int, ReceivedSignal] = {}  # by number, in the order in which they came
+        self.clock = trio.lowlevel.current_clock()
+        self.token = trio.lowlevel.current_trio_token()
+        self.waiting = trio.lowlevel.ParkingLot()
+
+    def handle(self, number: int, frame: FrameType | None) -> None:
+        """Note the signal; the interpreter calls this between two instructions of the main thread."""
+        self.pending.setdefault(number, ReceivedSignal(number, self.clock.current_time()))
+        self.token.run_sync_soon(self.waiting.unpark_all, idempotent=True)
+
+    def __aiter__(self) -> "SignalReceiver":
+        return self
+
+    async def __anext__(self) -> ReceivedSignal:
+        """The next one, once there is one."""
+        while not self.pending:
+            await self.waiting.park()
+        return self.pending.pop(next(iter(self.pending)))
+
+
+@contextmanager
+def received_signals(numbers: Sequence[int]) -> Iterator[AsyncIterator[ReceivedSignal]]:
+    """Handle these signals within the block; afterwards their former handlers are back."""
+    receiver = SignalReceiver()
+    former = {number: signal.signal(number, receiver.handle) for number in numbers}
+    try:
+        yield receiver
+    finally:
+        for number, handler in former.items():
+            signal.signal(number, handler)
--- a/rowanshift/simulation/fleet_troubles.py
+++ b/rowanshift/simulation/fleet_troubles.py
@@ -68,11 +68,12 @@
             self._end("leaves", unit)
             self._mark("started", unit)
 
-    def freeze(self, *units: Unit) -> None:
+    def freeze(self, *units: Unit, handlers_run: bool = False) -> None:
+        """The processes stand still, ``handlers_run`` but for what handles signals."""
         for unit in units:
             self._mark("frozen", unit)
             self._begin("stands still", unit)
-            unit.machine.stand_still()
+            unit.machine.stand_still(handlers_run)
 
     def thaw(self, *units: Unit) -> None:
         for unit in units:
--- a/rowanshift/simulation/machine.py
+++ b/rowanshift/simulation/machine.py
@@ -19,6 +19,7 @@
 import trio
 from trio.lowlevel import Abort
 
+from rowanshift.net.signals import ReceivedSignal
 from rowanshift.net.transport import Address, Listener, Port, Stream
 from rowanshift.simulation.disk import VirtualDisk
 
@@ -96,20 +97,21 @@
 
 
 class Signals:
-    """Signals as they come, in order."""
+    """Signals as they are handled, in order."""
 
     def __init__(self, machine: "Machine") -> None:
-        self.queue: deque[int] = deque()
+        self.queue: deque[ReceivedSignal] = deque()
         self.slot = Slot(machine)
 
-    def put(self, number: int) -> None:
-        self.queue.append(number)
+    def put(self, received: ReceivedSignal) -> None:
+        """A signal was handled."""
+        self.queue.append(received)
         self.slot.wake()
 
     def __aiter__(self) -> "Signals":
         return self
 
-    async def __anext__(self) -> int:
+    async def __anext__(self) -> ReceivedSignal:
         if not self.queue:
             await self.slot.wait()
         return self.queue.popleft()
@@ -130,6 +132,8 @@
         self.life = 0
         self.scope = trio.CancelScope()
         self.inbox: Signals | None = None
+        self.handlers_run = True  # also while the process stands still
+        self.late_signals: list[int] = []  # that are handled once it goes on
         self.late_wakes: list[tuple[Slot, outcome.Outcome[None] | None]] = []
         self.late_cancels: list[tuple[trio.lowlevel.Task, Any, Any]] = []
         self.most_held = 0
@@ -176,8 +180,13 @@
         self.scope.cancel()
 
     def signal(self, number: int) -> None:
-        if self.inbox is not None and self.running:
-            self.inbox.put(number)
+        """A signal is sent to the process; its handler notes when it runs."""
+        if self.inbox is None or not self.running:
+            return
+        if self.frozen and not self.handlers_run:
+            self.late_signals.append(number)
+        else:
+            self.inbox.put(ReceivedSignal(number, self.network.clock.time))
 
     # standing still ---------------------------------------
 
@@ -190,14 +199,18 @@
 
         return guarded
 
-    def stand_still(self) -> None:
-        self.frozen = True
+    def stand_still(self, handlers_run: bool = False) -> None:
+        """Nothing reaches a task until ``go_on``; ``handlers_run`` if signals are handled meanwhile."""
+        self.frozen, self.handlers_run = True, handlers_run
 
     def go_on(self) -> None:
         if not self.frozen:
             return
         self.frozen = False
         self.network.clock.woken = True
+        signals, self.late_signals = self.late_signals, []
+        for number in signals:
+            self.signal(number)
         wakes, self.late_wakes = self.late_wakes, []
         for slot, result in wakes:
             slot.wake(result)
@@ -233,7 +246,7 @@
         return self.network.port(self, address)
 
     @contextmanager
-    def signals(self) -> Iterator[AsyncIterator[int]]:
+    def signals(self) -> Iterator[AsyncIterator[ReceivedSignal]]:
         self.inbox = Signals(self)
         try:
             yield self.inbox
