Count the grace from when a signal's handler ran, also after a standstill

Change: handlers note trio's time (rowanshift/net/signals.py, in the place of trio's receiver, which keeps no times); both roles count from it, the control plane in its last answers as well.

--- a/rowanshift/controlplane/replica_host.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -118,9 +118,8 @@
             await pending.ended.wait()
             return pending.succeeded
 
-    async def leave(self, within: float) -> bool:
-        """Give leadership, copy and vote to others before this machine ends; whether that was done in time."""
-        until = trio.current_time() + within
+    async def leave(self, until: float) -> bool:
+        """Give leadership, copy and vote to others by this time; whether that was done."""
         with trio.move_on_at(until):
             async with self.turn:  # a change under way is answered first
                 self.replica.leave(trio.current_time())
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -24,6 +24,7 @@
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import CallEndings, CallServer
 from rowanshift.net.links import Inbox, LinkFailed
+from rowanshift.net.signals import ReceivedSignal
 from rowanshift.net.transport import SYSTEM, Disk, Host, Listener, Stream, send_all
 from rowanshift.node_settings import NodeSettings, NodeSettingsError, load_node_settings
 from rowanshift.version_names import age_ms
@@ -69,6 +70,7 @@
         self.chance = random.Random(seed)
         self.machine = machine_of(boot.ip)
         self.told_to_stop = trio.Event()
+        self.told_at: float | None = None  # trio's time at which the signal was handled
         self.replica_host: ReplicaHost | None = None  # until the disk has been read
         self.state, self.fingerprint, self.packed = ControlState(), 0, b""
         self.raw: bytes | None = None
@@ -463,24 +465,30 @@
                 )
                 await self.told_to_stop.wait()
                 logger.info("event=stopping primary={}", replica.is_primary)
-                released = await self.replica_host.leave(boot.bounds.grace_s - GRACE_LEFT)
+                released = await self.replica_host.leave(self._grace_ends_at() - GRACE_LEFT)
                 logger.info("event=left released={}", released)
                 await self._finish(calls)
                 nursery.cancel_scope.cancel()
 
+    def _grace_ends_at(self) -> float:
+        """When the platform ends this process, however late its loop heard of the signal."""
+        return self.told_at + self.boot.bounds.grace_s
+
     async def _finish(self, calls: CallServer) -> None:
         """Answer the calls and polls that were read, and refuse what comes, within what is kept of the grace."""
         self.leaving = True
         self._tell()
-        until = trio.current_time() + ANSWERED_WITHIN
-        await calls.leave(ANSWERED_WITHIN, self.host.pause)
+        now = trio.current_time()
+        until = max(now, min(now + ANSWERED_WITHIN, self._grace_ends_at() - GRACE_LEFT + ANSWERED_WITHIN))
+        await calls.leave(until - now, self.host.pause)
         while self.polls and trio.current_time() < until:
             await self.host.pause(LOOK)
         await self.host.pause(FAREWELL)
 
-    async def _heed(self, signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
-        async for number in signals:
-            if number != signal.SIGHUP:
+    async def _heed(self, signals: AsyncIterator[ReceivedSignal], scope: trio.CancelScope) -> None:
+        async for received in signals:
+            if received.number != signal.SIGHUP:
+                self.told_at = self.told_at or received.at
                 self.told_to_stop.set()
                 if self.replica_host is None:
                     scope.cancel()
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -18,6 +18,7 @@
 from rowanshift.net.budget import Budget, Memory
 from rowanshift.net.calls import Answer, CallServer
 from rowanshift.net.connection import Message
+from rowanshift.net.signals import ReceivedSignal
 from rowanshift.net.transport import SYSTEM, Host
 from rowanshift.node_settings import NodeSettings, NodeSettingsError, load_node_settings
 from rowanshift.retry_budget import RetryBudget
@@ -55,7 +56,7 @@
         self.chance = random.Random(seed)
         self.drain = Drain(boot.bounds.grace_s)
         self.told_to_stop = trio.Event()
-        self.told_at = 0.0  # trio's time of the signal
+        self.told_at = 0.0  # trio's time at which the signal was handled
         self.endings = RequestEndings()
         self.front: Frontend | None = None  # until it serves
         self.budgets: dict[str, RetryBudget] = {}
@@ -184,10 +185,10 @@
             front.close_idle()
             await trio.sleep(LAST_STEP)
 
-    async def _heed(self, signals: AsyncIterator[int]) -> None:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                self.told_at = self.told_at or trio.current_time()
+    async def _heed(self, signals: AsyncIterator[ReceivedSignal]) -> None:
+        async for received in signals:
+            if received.number != signal.SIGHUP:
+                self.told_at = self.told_at or received.at
                 self.told_to_stop.set()
 
     async def _watch(self) -> None:
--- a/rowanshift/net/service.py
+++ b/rowanshift/net/service.py
@@ -22,6 +22,7 @@
 from rowanshift.net.membership import MOST_OUT, Membership
 from rowanshift.net.peers import Peers
 from rowanshift.net.servers import Servers
+from rowanshift.net.signals import ReceivedSignal
 from rowanshift.net.transport import SYSTEM, Host, Listener, Nursery, Port
 
 STALL = 0.25  # of the due time, that an answer may stand still halfway
@@ -53,10 +54,10 @@
         self.phase = phase
         logger.info("{} {}", self.config.name, phase.value)
 
-    async def _heed(self, signals: AsyncIterator[int], discovery: Discovery) -> None:
+    async def _heed(self, signals: AsyncIterator[ReceivedSignal], discovery: Discovery) -> None:
         """Takes signals for as long as the process lives, so that one that comes late ends nothing."""
-        async for number in signals:
-            if number != signal.SIGHUP:
+        async for received in signals:
+            if received.number != signal.SIGHUP:
                 self.told_to_stop.set()
             elif self.phase in (Phase.SERVING, Phase.DRAINED):
                 phase = self.phase
--- a/rowanshift/net/transport.py
+++ b/rowanshift/net/transport.py
@@ -24,6 +24,7 @@
 import trio
 
 from rowanshift.net.ring import Ring
+from rowanshift.net.signals import ReceivedSignal, received_signals
 
 Address = tuple[str, int]
 
@@ -117,7 +118,7 @@
 
     def port(self, address: Address) -> Port: ...
 
-    def signals(self) -> AbstractContextManager[AsyncIterator[int]]: ...
+    def signals(self) -> AbstractContextManager[AsyncIterator[ReceivedSignal]]: ...  # SIGTERM, SIGINT, SIGHUP
 
     def nursery(self) -> Any: ...  # an async context manager that gives a Nursery
 
@@ -259,8 +260,8 @@
     def port(self, address: Address) -> Port:
         return SocketPort(bound(socket.SOCK_DGRAM, address, shared=True))
 
-    def signals(self) -> AbstractContextManager[AsyncIterator[int]]:
-        return trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    def signals(self) -> AbstractContextManager[AsyncIterator[ReceivedSignal]]:
+        return received_signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
 
     def nursery(self) -> Any:
         return trio.open_nursery()
