--- a/rowanshift/simulation/fleet.py
+++ b/rowanshift/simulation/fleet.py
@@ -70,8 +70,9 @@
 
 
 class Fleet(FleetLoad):
-    """``f`` core machines may be lost at once. ``revoke``: seconds for which any machine may use a key that was
-    taken away; 0: there is no such bound. Zones are sites of the network; clients have their own."""
+    """``f`` core machines and ``lost_zones`` zones may be lost at once; ``counts``: whether the first core machines
+    are among those of which this speaks. ``revoke``: seconds for which any machine may use a key that was taken away;
+    0: there is no such bound. Zones are sites of the network; clients have their own."""
 
     def __init__(
         self,
@@ -84,8 +85,11 @@
         f: int = 1,
         zones: int = 3,
         revoke: float = 0.0,
+        lost_zones: int = 0,
+        counts: bool = True,
         **traits: Any,
     ) -> None:
+        self.lost_zones, self.counts = lost_zones, counts
         self.nursery, self.clock, self.seed, self.f, self.zones = nursery, clock, seed, f, zones
         self.bounds = BOUNDS | {"revokeStrict": revoke > 0, "revokeMs": 1000 * revoke}
         self.rules = replace(RULES, revoke=revoke or None)
@@ -161,7 +165,8 @@
                 "seedNodes": seeds,
                 "bootstrap": True,
                 "dataDir": "/data" if core else None,
-                "faultTolerance": {"machines": self.f},
+                "quorumMember": core and self.counts,
+                "faultTolerance": {"machines": self.f, "zones": self.lost_zones},
                 "bounds": self.bounds,
                 "cloudApi": {"address": f"{self.platform.address}:{LISTED}", "ratePerS": 40, "maxLagMs": 800},
             },
