--- a/rowanshift/controlplane/replica_host.py
+++ b/rowanshift/controlplane/replica_host.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import partial
 from itertools import count
 
@@ -15,6 +16,7 @@
     Committed,
     DurableState,
     Failed,
+    Located,
     Message,
     NotPrimary,
     ReadConfirmed,
@@ -34,7 +36,7 @@
 
 TICK = 0.05  # seconds
 UNHEARD = 0.9  # seconds without a word from a machine, after which its connection is dialled anew
-MOST_SENDERS = 64  # connections to other core machines, two a machine at most
+MOST_SENDERS = 64  # connections to other core machines, three a machine at most
 LARGE_STATE = 64 * 1024  # bytes of a state that goes by a connection of its own
 MOST_LARGE = 2  # large states that wait for one machine; the oldest goes
 LARGE_STUCK = 5.0  # seconds that writing a large state may take
@@ -48,6 +50,21 @@
     """Nobody could confirm that this machine is the primary."""
 
 
+class Channel(Enum):
+    """The connections to another core machine, by what they carry."""
+
+    MESSAGES = "messages"
+    LARGE_STATES = "large states"
+    PLACES = "places"
+
+
+def channel_of(message: Message) -> Channel:
+    """The connection by which a message goes."""
+    if isinstance(message, Store) and len(message.state) > LARGE_STATE:
+        return Channel.LARGE_STATES
+    return Channel.PLACES if isinstance(message, Located) else Channel.MESSAGES
+
+
 @dataclass(slots=True)
 class Pending:
     """A read or a change that waits for its end."""
@@ -72,7 +89,7 @@
     ) -> None:
         self.host, self.machine, self.port, self.replica, self.store = host, machine, port, replica, store
         self.nursery, self.became, self.committed = nursery, became, committed
-        self.senders: dict[tuple[int, bool], Sender] = {}  # by machine, and whether for large states
+        self.senders: dict[tuple[int, Channel], Sender] = {}
         self.heard: dict[int, float] = {}
         self.tokens = count(1)
         self.pending: dict[int, Pending] = {}
@@ -190,7 +207,11 @@
             f"{found.witnesses}/{found.witnesses_wanted}",
         )
         took = "-" if change.until_full_s is None else f"{change.until_full_s:.2f}"
-        logger.info("event=redundancy copies={} witnesses={} until_full_s={}", copies, witnesses, took)
+        logger.info(
+            "event=redundancy copies={} witnesses={} until_full_s={} spread={}", copies, witnesses, took, found.spread
+        )
+        if not found.spread:
+            logger.warning("event=tolerance_not_met why={!r}", self.replica.lacking_spread())
 
     def _end(self, token: int, succeeded: bool) -> None:
         pending = self.pending.get(token)
@@ -218,27 +239,28 @@
     # connections to the others
 
     def _send(self, to: int, message: Message) -> None:
-        """Large states go by a connection of their own, so that heartbeats don't wait behind them."""
-        large = isinstance(message, Store) and len(message.state) > LARGE_STATE
-        sender = self.senders.get((to, large))
+        """Large states go by a connection of their own, so that heartbeats don't wait behind them; so does where this
+        machine is, which former programs can't read."""
+        channel = channel_of(message)
+        sender = self.senders.get((to, channel))
         if sender is None:
-            sender = self._new_sender(to, large)
+            sender = self._new_sender(to, channel)
         sender.put(message)
 
-    def _new_sender(self, to: int, large: bool) -> Sender:
+    def _new_sender(self, to: int, channel: Channel) -> Sender:
         if len(self.senders) >= MOST_SENDERS:
             quiet = min(self.senders, key=lambda key: self.heard.get(key[0], 0.0))
             self.senders.pop(quiet).stop()
-        most, stuck = (MOST_LARGE, LARGE_STUCK) if large else (MOST_QUEUED, STUCK)
-        alive = partial(self._alive, to, large)
+        most, stuck = (MOST_LARGE, LARGE_STUCK) if channel is Channel.LARGE_STATES else (MOST_QUEUED, STUCK)
+        alive = partial(self._alive, to, channel)
         sender = Sender(self.host, CODEC, (ip_of(to), self.port), Hello(self.machine), alive, most, stuck)
-        self.senders[to, large] = sender
+        self.senders[to, channel] = sender
         self.nursery.start_soon(sender.run)
         return sender
 
-    def _alive(self, machine: int, large: bool) -> bool:
+    def _alive(self, machine: int, channel: Channel) -> bool:
         """Whether the connection to a machine is worth keeping: it was heard since, or not long ago."""
-        since = max(self.heard.get(machine, 0.0), self.senders[machine, large].opened_at)
+        since = max(self.heard.get(machine, 0.0), self.senders[machine, channel].opened_at)
         return trio.current_time() - since < UNHEARD
 
     async def hear(self, inbox: Inbox, hello: Hello) -> None:
--- a/rowanshift/controlplane/replication/__init__.py
+++ b/rowanshift/controlplane/replication/__init__.py
@@ -15,6 +15,7 @@
     StateTooLarge,
 )
 from rowanshift.controlplane.replication.core import Candidacy, Proposal
+from rowanshift.controlplane.replication.fault_domains import FaultTolerance, Place
 from rowanshift.controlplane.replication.messages import (
     NO_RECORD,
     NO_VERSION,
@@ -27,6 +28,7 @@
     Join,
     Leave,
     LeaveReply,
+    Located,
     Message,
     Prepare,
     PreVote,
@@ -61,13 +63,16 @@
     "DurableState",
     "EpochRecord",
     "Failed",
+    "FaultTolerance",
     "Heartbeat",
     "HeartbeatReply",
     "Join",
     "Leave",
     "LeaveReply",
+    "Located",
     "Message",
     "NotPrimary",
+    "Place",
     "PreVote",
     "PreVoted",
     "Prepare",
--- a/rowanshift/controlplane/replication/candidate.py
+++ b/rowanshift/controlplane/replication/candidate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rowanshift.controlplane.replication.core import Candidacy, ReplicaCore
+from rowanshift.controlplane.replication.fault_domains import choose_backups
 from rowanshift.controlplane.replication.messages import (
     Accept,
     Accepted,
@@ -138,14 +139,17 @@
             self._ask_in_sync_to_stand(candidacy)
             self._end_candidacy(0.8)
             return
-        order = self._backups_by_preference(candidacy)
+        order, sound = self._backups_by_preference(candidacy)
         if len(order) < self.f:
             return  # more may answer until the phase ends
-        candidacy.backups = tuple(order[: self.f])
+        backups = choose_backups(self.me, sound, self.places, self.tolerance)
+        further = [machine for machine in order if machine not in backups]
+        candidacy.backups = (*backups, *further[: max(0, self.f - len(backups))])
         self._enter("store")
 
-    def _backups_by_preference(self, candidacy: Candidacy) -> list[int]:
-        """Machines that live: not those that end soon, then those that surely live, then those with the state."""
+    def _backups_by_preference(self, candidacy: Candidacy) -> tuple[list[int], list[int]]:
+        """Machines that live, by preference, and those of them of which nothing is doubtful: not those that end soon,
+        then those that surely live, then those with the state."""
         now = self._now
         alive = {machine for machine, heard in self._heard.items() if now < heard + self.timing.fresh} | candidacy.votes
         alive = {machine for machine in alive - {self.me} if self._slow.get(machine, 0.0) <= now}
@@ -153,11 +157,14 @@
         # a primary that just fell was heard lately, too: its own candidate counts only votes
         doubted = alive - recent if candidacy.renewal else alive - candidacy.votes
 
+        def doubts(machine: int) -> tuple[bool, bool, bool]:
+            return machine in candidacy.tried, self._leaves(machine), machine in doubted
+
         def preference(machine: int) -> tuple[bool, bool, bool, bool, bool, int]:
-            doubtful = machine in candidacy.tried, self._leaves(machine), machine in doubted
-            return *doubtful, machine not in candidacy.base.in_sync, machine not in candidacy.votes, machine
+            return *doubts(machine), machine not in candidacy.base.in_sync, machine not in candidacy.votes, machine
 
-        return sorted(alive, key=preference)
+        order = sorted(alive, key=preference)
+        return order, [machine for machine in order if not any(doubts(machine))]
 
     def _ask_in_sync_to_stand(self, candidacy: Candidacy) -> None:
         for member in candidacy.base.in_sync:
--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from rowanshift.controlplane.replication.actions import Action, Save, Send
+from rowanshift.controlplane.replication.fault_domains import UNKNOWN_PLACE, FaultTolerance, Place
 from rowanshift.controlplane.replication.messages import (
     NO_RECORD,
     NO_VERSION,
     DurableState,
     EpochRecord,
+    Located,
     Message,
     RecoveryReply,
     RecoveryRequest,
@@ -76,7 +78,6 @@
     """One machine's state. All of it is plain data, so that a model checker can copy it."""
 
     delta_from = DELTA_FROM  # bytes
-    counts = True  # among the machines of which f may be lost; any number of others may go, with their disks
 
     def __init__(
         self,
@@ -89,12 +90,21 @@
         chance: Callable[[], float],
         duty_wait: float = 0.0,
         timing: Timing = DEFAULT_TIMING,
+        *,
+        place: Place = UNKNOWN_PLACE,
+        tolerance: FaultTolerance | None = None,
     ) -> None:
-        """``f`` machines may be lost. ``now`` and ``duty_wait`` are in seconds; ``chance`` draws from [0, 1)."""
+        """``f`` machines may be lost, or all that ``tolerance`` says. ``now`` and ``duty_wait`` are in seconds;
+        ``chance`` draws from [0, 1)."""
         self.me, self.f, self.duty_wait, self.timing, self._chance = me, f, duty_wait, timing, chance
         self._now = self._started = now
+        self.tolerance = tolerance or FaultTolerance(f)
+        self.places = {me: place}  # of the machines that have said where they are
+        self._located: dict[int, float] = {}  # machine -> when it was told last where this one is
+        self._nobody_counts_by: dict[int, float] = {}  # machine -> when it said last that no member counts
+        self._places_matter = False  # to another machine that has said where it is
         seeds = tuple(sorted(seeds))
-        self.wanted_witnesses = max(2 * f + 1, len(seeds))
+        self.wanted_witnesses = max(2 * self.tolerance.total + 1, len(seeds))
         self._on_disk = durable
         if durable is None:
             first = EpochRecord(0, 0, seeds, seeds) if bootstrap else NO_RECORD
@@ -165,6 +175,15 @@
 
     # what the caller may look at
 
+    @property
+    def counts(self) -> bool:
+        """Whether this is one of the machines of which f may be lost; any number of others may go, with their disks."""
+        return self.places[self.me].counts
+
+    @counts.setter
+    def counts(self, counts: bool) -> None:
+        self.places[self.me] = replace(self.places[self.me], counts=counts)
+
     @property
     def is_primary(self) -> bool:
         """Whether this machine is primary as far as it knows."""
@@ -209,7 +228,7 @@
     # sending and saving
 
     def _send(self, to: int, message: Message) -> None:
-        if self._observes() and not isinstance(message, RecoveryRequest):
+        if self._observes() and not isinstance(message, RecoveryRequest | Located):
             return  # whoever is heard may be chosen for a copy or a vote
         if to == self.me:
             self._to_self.append(message)
@@ -264,8 +283,37 @@
         return len(state) / LEAST_BANDWIDTH
 
     def _observes(self) -> bool:
-        """Whether this machine has no part in the record and may have none, as it doesn't count."""
-        return not self.counts and self.me not in self._durable.accepted.members()
+        """Whether this machine has no part in the record and may have none, as it doesn't count and others do."""
+        members = self._durable.accepted.members()
+        return not self.counts and self.me not in members and not self._nobody_counts(members)
+
+    def _nobody_counts(self, members: Collection[int]) -> bool:
+        """Whether it is known of all members that they don't count, by this machine or by one of them."""
+        if any(self._now < self._nobody_counts_by.get(member, NEVER) + self.timing.located_for for member in members):
+            return True
+        return bool(members) and not any(self.places.get(member, UNKNOWN_PLACE).counts for member in members)
+
+    # where machines are
+
+    def _tick_located(self) -> None:
+        """Tell the others where this machine is, if that matters."""
+        if self.counts and not self.tolerance.domains and not self._places_matter:
+            return
+        place, due = self.places[self.me], self._now - self.timing.locate_gap
+        members = self._durable.accepted.members()
+        located = Located(place.zone, place.region, place.counts, self.me in members and self._nobody_counts(members))
+        for machine in sorted(self.known):
+            if self._located.get(machine, NEVER) <= due:
+                self._located[machine] = self._now
+                self._send(machine, located)
+
+    def _on_located(self, sender: int, message: Located) -> None:
+        self._places_matter = True
+        self.places[sender] = Place(message.zone, message.region, message.counts)
+        if message.nobody_counts:
+            self._nobody_counts_by[sender] = self._now
+        else:
+            self._nobody_counts_by.pop(sender, None)
 
     def _leaves(self, machine: int) -> bool:
         """Whether a machine has said lately that it ends soon."""
--- a/rowanshift/controlplane/replication/membership.py
+++ b/rowanshift/controlplane/replication/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rowanshift.controlplane.replication.core import ReplicaCore
+from rowanshift.controlplane.replication.fault_domains import UNKNOWN_PLACE
 from rowanshift.controlplane.replication.messages import Join, Leave, LeaveReply, RecoveryReply
 
 
@@ -42,10 +43,11 @@
             self._ask_to_be_replaced()
 
     def _knows_spare(self) -> bool:
-        """Whether a machine that is no witness has asked lately to be one: only those that count do."""
+        """Whether a machine that counts and is no witness has asked lately to be one."""
         witnesses = self._durable.accepted.witnesses
         since = self._now - self.timing.spare_fresh
-        return any(asked > since and machine not in witnesses for machine, asked in self._spares.items())
+        spares = {machine for machine, asked in self._spares.items() if asked > since and machine not in witnesses}
+        return any(self.places.get(machine, UNKNOWN_PLACE).counts for machine in spares)
 
     def _give_leadership(self) -> bool:
         """As primary, once nothing is under way; whether it is given."""
--- a/rowanshift/controlplane/replication/messages.py
+++ b/rowanshift/controlplane/replication/messages.py
@@ -174,6 +174,17 @@
     amnesic: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Located:
+    """The sender is in this zone and region; ``counts``: among the machines of which the fault tolerance speaks;
+    ``nobody_counts``: as far as the sender knows, no member of its epoch is."""
+
+    zone: str
+    region: str
+    counts: bool
+    nobody_counts: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Join:
     """A machine that is no witness asks to become one."""
@@ -211,6 +222,7 @@
     | TransferLeadership
     | RecoveryRequest
     | RecoveryReply
+    | Located
     | Join
     | Leave
     | LeaveReply
--- a/rowanshift/controlplane/replication/primary.py
+++ b/rowanshift/controlplane/replication/primary.py
@@ -4,6 +4,13 @@
 
 from rowanshift.controlplane.replication.actions import Became, Committed, Failed, ReadConfirmed, ReadFailed
 from rowanshift.controlplane.replication.core import NEVER, Proposal
+from rowanshift.controlplane.replication.fault_domains import (
+    better_witnesses,
+    choose_backups,
+    choose_witness,
+    copies_left,
+    vote_margin,
+)
 from rowanshift.controlplane.replication.membership import MembershipRole
 from rowanshift.controlplane.replication.messages import (
     Heartbeat,
@@ -198,11 +205,21 @@
         if failed or self._refused or self._epoch.former:
             self._stand(renewal=True)
             return
-        wanted = self._witnesses_wanted() if now >= self._changed + timing.change_gap else ()
-        if wanted:
+        if now < self._changed + timing.change_gap:
+            return
+        wanted = self._witnesses_wanted()
+        if wanted or self._copies_could_bear_more(live):
             self._changed = now
             self._stand(renewal=True, witnesses=wanted)
 
+    def _copies_could_bear_more(self, live: set[int]) -> bool:
+        """Whether the worst loss would take all copies, and other machines that live would leave more."""
+        if not self.tolerance.domains:
+            return False
+        left = copies_left(self._epoch.in_sync, self.places, self.tolerance)
+        backups = choose_backups(self.me, sorted(live - {self.me}), self.places, self.tolerance)
+        return left < 1 and copies_left([self.me, *backups], self.places, self.tolerance) > left
+
     def _failed_backups(self) -> set[int]:
         """In-sync machines that are silent, end soon, or are too slow with the present proposal."""
         now, epoch, proposal = self._now, self._epoch, self._proposal
@@ -231,8 +248,8 @@
         gone = [w for w in epoch.witnesses if self._leaves(w) or now >= self._confirmed.get(w, 0.0) + silence]
         kept = [w for w in epoch.witnesses if w not in gone[:1]]
         if gone or len(kept) < self.wanted_witnesses:
-            return tuple(sorted((*kept, spares[0])))
-        return ()
+            return choose_witness(kept, spares, self.places, self.tolerance)
+        return better_witnesses(kept, spares, self.places, self.tolerance) if self.tolerance.domains else ()
 
     def redundancy(self) -> Redundancy:
         """How much of what this epoch wants is there now."""
@@ -242,10 +259,25 @@
         silence = self.timing.backup_silence
         alive = {machine for machine, heard in self._heard.items() if now < heard + silence} | {self.me}
         holding = {machine for machine, heard in self._confirmed.items() if now < heard + silence} | {self.me}
+        copies, witnesses = alive & holding & {*epoch.in_sync}, alive & {*epoch.witnesses}
         return Redundancy(
-            copies=len(alive & holding & {*epoch.in_sync}),
-            copies_wanted=self.f + 1,
-            witnesses=len(alive & {*epoch.witnesses}),
+            copies=len(copies),
+            copies_wanted=self.tolerance.total + 1,
+            witnesses=len(witnesses),
             witnesses_wanted=self.wanted_witnesses,
             changing=bool(epoch.former),
+            spread=not self.lacking_spread(),
         )
+
+    def lacking_spread(self) -> str:
+        """Why the worst loss that the settings speak of could not be borne, however many live; empty: it could."""
+        epoch, tolerance = self._epoch, self.tolerance
+        if tolerance.total and self._nobody_counts(epoch.members()):
+            return "no core machine counts (quorumMember), so that faultTolerance speaks of none"
+        if not tolerance.domains:
+            return ""
+        if copies_left(epoch.in_sync, self.places, tolerance) < 1:
+            return f"{tolerance} may take all copies"
+        if vote_margin(epoch.witnesses, self.places, tolerance) < 0:
+            return f"{tolerance} may take the majority of the witnesses"
+        return ""
--- a/rowanshift/controlplane/replication/redundancy.py
+++ b/rowanshift/controlplane/replication/redundancy.py
@@ -14,12 +14,13 @@
     witnesses: int  # that live
     witnesses_wanted: int
     changing: bool  # the set of witnesses
+    spread: bool = True  # so that what may be lost at once, zones and regions too, leaves a copy and a majority
 
     @property
     def full(self) -> bool:
         """Whether as many machines as are to be borne may be lost right now."""
         enough = self.copies >= self.copies_wanted and self.witnesses >= self.witnesses_wanted
-        return enough and not self.changing
+        return enough and self.spread and not self.changing
 
 
 NO_REDUNDANCY = Redundancy(0, 0, 0, 0, changing=False)
--- a/rowanshift/controlplane/replication/replica.py
+++ b/rowanshift/controlplane/replication/replica.py
@@ -12,7 +12,7 @@
 from rowanshift.controlplane.replication.actions import Busy, NotPrimary, StateTooLarge
 from rowanshift.controlplane.replication.candidate import CandidateRole
 from rowanshift.controlplane.replication.core import Proposal, Read
-from rowanshift.controlplane.replication.messages import Join, Message, RecoveryReply, RecoveryRequest
+from rowanshift.controlplane.replication.messages import Join, Located, Message, RecoveryReply, RecoveryRequest
 from rowanshift.controlplane.replication.primary import PrimaryRole
 from rowanshift.controlplane.replication.recovery import RecoveryRole
 from rowanshift.controlplane.replication.timing import STATE_LIMIT
@@ -33,6 +33,7 @@
     messages.TransferLeadership: "_on_transfer_leadership",
     messages.RecoveryRequest: "_on_recovery_request",
     messages.RecoveryReply: "_on_recovery_reply",
+    messages.Located: "_on_located",
     messages.Join: "_on_join",
     messages.Leave: "_on_leave",
     messages.LeaveReply: "_on_leave_reply",
@@ -47,11 +48,11 @@
         self._now = max(self._now, now)
         if sender != self.me:
             self.known.add(sender)
-            if not isinstance(message, RecoveryRequest) and not (
+            if not isinstance(message, RecoveryRequest | Located) and not (
                 isinstance(message, RecoveryReply) and message.amnesic
             ):
                 self._heard[sender] = self._now
-        if self._durable.amnesic and not isinstance(message, RecoveryRequest | RecoveryReply | Join):
+        if self._durable.amnesic and not isinstance(message, RecoveryRequest | RecoveryReply | Join | Located):
             return  # it doesn't know what it promised
         self._dispatch(sender, message)
         self._settle()
@@ -94,6 +95,7 @@
             self._tick_member()
         if self.leaving:
             self._tick_leaving()
+        self._tick_located()
         self._settle()
 
     def _tick_member(self) -> None:
--- a/rowanshift/controlplane/replication/timing.py
+++ b/rowanshift/controlplane/replication/timing.py
@@ -21,6 +21,8 @@
 READ_LIMIT = 1.0  # until an unconfirmed read fails
 JOIN_GAP = 0.3  # between a spare's Joins
 SPARE_FRESH = 2.0  # after its last Join until a spare is no longer taken for one
+LOCATE_GAP = 2.0  # from one telling of where a machine is to the next
+LOCATED_FOR = 3 * LOCATE_GAP  # that a machine is believed which says that nobody counts
 LEAVING_FOR = 3.0  # that a machine which said that it leaves is nobody's choice for a backup
 REST = 3.0  # that a primary which transferred leadership, or a backup that was too slow, is left aside
 NUMBER_LIMIT = 1 << 53  # epoch numbers stay exact as doubles
@@ -52,6 +54,8 @@
     read_limit: float = READ_LIMIT
     join_gap: float = JOIN_GAP
     spare_fresh: float = SPARE_FRESH
+    locate_gap: float = LOCATE_GAP
+    located_for: float = LOCATED_FOR
     leaving_for: float = LEAVING_FOR
     rest: float = REST
 
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -13,8 +13,9 @@
 from rowanshift.controlplane.api import ConfigResource, StatusResource, VersionResource
 from rowanshift.controlplane.control_state import ControlState, unpack
 from rowanshift.controlplane.replica_host import ReplicaHost, durable_of
-from rowanshift.controlplane.replication import DurableState, Replica
+from rowanshift.controlplane.replication import DurableState, FaultTolerance, Place, Replica
 from rowanshift.controlplane.server_registry import ServerRegistry
+from rowanshift.controlplane.settings_doubts import fault_tolerance_doubts
 from rowanshift.controlplane.singleton_tasks import SingletonTasks
 from rowanshift.controlplane.store import DamagedRecord, NewerFormat, StoreError
 from rowanshift.dataplane.routing_table import routing_table_of
@@ -213,6 +214,7 @@
             "witnesses": found.witnesses,
             "witnessesWanted": found.witnesses_wanted,
             "full": found.full,
+            "spread": found.spread,
             "lackingS": round(lacking, 3),
         }
 
@@ -413,17 +415,21 @@
                 store, durable = await self._disk()
                 memory = Memory(boot.limits.memory_mb * MEMORY_PART)
                 file = boot.file
+                tolerated = file.fault_tolerance
                 replica = Replica(
                     self.machine,
-                    file.fault_tolerance.machines,
+                    tolerated.machines,
                     self._seeds(),
                     file.bootstrap,
                     durable,
                     trio.current_time(),
                     self.chance.random,
                     boot.bounds.lease_ms / 1000 + 0.3,
+                    place=Place(file.zone, file.region, file.quorum_member),
+                    tolerance=FaultTolerance(tolerated.machines, tolerated.zones, tolerated.regions),
                 )
-                replica.counts = file.quorum_member
+                for doubt in fault_tolerance_doubts(file):
+                    logger.warning("event=tolerance_not_met why={!r}", doubt)
                 self.replica_host = ReplicaHost(
                     host, self.machine, boot.inner[1], replica, store, nursery, self._became, self.refresh
                 )
--- a/rowanshift/staff.py
+++ b/rowanshift/staff.py
@@ -14,6 +14,7 @@
 import orjson
 import trio
 
+from rowanshift.controlplane.settings_doubts import fault_tolerance_doubts
 from rowanshift.net.budget import Memory
 from rowanshift.net.calls import CallFailed, call
 from rowanshift.net.connection import Fields, Message
@@ -556,6 +557,7 @@
         numbers(boot)
     except NodeSettingsError as error:
         raise UnusableInput(str(error)) from error
+    tolerance = boot.file.fault_tolerance
     listens = ", ".join(f"{name} {ip}:{port}" for name, (ip, port) in boot.listen.items())
     lines = [
         f"{boot.name}: {role} at {boot.ip}, zone {boot.zone}; listens on {listens}; internal {{}}:{{}}".format(
@@ -563,7 +565,7 @@
         ),
         (
             f"seeds {', '.join('{}:{}'.format(*seed) for seed in boot.seeds) or 'none'}; up to "
-            f"{boot.file.fault_tolerance.machines} machines may be lost"
+            f"{tolerance.machines} machines, {tolerance.zones} zones, {tolerance.regions} regions may be lost at once"
         ),
     ]
     if role == "controlplane":
@@ -572,6 +574,7 @@
             f"{'a first start' if boot.file.bootstrap else 'no first start'}; list at "
             + ("{}:{}".format(*boot.cloud) if boot.cloud else "no address")
         )
+        lines += [f"can't be kept: {doubt}" for doubt in fault_tolerance_doubts(boot.file)]
     return Shown(lines)
 
 
--- a/rowanshift/wire/table.py
+++ b/rowanshift/wire/table.py
@@ -33,6 +33,7 @@
     31: (replication.Leave, "q"),
     32: (replication.LeaveReply, "q?"),
     33: (replication.StoreDelta, "qwwb"),
+    34: (replication.Located, "ss??"),
     64: (replication.DurableState, "qrwb?"),
 }
 NESTED = {"r": (replication.EpochRecord, "qqttt"), "w": (replication.StateVersion, "qq")}
--- a/tests/test_fault_domains.py
+++ b/tests/test_fault_domains.py
@@ -1,11 +1,24 @@
 """Copies and witnesses over zones and regions, so that what may be lost at once leaves a copy and a majority."""
 
+import random
 import unittest
 
 import trio
 from loguru import logger
 
+from rowanshift.controlplane.replication.fault_domains import (
+    MOST_WITNESSES,
+    FaultTolerance,
+    Place,
+    bearable,
+    better_witnesses,
+    choose_backups,
+    copies_left,
+    most_lost,
+    vote_margin,
+)
 from rowanshift.simulation.fleet import Fleet, config_of, play
+from rowanshift.simulation.fleet_settings import CONTROL
 from rowanshift.simulation.fleet_troubles import Unit
 from rowanshift.wire.machines import machine_of
 
@@ -26,7 +39,8 @@
     """The machines that hold the newest state, the primary first."""
     primary = fleet.primary()
     in_sync = primary.program.replica_host.replica.record.in_sync
-    return sorted((unit for unit in fleet.cores if machine_of(unit.machine.address) in in_sync), key=lambda unit: unit is not primary)
+    holding = [unit for unit in fleet.cores if machine_of(unit.machine.address) in in_sync]
+    return sorted(holding, key=lambda unit: unit is not primary)
 
 
 class Losses(unittest.TestCase):
@@ -69,6 +83,7 @@
             first = list(fleet.cores)
             for unit in first:
                 spare = fleet.spare(counts=False)
+                fleet.operator.controls.append((spare.machine.address, CONTROL))
                 self.assertTrue(await fleet.until(lambda spare=spare: takes_part(fleet, spare), REPLACED_WITHIN))
                 fleet.empty_disk(unit)
                 await trio.sleep(REPLACED_WITHIN)
@@ -77,6 +92,108 @@
 
         self.assertEqual(play(main, "nobody", routers=1, strict=False, counts=False)[0], 9)
 
+    def test_one_is_gone_before_its_successor_starts(self) -> None:
+        async def main(fleet: Fleet) -> int:
+            await fleet.start()
+            await trio.sleep(REPLACED_WITHIN)
+            for unit in list(fleet.cores):
+                fleet.empty_disk(unit)
+                await trio.sleep(1.0)
+                spare = fleet.spare(counts=False)
+                fleet.operator.controls.append((spare.machine.address, CONTROL))
+                await trio.sleep(REPLACED_WITHIN)
+            self.assertEqual(await fleet.put(config_of(9)), 200)
+            return (await fleet.operator.read_config(READ_WITHIN) or {}).get("revision", 0)
+
+        self.assertEqual(play(main, "gone before", routers=1, strict=False, counts=False)[0], 9)
+
+    def test_one_that_does_not_count_stays_out_where_others_do(self) -> None:
+        async def main(fleet: Fleet) -> set[int]:
+            await fleet.start()
+            fleet.cut_power(fleet.backups()[-1])
+            spare = fleet.spare(counts=False)
+            await trio.sleep(2 * REPLACED_WITHIN)
+            self.assertTrue(takes_part(fleet, spare))
+            return fleet.primary().program.replica_host.replica.record.members() & {machine_of(spare.machine.address)}
+
+        self.assertEqual(play(main, "stays out", routers=1, strict=False)[0], set())
+
+    def test_it_is_told(self) -> None:
+        async def main(fleet: Fleet) -> str:
+            await fleet.start()
+            await trio.sleep(REPLACED_WITHIN)
+            return fleet.primary().program.replica_host.replica.lacking_spread()
+
+        self.assertIn("no core machine counts", play(main, "told", routers=1, counts=False)[0])
+        self.assertEqual(play(main, "told", routers=1)[0], "")
+
+
+class Choice(unittest.TestCase):
+    """The pure choice."""
+
+    def places(self, *zones: str) -> dict[int, Place]:
+        """Machine by machine, a region and a zone as two letters."""
+        return {number: Place(zone[1], zone[0]) for number, zone in enumerate(zones, 1)}
+
+    def test_what_the_worst_loss_takes(self) -> None:
+        places = self.places("aa", "aa", "ab", "ba", "bb", "ca")
+        for tolerance, taken in (
+            (FaultTolerance(), 0),
+            (FaultTolerance(2), 2),
+            (FaultTolerance(9), 6),
+            (FaultTolerance(0, 1), 2),
+            (FaultTolerance(1, 1), 3),
+            (FaultTolerance(0, 0, 1), 3),
+            (FaultTolerance(0, 1, 1), 4),
+            (FaultTolerance(1, 1, 1), 5),
+            (FaultTolerance(0, 0, 3), 6),
+        ):
+            self.assertEqual(most_lost(places, places, tolerance), taken, tolerance)
+
+    def test_without_domains_the_preferred_are_chosen(self) -> None:
+        chance = random.Random(1)
+        for _ in range(200):
+            machines = chance.sample(range(2, 12), chance.randrange(1, 8))
+            places = {machine: Place(chance.choice("abc")) for machine in machines}
+            for f in range(4):
+                chosen = choose_backups(1, machines, places, FaultTolerance(f))
+                self.assertEqual(chosen, machines[:f])
+
+    def test_a_choice_survives_wherever_any_does(self) -> None:
+        """Against all choices of machines, for drawn places."""
+        chance = random.Random(2)
+        for _ in range(300):
+            places = {machine: Place(chance.choice("abc"), chance.choice("xy")) for machine in range(1, 7)}
+            tolerance = FaultTolerance(chance.randrange(2), chance.randrange(2), chance.randrange(2))
+            chosen = choose_backups(1, [2, 3, 4, 5, 6], places, tolerance)
+            left = copies_left([1, *chosen], places, tolerance)
+            self.assertEqual(left > 0, copies_left([*places], places, tolerance) > 0, (places, tolerance))
+
+    def test_votes_move_to_where_a_loss_leaves_a_majority(self) -> None:
+        places = self.places("aa", "aa", "aa", "ab", "ac")
+        tolerance = FaultTolerance(0, 1)
+        witnesses = better_witnesses([1, 2, 3], [4, 5], places, tolerance)
+        self.assertGreater(len({places[witness].zone for witness in witnesses}), 1)
+        self.assertGreaterEqual(
+            vote_margin(better_witnesses(witnesses, [4, 5], places, tolerance), places, tolerance), 0
+        )
+        self.assertEqual(better_witnesses([1, 4, 5], [2], places, tolerance), ())
+
+    def test_no_more_votes_than_the_limit(self) -> None:
+        places = {machine: Place("a", "r") for machine in range(MOST_WITNESSES + 1)}
+        everyone = list(range(MOST_WITNESSES))
+        self.assertEqual(better_witnesses(everyone, [MOST_WITNESSES], places, FaultTolerance(0, 1)), ())
+        self.assertEqual(
+            len(better_witnesses(everyone[:-1], [MOST_WITNESSES], places, FaultTolerance(0, 1))), MOST_WITNESSES
+        )
+
+    def test_what_zones_can_bear(self) -> None:
+        three, two = {"a": "r", "b": "r", "c": "r"}, {"a": "r", "b": "r"}
+        self.assertTrue(bearable(FaultTolerance(1, 1), three))
+        self.assertTrue(bearable(FaultTolerance(3), two))
+        self.assertFalse(bearable(FaultTolerance(0, 1), two))
+        self.assertFalse(bearable(FaultTolerance(0, 0, 1), three))
+
 
 def takes_part(fleet: Fleet, unit: Unit) -> bool:
     """Whether a machine that was started has recovered, and its vote is wanted or it has one."""
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -510,7 +510,7 @@
         for part in (
             "core-1: controlplane at",
             f"controlPlane {system.net}1:8500",
-            "up to 1 machines",
+            "up to 1 machines, 0 zones, 0 regions may be lost at once",
             "a first start",
         ):
             self.assertIn(part, said)
@@ -528,6 +528,31 @@
             self.assertEqual(invoke("check", "--boot", edge), (2, f"rowanshift: {says}\n"))
         self.assertEqual(invoke("check", "--boot", data / "none")[0], 2)
 
+    def test_settings_that_promise_more_than_can_be_kept(self) -> None:
+        data = folder(self)
+        cluster.SmallSystem(data, net(), lambda: 0.0)
+        core = data / "core-1.json"
+        good = orjson.loads(core.read_bytes())
+        zones = {f"z{n}": f"r{n % 2}" for n in range(4)}
+        for change, says in (
+            ({"faultTolerance": {"machines": 1, "zones": 1}, "zones": zones}, ""),
+            (
+                {"faultTolerance": {"zones": 2}, "zones": zones},
+                "can't be kept: faultTolerance: the loss of 0 machines, 2",
+            ),
+            (
+                {"faultTolerance": {"regions": 1}, "zones": zones},
+                "1 regions at once leaves no majority in 4 zones of 2",
+            ),
+            ({"quorumMember": False}, "can't be kept: quorumMember: false"),
+            ({"quorumMember": False, "faultTolerance": {}}, ""),
+        ):
+            core.write_bytes(orjson.dumps(good | change))
+            code, said = invoke("check", "--boot", core)
+            self.assertEqual(code, 0)
+            self.assertIn(says, said)
+            self.assertEqual("can't be kept" in said, bool(says), said)
+
 
 class Page(unittest.TestCase):
     """``docs/operating-system.md`` against the code."""
