--- a/rowanshift/soak/checker.py
+++ b/rowanshift/soak/checker.py
@@ -1,8 +1,9 @@
 """Decides over the records of a soak run whether the system kept its promises. No clock and no question to the system.
 
 The checks of ``rowanshift.invariants`` that hold for every machine at any time run as they are. Rules with a time
-bound for machines in touch are left to the simulated fleets, which know exactly who was in touch. What real processes
-add is checked here: their ends, their logs, each request around troubles, and the configuration at the end.
+bound for machines in touch are left to the simulated fleets, which know exactly who was in touch, but for VERSION in
+calm stretches (``versions``). What real processes add is checked here: their ends, their logs, each request around
+troubles, and the configuration at the end.
 """
 
 import re
@@ -28,6 +29,7 @@
     Stalled,
     TroubleMet,
 )
+from rowanshift.soak.versions import versions
 
 SENT_SOON = 3.0  # seconds after a SIGTERM within which a request must be sent whose cut may be excused
 LAST_PART = 1 / 6  # of the grace, in which a server that is still at work excuses a cut
@@ -329,6 +331,7 @@
         *Requests(facts, read_requests(facts, log_folder)).cuts(),
         *stalled(facts),
         *recovered(facts),
+        *versions(facts),
         *shared_rules(facts),
     ]
     return sorted(found, key=lambda breach: breach.at)
--- a/rowanshift/soak/plan.py
+++ b/rowanshift/soak/plan.py
@@ -21,8 +21,10 @@
 LONGEST_GAP, MOST_ROUNDS = 5.0, 5  # of a roll
 DISKS_LOST_AT_MOST = 1  # in a run, of the core's three: the fault tolerance in the settings
 
+CALM_FROM, CALM_LASTS = 40.0, 16.0  # seconds: the least run with a calm in it, in which named versions come into force
 SHORT_SECONDS, SHORT_ROUTERS, SHORT_TRACKS = 6.0, 4, 2  # of the short form
 
+CORE_NAME = "core-"  # how the names of core machines begin
 CLIENTS, OPERATORS, SYSTEM, PLATFORM = "clients", "operators", "system", "platform"  # ends of links beside machines
 
 
@@ -106,7 +108,7 @@
 
 def core_name(number: int) -> str:
     """The name of a core machine, from 1 on."""
-    return f"core-{number}"
+    return f"{CORE_NAME}{number}"
 
 
 def router_name(number: int) -> str:
@@ -132,19 +134,36 @@
     chance = random.Random(f"soak/{seed}")
     routers = routers if routers is not None else chance.randint(4, 6)
     _check_sizes(seconds, routers)
+    drawn = _Draw(chance, seconds, routers, tracks).troubles()
     plan = Plan(
         seed,
         seconds,
         routers,
         clients=min(MOST_CLIENTS, 4 * routers),
         changes_per_second=round(chance.uniform(*CHANGES_PER_SECOND), 1),
-        troubles=tuple(sorted(_Draw(chance, seconds, routers, tracks).troubles(), key=lambda trouble: trouble.at)),
+        troubles=tuple(sorted(_outside(calm_of(seed, seconds), drawn), key=lambda trouble: trouble.at)),
         names_apart=round(chance.uniform(*NAMES_APART), 2),
     )
     check(plan)
     return plan
 
 
+def calm_of(seed: int, seconds: float) -> tuple[float, float] | None:
+    """When a run is without trouble, from and to in seconds; none in a short one."""
+    if seconds < CALM_FROM:
+        return None
+    since = random.Random(f"soak/{seed}/calm").uniform(0.0, seconds - CALM_LASTS)
+    return since, since + CALM_LASTS
+
+
+def _outside(calm: tuple[float, float] | None, troubles: list[Trouble]) -> list[Trouble]:
+    """The troubles that leave the calm alone."""
+    if calm is None:
+        return troubles
+    since, until = calm
+    return [trouble for trouble in troubles if trouble.until < since or trouble.at > until]
+
+
 WEIGHTS = {  # how often each kind is drawn in a track
     TroubleKind.KILL: 3,
     TroubleKind.PAUSE: 3,
--- /dev/null
+++ b/tests/test_soak_versions.py
@@ -0,0 +1,109 @@
+"""The soak's check of VERSION: what it counts, what it leaves out, and a planted fault that it finds."""
+
+import unittest
+from unittest import mock
+
+import trio
+from loguru import logger
+
+from rowanshift.controlplane import singleton_tasks
+from rowanshift.dataplane import control_client
+from rowanshift.invariants.facts import Asked, Began, VersionNamed
+from rowanshift.simulation.fleet import ONCE, Fleet, play
+from rowanshift.simulation.fleet_settings import CONTACT, MODEL, VERSION, VERSION_ALL
+from rowanshift.soak import plan, versions
+from rowanshift.soak.plan import Link, TroubleKind
+from rowanshift.soak.records import Lagged, LoadEnded, ProcessStarted, TroubleMet
+
+FRONT = "127.0.0.11:8180"
+STARTED = ProcessStarted(0.0, "router-1", 1, "router-1.1.log", FRONT)
+NAMED = VersionNamed(10.0, MODEL, 2)
+
+
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
+def request(at: float, revision: int = 1) -> list:
+    """A request by the router that begins at once on weights of a version."""
+    name = f"r{at}"
+    asked = Asked(at, name, "h", "POST", "/once/x", b"", front=FRONT)
+    return [asked, Began(at, name, "i", "s", f"run-{name}", "", "h", "POST", "/", b"", model=MODEL, revision=revision)]
+
+
+class Check(unittest.TestCase):
+    def broken(self, *facts) -> int:
+        return len(versions.versions([STARTED, NAMED, LoadEnded(60.0), *facts]))
+
+    def test_the_bound(self) -> None:
+        self.assertEqual(self.broken(*request(10.0 + VERSION - 0.1)), 0)
+        self.assertEqual(self.broken(*request(10.0 + VERSION + 0.1)), 1)
+        self.assertEqual(self.broken(*request(10.0 + VERSION + 0.1, revision=2)), 0)
+
+    def test_trouble_of_the_core_or_of_a_link_begins_it_anew(self) -> None:
+        late = request(10.0 + VERSION + 2.0)
+        for trouble in (
+            TroubleMet(11.0, 11.5, TroubleKind.KILL, ("core-2",)),
+            TroubleMet(11.0, 11.5, TroubleKind.ROLL, ("core-2", "router-2")),
+            TroubleMet(11.0, 11.5, TroubleKind.WIPE, ("core-1",)),
+            TroubleMet(11.0, 11.5, TroubleKind.CUT, links=(Link("system", "server-1"),)),
+            ProcessStarted(11.0, "core-1", 2, "core-1.2.log"),
+            Lagged(12.0, 0.5),
+        ):
+            self.assertEqual(self.broken(trouble, *late), 0, trouble)
+            self.assertEqual(self.broken(trouble, *request(15.0 + VERSION + CONTACT)), 1, trouble)
+
+    def test_a_router_out_of_touch_is_excused_and_no_other(self) -> None:
+        late = request(10.0 + VERSION + 4.0)
+        self.assertEqual(self.broken(TroubleMet(20.0, 20.5, TroubleKind.PAUSE, ("router-1",)), *late), 0)
+        self.assertEqual(self.broken(TroubleMet(18.0, 18.5, TroubleKind.PAUSE, ("router-1",)), *late), 1)
+        self.assertEqual(self.broken(TroubleMet(20.0, 20.5, TroubleKind.PAUSE, ("router-2",)), *late), 1)
+        self.assertEqual(self.broken(ProcessStarted(20.0, "router-1", 2, "l", FRONT), *late), 0)
+
+    def test_stretches_add_up(self) -> None:
+        troubles = [TroubleMet(at, at + 0.1, TroubleKind.KILL, ("core-1",)) for at in (16.0, 25.0, 34.0)]
+        since_second = 16.0 + 0.1 + CONTACT  # 6 s were calm before the first
+        self.assertEqual(self.broken(*troubles, *request(since_second + VERSION_ALL - 6.0 - 0.1)), 0)
+        self.assertEqual(self.broken(*troubles, *request(since_second + VERSION_ALL - 6.0 + 0.1)), 1)
+
+
+class PlantedFault(unittest.TestCase):
+    """No server is ordered to load, and routers take any weights."""
+
+    def found(self, **planted) -> set[str]:
+        async def main(fleet: Fleet) -> None:
+            await fleet.start()
+            fleet.client("one", ONCE, "key-1", pause=0.1)
+            await fleet.name_version(2)
+            await trio.sleep(VERSION + CONTACT)
+
+        with mock.patch.object(singleton_tasks.SingletonTasks, "_may_order", lambda tasks: False):
+            fleet = play(main, "planted", routers=1, strict=False)[1]
+        started = [ProcessStarted(0.0, "router-1", 1, "router-1.1.log", unit.front) for unit in fleet.routers]
+        return {breach.rule for breach in versions.versions([*started, *fleet.facts])}
+
+    def test_it_is_found(self) -> None:
+        with mock.patch.object(control_client.ControlClient, "version", lambda client, model, now: 0):
+            self.assertEqual(self.found(), {"VERSION"})
+        self.assertEqual(self.found(), set())
+
+
+class Plans(unittest.TestCase):
+    def test_a_long_run_has_a_calm_that_outlasts_the_bounds(self) -> None:
+        self.assertGreater(plan.CALM_LASTS, CONTACT + VERSION_ALL)
+        for seed in range(50):
+            since, until = plan.calm_of(seed, 60.0)
+            drawn = plan.draw(seed, 60.0)
+            self.assertFalse([one for one in drawn.troubles if one.at <= until and one.until >= since])
+            self.assertTrue(drawn.troubles)
+
+    def test_a_short_one_has_none(self) -> None:
+        self.assertIsNone(plan.calm_of(1, plan.CALM_FROM - 0.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
