Let the former primary go on at once, and load what checks changes after the start

Change: a machine whose own record is the last on its disk stands at once (its witnesses never blocked it); pre-votes are asked again each 0.1 s; pyserde and the checks are imported in a thread after the start. configuration.py is split by concern.

--- a/rowanshift/capacity/hollow.py
+++ b/rowanshift/capacity/hollow.py
@@ -12,7 +12,8 @@
 import trio
 
 from rowanshift.capacity.meter import Loopback, free_port
-from rowanshift.controlplane.control_state import put_config, put_version, unpack
+from rowanshift.controlplane.configuration_change import put_config
+from rowanshift.controlplane.control_state import put_version, unpack
 from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown
 from rowanshift.controlplane.server_registry import Known, known_of
 from rowanshift.controlplane.service import ControlPlaneService
@@ -242,7 +243,7 @@
         """For what a command costs by itself."""
 
     def stop(self) -> None:
-        self.core_service.told_to_stop.set()
+        self.core_service.tell_to_stop(trio.current_time())
 
 
 UNPACKED: dict[bytes, Any] = {}  # answers that many routers of this process get alike
--- a/rowanshift/controlplane/api.py
+++ b/rowanshift/controlplane/api.py
@@ -4,16 +4,9 @@
 
 import orjson
 
-from rowanshift.controlplane.configuration import InvalidConfiguration, StaleMatch
-from rowanshift.controlplane.control_state import (
-    ConfigChange,
-    ControlState,
-    InvalidVersion,
-    patch_config,
-    put_config,
-    put_version,
-    unpack,
-)
+from rowanshift.controlplane.change_errors import InvalidConfiguration, StaleMatch
+from rowanshift.controlplane.change_loader import ChangeLoader
+from rowanshift.controlplane.control_state import ControlState, InvalidVersion, put_version, unpack
 from rowanshift.controlplane.order_history import OrderTooOld
 from rowanshift.controlplane.replica_host import NotConfirmed, NotPrimary, OutcomeUnknown, ReplicaHost
 from rowanshift.controlplane.replication import STATE_LIMIT, StateTooLarge
@@ -23,6 +16,7 @@
 
 WITHIN = 2.5  # seconds for a change to be on all disks that are wanted
 LOCATION = b"Location"
+CHANGING = (b"PUT", b"PATCH")  # methods
 
 
 class OnPrimary:
@@ -56,20 +50,21 @@
         raise NotImplementedError
 
 
-CHANGES: dict[bytes, ConfigChange] = {b"PUT": put_config, b"PATCH": patch_config}  # by method
-
-
 class ConfigResource(OnPrimary):
     """``/config``: the operator's configuration, read, put whole, or patched by the names of its items."""
 
+    def __init__(self, node: ReplicaHost, port: int, changes: ChangeLoader) -> None:
+        super().__init__(node, port)
+        self.changes = changes
+
     async def served(self, message: Message) -> Answer:
         """200 with the configuration or the revision taken; 400, 404, 405 or 412 otherwise."""
         if message.method == b"GET":
             state = unpack(await self.replica_host.read())
             return Answer(200, state.config) if state.revision else Answer(404, said("no configuration yet"))
-        change = CHANGES.get(message.method)
-        if change is None:
+        if message.method not in CHANGING:
             return Answer(405, said("GET, PUT and PATCH"))
+        change = (await self.changes.load()).CHANGES[message.method]
         match = dict(message.fields).get(b"if-match")
 
         def made(packed: bytes) -> bytes | None:
--- a/rowanshift/controlplane/control_state.py
+++ b/rowanshift/controlplane/control_state.py
@@ -10,26 +10,12 @@
 all are the empty state.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from struct import Struct
 from struct import error as StructError
 from typing import Any
 
-import orjson
-
-from rowanshift.controlplane.configuration import (
-    MOST_REVISION,
-    Configuration,
-    check_change,
-    check_match,
-    check_revision,
-    configuration_of,
-    digest_of,
-    load,
-    revision_of,
-)
-from rowanshift.controlplane.configuration_patch import patched
+from rowanshift.controlplane.change_errors import MOST_REVISION
 from rowanshift.controlplane.order_history import ENTRY, FINGERPRINT, MOST_ORDERS, NO_ORDERS, OrderHistory
 
 MAGIC = b"RSSH"
@@ -129,51 +115,6 @@
     return b"".join(ENTRY.pack(revision, digest[:FINGERPRINT]) for revision, digest in orders)
 
 
-ConfigChange = Callable[["ControlState", str | None, bytes], "tuple[ControlState, Configuration] | None"]
-
-
-def put_config(state: ControlState, if_match: str | None, body: bytes) -> tuple[ControlState, Configuration] | None:
-    """The state with the configuration in ``body``, and that configuration; ``None`` if it was taken already.
-
-    An order that was taken is known by its digest, whatever its ``If-Match`` and whatever followed it. Raises
-    ``InvalidConfiguration`` (400), then ``OrderTooOld`` where nobody knows whether it was taken, then ``StaleMatch``
-    (412), then ``InvalidConfiguration`` if its revision is not above the current one.
-    """
-    raw = load(body)
-    digest = digest_of(raw)
-    if state.orders.holds(digest):
-        return None
-    config = configuration_of(raw)
-    state.orders.check_remembered(config.revision)
-    check_change(state.revision, if_match, config)
-    return _with_config(state, config, bytes(body), digest), config
-
-
-def patch_config(state: ControlState, if_match: str | None, body: bytes) -> tuple[ControlState, Configuration] | None:
-    """The state with the patch in ``body`` applied, and the configuration made; ``None`` if it was taken already.
-
-    A patch that was taken is known by its digest, as a whole configuration is. Raises ``InvalidConfiguration`` where
-    the patch has no proper revision, ``OrderTooOld``, ``StaleMatch`` where it builds on another revision, and then
-    ``InvalidConfiguration`` for the patch and for the configuration that it makes.
-    """
-    raw = load(body)
-    digest = digest_of({"patch": raw})
-    if state.orders.holds(digest):
-        return None
-    state.orders.check_remembered(revision_of(raw))
-    check_match(state.revision, if_match)
-    whole = patched(load(state.config) if state.config else {}, raw)
-    config = configuration_of(whole)
-    check_revision(state.revision, config)
-    return _with_config(state, config, orjson.dumps(whole), digest), config
-
-
-def _with_config(state: ControlState, config: Configuration, body: bytes, digest: bytes) -> ControlState:
-    """The state once a configuration has been taken; ``digest`` is that of the order that brought it."""
-    orders = state.orders.added(config.revision, digest)
-    return replace(state, revision=config.revision, config=body, orders=orders)
-
-
 def put_version(state: ControlState, model: Any, revision: Any) -> ControlState | None:
     """The state with a ``revision`` named for ``model``; ``None`` if that or a newer one is named already.
 
--- a/rowanshift/controlplane/replication/candidate.py
+++ b/rowanshift/controlplane/replication/candidate.py
@@ -69,7 +69,8 @@
 
     def _tick_candidacy(self) -> None:
         candidacy, now = self._candidacy, self._now
-        late = candidacy.phase != "pre-vote" and now >= candidacy.started + self.timing.stand_limit
+        pre_vote = candidacy.phase == "pre-vote"
+        late = not pre_vote and now >= candidacy.started + self.timing.stand_limit
         transfer = self._transfer_time(self._durable.state) if candidacy.phase == "store" else 0.0
         if late or now >= candidacy.phase_started + self.timing.round + transfer:
             if candidacy.phase == "store":
@@ -81,7 +82,7 @@
         elif candidacy.phase == "store" and now >= candidacy.phase_started + self.timing.store_patience + transfer:
             candidacy.tried |= {*candidacy.backups} - candidacy.votes
             self._choose_backups()
-        elif now >= candidacy.sent + self.timing.retry + transfer:
+        elif now >= candidacy.sent + (self.timing.pre_vote_retry if pre_vote else self.timing.retry) + transfer:
             self._send_phase()
 
     def _end_candidacy(self, rest: float) -> None:
--- a/rowanshift/controlplane/replication/core.py
+++ b/rowanshift/controlplane/replication/core.py
@@ -137,11 +137,23 @@
 
     def _init_candidate(self) -> None:
         timing = self.timing
-        wait = timing.block if self._durable.accepted.number else 0.0
+        draw, record = timing.silence_draw * self._chance(), self._durable.accepted
         self._seen = self._durable.promised  # the highest number heard of
-        self._stand_at = self._now + timing.silence_draw * self._chance() + wait
+        if self._was_primary():
+            self._stand_at = self._now
+        else:
+            self._stand_at = self._now + draw + (timing.block if record.number else 0.0)
         self._candidacy: Candidacy | None = None
 
+    def _was_primary(self) -> bool:
+        """Whether the last record on disk is of an epoch of this machine's own, in its former life.
+
+        The lease of that epoch ended with that life. If a later epoch's holder has one, a majority has its record on
+        disk, and whoever of it was asked lately, or restarted, refuses this machine (``_blocked``).
+        """
+        record = self._durable.accepted
+        return bool(record.number) and record.primary == self.me and not self._durable.amnesic
+
     def _init_recovery(self) -> None:
         self._recovery_serial = 1 + int(self._chance() * (1 << 31))
         self._recovery_replies: dict[int, RecoveryReply] = {}
--- a/rowanshift/controlplane/replication/timing.py
+++ b/rowanshift/controlplane/replication/timing.py
@@ -8,6 +8,7 @@
 LAPSE = BLOCK  # without a majority's answers; then a primary steps down
 SILENCE_DRAW = 0.2  # drawn from 0 to this: what a machine waits beyond BLOCK before it becomes a candidate
 RETRY = 0.2  # until an unanswered message is sent again
+PRE_VOTE_RETRY = 0.1  # until an unanswered question for a pre-vote is sent again: those asked may just be starting
 ROUND = 0.5  # for each step of a candidacy
 STORE_PATIENCE = 0.25  # for chosen backups to store the state; then others are chosen, if there are any
 STAND_LIMIT = 1.2  # from a number's first Prepare to its effect: later it is given up for good
@@ -41,6 +42,7 @@
     lapse: float = LAPSE
     silence_draw: float = SILENCE_DRAW
     retry: float = RETRY
+    pre_vote_retry: float = PRE_VOTE_RETRY
     round: float = ROUND
     store_patience: float = STORE_PATIENCE
     stand_limit: float = STAND_LIMIT
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from rowanshift.controlplane.api import ConfigResource, StatusResource, VersionResource
+from rowanshift.controlplane.change_loader import ChangeLoader
 from rowanshift.controlplane.control_state import ControlState, unpack
 from rowanshift.controlplane.replica_host import ReplicaHost, durable_of
 from rowanshift.controlplane.replication import DurableState, FaultTolerance, Place, Replica
@@ -443,10 +444,10 @@
                     self._tell,
                     boot.bounds.version_ms / 1000,
                 )
-                control = boot.want("controlPlane")
+                control, changes = boot.want("controlPlane"), ChangeLoader(host)
                 calls = CallServer(
                     {
-                        b"/config": ConfigResource(self.replica_host, control[1]),
+                        b"/config": ConfigResource(self.replica_host, control[1], changes),
                         b"/version-put": VersionResource(self.replica_host, control[1]),
                         b"/status": StatusResource(self.status),
                     },
@@ -458,6 +459,7 @@
                 nursery.start_soon(self._accept, inner, nursery)
                 nursery.start_soon(calls.serve, host.listen(control, 256), nursery, host.pause)
                 nursery.start_soon(self.replica_host.run)
+                nursery.start_soon(changes.load_later)
                 nursery.start_soon(self._tell_members)
                 nursery.start_soon(self.tasks.read_list)
                 nursery.start_soon(self.tasks.roll_out, nursery)
@@ -476,6 +478,11 @@
                 await self._finish(calls)
                 nursery.cancel_scope.cancel()
 
+    def tell_to_stop(self, at: float) -> None:
+        """Serve no longer than the grace from this time on; a second call changes nothing."""
+        self.told_at = at if self.told_at is None else self.told_at
+        self.told_to_stop.set()
+
     def _grace_ends_at(self) -> float:
         """When the platform ends this process, however late its loop heard of the signal."""
         return self.told_at + self.boot.bounds.grace_s
@@ -494,8 +501,7 @@
     async def _heed(self, signals: AsyncIterator[ReceivedSignal], scope: trio.CancelScope) -> None:
         async for received in signals:
             if received.number != signal.SIGHUP:
-                self.told_at = self.told_at or received.at
-                self.told_to_stop.set()
+                self.tell_to_stop(received.at)
                 if self.replica_host is None:
                     scope.cancel()
             elif self.boot.path is not None:
--- a/tests/planted_replication_faults.py
+++ b/tests/planted_replication_faults.py
@@ -120,6 +120,18 @@
         self._stand_at = self._now
 
 
+class CopiesGoOnAtOnce(p.Replica):
+    """Whoever holds a copy goes on at once in a new life, as only the former primary may; witnesses in a new life let
+    it."""
+
+    def _was_primary(self):
+        return self.me in self._durable.accepted.in_sync and not self._durable.amnesic
+
+    def _blocked(self, candidate):
+        unheard = self._holder_heard == float("-inf")
+        return super()._blocked(candidate) and not (unheard and candidate in self._durable.accepted.in_sync)
+
+
 class StoresBelowPromise(p.Replica):
     def _on_store(self, sender, message):
         if message.version > self._durable.version:
@@ -196,6 +208,7 @@
     OldSetAlone: Hunt(1, 3, 1, 1, ("pause", "pause", "cut", "deaf")),
     LeaseNotAwaited: Hunt(4, 3, 1, 0, ("stand", "stand", "pause", "cut")),
     RestartedDoesNotWait: Hunt(4, 3, 1, 0, ("quake", "quake", "cut")),
+    CopiesGoOnAtOnce: Hunt(0, 3, 1, 0, ("quake", "quake", "cut")),
     StoresBelowPromise: Hunt(16, 3, 1, 0, ("pause", "stand", "deaf")),
     RecoversFromOne: Hunt(74, 3, 1, 0, ("empty", "cut", "stand")),
     CountsAnyStored: Hunt(295),
--- a/tests/test_delta.py
+++ b/tests/test_delta.py
@@ -6,7 +6,8 @@
 
 import orjson
 
-from rowanshift.controlplane.control_state import ControlState, put_config
+from rowanshift.controlplane.configuration_change import put_config
+from rowanshift.controlplane.control_state import ControlState
 from rowanshift.wire.delta import COPY, LITERAL, LONGEST_BLOCK, OPERATION, BadDelta, apply_delta, blocks, make_delta
 
 MOST = 1 << 24
