--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -367,6 +367,11 @@
             ],
         )
 
+    def test_what_a_server_runs_by_goes_on_unchanged(self):
+        own = ((b"model-name", b"m"), (b"token-count", b"12,3"), (b"prompt-prefix", b"ab:10, cd:2"))
+        _, lines, _ = sent(read(ID, *own), Tenant(b"t", None, True))
+        self.assertEqual([line for line in lines if line[0] in dict(own)], list(own))
+
     def test_a_clients_own_never_go_on(self):
         request = read(ID, *self.OWN)
         for tenant in (None, Tenant(b"t", None, True)):
