--- a/tests/test_protocol_rules.py
+++ b/tests/test_protocol_rules.py
@@ -10,9 +10,10 @@
 from rowanshift.controlplane.server_registry import Known
 from rowanshift.dataplane.routing_table import RoutingTable
 from rowanshift.invariants.facts import Ordered
+from rowanshift.net.calls import call
 from rowanshift.simulation import fleet as fleets
-from rowanshift.simulation.fleet import SERVICE, Fleet
-from rowanshift.simulation.fleet_settings import CONTACT, MODEL
+from rowanshift.simulation.fleet import ONCE, SERVICE, Fleet
+from rowanshift.simulation.fleet_settings import CONTACT, MODEL, READY
 
 RETRIES, TIMEOUT = 3, 8.0  # of the rig's routes
 FULL = Behaviour(rejection(503, b"Not-Executed: 1"), runs=False)
@@ -72,6 +73,23 @@
         self.assertEqual(play(main), (503, True))
 
 
+class Readiness(unittest.TestCase):
+    def test_a_router_that_was_told_to_stop_is_not_ready_while_it_serves_on(self) -> None:
+        async def main(fleet: Fleet) -> tuple[int, int]:
+            await fleet.start()
+            fleet.client("long", ONCE, "key-1", out=300)
+            await trio.sleep(0.5)
+            unit = fleet.routers[0]
+            address = unit.machine.address, READY
+            before = await call(fleet.outside, fleet.memory, address, b"GET", b"/readiness")
+            fleet.terminate(unit)
+            await trio.sleep(0.1)
+            after = await call(fleet.outside, fleet.memory, address, b"GET", b"/readiness")
+            return before.status, after.status
+
+        self.assertEqual(fleets.play(main, "readiness", routers=1, strict=False)[0], (200, 503))
+
+
 class Orders(unittest.TestCase):
     """What becomes of an order to a server."""
 
