--- a/tests/test_fault_domains.py
+++ b/tests/test_fault_domains.py
@@ -6,6 +6,7 @@
 import trio
 from loguru import logger
 
+from rowanshift.controlplane import replication as p
 from rowanshift.controlplane.replication.fault_domains import (
     MOST_WITNESSES,
     FaultTolerance,
@@ -17,6 +18,7 @@
     most_lost,
     vote_margin,
 )
+from rowanshift.controlplane.replication.timing import LOCATE_GAP, LOCATED_FOR
 from rowanshift.simulation.fleet import Fleet, config_of, play
 from rowanshift.simulation.fleet_settings import CONTROL
 from rowanshift.simulation.fleet_troubles import Unit
@@ -128,6 +130,54 @@
         self.assertEqual(play(main, "told", routers=1)[0], "")
 
 
+class Belief(unittest.TestCase):
+    """Who is taken to count, by what machines say."""
+
+    def replica(self) -> p.Replica:
+        place = p.Place("z", "r", counts=False)
+        made = p.Replica(4, 1, (1, 2, 3), False, None, 0.0, lambda: 0.5, place=place)
+        record = p.EpochRecord(1 << 32 | 1, 1, (1, 2), (1, 2, 3))
+        made._durable = p.DurableState(record.number, record, p.NO_VERSION, b"", amnesic=False)
+        return made
+
+    def test_one_that_says_nothing_counts(self) -> None:
+        made = self.replica()
+        for machine in (1, 2):
+            made.receive(machine, p.Located("z", "r", False, False), 1.0)
+        self.assertTrue(made._observes())
+        made.receive(3, p.Located("z", "r", False, False), 1.0)
+        self.assertFalse(made._observes())
+
+    def test_a_member_is_believed_for_a_while(self) -> None:
+        made = self.replica()
+        made.receive(1, p.Located("z", "r", False, True), 1.0)
+        self.assertFalse(made._observes())
+        made.tick(1.0 + LOCATED_FOR + 0.1)
+        self.assertTrue(made._observes())
+
+    def test_one_that_is_no_member_is_not(self) -> None:
+        made = self.replica()
+        made.receive(9, p.Located("z", "r", False, True), 1.0)
+        self.assertTrue(made._observes())
+
+    def test_it_is_told_again_after_a_while_and_not_sooner(self) -> None:
+        made = self.replica()
+        made.drain()
+        for at, told in ((1.0, 3), (1.0 + LOCATE_GAP - 0.1, 0), (1.0 + LOCATE_GAP, 3)):
+            made.tick(at)
+            sent = [action for action in made.drain() if isinstance(getattr(action, "message", None), p.Located)]
+            self.assertEqual(len(sent), told, at)
+
+    def test_a_machine_that_counts_tells_nothing_until_it_matters(self) -> None:
+        made = p.Replica(1, 1, (1, 2, 3), True, None, 0.0, lambda: 0.5)
+        for at, matters in ((1.0, False), (2.0, True)):
+            if matters:
+                made.receive(2, p.Located("z", "r", False, False), at)
+            made.tick(at)
+            sent = [action for action in made.drain() if isinstance(getattr(action, "message", None), p.Located)]
+            self.assertEqual(bool(sent), matters)
+
+
 class Choice(unittest.TestCase):
     """The pure choice."""
 
--- a/tests/test_inherited_names.py
+++ b/tests/test_inherited_names.py
@@ -7,11 +7,13 @@
 from loguru import logger
 
 from rowanshift.controlplane import singleton_tasks
-from rowanshift.controlplane.server_registry import Known, ServerRegistry
+from rowanshift.controlplane.server_registry import DATED_EARLIER, MOST_TOLD, Known, ServerRegistry
 from rowanshift.invariants.facts import VersionNamed
 from rowanshift.simulation.fleet import Fleet, play
 from rowanshift.simulation.fleet_settings import MODEL
 from rowanshift.simulation.fleet_troubles import Unit
+from rowanshift.version_names import VersionName
+from rowanshift.wire.delivery import NamedVersion
 
 CLOSE = 0.3  # seconds by which a date may differ from when the name was acknowledged
 AGE = 2.5  # seconds from a name to the trouble
@@ -40,6 +42,49 @@
         self.assertEqual(registry.next_load({"m": 2, "n": 2}, 20.0)[0].id, "z")
 
 
+class Told(unittest.TestCase):
+    """What a primary takes of the dates that routers tell."""
+
+    def registry(self) -> ServerRegistry:
+        made = ServerRegistry(roll_out_within=5.0)
+        made.note({"m": 5}, 100.0)
+        return made
+
+    def told(self, registry: ServerRegistry, *names: NamedVersion) -> bool:
+        return registry.take_dates(names, {"m": 5}, 100.0)
+
+    def test_the_date_of_an_inherited_name(self) -> None:
+        registry = self.registry()
+        self.assertTrue(self.told(registry, NamedVersion("m", 5, 3000)))
+        self.assertEqual(registry.names.named("m", 5), VersionName(5, 97.0))
+        registry.note({"m": 5}, 101.0)
+        self.assertEqual(registry.names.named("m", 5), VersionName(5, 97.0))
+
+    def test_older_names_that_the_takeover_had_hidden(self) -> None:
+        registry = self.registry()
+        self.told(registry, NamedVersion("m", 4, 6000), NamedVersion("m", 5, 3000))
+        self.assertEqual([name.version for _, name in registry.names.all()], [4, 5])
+
+    def test_what_is_not_in_force_or_not_dated_is_left(self) -> None:
+        registry = self.registry()
+        self.assertFalse(self.told(registry, NamedVersion("m", 6, 3000), NamedVersion("n", 1, 3000)))
+        self.assertFalse(self.told(registry, NamedVersion("m", 5, 3000, is_dated=False)))
+
+    def test_small_differences_are_no_news(self) -> None:
+        registry = self.registry()
+        self.told(registry, NamedVersion("m", 5, 3000))
+        serial = registry.names_serial
+        self.assertFalse(self.told(registry, NamedVersion("m", 5, 3000 + int(900 * DATED_EARLIER))))
+        self.assertEqual(registry.names_serial, serial)
+        self.assertTrue(self.told(registry, NamedVersion("m", 5, 3000 + int(1100 * DATED_EARLIER))))
+        self.assertEqual(registry.names_serial, serial + 1)
+
+    def test_so_many_are_looked_at(self) -> None:
+        others = [NamedVersion(f"m{n}", 1, 0) for n in range(MOST_TOLD)]
+        self.assertFalse(self.told(self.registry(), *others, NamedVersion("m", 5, 3000)))
+        self.assertTrue(self.told(self.registry(), *others[1:], NamedVersion("m", 5, 3000)))
+
+
 def named_at(fleet: Fleet) -> float:
     """When the last version was acknowledged."""
     return max(fact.at for fact in fleet.of(VersionNamed))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,6 +9,7 @@
 
 from rowanshift.controlplane import replication as p
 from rowanshift.controlplane.replication import timing
+from rowanshift.controlplane.replication.timing import BLOCK, PRE_VOTE_RETRY
 from rowanshift.modelcheck.breadth import breadth
 from rowanshift.modelcheck.hunt import find
 from rowanshift.modelcheck.walk import Walk
@@ -439,6 +440,29 @@
             committed += outcome.committed
         self.assertGreater(committed, 10 * len(seeds))
 
+    def test_a_pre_vote_is_asked_again_soon(self):
+        rig = Rig()
+        rig.elect()
+        for me in (1, 2, 3):
+            rig.world.crash(me, landed=False)
+        former = next(me for me in (1, 2, 3) if rig.world.hosts[me].disk.accepted.primary == me)
+        rig.start(former)
+        rig.run(0.25)
+        self.assertEqual(rig.ledger(former)._candidacy.phase, "pre-vote")
+        for me in {1, 2, 3} - {former}:
+            rig.start(me)
+        self.assertLessEqual(rig.run(1.0, lambda: rig.primary() == former), 2 * PRE_VOTE_RETRY)
+
+    def test_only_the_former_primary_goes_on_at_once(self):
+        rig = Rig()
+        first = rig.elect()
+        others = {1, 2, 3} - {first}
+        for me in (1, 2, 3):
+            rig.world.crash(me, landed=False)
+        for me in others:
+            rig.start(me)
+        self.assertGreaterEqual(rig.run(3.0, lambda: rig.primary() != 0), BLOCK)
+
     def test_walks_of_three(self):
         self.walk(range(1000, 1020), 3, 1, 0)
 
--- a/tests/test_start_of_processes.py
+++ b/tests/test_start_of_processes.py
@@ -4,12 +4,13 @@
 import sys
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import trio
 from loguru import logger
 
 from rowanshift.controlplane import change_loader
-from rowanshift.controlplane.change_loader import ChangeLoader
+from rowanshift.controlplane.change_loader import LOAD_AFTER, ChangeLoader
 from rowanshift.net.transport import SYSTEM
 from rowanshift.simulation.fleet import Fleet, config_of, play
 
@@ -49,6 +50,28 @@
 
         self.assertEqual(len(trio.run(main)), 1)
 
+    def test_it_is_loaded_a_while_after_the_start_though_no_change_comes(self) -> None:
+        async def main(fleet: Fleet) -> tuple[bool, bool]:
+            loaded = []
+            true = ChangeLoader.load
+
+            async def load(loader: ChangeLoader) -> object:
+                loaded.append(fleet.now())
+                return await true(loader)
+
+            with mock.patch.object(ChangeLoader, "load", load):
+                await fleet.start()
+                fleet.kill(*fleet.cores)
+                fleet.back(*fleet.cores)
+                loaded.clear()
+                started = fleet.now()
+                await trio.sleep(LOAD_AFTER + 1.0)
+                return len(loaded) == len(fleet.cores), min(loaded) >= started + LOAD_AFTER
+
+        logger.disable("rowanshift")
+        self.addCleanup(logger.enable, "rowanshift")
+        self.assertEqual(play(main, "loaded later", routers=1)[0], (True, True))
+
     def test_a_change_right_after_a_start_is_taken(self) -> None:
         async def main(fleet: Fleet) -> int:
             await fleet.start()
--- a/tests/test_version_names.py
+++ b/tests/test_version_names.py
@@ -13,7 +13,16 @@
 from rowanshift.simulation.fleet import Fleet, play
 from rowanshift.simulation.fleet_settings import INNER
 from rowanshift.version_names import MOST_AGE_MS, MOST_MODELS, MOST_NAMES, VersionNames
-from rowanshift.wire.delivery import CODEC, NamedVersion, Poll, PollOfFormat2, Update, UpdateOfFormat1
+from rowanshift.wire.delivery import (
+    CODEC,
+    NamedVersion,
+    Poll,
+    PollOfFormat2,
+    PollOfFormat3,
+    Update,
+    UpdateOfFormat1,
+    UpdateOfFormat2,
+)
 
 
 def setUpModule() -> None:
@@ -127,16 +136,38 @@
 
 class FormerRouters(unittest.TestCase):
     def test_each_gets_the_answer_that_it_can_read(self) -> None:
-        async def main(fleet: Fleet) -> list[type]:
+        async def main(fleet: Fleet) -> list[UpdateOfFormat1]:
             await fleet.start()
             caller = Caller(fleet.outside, CODEC, (fleet.primary().machine.address, INNER[0]))
             nothing = (0, 0), 0, (0, 0), (0, 0), (0, 0), 0
-            answers = [await caller.ask(poll(1, 1, *nothing), 2.0) for poll in (PollOfFormat2, Poll)]
+            await fleet.name_version(2)
+            kinds = PollOfFormat2, PollOfFormat3, Poll
+            answers = [await caller.ask(poll(1, 1, *nothing), 2.0) for poll in kinds]
             caller.close()
             await trio.lowlevel.checkpoint()
-            return [type(answer) for answer in answers]
+            return answers
 
-        self.assertEqual(play(main, "former routers", routers=1)[0], [UpdateOfFormat1, Update])
+        first, second, third = play(main, "former routers", routers=1)[0]
+        self.assertEqual(
+            [type(answer) for answer in (first, second, third)], [UpdateOfFormat1, UpdateOfFormat2, Update]
+        )
+        self.assertEqual([(name.model, name.version) for name in second.names], [("m", 2)])
+        self.assertEqual([(name.version, name.is_dated) for name in third.names], [(2, True)])
+
+    def test_a_poll_of_a_former_router_is_held_while_there_is_nothing_newer(self) -> None:
+        async def main(fleet: Fleet) -> float:
+            await fleet.start()
+            caller = Caller(fleet.outside, CODEC, (fleet.primary().machine.address, INNER[0]))
+            await trio.sleep(4.0)  # until its members have settled
+            nothing = (0, 0), 0, (0, 0), (0, 0), (0, 0), 0
+            found = await caller.ask(PollOfFormat3(1, 1, *nothing), 2.0)
+            has = found.version, found.fingerprint, found.registry, found.stock, found.peers
+            asked_at = fleet.now()
+            await caller.ask(PollOfFormat3(1, 1, *has, 400), 2.0)
+            caller.close()
+            return fleet.now() - asked_at
+
+        self.assertGreater(play(main, "held", routers=1)[0], 0.35)
 
 
 if __name__ == "__main__":
