--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -596,6 +596,14 @@
         self.assertEqual(told, found)
 
 
+PROGRAM = """
+import signal
+signal.signal(signal.SIGINT, signal.default_int_handler)  # which is ignored where the tests run in the background
+from rowanshift.emulation.cluster import demo
+raise SystemExit(demo(True, {!r}))
+"""
+
+
 class Demo(unittest.TestCase):
     def test_one_streamed_request_is_shown_and_it_ends(self) -> None:
         said = []
@@ -617,7 +625,7 @@
                     [
                         sys.executable,
                         "-c",
-                        f"from rowanshift.emulation.cluster import demo; raise SystemExit(demo(True, {net()!r}))",
+                        PROGRAM.format(net()),
                     ],
                     cwd=ROOT,
                     env=os.environ | {"TMPDIR": temporary},
