--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -559,11 +559,19 @@
     assert "from the origin" in lines[0] and "hit" in lines[1] and lines[7].endswith("hello v1")
 
 
+HEEDING_SIGINT = """
+import signal
+signal.signal(signal.SIGINT, signal.default_int_handler)  # which is ignored where the tests run in the background
+from rowanshift.cli import main
+main()
+"""
+
+
 @pytest.mark.xdist_group("demo_ports")
 def test_the_demo_without_a_router_leaves_the_stand_ins_to_routers_beside_it():
     # guards against a trial of a replaced process whose servers end with the first router
     with subprocess.Popen(
-        [sys.executable, "-m", "rowanshift", "demo", "--no-router"], stdout=subprocess.PIPE, text=True
+        [sys.executable, "-c", HEEDING_SIGINT, "demo", "--no-router"], stdout=subprocess.PIPE, text=True
     ) as demo:
         try:
             first = demo.stdout.readline()
