Serve locks, numbers, keys and watches by a replica group of their own

Change: a pure state machine (controlplane/coordination), batches that share one commit, watches, the API; a second replica with a store of its own, where the settings name the contract.

--- /dev/null
+++ b/rowanshift/controlplane/coordination_service.py
@@ -0,0 +1,65 @@
+"""The coordination service of a core machine: a replica of its own, with a store of its own on the same disk.
+
+It is loaded where the settings say that applications call for it; elsewhere it costs nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from rowanshift.controlplane.coordination_api import CoordinationResource, coordination_resources
+from rowanshift.controlplane.coordination_runner import CoordinationRunner
+from rowanshift.controlplane.durable_state import open_disk
+from rowanshift.controlplane.machine_disk import CoreRuntime
+from rowanshift.controlplane.replica_connections import ReplicaConnections
+from rowanshift.controlplane.replica_runner import ReplicaRunner
+from rowanshift.controlplane.replication import DurableState, Replica
+from rowanshift.controlplane.store import COORDINATION_DIRECTORY
+from rowanshift.transport.runtime import Nursery
+
+DELTA_MIN_STATE_BYTES = 1024  # a smaller state is always sent in full
+
+
+class CoordinationService:
+    """The replica of the coordination state, and what answers calls for it."""
+
+    def __init__(self, replica_runner: ReplicaRunner, history_seconds: float) -> None:
+        self.replica_runner = replica_runner
+        self.runner = CoordinationRunner(replica_runner, history_seconds)
+        replica_runner.on_role_change = self.runner.on_role_change
+
+    def resources(self, machine: int, port: int) -> dict[bytes, CoordinationResource]:
+        """What answers the applications' calls, by the beginning of their paths."""
+        return coordination_resources(self.runner, machine, port)
+
+    def start(self, nursery: Nursery) -> None:
+        """Start the tasks."""
+        nursery.start_soon(self.replica_runner.run)
+        nursery.start_soon(self.runner.run)
+
+
+async def open_coordination(
+    runtime: CoreRuntime,
+    data_directory: Path | None,
+    history_seconds: float,
+    create_replica: Callable[[DurableState | None], Replica],
+    connections: ReplicaConnections,
+    nursery: Nursery,
+) -> CoordinationService:
+    """Read the store and create the service. ``history_seconds``: for which watches may ask for former puts."""
+    opened = await open_disk(runtime, data_directory, COORDINATION_DIRECTORY)
+    replica = create_replica(opened.durable_state)
+    replica.delta_min_state_bytes = DELTA_MIN_STATE_BYTES
+    replica_runner = ReplicaRunner(
+        runtime, replica, opened.disk, connections, nursery, _ignore_role, _ignore_commit, log_prefix="coordination_"
+    )
+    return CoordinationService(replica_runner, history_seconds)
+
+
+def _ignore_role(primary: bool) -> None:
+    """Stands in until the service exists, before the replica's first action is carried out."""
+
+
+def _ignore_commit() -> None:
+    """Callers are answered by the batch that was committed."""
--- a/rowanshift/controlplane/durable_state.py
+++ b/rowanshift/controlplane/durable_state.py
@@ -25,14 +25,16 @@
     durable_state: DurableState | None
 
 
-async def open_disk(runtime: CoreRuntime, data_directory: Path | None) -> OpenedDisk:
-    """Open the machine's disk and read it, however often that takes.
+async def open_disk(
+    runtime: CoreRuntime, data_directory: Path | None, store_directory: str = STORE_DIRECTORY
+) -> OpenedDisk:
+    """Open a store on the machine's disk and read it, however often that takes.
 
     A damaged disk counts as an empty one: the replica recovers its state from the others. Raises ``NewerFormat``.
     """
     if data_directory is None:
         return OpenedDisk(None, None)
-    disk = runtime.disk(data_directory / STORE_DIRECTORY)
+    disk = runtime.disk(data_directory / store_directory)
     while True:
         try:
             await runtime.in_thread(disk.open)
--- a/rowanshift/controlplane/internal_port.py
+++ b/rowanshift/controlplane/internal_port.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from rowanshift.controlplane.poll_endpoint import PollEndpoint
-from rowanshift.controlplane.record_kinds import CODEC, Hello
+from rowanshift.controlplane.record_kinds import CODEC, CoordinationHello, Hello
 from rowanshift.controlplane.replica_runner import ReplicaRunner
 from rowanshift.transport.record_links import ConnectionFailed, RecordReader
 from rowanshift.transport.runtime import Nursery, Runtime
@@ -18,12 +18,22 @@
 
 
 class InternalPort:
-    """Accepts connections, and hands each to the poll endpoint or to the replica."""
+    """Accepts connections, and hands each to the poll endpoint or to a replica.
 
-    def __init__(self, runtime: Runtime, replica_runner: ReplicaRunner, poll_endpoint: PollEndpoint) -> None:
+    ``coordination`` runs the replica of the coordination state, None where no application calls for it.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        replica_runner: ReplicaRunner,
+        poll_endpoint: PollEndpoint,
+        coordination: ReplicaRunner | None = None,
+    ) -> None:
         self.runtime = runtime
         self.replica_runner = replica_runner
         self.poll_endpoint = poll_endpoint
+        self.coordination = coordination
         self.connections = 0  # that are open
 
     async def accept(self, listener: Listener, nursery: Nursery) -> None:
@@ -58,11 +68,15 @@
             stream.close()
 
     async def _serve_records(self, stream: Stream) -> None:
-        """Serve the records of a connection; a core machine begins its own with ``Hello``."""
+        """Serve the records of a connection; a core machine begins its own with the hello of a replica."""
         reader = RecordReader(stream, CODEC)
         number, record = await reader.next()
         if isinstance(record, Hello):
-            await self.replica_runner.receive_from(reader, record)
+            await self.replica_runner.receive_from(reader, record.machine)
+        if isinstance(record, CoordinationHello):
+            if self.coordination is None:
+                raise MalformedRecord("no replica of the coordination state runs here")
+            await self.coordination.receive_from(reader, record.machine)
         while True:
             await self.poll_endpoint.serve(stream, number, record)
             number, record = await reader.next()
--- a/rowanshift/controlplane/record_kinds.py
+++ b/rowanshift/controlplane/record_kinds.py
@@ -13,7 +13,13 @@
 
 
 class Hello(msgspec.Struct, frozen=True):
-    """The first record on a connection between replicas of the control plane: which machine sends what follows."""
+    """The first record on a connection between replicas of the control state: which machine sends what follows."""
+
+    machine: int  # its id
+
+
+class CoordinationHello(msgspec.Struct, frozen=True):
+    """The same on a connection between replicas of the coordination state."""
 
     machine: int  # its id
 
@@ -51,6 +57,7 @@
     34: RecordLayout(
         replication.FailureDomainReport, zone=TEXT, region=TEXT, quorum_member=BOOL, no_quorum_members=BOOL
     ),
+    35: RecordLayout(CoordinationHello, machine=UINT64),
     64: RecordLayout(
         replication.DurableState,
         promised=UINT64,
--- a/rowanshift/controlplane/replica_connections.py
+++ b/rowanshift/controlplane/replica_connections.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rowanshift.controlplane.record_kinds import CODEC, Hello
+from rowanshift.controlplane.record_kinds import CODEC, CoordinationHello, Hello
 from rowanshift.controlplane.replication import FailureDomainReport, Message, Store
 from rowanshift.transport.record_links import MAX_QUEUED_RECORDS, WRITE_TIMEOUT_SECONDS, RecordSender
 from rowanshift.transport.runtime import Nursery, Runtime
@@ -42,10 +42,10 @@
 class ReplicaConnections:
     """Sends messages to other core machines, on connections that are dialled as they are needed."""
 
-    def __init__(self, runtime: Runtime, machine: int, port: int, nursery: Nursery) -> None:
-        """``machine`` is this one's id, ``port`` the internal port of all core machines."""
+    def __init__(self, runtime: Runtime, hello: Hello | CoordinationHello, port: int, nursery: Nursery) -> None:
+        """``hello`` begins each connection, ``port`` is the internal port of all core machines."""
         self.runtime = runtime
-        self.machine = machine
+        self.hello = hello
         self.port = port
         self.nursery = nursery
         self.senders: dict[tuple[int, Channel], RecordSender] = {}
@@ -72,7 +72,7 @@
             self.runtime,
             CODEC,
             (ip_from_machine_id(machine), self.port),
-            Hello(self.machine),
+            self.hello,
             partial(self._is_alive, machine, channel),
             MAX_QUEUED_LARGE_STATES if is_large else MAX_QUEUED_RECORDS,
             LARGE_STATE_WRITE_SECONDS if is_large else WRITE_TIMEOUT_SECONDS,
--- a/rowanshift/controlplane/replica_runner.py
+++ b/rowanshift/controlplane/replica_runner.py
@@ -13,10 +13,11 @@
 
 from rowanshift.controlplane.errors import NotConfirmed, OutcomeUnknown
 from rowanshift.controlplane.machine_disk import Disk
-from rowanshift.controlplane.record_kinds import CODEC, Hello
+from rowanshift.controlplane.record_kinds import CODEC
 from rowanshift.controlplane.replica_connections import ReplicaConnections
 from rowanshift.controlplane.replication import (
     DurableState,
+    NotPrimary,
     ProposalCommitted,
     ProposalFailed,
     ProposalInProgress,
@@ -49,6 +50,7 @@
     """One replica with its disk, its connections and its clock.
 
     ``on_role_change`` is called with whether this machine is primary now, ``on_commit`` after each commit.
+    ``log_prefix`` stands before the names of its log events, to tell replicas of one process apart.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         nursery: Nursery,
         on_role_change: Callable[[bool], None],
         on_commit: Callable[[], None],
+        log_prefix: str = "",
     ) -> None:
+        self.log_prefix = log_prefix
         self.runtime = runtime
         self.replica = replica
         self.disk = disk
@@ -68,6 +72,7 @@
         self.nursery = nursery
         self.on_role_change = on_role_change
         self.on_commit = on_commit
+        self.role_changes = 0
         self.saves = 0
         self.save_seconds = 0.0  # that all of them took
         self.redundancy_watch = RedundancyMonitor(0.0)
@@ -79,13 +84,28 @@
 
     async def read(self) -> bytes:
         """The state, confirmed to be the newest when it was asked for. Raises ``NotPrimary`` and ``NotConfirmed``."""
+        if not await self.confirm():
+            raise NotConfirmed()
+        return self.replica.committed_state
+
+    async def confirm(self) -> bool:
+        """Whether this machine was confirmed to be the primary after this was called. Raises ``NotPrimary``."""
         with self._pending_operation() as (token, pending):
             self.replica.confirm_read(token, trio.current_time())
             self.carry_out_actions()
             await pending.ended.wait()
-            if not pending.succeeded:
-                raise NotConfirmed()
-        return self.replica.committed_state
+            return pending.succeeded
+
+    async def commit(self, state: bytes, role_changes: int) -> bool:
+        """Replicate a state that the caller, who alone changes it, made while ``role_changes`` was as given.
+
+        Whether it is on all disks that are wanted; where it isn't, it may be in force later, under another primary.
+        Raises ``NotPrimary``: then it never will be.
+        """
+        async with self._change_turn:
+            if self.role_changes != role_changes:  # the state that it was made from may be an old one
+                raise NotPrimary(self.replica.primary_hint)
+            return await self._propose(state)
 
     async def change(self, make_next: Callable[[bytes], bytes | None], timeout: float) -> bytes:
         """Make the next state from the newest, and return it once it is on all disks that are wanted.
@@ -148,13 +168,13 @@
             self._log_redundancy()
             await self.runtime.pause(TICK_SECONDS)
 
-    async def receive_from(self, reader: RecordReader, hello: Hello) -> None:
+    async def receive_from(self, reader: RecordReader, machine: int) -> None:
         """Hand the messages of another core machine to the replica until its connection ends."""
         while True:
             _, message = await reader.next()
             now = trio.current_time()
-            self.connections.record_message_from(hello.machine, now)
-            self.replica.receive(hello.machine, message, now)
+            self.connections.record_message_from(machine, now)
+            self.replica.receive(machine, message, now)
             self.carry_out_actions()
 
     # what the replica decides
@@ -178,9 +198,10 @@
                     self._change_role(primary)
 
     def _change_role(self, primary: bool) -> None:
+        self.role_changes += 1
         event = "primary" if primary else "no_primary"
         in_sync = ",".join(map(ip_from_machine_id, self.replica.record.in_sync))
-        logger.info("event={} epoch={} in_sync={}", event, self.replica.record.epoch, in_sync)
+        logger.info("event={}{} epoch={} in_sync={}", self.log_prefix, event, self.replica.record.epoch, in_sync)
         if primary:
             self.redundancy_watch = RedundancyMonitor(trio.current_time())
         self.on_role_change(primary)
@@ -198,7 +219,7 @@
             try:
                 await self.runtime.in_thread(partial(self.disk.write, CODEC.pack(durable)))
             except StoreError as error:
-                logger.error("event=save_failed why={!r}", str(error))
+                logger.error("event={}save_failed why={!r}", self.log_prefix, str(error))
                 succeeded = False
         now = trio.current_time()
         self.saves += 1
@@ -218,7 +239,8 @@
             return
         redundancy = change.redundancy
         logger.info(
-            "event=redundancy copies={}/{} witnesses={}/{} until_full_s={} spread={}",
+            "event={}redundancy copies={}/{} witnesses={}/{} until_full_s={} spread={}",
+            self.log_prefix,
             redundancy.replicas,
             redundancy.replicas_wanted,
             redundancy.witnesses,
@@ -227,4 +249,4 @@
             redundancy.tolerance_met,
         )
         if not redundancy.tolerance_met:
-            logger.warning("event=tolerance_not_met why={!r}", self.replica.unmet_tolerance())
+            logger.warning("event={}tolerance_not_met why={!r}", self.log_prefix, self.replica.unmet_tolerance())
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import AsyncIterator
 from functools import partial
+from typing import TYPE_CHECKING
 
 import trio
 from loguru import logger
@@ -13,10 +14,11 @@
 from rowanshift.controlplane.api import ConfigResource, StatusResource, VersionResource
 from rowanshift.controlplane.change_loader import ChangeLoader
 from rowanshift.controlplane.control_state import ControlState
-from rowanshift.controlplane.durable_state import open_disk
+from rowanshift.controlplane.durable_state import OpenedDisk, open_disk
 from rowanshift.controlplane.internal_port import InternalPort
-from rowanshift.controlplane.machine_disk import SYSTEM_CORE_RUNTIME, CoreRuntime, Disk
+from rowanshift.controlplane.machine_disk import SYSTEM_CORE_RUNTIME, CoreRuntime
 from rowanshift.controlplane.poll_endpoint import PollEndpoint
+from rowanshift.controlplane.record_kinds import CoordinationHello, Hello
 from rowanshift.controlplane.replica_connections import ReplicaConnections
 from rowanshift.controlplane.replica_runner import ReplicaRunner
 from rowanshift.controlplane.replication import DurableState, FailureDomain, FaultTolerance, Replica
@@ -28,13 +30,21 @@
 from rowanshift.controlplane.store import NewerFormat
 from rowanshift.process.error_groups import first_of
 from rowanshift.process.logs import log_to_stderr
-from rowanshift.process.node_settings import NodeSettings, NodeSettingsError, load_node_settings
+from rowanshift.process.node_settings import (
+    COORDINATION_CONTRACT,
+    NodeSettings,
+    NodeSettingsError,
+    load_node_settings,
+)
 from rowanshift.transport.call_server import CallOutcomes, CallServer, Resource
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Nursery
 from rowanshift.transport.signals import ReceivedSignal
 from rowanshift.wire.machine_ids import machine_id_from_ip
 
+if TYPE_CHECKING:
+    from rowanshift.controlplane.coordination_service import CoordinationService
+
 ROLE = "controlplane"
 MAX_CALL_BODY_BYTES = 16 << 20  # of an operator's body
 CALL_MEMORY_FRACTION = 0.4  # of ``memoryMb``, for the bodies of calls
@@ -67,6 +77,7 @@
         self.updates = UpdateSignal()
         self.calls = CallOutcomes()
         self.replica_runner: ReplicaRunner | None = None  # until the disk has been read
+        self.coordination: CoordinationService | None = None  # where applications call for it
 
     # what changes while it serves
 
@@ -109,27 +120,42 @@
             async with runtime.nursery() as nursery:
                 nursery.start_soon(self._on_signals, signals, nursery.cancel_scope)
                 opened = await open_disk(runtime, self.settings.data_directory)
-                replica_runner = self._create_replica_runner(opened.disk, opened.durable_state, nursery)
+                if COORDINATION_CONTRACT in self.settings.file.contracts:
+                    await self._create_coordination(nursery)
+                replica_runner = self._create_replica_runner(opened, nursery)
                 call_server = self._start(replica_runner, nursery)
                 await self.shutdown_requested.wait()
                 await self._leave(replica_runner, call_server)
                 nursery.cancel_scope.cancel()
 
-    def _create_replica_runner(
-        self, disk: Disk | None, durable_state: DurableState | None, nursery: Nursery
-    ) -> ReplicaRunner:
-        """The replica as the settings have it, with what was on the disk."""
-        replica = self._create_replica(durable_state)
+    async def _create_coordination(self, nursery: Nursery) -> None:
+        """The coordination service. Its modules are loaded where they are needed alone."""
+        from rowanshift.controlplane.coordination_service import open_coordination
+
+        self.coordination = await open_coordination(
+            self.runtime,
+            self.settings.data_directory,
+            self.settings.bounds.history_s,
+            self._create_replica,
+            self._connections(CoordinationHello(self.machine), nursery),
+            nursery,
+        )
+
+    def _connections(self, hello: Hello | CoordinationHello, nursery: Nursery) -> ReplicaConnections:
+        return ReplicaConnections(self.runtime, hello, self.settings.internal_address[1], nursery)
+
+    def _create_replica_runner(self, opened: OpenedDisk, nursery: Nursery) -> ReplicaRunner:
+        """The replica of the control state as the settings have it, with what was on the disk."""
+        replica = self._create_replica(opened.durable_state)
         for warning in fault_tolerance_warnings(self.settings.file):
             logger.warning("event=tolerance_not_met why={!r}", warning)
         self.publication = StatePublication(replica, self.updates, self._on_new_state)
         self.membership = RouterMembership(self.updates)
-        connections = ReplicaConnections(self.runtime, self.machine, self.settings.internal_address[1], nursery)
         self.replica_runner = ReplicaRunner(
             self.runtime,
             replica,
-            disk,
-            connections,
+            opened.disk,
+            self._connections(Hello(self.machine), nursery),
             nursery,
             self._on_role_change,
             self.publication.refresh,
@@ -168,7 +194,8 @@
         self.poll_endpoint = PollEndpoint(
             runtime, replica_runner, publication, self.membership, self.tasks, self.updates
         )
-        internal_port = InternalPort(runtime, replica_runner, self.poll_endpoint)
+        coordination_runner = None if self.coordination is None else self.coordination.replica_runner
+        internal_port = InternalPort(runtime, replica_runner, self.poll_endpoint, coordination_runner)
         control_address, changes = settings.required_address("controlPlane"), ChangeLoader(runtime)
         call_server = self._create_call_server(replica_runner, control_address[1], changes, memory)
         internal_listener = runtime.listen(settings.internal_address, LISTEN_BACKLOG)
@@ -176,6 +203,8 @@
         control_listener = runtime.listen(control_address, LISTEN_BACKLOG)
         nursery.start_soon(call_server.serve, control_listener, nursery, runtime.pause)
         nursery.start_soon(replica_runner.run)
+        if self.coordination is not None:
+            self.coordination.start(nursery)
         nursery.start_soon(changes.load_later)
         nursery.start_soon(self.membership.run, runtime)
         self.tasks.start(nursery)
@@ -196,6 +225,8 @@
             b"/version-put": VersionResource(replica_runner, self.machine, control_port),
             b"/status": StatusResource(partial(self._status, replica_runner)),
         }
+        if self.coordination is not None:
+            resources |= self.coordination.resources(self.machine, control_port)
         return CallServer(resources, memory, MAX_CALL_BODY_BYTES, self.calls)
 
     # end
@@ -211,10 +242,17 @@
         assert self.shutdown_requested_at is not None
         reserve_starts_at = self.shutdown_requested_at + self.settings.bounds.grace_s - GRACE_RESERVE_SECONDS
         logger.info("event=stopping primary={}", replica_runner.replica.is_primary)
-        released = await replica_runner.leave(reserve_starts_at)
-        logger.info("event=left released={}", released)
+        async with self.runtime.nursery() as nursery:
+            nursery.start_soon(self._leave_group, replica_runner, reserve_starts_at)
+            if self.coordination is not None:
+                nursery.start_soon(self._leave_group, self.coordination.replica_runner, reserve_starts_at)
         await self._answer_last_calls(call_server, reserve_starts_at + FINAL_ANSWERS_SECONDS)
 
+    @staticmethod
+    async def _leave_group(replica_runner: ReplicaRunner, until: float) -> None:
+        released = await replica_runner.leave(until)
+        logger.info("event={}left released={}", replica_runner.log_prefix, released)
+
     async def _answer_last_calls(self, call_server: CallServer, latest: float) -> None:
         """Answer the calls and polls that were read, and refuse what comes, until ``latest`` at most."""
         self.poll_endpoint.leave()
@@ -243,12 +281,17 @@
             return
         try:
             self.settings = load_node_settings(self.settings.path)
-            if self.replica_runner is not None:
-                self.replica_runner.replica.known_machines |= {*self._seed_machines()} - {self.machine}
-                self.replica_runner.replica.quorum_member = self.settings.file.quorum_member
+            for replica in self._replicas():
+                replica.known_machines |= {*self._seed_machines()} - {self.machine}
+                replica.quorum_member = self.settings.file.quorum_member
         except NodeSettingsError as error:
             logger.warning("event=settings_kept why={!r}", str(error))
 
+    def _replicas(self) -> list[Replica]:
+        """The replicas of this machine, once they have been created."""
+        coordination = None if self.coordination is None else self.coordination.replica_runner
+        return [runner.replica for runner in (self.replica_runner, coordination) if runner is not None]
+
     def _seed_machines(self) -> tuple[int, ...]:
         return tuple(machine_id_from_ip(ip) for ip, _ in self.settings.seeds)
 
--- a/rowanshift/controlplane/store.py
+++ b/rowanshift/controlplane/store.py
@@ -28,6 +28,7 @@
 # The store was once called the ledger. Its directory keeps that name, so that a machine finds the data of programs
 # before the renaming, and they find its data after a return to them.
 STORE_DIRECTORY = "ledger"
+COORDINATION_DIRECTORY = "coordination"  # of the store with the coordination state
 DATA_FILE = "data.mdb"  # lmdb's own name
 
 MAGIC = b"RSLG"
--- a/rowanshift/emulation/cluster.py
+++ b/rowanshift/emulation/cluster.py
@@ -166,6 +166,8 @@
             for core_service in self.core_services:
                 if (node := getattr(core_service, "replica_runner", None)) is not None and node.disk is not None:
                     node.disk.close()
+                if core_service.coordination is not None and core_service.coordination.replica_runner.disk is not None:
+                    core_service.coordination.replica_runner.disk.close()
             self.host.close()
 
     # what to wait for -------------------------------------
--- a/rowanshift/process/node_settings.py
+++ b/rowanshift/process/node_settings.py
@@ -11,6 +11,7 @@
 
 Address = tuple[str, int]
 MAX_FILE_BYTES = 1 << 20
+COORDINATION_CONTRACT = "coord"  # applications call for locks, numbers and keys
 
 
 class NodeSettingsError(ValueError):
@@ -52,6 +53,7 @@
     revoke_strict: bool = False
     revoke_ms: float = 5000
     address_reuse_s: float = 2
+    history_s: float = 20  # for which a watch may ask for puts after a revision that it was given
 
     @property
     def revocation_seconds(self) -> float | None:
@@ -86,6 +88,7 @@
     limits: ProcessLimits = ProcessLimits()
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: RuleBounds = RuleBounds()
+    contracts: tuple[str, ...] = ()  # the parts of the operators' rules that are in force
     cloud_api: CloudApiSettings | None = None
 
 
--- a/rowanshift/transport/call_server.py
+++ b/rowanshift/transport/call_server.py
@@ -22,6 +22,7 @@
 SHUTDOWN_CHECK_SECONDS = 0.01  # between looks at the calls that are open while the server shuts down
 LAST_WRITES_SECONDS = 0.1  # in which the answers to calls that are abandoned go out
 ACCEPT_ERROR_PAUSE_SECONDS = 0.02
+LOGGED_BYTES = 80  # of a target that is unknown
 
 
 class CallOutcome(Enum):
@@ -78,7 +79,7 @@
 
 
 class CallServer:
-    """Serves resources by their path."""
+    """Serves resources by their path: the whole of it, or its first segment with the slash after it."""
 
     def __init__(
         self,
@@ -194,14 +195,15 @@
         return None  # it made room for another, or the server leaves
 
     async def _answer_in_time(self, connection: Connection, message: Message) -> Response:
-        """The answer to a call; a unavailable where the server leaves."""
+        """The answer to a call; 503 or 504 where the server leaves."""
         if self.shutting_down:
             message.keep = False
             return unavailable("this machine ends, and took nothing of the call")
         with self.answering[connection] as scope:
             answer = await self._answer(message)
         if scope.cancelled_caught:
-            answer = unavailable("this machine ends: what was asked for may or may not be in force")
+            # no 503, which promises that nothing was done
+            answer = Response(504, error_body("this machine ends: what was asked for may or may not be in force"))
         message.keep = message.keep and not self.shutting_down
         return answer
 
@@ -226,8 +228,10 @@
             self.outcomes.closed(outcome, message.target.decode("latin-1"), came_at, trio.current_time())
 
     async def _answer(self, message: Message) -> Response:
-        resource = self.resources.get(message.target.split(b"?", 1)[0])
+        path = message.target.split(b"?", 1)[0]
+        resource = self.resources.get(path) or self.resources.get(path[: path.find(b"/", 1) + 1])
         if resource is None:
+            logger.info("event=no_such_resource method={} target={!r}", message.method, message.target[:LOGGED_BYTES])
             return Response(404, error_body("no such resource"))
         return await resource.call(message)
 
