--- a/rowanshift/controlplane/coordination/history.py
+++ b/rowanshift/controlplane/coordination/history.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from rowanshift.controlplane.coordination.calls import group_of
-from rowanshift.controlplane.coordination.records import KEY_LAYOUT, KeyRecord
+from rowanshift.controlplane.coordination.records import PUT_LAYOUT, PutRecord
 from rowanshift.controlplane.coordination.tables import RECORD_END
 
 
@@ -15,7 +15,7 @@
 class KeptPut:
     """A put in the history. ``recorded_at``: when this machine made it or read it, whichever was last."""
 
-    record: KeyRecord
+    record: PutRecord
     packed: bytes
     recorded_at: float
 
@@ -26,28 +26,28 @@
     def __init__(self) -> None:
         self.byte_size = 0  # of all puts as they are packed
         self._puts: deque[KeptPut] = deque()
-        self._by_group: dict[str, deque[KeyRecord]] = {}
+        self._by_group: dict[str, deque[PutRecord]] = {}
         self._revisions: dict[tuple[str, str], int] = {}  # by key and value
 
     def __len__(self) -> int:
         """How many puts are kept."""
         return len(self._puts)
 
-    def add(self, record: KeyRecord, now: float) -> None:
+    def add(self, record: PutRecord, now: float) -> None:
         """Keep a put, the last one until now."""
-        packed = KEY_LAYOUT.encode(record) + RECORD_END
+        packed = PUT_LAYOUT.encode(record) + RECORD_END
         self.byte_size += len(packed)
         self._puts.append(KeptPut(record, packed, now))
-        self._by_group.setdefault(group_of(record.name), deque()).append(record)
-        self._revisions[record.name, record.value] = record.revision
+        self._by_group.setdefault(group_of(record.key), deque()).append(record)
+        self._revisions[record.key, record.value] = record.revision
 
     def revision_of(self, key: str, value: str) -> int | None:
         """The revision under which a key was given a value; None if no such put is kept."""
         return self._revisions.get((key, value))
 
-    def after(self, group: str, revision: int) -> list[KeyRecord]:
+    def after(self, group: str, revision: int) -> list[PutRecord]:
         """The puts of a group after a revision, in their order."""
-        found: list[KeyRecord] = []
+        found: list[PutRecord] = []
         for record in reversed(self._by_group.get(group, ())):
             if record.revision <= revision:
                 break
@@ -55,16 +55,16 @@
         found.reverse()
         return found
 
-    def drop_before(self, time: float) -> Iterator[KeyRecord]:
+    def drop_before(self, time: float) -> Iterator[PutRecord]:
         """Drop the puts recorded before a time, and yield each of them."""
         while self._puts and self._puts[0].recorded_at < time:
             put = self._puts.popleft()
             self.byte_size -= len(put.packed)
-            group = group_of(put.record.name)
+            group = group_of(put.record.key)
             self._by_group[group].popleft()
             if not self._by_group[group]:
                 del self._by_group[group]
-            del self._revisions[put.record.name, put.record.value]
+            del self._revisions[put.record.key, put.record.value]
             yield put.record
 
     def pack(self) -> bytes:
--- a/rowanshift/controlplane/coordination/records.py
+++ b/rowanshift/controlplane/coordination/records.py
@@ -44,7 +44,16 @@
     revision: int
 
 
+class PutRecord(msgspec.Struct, frozen=True):
+    """A put in the history. Its bytes differ from those of the key that it set, so that differences find each."""
+
+    revision: int
+    key: str
+    value: str
+
+
 LOCK_LAYOUT = RecordLayout(LockRecord, name=TEXT, holder=TEXT, first_token=UINT64, token=UINT64, hold_ms=UINT64)
 NUMBER_LAYOUT = RecordLayout(NumberRecord, name=TEXT, value=UINT64)
 GROUP_LAYOUT = RecordLayout(GroupRecord, name=TEXT, revision=UINT64, dropped_revision=UINT64)
 KEY_LAYOUT = RecordLayout(KeyRecord, name=TEXT, value=TEXT, revision=UINT64)
+PUT_LAYOUT = RecordLayout(PutRecord, revision=UINT64, key=TEXT, value=TEXT)
--- a/rowanshift/controlplane/coordination/snapshot.py
+++ b/rowanshift/controlplane/coordination/snapshot.py
@@ -18,6 +18,7 @@
     KEY_LAYOUT,
     LOCK_LAYOUT,
     NUMBER_LAYOUT,
+    PUT_LAYOUT,
     GroupRecord,
     KeyRecord,
     LockRecord,
@@ -89,7 +90,7 @@
         state.groups.put(record)
     for record in _records(reader, KEY_LAYOUT, key_count):
         state.keys.put(record)
-    for record in _records(reader, KEY_LAYOUT, put_count):
+    for record in _records(reader, PUT_LAYOUT, put_count):
         state.history.add(record, now)
 
 
--- a/rowanshift/controlplane/coordination/state_machine.py
+++ b/rowanshift/controlplane/coordination/state_machine.py
@@ -37,7 +37,7 @@
     TakeLock,
     group_of,
 )
-from rowanshift.controlplane.coordination.records import GroupRecord, KeyRecord, LockRecord, NumberRecord
+from rowanshift.controlplane.coordination.records import GroupRecord, KeyRecord, LockRecord, NumberRecord, PutRecord
 from rowanshift.controlplane.coordination.snapshot import CoordinationState, unpack
 
 LOCK_MARGIN_SECONDS = 0.1  # beyond the hold, until a lock is given to another
@@ -93,7 +93,7 @@
     def pack(self, now: float) -> bytes:
         """The state to be committed, without the puts that are no longer kept."""
         for record in self.state.history.drop_before(now - self.history_seconds):
-            group = self._group(group_of(record.name))
+            group = self._group(group_of(record.key))
             self.state.groups.put(GroupRecord(group.name, group.revision, record.revision))
         return self.state.pack()
 
@@ -196,7 +196,7 @@
         record = KeyRecord(call.key, call.value, group.revision + 1)
         self.state.keys.put(record)
         self.state.groups.put(GroupRecord(group.name, record.revision, group.dropped_revision))
-        self.state.history.add(record, now)
+        self.state.history.add(PutRecord(record.revision, call.key, call.value), now)
         self._changed_groups.add(group.name)
         return Applied(KeyPut(record.revision), Effect.STATE)
 
@@ -231,7 +231,7 @@
         if after < self._group(name).dropped_revision:
             return HistoryDropped()
         puts = (put for put in self.state.history.after(name, after) if put.revision <= revision)
-        return Events(tuple(PutEvent(put.name, put.value, put.revision) for put in puts), revision)
+        return Events(tuple(PutEvent(put.key, put.value, put.revision) for put in puts), revision)
 
 
 def _hold_seconds(hold_ms: int) -> float:
