--- a/rowanshift/cli/parser.py
+++ b/rowanshift/cli/parser.py
@@ -18,6 +18,7 @@
     "counter": services.dataplane,
     "ledger": services.controlplane,
 }
+MAX_APPLICATIONS = 20
 MAX_SIMULATION_WORKERS = 256
 
 
@@ -166,6 +167,13 @@
     parser.add_argument("--seeds", default="", help="N, or FIRST:LAST without the last")
     parser.add_argument("--seed", type=integer_within(0), metavar="N", help="one seed, with its troubles and figures")
     parser.add_argument("--core", action="store_true", help="seeds are of the control side's worst days")
+    parser.add_argument(
+        "--applications",
+        type=integer_within(0, MAX_APPLICATIONS),
+        metavar="N",
+        default=0,
+        help="with --core: so many callers for locks, for numbers and for keys",
+    )
     parser.add_argument("--size", default="small", help="small or grown; %(default)s if not given")
     parser.add_argument(
         "--workers", type=integer_within(1, MAX_SIMULATION_WORKERS), metavar="N", default=1, help="processes"
--- a/rowanshift/cli/tools.py
+++ b/rowanshift/cli/tools.py
@@ -83,6 +83,7 @@
             arguments.shrink,
             arguments.json,
             arguments.core,
+            arguments.applications,
         )
     except UsageError as error:
         usage_error(arguments, str(error))
--- a/rowanshift/simulation/command.py
+++ b/rowanshift/simulation/command.py
@@ -108,6 +108,7 @@
     shrink: Path | None,
     as_json: bool,
     core: bool = False,
+    applications: int = 0,
 ) -> int:
     """Plays what is asked for; the exit status. Raises ``UsageError``."""
     if size not in SIZES:
@@ -122,7 +123,9 @@
         print(f"rowanshift: {error}", file=sys.stderr)
         return 2
     if core:
-        return _core(file, seeds, seed, size, workers, events, shrink, as_json)
+        return _core(file, seeds, seed, size, workers, events, shrink, as_json, applications)
+    if applications:
+        raise UsageError("--applications goes with --core")
     if seeds:
         return _many(seeds_of(seeds), size, workers, as_json)
     try:
@@ -142,14 +145,15 @@
     events: Path | None,
     shrink: Path | None,
     as_json: bool,
+    applications: int,
 ) -> int:
     """Plays what is asked for of the control side."""
     if shrink or size != DEFAULT_SIZE:
         raise UsageError("--shrink and --size don't go with scenarios of the control side")
     if seeds:
-        return play_many(seeds_of(seeds), workers, as_json)
+        return play_many(seeds_of(seeds), workers, as_json, applications)
     try:
-        given = load_core(file) if file is not None else core_scenario(seed)
+        given = load_core(file) if file is not None else core_scenario(seed, applications)
     except ScenarioError as error:
         print(f"rowanshift: {error}", file=sys.stderr)
         return 2
--- a/rowanshift/simulation/core_command.py
+++ b/rowanshift/simulation/core_command.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import orjson
 from loguru import logger
 
@@ -23,25 +24,26 @@
 say = partial(print, flush=True)  # also into a pipe, while it goes on
 
 
-def play_seed(seed: int) -> CoreRun:
-    """Plays the scenario of a seed."""
+def play_seed(seed: int, applications: int = 0) -> CoreRun:
+    """Plays the scenario of a seed, with so many applications of each kind."""
     logger.disable("rowanshift")
-    return play_core(core_scenario(seed))
+    return play_core(core_scenario(seed, applications))
 
 
-def play_seeds(seeds: range, workers: int) -> Iterator[CoreRun]:
+def play_seeds(seeds: range, workers: int, applications: int = 0) -> Iterator[CoreRun]:
     """Runs of all seeds, in their order."""
+    play = partial(play_seed, applications=applications)
     if workers == 1:
-        yield from map(play_seed, seeds)
+        yield from map(play, seeds)
         return
     with worker_pool(workers, SEEDS_A_PROCESS) as pool:
-        yield from pool.imap(play_seed, seeds)
+        yield from pool.imap(play, seeds)
 
 
-def play_many(seeds: range, workers: int, as_json: bool) -> int:
+def play_many(seeds: range, workers: int, as_json: bool, applications: int = 0) -> int:
     """Plays all seeds, prints a line for each that fails and a last one for all; the exit status."""
     began, digest, failed, simulated = time.perf_counter(), blake2b(digest_size=16), 0, 0.0
-    for run in play_seeds(seeds, workers):
+    for run in play_seeds(seeds, workers, applications):
         digest.update(run.digest.encode())
         failed, simulated = failed + run.failed(), simulated + run.seconds
         if as_json:
@@ -117,5 +119,7 @@
     named: dict[str, Any] = {"fact": type(fact).__name__}
     for name in type(fact).__dataclass_fields__:
         value = getattr(fact, name)
-        named[name] = value.decode("latin-1") if isinstance(value, bytes) else value
+        if isinstance(value, bytes):
+            value = value.decode("latin-1")
+        named[name] = repr(value) if isinstance(value, msgspec.Struct) else value
     return named
--- a/rowanshift/simulation/core_draw.py
+++ b/rowanshift/simulation/core_draw.py
@@ -85,8 +85,8 @@
 }
 
 
-def core_scenario(seed: int) -> CoreScenario:
-    """The scenario of a seed."""
+def core_scenario(seed: int, applications: int = 0) -> CoreScenario:
+    """The scenario of a seed, with so many applications of each kind that call for coordination."""
     random_source = random.Random(f"{seed}/core")
     fleet = random_source.choice(SIZES)
     troubles: list[CoreTrouble] = []
@@ -98,7 +98,12 @@
         troubles += _orders(random_source, at, ends)
         at = ends + SYNC_S
     seconds = round(at - SYNC_S + END_S, 3)
-    load = CoreLoad(clients=4, change_every_s=random_source.choice([0.2, 0.7, 2.0]), read_every_s=READ_EVERY_S)
+    load = CoreLoad(
+        clients=4,
+        change_every_s=random_source.choice([0.2, 0.7, 2.0]),
+        read_every_s=READ_EVERY_S,
+        applications=applications,
+    )
     rows = sorted(troubles, key=lambda trouble: trouble.at_s)
     return CoreScenario(
         name=f"core-seed-{seed}",
--- a/rowanshift/simulation/core_play.py
+++ b/rowanshift/simulation/core_play.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from rowanshift.emulation.applications import Applications
 from rowanshift.invariants.breaches import Breach
 from rowanshift.invariants.facts import ConfigAnswered, ConfigSent, Fact, PrimaryBecame, VersionNamed
 from rowanshift.simulation.core_scenario import TRIGGERED_WITHIN_S, CoreScenario, CoreTrouble, names_of
@@ -75,6 +76,7 @@
         self.former: Unit | None = None
         self.latest: Unit | None = None  # primary
         self.unmet: list[str] = []
+        self.applications: Applications | None = None
 
     async def run(self) -> None:
         fleet, load = self.fleet, self.scenario.load
@@ -85,6 +87,8 @@
         began = fleet.now()
         if load.change_every_s:
             fleet.nursery.start_soon(fleet.keep_changing, load.change_every_s)
+        if load.applications:
+            self.applications = fleet.applications(load.applications)
         if load.read_every_s:
             fleet.nursery.start_soon(self._keep_reading, load.read_every_s)
         for trouble in self.scenario.trouble:
@@ -108,6 +112,8 @@
         await trio.sleep(SETTLES)
         await fleet.operator.read_config(RETURNS_WITHIN)
         await fleet.send_again(1, within=RETURNS_WITHIN)
+        if self.applications is not None:
+            self.unmet += [f"{call} got no answer at the end" for call in await self.applications.read_back()]
         named = max((fact.revision for fact in fleet.of(VersionNamed)), default=1)
         if not await fleet.until(lambda: fleet.rolled_out(named)):
             self.unmet.append(f"version {named} did not reach all servers")
@@ -369,6 +375,7 @@
             fencing=sizes.fencing,
             load=sizes.load_s,
             revoke=sizes.revoke_s,
+            coordinated=scenario.load.applications > 0,
         )
     except Exception:
         run.error = traceback.format_exc()
--- a/rowanshift/simulation/core_scenario.py
+++ b/rowanshift/simulation/core_scenario.py
@@ -71,6 +71,7 @@
     pause_s: Positive = 0.3
     change_every_s: Seconds = 2.5
     read_every_s: Seconds = 0.0
+    applications: Annotated[int, Meta(ge=0, le=20)] = 0  # of each kind: locks, numbers, keys; 0: no coordination
 
 
 class CoreExpect(Struct, frozen=True, forbid_unknown_fields=True):
--- a/rowanshift/simulation/fleet.py
+++ b/rowanshift/simulation/fleet.py
@@ -18,7 +18,9 @@
 from rowanshift.emulation.system_clients import Operator, Patron
 from rowanshift.invariants import system as rules
 from rowanshift.invariants.breaches import Breach
+from rowanshift.invariants.coordination_rules import coordination
 from rowanshift.invariants.facts import Fact
+from rowanshift.process.node_settings import COORDINATION_CONTRACT
 from rowanshift.simulation.clock import Determined, VirtualClock
 from rowanshift.simulation.fleet_excuses import Excuses, breaches, troubles_of
 from rowanshift.simulation.fleet_load import FleetLoad
@@ -29,6 +31,7 @@
     CONTROL,
     DRAIN,
     FRONT,
+    HISTORY,
     INNER,
     LISTED,
     MISSES,
@@ -72,7 +75,8 @@
 class Fleet(FleetLoad):
     """``f`` core machines and ``lost_zones`` zones may be lost at once; ``counts``: whether the first core machines
     are among those of which this speaks. ``revoke``: seconds for which any machine may use a key that was taken away;
-    0: there is no such bound. Zones are sites of the network; clients have their own."""
+    0: there is no such bound. ``coordinated``: applications may call for locks, numbers and keys. Zones are sites of
+    the network; clients have their own."""
 
     def __init__(
         self,
@@ -87,9 +91,11 @@
         revoke: float = 0.0,
         lost_zones: int = 0,
         counts: bool = True,
+        coordinated: bool = False,
         **traits: Any,
     ) -> None:
         self.lost_zones, self.counts = lost_zones, counts
+        self.contracts = [COORDINATION_CONTRACT] if coordinated else []
         self.nursery, self.clock, self.seed, self.f, self.zones = nursery, clock, seed, f, zones
         self.bounds = BOUNDS | {"revokeStrict": revoke > 0, "revokeMs": 1000 * revoke}
         self.rules = replace(RULES, revoke=revoke or None)
@@ -168,6 +174,7 @@
                 "quorumMember": core and self.counts,
                 "faultTolerance": {"machines": self.f, "zones": self.lost_zones},
                 "bounds": self.bounds,
+                "contracts": self.contracts,
                 "cloudApi": {"address": f"{self.platform.address}:{LISTED}", "ratePerS": 40, "maxLagMs": 800},
             },
         )
@@ -235,8 +242,9 @@
                 self.ready.remove(front)
 
     def breaches(self) -> list[Breach]:
-        """The rules that were broken, but for what troubles excuse."""
-        return breaches(self.facts, self._names(), Excuses(self.troubles, self.f), self.rules)
+        """The rules that were broken, but for what troubles excuse; none excuses those of coordination."""
+        found = breaches(self.facts, self._names(), Excuses(self.troubles, self.f), self.rules)
+        return [*found, *coordination(self.facts, HISTORY)]
 
     def violations(self) -> list[Breach]:
         """Requests and calls that did not end as they must, by the count of the machines that had read them, but for
--- a/rowanshift/simulation/fleet_load.py
+++ b/rowanshift/simulation/fleet_load.py
@@ -8,10 +8,13 @@
 import orjson
 import trio
 
+from rowanshift.emulation.application_client import Application
+from rowanshift.emulation.applications import Applications, Names
 from rowanshift.emulation.system_clients import Operator, Patron, Work
 from rowanshift.invariants.facts import Answered, Asked, ConfigAnswered, ConfigRead, ConfigSent, Lost
 from rowanshift.simulation.fleet_settings import (
     CATALOGUES,
+    CONTROL,
     HOST,
     KEYS,
     MODEL,
@@ -62,6 +65,18 @@
             key, prefix = keys[n // 3 % len(keys)], (RESUMED, ONCE, REPEATED)[n % 3]
             self.client(f"c{n}", prefix, key, pause)
 
+    def applications(self, users: int) -> Applications:
+        """Applications that call for locks, numbers and keys until the end, so many of each kind."""
+        controls = [(unit.machine.address, CONTROL) for unit in self.cores]
+
+        def make(name: str) -> Application:
+            source = random.Random(f"{self.seed}/{name}")
+            return Application(self.outside, name, self.now, self.facts, controls, source)
+
+        applications = Applications(make, Names(), users)
+        applications.start(self.nursery.start_soon)
+        return applications
+
     def client(self, name: str, prefix: str, key: str, pause: float = 0.15, out: int = 40) -> Patron:
         patron = Patron(
             self.outside,
--- a/rowanshift/simulation/fleet_settings.py
+++ b/rowanshift/simulation/fleet_settings.py
@@ -31,9 +31,11 @@
     "leaseMs": 3000,
     "versionMs": 8000,
     "versionAllMs": 11000,
+    "historyS": 20,
 }
 CONTACT, APPLY, DRAIN, LEASE, VERSION = 3.0, 2.0, 3.0, 3.0, 8.0  # seconds
 VERSION_ALL = 11.0  # seconds
+HISTORY = 20.0  # seconds for which a watch may go on from a revision that it was given
 RULES = Bounds(
     config_apply=APPLY,
     drain=DRAIN,
--- a/rowanshift/simulation/machine.py
+++ b/rowanshift/simulation/machine.py
@@ -20,7 +20,7 @@
 from trio.lowlevel import Abort
 
 from rowanshift.simulation.clock import VirtualClock
-from rowanshift.simulation.disk import VirtualDisk
+from rowanshift.simulation.disk import VirtualDisk, VirtualStore
 from rowanshift.transport.signals import ReceivedSignal
 from rowanshift.transport.streams import Address, Listener, Port, Stream
 
@@ -283,8 +283,8 @@
         self.network.clock.at(self.network.clock.time + seconds, slot.wake)
         await slot.wait()
 
-    def disk(self, path: Path) -> VirtualDisk:
-        return self.drive  # there is one record on it
+    def disk(self, path: Path) -> VirtualStore:
+        return self.drive.store(path.name)
 
     async def in_thread(self, work: Callable[[], Any]) -> Any:
         """Does the work in one turn, half of the disk's time before it and half after it."""
--- a/tests/simulation/test_system_simulation.py
+++ b/tests/simulation/test_system_simulation.py
@@ -8,6 +8,7 @@
 import sys
 import unittest
 from functools import partial
+from pathlib import Path
 from tempfile import NamedTemporaryFile
 from types import SimpleNamespace
 from unittest import mock
@@ -743,12 +744,12 @@
 
     def test_a_write_takes_its_time_and_outlasts_a_loss_of_power(self):
         async def main(machine):
-            disk = machine.disk("/data")
+            disk = machine.disk(Path("/data"))
             await machine.in_thread(disk.open)
             before = machine.network.clock.time
             await machine.in_thread(partial(disk.write, b"one"))
             took = machine.network.clock.time - before
-            disk.power_loss()
+            machine.drive.power_loss()
             disk.open()
             return took, disk.read()
 
@@ -760,14 +761,15 @@
         async def main(machine):
             seen = set()
             for _ in range(40):
-                disk = machine.drive = VirtualDisk(
+                machine.drive = VirtualDisk(
                     machine.network.clock.current_time, random.Random(f"{machine.network.clock.time}")
                 )
+                disk = machine.disk(Path("/data"))
                 disk.open()
                 await machine.in_thread(partial(disk.write, b"one"))
                 disk.write(b"two")  # its sync has not ended
                 self.assertEqual(disk.read(), b"two")  # nor would it for a process that is killed
-                disk.power_loss()
+                machine.drive.power_loss()
                 disk.open()
                 seen.add(disk.read())
             return seen
@@ -776,26 +778,26 @@
 
     def test_troubles(self):
         async def main(machine):
-            disk, clock = machine.disk("/data"), machine.network.clock
+            disk, drive, clock = machine.disk(Path("/data")), machine.drive, machine.network.clock
             with self.assertRaises(StoreClosed):
                 disk.read()
             disk.open()
-            disk.slow(100)
+            drive.slow(100)
             await machine.in_thread(partial(disk.write, b"one"))
             slow = clock.time
-            disk.slow(1)
-            disk.hang(3)
+            drive.slow(1)
+            drive.hang(3)
             await machine.in_thread(disk.read)
             hung = clock.time - slow
-            disk.refuse()
+            drive.refuse()
             with self.assertRaises(StoreWriteFailed):
                 await machine.in_thread(partial(disk.write, b"two"))
             kept = disk.read()
-            disk.lose()
+            drive.lose()
             disk.open()
             empty = disk.read()
             disk.write(b"three")
-            disk.spoil()
+            drive.spoil()
             disk.synced = None
             disk.unsynced.clear()
             with self.assertRaises(DamagedRecord):
