--- a/rowanshift/emulation/applications.py
+++ b/rowanshift/emulation/applications.py
@@ -27,6 +27,8 @@
 )
 from rowanshift.emulation.application_client import RETRY_SECONDS, Application
 
+WATCHER_PAUSES_SECONDS = (0.0, 2.0)  # at most, between two answers, of the watchers of each group
+
 
 @dataclass(frozen=True, slots=True)
 class Names:
@@ -131,19 +133,21 @@
 
 
 class Watcher:
-    """Watches a group from its present revision on, without an end."""
+    """Watches a group from its present revision on, without an end; pauses up to ``pause_seconds`` between answers."""
 
-    def __init__(self, application: Application, group: str) -> None:
+    def __init__(self, application: Application, group: str, pause_seconds: float = 0.0) -> None:
         self.application = application
         self.group = group
+        self.pause_seconds = pause_seconds
         self.after = 0
 
     async def run(self) -> None:
         """Watch until the end of the run."""
+        application = self.application
         while True:
             await self.look()
-            if not self.after:
-                await self.application.host.pause(RETRY_SECONDS)
+            pause = self.pause_seconds * application.random_source.random()
+            await application.host.pause(pause if self.after else RETRY_SECONDS)
 
     async def look(self) -> Answer | None:
         """Watch once, from the last revision that was told."""
@@ -166,7 +170,9 @@
         self.names = names
         self.last = make("app-last")
         self.watchers = [
-            Watcher(make(f"app-watch-{group}"), group) for group in sorted({*map(group_of, names.all_keys())})
+            Watcher(make(f"app-watch-{group}{pause:g}"), group, pause)
+            for group in sorted({*map(group_of, names.all_keys())})
+            for pause in WATCHER_PAUSES_SECONDS
         ]
         self.users: list[LockUser | NumberUser | KeyUser | Watcher] = [*self.watchers]
         for number in range(users):
--- a/rowanshift/invariants/coordination_rules.py
+++ b/rowanshift/invariants/coordination_rules.py
@@ -80,6 +80,7 @@
         *numbers_out_of_order(records),
         *revisions_out_of_order(puts),
         *puts_over_later_revisions(puts),
+        *conflicts_with_itself(records, puts),
         *events_out_of_order(records, puts),
         *stale_reads(records, puts),
         *mixed_values(records, puts),
@@ -307,6 +308,19 @@
     return found
 
 
+def conflicts_with_itself(records: list[CallRecord], puts: Puts) -> list[Breach]:
+    """ORDER: a put that has taken effect and comes again is answered 412 in place of its first revision."""
+    found = []
+    for record in records:
+        if not isinstance(record.call, PutKey) or not isinstance(record.answer, RevisionConflict):
+            continue
+        put = puts.by_value[record.call.key, record.call.value]
+        if put.revision is not None and put.revision <= record.answer.revision:
+            why = f"{put.key}={put.value} has revision {put.revision} and conflicts with {record.answer.revision}"
+            found.append(record.breach("ORDER", why))
+    return found
+
+
 def events_out_of_order(records: list[CallRecord], puts: Puts) -> list[Breach]:
     """ORDER: the events of a watch don't rise, lie outside their span, or leave out a put within it."""
     by_group: dict[str, set[int]] = defaultdict(set)
--- a/rowanshift/simulation/core_draw.py
+++ b/rowanshift/simulation/core_draw.py
@@ -9,6 +9,8 @@
 import random
 from dataclasses import dataclass
 
+import msgspec
+
 from rowanshift.simulation.core_scenario import (
     TRIGGERED_WITHIN_S,
     CoreExpect,
@@ -16,6 +18,7 @@
     CoreLoad,
     CoreScenario,
     CoreTrouble,
+    names_of,
 )
 
 SIZES = (
@@ -39,6 +42,7 @@
 ROUTER_SHARE = 0.4  # of rounds in which a router gets a signal or meets trouble
 ROLE_SHARE = 0.5  # of rounds in which the first victim is the primary or the backup, whichever machine that is
 ROLES = ("primary", "backup")
+COORDINATION_SHARE = 0.5  # of the roles whose troubles befall the primary of coordination, where applications call
 TRIGGERS = ("", "", "", "acknowledgement", "takeover")
 WHOLE = ("power", "kill")
 MORE = ("cut", "freeze", "part")
@@ -104,6 +108,8 @@
         read_every_s=READ_EVERY_S,
         applications=applications,
     )
+    if applications:
+        troubles = _aimed_at_coordination(random.Random(f"{seed}/coordination"), troubles)
     rows = sorted(troubles, key=lambda trouble: trouble.at_s)
     return CoreScenario(
         name=f"core-seed-{seed}",
@@ -116,6 +122,20 @@
     )
 
 
+def _aimed_at_coordination(random_source: random.Random, troubles: list[CoreTrouble]) -> list[CoreTrouble]:
+    """The same troubles; those of some roles befall the primary of the coordination state instead.
+
+    All troubles of a role do, or none: else more disks would be lost at once than may be.
+    """
+    targets = [role for role in ROLES if random_source.random() < COORDINATION_SHARE]
+    aimed = []
+    for trouble in troubles:
+        if any(role in names_of(trouble) for role in targets):
+            trouble = msgspec.structs.replace(trouble, who=["coordinator"])
+        aimed.append(trouble)
+    return aimed
+
+
 def _ends_by(trouble: CoreTrouble) -> float:
     return trouble.at_s + trouble.for_s + (TRIGGERED_WITHIN_S if trouble.after else 0.0)
 
--- a/rowanshift/simulation/core_play.py
+++ b/rowanshift/simulation/core_play.py
@@ -163,6 +163,8 @@
         match name:
             case "primary":
                 return [unit for unit in [fleet.primary() or self.latest] if unit is not None]
+            case "coordinator":
+                return fleet.coordinators()
             case "former":
                 return [unit for unit in [self.former] if unit is not None]
             case "backup":
--- a/rowanshift/simulation/core_scenario.py
+++ b/rowanshift/simulation/core_scenario.py
@@ -47,7 +47,8 @@
     ["change", "patch", "revoke", "changes", "race", "lose_acks", "send_again", "version", "versions"]
 )
 WITH_VALUE = frozenset(["slow_disk", "changes", "lose_acks", "versions"])  # a value above 0 is wanted
-ROLES = ("primary", "former", "backup", "witness", "core", "routers", "all")  # besides core-0.. and router-0..
+# besides core-0.. and router-0..; coordinator: the primary of the coordination state
+ROLES = ("primary", "former", "backup", "witness", "coordinator", "core", "routers", "all")
 
 
 class CoreFleet(Struct, frozen=True, forbid_unknown_fields=True):
--- a/rowanshift/simulation/fleet_machines.py
+++ b/rowanshift/simulation/fleet_machines.py
@@ -173,6 +173,14 @@
             None,
         )
 
+    def coordinators(self) -> list[Unit]:
+        """The core machine that says it is primary of the coordination state, of those that run; none elsewhere."""
+        running = [unit for unit in self.cores if unit.machine.running and not unit.machine.away]
+        services = [(unit, getattr(unit.program, "coordination", None)) for unit in running]
+        return [
+            unit for unit, service in services if service is not None and service.replica_runner.replica.is_primary
+        ][:1]
+
     def backups(self) -> list[Unit]:
         """The other machines in sync with the primary, and then the rest."""
         primary = self.primary()
--- /dev/null
+++ b/tests/simulation/test_coordination.py
@@ -0,0 +1,150 @@
+"""Coordination in the virtual network: the core's worst days with applications, and faults planted in the service."""
+
+import unittest
+from unittest import mock
+
+from loguru import logger
+
+from rowanshift.controlplane.coordination import state_machine
+from rowanshift.controlplane.coordination.state_machine import Applied, CoordinationStateMachine, Effect
+from rowanshift.controlplane.coordination_runner import CoordinationRunner, PendingCall
+from rowanshift.controlplane.errors import NotConfirmed
+from rowanshift.controlplane.replica_runner import ReplicaRunner
+from rowanshift.simulation.core_draw import core_scenario
+from rowanshift.simulation.core_play import CoreRun, play_core
+from rowanshift.simulation.core_scenario import CoreLoad, CoreScenario, CoreTrouble
+
+SEEDS = range(400, 403)  # in CI; more by `simulate --core --applications 2 --seeds`
+FAULT_SEEDS = range(1, 9)  # of which one at least must show a planted fault
+APPLICATIONS = 3
+KILLS = [CoreTrouble(at_s, "kill", "coordinator", 1.2) for at_s in (2.0, 5.0, 8.0, 11.0)]
+FREEZES = [CoreTrouble(at_s, "freeze", "coordinator", 2.5) for at_s in (2.0, 6.0, 10.0)]
+CUTS = [CoreTrouble(at_s, "cut", "coordinator", 2.5) for at_s in (2.0, 5.0, 8.0, 11.0)]
+
+
+def played(troubles: list[CoreTrouble], seconds: float = 16.0, seed: int = 1) -> CoreRun:
+    load = CoreLoad(clients=0, change_every_s=0.0, applications=APPLICATIONS)
+    return play_core(CoreScenario(seed=seed, seconds=seconds, load=load, trouble=troubles))
+
+
+def broken_rules(troubles: list[CoreTrouble], *rules: str, seconds: float = 16.0) -> set[str]:
+    """Which of these rules the first seed breaks that breaks any of them; none if no seed does."""
+    for seed in FAULT_SEEDS:
+        run = played(troubles, seconds, seed)
+        assert not run.error, run.error
+        if found := {breach.rule for breach in run.breaches} & {*rules}:
+            return found
+    return set()
+
+
+def setUpModule() -> None:
+    logger.disable("rowanshift")
+
+
+def tearDownModule() -> None:
+    logger.enable("rowanshift")
+
+
+class WorstDays(unittest.TestCase):
+    def test_seeds(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run = play_core(core_scenario(seed, applications=2))
+                self.assertEqual((run.error, run.breaches, run.unmet), ("", [], []))
+
+    def test_a_seed_replays(self) -> None:
+        first, again = (played(KILLS, 6.0).digest for _ in range(2))
+        self.assertEqual(first, again)
+
+
+class PlantedFaults(unittest.TestCase):
+    """Each would be found: the run without it breaks no rule, the run with it does."""
+
+    def test_without_a_fault_nothing_is_broken(self) -> None:
+        for troubles in (KILLS, CUTS, FREEZES):
+            run = played(troubles)
+            self.assertEqual((run.error, run.breaches, run.unmet), ("", [], []))
+
+    def test_a_token_given_again_after_a_takeover(self) -> None:
+        created = CoordinationStateMachine.__init__
+
+        def create(self: CoordinationStateMachine, packed: bytes, now: float, history_seconds: float) -> None:
+            created(self, packed, now, history_seconds)
+            self.state.last_token = 0
+
+        with mock.patch.object(CoordinationStateMachine, "__init__", create):
+            self.assertTrue(broken_rules(KILLS, "ONE"))
+
+    def test_a_lock_given_early_after_a_takeover(self) -> None:
+        created = CoordinationStateMachine.__init__
+
+        def create(self: CoordinationStateMachine, packed: bytes, now: float, history_seconds: float) -> None:
+            created(self, packed, now, history_seconds)
+            self._held_until = dict.fromkeys(self._held_until, now)
+
+        with mock.patch.object(CoordinationStateMachine, "__init__", create):
+            self.assertTrue(broken_rules(KILLS, "ONE"))
+
+    def test_a_lock_given_before_its_hold_has_ended(self) -> None:
+        with mock.patch.object(state_machine, "_hold_seconds", lambda hold_ms: 0.5 * hold_ms / 1000):
+            self.assertTrue(broken_rules([], "ONE"))
+
+    def test_an_answer_before_the_state_is_on_other_disks(self) -> None:
+        async def commit(self: ReplicaRunner, state: bytes, role_changes: int) -> bool:
+            self.nursery.start_soon(self._propose, state)
+            return True
+
+        with mock.patch.object(ReplicaRunner, "commit", commit):
+            self.assertTrue(broken_rules(KILLS, "ONE", "ORDER", "STALE", "MIXED", "REFUSED", "LOST"))
+
+    def test_a_watch_that_leaves_out_a_put(self) -> None:
+        committed_events = CoordinationStateMachine.committed_events
+
+        def leave_out(self: CoordinationStateMachine, group: str, after: int):
+            return committed_events(self, group, after + 1)
+
+        with mock.patch.object(CoordinationStateMachine, "committed_events", leave_out):
+            self.assertTrue(broken_rules([], "ORDER"))
+
+    def test_a_history_that_is_lost_with_a_takeover(self) -> None:
+        created = CoordinationStateMachine.__init__
+
+        def create(self: CoordinationStateMachine, packed: bytes, now: float, history_seconds: float) -> None:
+            created(self, packed, now, history_seconds)
+            list(self.state.history.drop_before(now + 1.0))
+
+        with mock.patch.object(CoordinationStateMachine, "__init__", create):
+            self.assertTrue(broken_rules(KILLS, "ORDER"))
+
+    def test_a_put_that_is_refused_and_done(self) -> None:
+        def not_confirmed(self: PendingCall) -> Exception:
+            return NotConfirmed()
+
+        end = CoordinationRunner._answer
+
+        def refuse_some(self: CoordinationRunner, machine: CoordinationStateMachine, batch: list[PendingCall]) -> None:
+            changing = [call for call in batch if call.applied is not None and call.applied.effect is Effect.STATE]
+            for pending in changing[:1]:
+                pending.fail(not_confirmed(pending))
+                batch.remove(pending)
+            end(self, machine, batch)
+
+        with mock.patch.object(CoordinationRunner, "_answer", refuse_some):
+            self.assertTrue(broken_rules([], "REFUSED"))
+
+    def test_a_put_over_a_later_revision(self) -> None:
+        put = CoordinationStateMachine._put
+
+        def put_anyway(self: CoordinationStateMachine, call, now: float) -> Applied:
+            return put(self, type(call)(call.key, call.value, None), now)
+
+        with mock.patch.object(CoordinationStateMachine, "_put", put_anyway):
+            self.assertTrue(broken_rules([], "ORDER"))
+
+    def test_a_put_that_is_taken_twice(self) -> None:
+        with mock.patch.object(CoordinationStateMachine, "_first_revision", lambda self, call, key: None):
+            self.assertTrue(broken_rules(KILLS, "MIXED", "ORDER"))
+
+
+if __name__ == "__main__":
+    unittest.main()
