--- a/rowanshift/soak/checker.py
+++ b/rowanshift/soak/checker.py
@@ -14,9 +14,10 @@
 from rowanshift.invariants import system as rules
 from rowanshift.invariants.breaches import Breach, Facts, by_id, of_kind
 from rowanshift.invariants.configuration_rules import Configs
+from rowanshift.invariants.coordination_rules import coordination
 from rowanshift.invariants.facts import Answered, Asked, Began, ConfigSent, Finished, Lost, Reached
 from rowanshift.invariants.planned_work_rules import SERVER_ENDED, time_limit
-from rowanshift.simulation.fleet_settings import CONTACT, RULES
+from rowanshift.simulation.fleet_settings import CONTACT, HISTORY, RULES
 from rowanshift.soak.layout import GRACE
 from rowanshift.soak.plan import CLIENTS, PLANNED, SYSTEM, TroubleKind
 from rowanshift.soak.records import (
@@ -332,6 +333,7 @@
         *stalled(facts),
         *recovered(facts),
         *versions(facts),
+        *coordination(facts, HISTORY),
         *shared_rules(facts),
     ]
     return sorted(found, key=lambda breach: breach.at)
--- a/rowanshift/soak/command.py
+++ b/rowanshift/soak/command.py
@@ -15,6 +15,7 @@
 import trio
 
 from rowanshift.invariants.breaches import Breach, Facts, of_kind
+from rowanshift.invariants.coordination_facts import CoordinationAnswered, CoordinationAsked
 from rowanshift.invariants.facts import Answered, Asked, ConfigAnswered, ConfigSent
 from rowanshift.process.error_groups import first_of
 from rowanshift.soak import checker, plan, records
@@ -55,6 +56,8 @@
             "wall_s": f"{self.seconds:.1f}",
             "troubles": shown(met),
             "overlap": overlap(self.facts),
+            "coordination": len(of_kind(self.facts, CoordinationAsked)),
+            "settled": sum(end.answer is not None for end in of_kind(self.facts, CoordinationAnswered)),
             "requests": len(of_kind(self.facts, Asked)),
             "whole": whole,
             "refused": refused,
--- a/rowanshift/soak/layout.py
+++ b/rowanshift/soak/layout.py
@@ -13,6 +13,7 @@
 
 import orjson
 
+from rowanshift.process.node_settings import COORDINATION_CONTRACT
 from rowanshift.simulation.fleet_settings import BOUNDS
 from rowanshift.soak.plan import (
     CLIENTS,
@@ -55,6 +56,7 @@
 
     def __init__(self, plan: Plan, folder: Path, net: str) -> None:
         self.folder, self.net = folder, net
+        self.contracts = [COORDINATION_CONTRACT] if plan.applications else []
         self.cores, self.routers = names(core_name, plan.cores), names(router_name, plan.routers)
         self.servers = names(server_name, plan.servers)
         self.numbers = {
@@ -146,6 +148,7 @@
             "limits": {"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS},
             "faultTolerance": {"machines": FAULT_TOLERANCE},
             "bounds": BOUNDS,
+            "contracts": self.contracts,
             "cloudApi": {
                 "address": f"{self.ip(PLATFORM)}:{SYSTEM_LISTED}",
                 "ratePerS": LIST_RATE,
--- a/rowanshift/soak/load.py
+++ b/rowanshift/soak/load.py
@@ -7,6 +7,8 @@
 import orjson
 import trio
 
+from rowanshift.emulation.application_client import Application
+from rowanshift.emulation.applications import Applications, Names
 from rowanshift.emulation.model_server import Registry
 from rowanshift.emulation.system_clients import Operator, Patron, Work
 from rowanshift.invariants.facts import ConfigAnswered, ConfigRead, ConfigSent, Fact
@@ -74,6 +76,18 @@
         return answer.status == 200
 
 
+def applications_of(
+    plan: Plan, host: Runtime, layout: Layout, now: Callable[[], float], facts: list[Fact]
+) -> Applications:
+    """The applications of a run, which call where operators do."""
+    controls = layout.controls()
+
+    def make(name: str) -> Application:
+        return Application(host, name, now, facts, controls, random.Random(f"{plan.seed}/{name}"))
+
+    return Applications(make, Names(), plan.applications)
+
+
 class Clients:
     """Clients that ask one request after another until they are told to end.
 
--- a/rowanshift/soak/plan.py
+++ b/rowanshift/soak/plan.py
@@ -44,6 +44,9 @@
 PLANNED = frozenset([TroubleKind.STOP, TroubleKind.ROLL, TroubleKind.RELOAD])  # work that operators do on purpose
 
 
+APPLICATIONS, MOST_APPLICATIONS = 2, 20  # of each kind: drawn, and the most
+
+
 class Direction(StrEnum):
     """Which way a cut link carries nothing."""
 
@@ -89,6 +92,7 @@
     cores: int = CORES
     servers: int = SERVERS
     names_apart: float = NAMES_APART[1]  # seconds between the named versions of a series
+    applications: int = 0  # of each kind that call for locks, numbers and keys; 0: there is no coordination
 
     def kinds(self) -> dict[str, int]:
         """How many troubles there are of each kind."""
@@ -143,6 +147,7 @@
         changes_per_second=round(random_source.uniform(*CHANGES_PER_SECOND), 1),
         troubles=tuple(sorted(_outside(calm_of(seed, seconds), drawn), key=lambda trouble: trouble.at)),
         names_apart=round(random_source.uniform(*NAMES_APART), 2),
+        applications=APPLICATIONS,
     )
     check(plan)
     return plan
@@ -307,6 +312,8 @@
         raise BadPlan(f"names_apart: {plan.names_apart} is not within {NAMES_APART[0]} and {NAMES_APART[1]}")
     if not 0 < plan.changes_per_second <= MOST_CHANGES_PER_SECOND:
         raise BadPlan(f"changes_per_second: {plan.changes_per_second} is not within 0 and {MOST_CHANGES_PER_SECOND}")
+    if not 0 <= plan.applications <= MOST_APPLICATIONS:
+        raise BadPlan(f"applications: {plan.applications} is not within 0 and {MOST_APPLICATIONS}")
     if len(plan.troubles) > MOST_TROUBLES:
         raise BadPlan(f"troubles: {len(plan.troubles)}, {MOST_TROUBLES} at most")
     for number, trouble in enumerate(plan.troubles):
--- a/rowanshift/soak/records.py
+++ b/rowanshift/soak/records.py
@@ -12,6 +12,7 @@
 import msgspec
 import orjson
 
+from rowanshift.invariants import coordination_facts
 from rowanshift.invariants import facts as known_facts
 from rowanshift.invariants.facts import Fact
 from rowanshift.soak.plan import Link, TroubleKind
@@ -97,7 +98,7 @@
     own = globals().values()
     return {
         made.__name__: made
-        for made in (*vars(known_facts).values(), *own)
+        for made in (*vars(known_facts).values(), *vars(coordination_facts).values(), *own)
         if inspect.isclass(made) and issubclass(made, Fact)
     }
 
--- a/rowanshift/soak/run.py
+++ b/rowanshift/soak/run.py
@@ -18,7 +18,7 @@
 from rowanshift.simulation.fleet_settings import MODEL, SERVICE
 from rowanshift.soak.checker import SERVED_LEAST, served_part
 from rowanshift.soak.layout import GRACE, Layout, Wire, relays_by_link
-from rowanshift.soak.load import OTHER, Balancer, Changes, Clients
+from rowanshift.soak.load import OTHER, Balancer, Changes, Clients, applications_of
 from rowanshift.soak.plan import Plan, Trouble, TroubleKind
 from rowanshift.soak.processes import Processes
 from rowanshift.soak.records import Lagged, LoadEnded, ReadBack, Recovered, Stalled, TroubleMet
@@ -59,6 +59,7 @@
         self.balancer = Balancer(self.host, self.layout)
         self.clients = Clients(plan, self.host, self.layout, self.balancer, self.now, self.facts)
         self.changes = Changes(plan, self.host, self.layout, self.registry, self.now, self.facts)
+        self.applications = applications_of(plan, self.host, self.layout, self.now, self.facts)
         self.platform = PlatformList(self.host, self.layout.platform(), 40.0, 800.0, self.now, self.facts)
         self.servers = [self._server(name) for name in self.layout.servers]
         self.bootstrap = True
@@ -167,17 +168,27 @@
         """Clients, changes and troubles, then the end."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._ask)
-            async with trio.open_nursery() as changes:
-                changes.start_soon(self.changes.run)
-                async with trio.open_nursery() as troubles:
-                    for trouble in self.plan.troubles:
-                        troubles.start_soon(self._inject, trouble)
-                    await trio.sleep(self.plan.seconds)
-                await self._enough_changes()
-                changes.cancel_scope.cancel()
-            await self._recover()
+            async with trio.open_nursery() as applications:
+                if self.plan.applications:
+                    self.applications.start(applications.start_soon)
+                await self._change_and_harm()
+                await self._recover()
+                if self.plan.applications:
+                    await self._read_back()
+                applications.cancel_scope.cancel()
             await self._end_all()
 
+    async def _change_and_harm(self) -> None:
+        """Changes and troubles, for the time of the plan."""
+        async with trio.open_nursery() as changes:
+            changes.start_soon(self.changes.run)
+            async with trio.open_nursery() as troubles:
+                for trouble in self.plan.troubles:
+                    troubles.start_soon(self._inject, trouble)
+                await trio.sleep(self.plan.seconds)
+            await self._enough_changes()
+            changes.cancel_scope.cancel()
+
     async def _enough_changes(self) -> None:
         """Waits until so many changes were acknowledged that the run says something of them, however busy the machine
         is; it is a stall if they don't come."""
@@ -205,6 +216,11 @@
         config = await self.changes.read(READ_WITHIN)
         self.facts.append(ReadBack(self.now(), config))
 
+    async def _read_back(self) -> None:
+        """The applications ask for all that was acknowledged to them."""
+        for call in await self.applications.read_back():
+            self._stalled(f"at the end no answer came to {call}")
+
     async def _serve_on(self, until: float) -> None:
         """Goes on with the load until so much of it is served as must be, or the time for that is up.
 
