--- a/rowanshift/controlplane/coordination_service.py
+++ b/rowanshift/controlplane/coordination_service.py
@@ -15,8 +15,10 @@
 from rowanshift.controlplane.replica_connections import ReplicaConnections
 from rowanshift.controlplane.replica_runner import ReplicaRunner
 from rowanshift.controlplane.replication import DurableState, Replica
+from rowanshift.controlplane.status import CoordinationStatus
 from rowanshift.controlplane.store import COORDINATION_DIRECTORY
 from rowanshift.transport.runtime import Nursery
+from rowanshift.wire.machine_ids import ip_from_machine_id
 
 DELTA_MIN_STATE_BYTES = 1024  # a smaller state is always sent in full
 
@@ -33,6 +35,28 @@
         """What answers the applications' calls, by the beginning of their paths."""
         return coordination_resources(self.runner, machine, port)
 
+    def status(self) -> CoordinationStatus:
+        """What this machine knows of the coordination state."""
+        replica, machine = self.replica_runner.replica, self.runner.state_machine
+        state = None if machine is None else machine.state
+        return CoordinationStatus(
+            primary=replica.is_primary,
+            primary_hint=ip_from_machine_id(replica.primary_hint),
+            epoch=replica.record.epoch,
+            in_sync=[ip_from_machine_id(machine) for machine in replica.record.in_sync],
+            amnesic=replica.is_amnesic,
+            locks=None if state is None else len(state.locks),
+            numbers=None if state is None else len(state.numbers),
+            groups=None if state is None else len(state.groups),
+            keys=None if state is None else len(state.keys),
+            puts_kept=None if state is None else len(state.history),
+            state_bytes=None if state is None else state.byte_size,
+            waiting_watches=self.runner.watches.count,
+            calls=self.runner.calls,
+            batches=self.runner.batches,
+            saves=self.replica_runner.saves,
+        )
+
     def start(self, nursery: Nursery) -> None:
         """Start the tasks."""
         nursery.start_soon(self.replica_runner.run)
--- a/rowanshift/controlplane/service.py
+++ b/rowanshift/controlplane/service.py
@@ -95,7 +95,13 @@
 
     def _status(self, replica_runner: ReplicaRunner) -> ControlPlaneStatus:
         return collect_status(
-            self.settings, replica_runner, self.publication, self.membership, self.tasks, trio.current_time()
+            self.settings,
+            replica_runner,
+            self.publication,
+            self.membership,
+            self.tasks,
+            trio.current_time(),
+            None if self.coordination is None else self.coordination.status(),
         )
 
     # start
--- a/rowanshift/controlplane/status.py
+++ b/rowanshift/controlplane/status.py
@@ -52,6 +52,26 @@
     loading: bool
 
 
+class CoordinationStatus(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
+    """The replica of the coordination state. What only its primary knows is None elsewhere."""
+
+    primary: bool
+    primary_hint: str
+    epoch: int
+    in_sync: list[str]
+    amnesic: bool
+    locks: int | None  # ended holds included that nobody has followed yet
+    numbers: int | None
+    groups: int | None
+    keys: int | None
+    puts_kept: int | None  # for watches
+    state_bytes: int | None
+    waiting_watches: int
+    calls: int  # that were answered, by this process
+    batches: int  # in which they were
+    saves: int
+
+
 class ControlPlaneStatus(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
     """The document's fields in their order. Machines are IPs; what only the primary knows is None elsewhere."""
 
@@ -79,6 +99,7 @@
     orders: int
     saves: int
     save_seconds: float
+    coordination: CoordinationStatus | None = None  # where no application calls for it
 
     def as_json(self) -> dict[str, Any]:
         """The document as it is sent: plain dictionaries and lists, with names in camel case."""
@@ -93,6 +114,7 @@
     membership: RouterMembership,
     tasks: SingletonTasks,
     now: float,
+    coordination: CoordinationStatus | None = None,
 ) -> ControlPlaneStatus:
     """The status at the time ``now`` of trio's clock."""
     replica = replica_runner.replica
@@ -123,6 +145,7 @@
         orders=tasks.rollout.orders,
         saves=replica_runner.saves,
         save_seconds=round(replica_runner.save_seconds, 4),
+        coordination=coordination,
     )
 
 
--- a/tests/controlplane/test_coordination_calls.py
+++ b/tests/controlplane/test_coordination_calls.py
@@ -19,6 +19,7 @@
 import trio
 from loguru import logger
 
+from rowanshift.controlplane.coordination import limits
 from rowanshift.emulation import cluster
 from tests.support.coordination_client import CoordinationClient, Reply
 from tests.support.small_system import TrioThread, unused_network
@@ -80,6 +81,39 @@
         self.assertEqual(last.status, 200)
         self.assertGreater(last.body["fenceToken"], other.body["fenceToken"])
 
+    def test_calls_that_cannot_be_read_say_where_and_why(self) -> None:
+        long_name = "n" * (limits.MAX_NAME_BYTES + 1)
+        cases = (
+            ("POST", "/locks/l9", {"holdMs": 1}, 400, "body: Object missing required field `leaseHolder`"),
+            ("POST", "/locks/l9", {"leaseHolder": "", "holdMs": 1}, 400, "leaseHolder: 1 to 128 bytes expected"),
+            ("POST", "/locks/l9", {"leaseHolder": "a"}, 400, "holdMs: a whole number from 1 to 600000 expected"),
+            ("PUT", "/locks/l9", {"leaseHolder": "a", "holdMs": 1}, 400, "fenceToken: a whole number from 0 to"),
+            ("POST", f"/locks/{long_name}", {"leaseHolder": "a", "holdMs": 1}, 400, "path: 1 to 128 bytes expected"),
+            ("POST", "/numbers/", {}, 400, "path: 1 to 128 bytes expected"),
+            ("PUT", "/cells/g9.a", {"value": 7}, 400, "body: Expected `str`, got `int` - at `$.value`"),
+            ("PUT", "/cells/g9.a", {"value": "v" * 4097}, 400, "value: 4096 bytes at most"),
+            ("PUT", "/cells/g9.a", {"value": "v", "expectedCount": -1}, 400, "expectedCount: a whole number from 0"),
+            ("GET", "/watch/g9.?after=x", None, 400, "after: a whole number from 0 to"),
+            ("GET", "/locks/l9", None, 405, "POST, PUT and DELETE"),
+            ("GET", "/numbers/n9", None, 405, "POST"),
+            ("DELETE", "/cells/g9.a", None, 405, "GET and PUT"),
+            ("POST", "/watch/g9.", None, 405, "GET"),
+            ("GET", "/nothing/l9", None, 404, "no such resource"),
+        )
+        for method, target, body, status, reason in cases:
+            with self.subTest(f"{method} {target[:30]} {body}"):
+                reply = self.client.call(method, target, body)
+                self.assertEqual(reply.status, status)
+                self.assertTrue(reply.body["error"].startswith(reason), reply.body)
+
+    def test_the_status_tells_of_the_coordination(self) -> None:
+        self.call("POST", "/numbers/n8")
+        documents = [self.client.ask(address, "GET", "/status")[0].body for address in self.client.addresses]
+        primaries = [document["coordination"] for document in documents if document["coordination"]["primary"]]
+        self.assertEqual(len(primaries), 1)
+        self.assertGreaterEqual(primaries[0]["numbers"], 1)
+        self.assertGreaterEqual(primaries[0]["calls"], primaries[0]["batches"])
+
     def test_numbers_of_a_name_rise(self) -> None:
         replies = [self.call("POST", f"/numbers/{name}") for name in ("n1", "n1", "n2", "n1")]
         self.assertEqual({reply.status for reply in replies}, {200})
--- a/tests/controlplane/test_lazy_imports.py
+++ b/tests/controlplane/test_lazy_imports.py
@@ -16,18 +16,22 @@
 
 ROOT = Path(__file__).parents[2]
 LATER = ("serde", "jinja2", "beartype", "rowanshift.controlplane.configuration")
+WHERE_CALLED_FOR = ("rowanshift.controlplane.coordination", "rowanshift.controlplane.coordination_service")
 
 
 class Imports(unittest.TestCase):
-    def loaded(self, module: str) -> set[str]:
-        """Which of ``LATER`` a fresh interpreter has once it has imported a module."""
-        program = f"import sys, {module}; print(*(name for name in {LATER} if name in sys.modules))"
+    def loaded(self, module: str, names: tuple[str, ...] = LATER) -> set[str]:
+        """Which of these a fresh interpreter has once it has imported a module."""
+        program = f"import sys, {module}; print(*(name for name in {names} if name in sys.modules))"
         said = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True)
         return {*said.stdout.split()}
 
     def test_a_core_machine_starts_without_what_checks_changes(self) -> None:
         self.assertEqual(self.loaded("rowanshift.controlplane.service"), set())
 
+    def test_coordination_costs_nothing_where_no_application_calls_for_it(self) -> None:
+        self.assertEqual(self.loaded("rowanshift.controlplane.service", WHERE_CALLED_FOR), set())
+
     def test_a_router_never_needs_it(self) -> None:
         self.assertEqual(self.loaded("rowanshift.dataplane.service"), set())
 
--- a/tests/controlplane/test_status.py
+++ b/tests/controlplane/test_status.py
@@ -39,6 +39,7 @@
     "orders",
     "saves",
     "saveSeconds",
+    "coordination",
 ]
 REDUNDANCY_FIELDS = ["copies", "copiesWanted", "witnesses", "witnessesWanted", "full", "spread", "lackingS"]
 
