--- /dev/null
+++ b/examples/coordination.py
@@ -0,0 +1,51 @@
+"""Shows the client library of the coordination service: python examples/coordination.py IP:PORT [IP:PORT ...]"""
+
+import sys
+
+import trio
+
+from rowanshift.coordination import CoordinationClient, PutConflict
+
+
+async def use_a_lock(client: CoordinationClient) -> None:
+    """Hold a lock for longer than one hold lasts, by renewals."""
+    async with client.lock("district-7", holder="counter-3", hold_seconds=1.0) as hold:
+        await trio.sleep(1.5)
+        print(f"held district-7 for 1.5 s under token {hold.token}")
+
+
+async def use_numbers_and_keys(client: CoordinationClient) -> int:
+    """Ask for a number, and put a key by its revision. Returns the revision."""
+    print(f"formula number {await client.next_number('formula')}")
+    present = await client.read("recipes.sand")
+    revision = await client.put("recipes.sand", "04-17", present.revision if present else 0)
+    try:
+        await client.put("recipes.sand", "04-18", revision - 1)
+    except PutConflict as conflict:
+        print(f"another revision is there: {conflict}")
+    return revision
+
+
+async def watch_two_puts(client: CoordinationClient, after: int) -> None:
+    """Put two keys, and see both in a watch."""
+    await client.put("recipes.chalk", "11-02")
+    await client.put("recipes.sand", "04-19")
+    seen = 0
+    async for event in client.watch("recipes.", after):
+        print(f"{event.key} is {event.value} since revision {event.revision}")
+        seen += 1
+        if seen == 2:
+            return
+
+
+async def main(addresses: list[str]) -> None:
+    """Use all parts of the service."""
+    pairs = [address.rpartition(":") for address in addresses]
+    client = CoordinationClient([(host, int(port)) for host, _, port in pairs])
+    await use_a_lock(client)
+    revision = await use_numbers_and_keys(client)
+    await watch_two_puts(client, revision)
+
+
+if __name__ == "__main__":
+    trio.run(main, sys.argv[1:])
--- a/tests/controlplane/test_coordination_calls.py
+++ b/tests/controlplane/test_coordination_calls.py
@@ -9,6 +9,9 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -24,6 +27,8 @@
 from tests.support.coordination_client import CoordinationClient, Reply
 from tests.support.small_system import TrioThread, unused_network
 
+ROOT = Path(__file__).parents[2]
+EXAMPLE_SECONDS = 30.0
 HOLD_MS = 400
 NOTICE_SECONDS = 0.2  # in which a watch has begun to wait
 
@@ -114,6 +119,22 @@
         self.assertGreaterEqual(primaries[0]["numbers"], 1)
         self.assertGreaterEqual(primaries[0]["calls"], primaries[0]["batches"])
 
+    def test_the_example_of_the_client_library_runs(self) -> None:
+        ran = subprocess.run(
+            [sys.executable, "examples/coordination.py", *self.client.addresses],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            timeout=EXAMPLE_SECONDS,
+        )
+        self.assertEqual((ran.returncode, ran.stderr), (0, ""))
+        lines = ran.stdout.splitlines()
+        self.assertEqual(lines[1], "formula number 1")
+        self.assertEqual(
+            lines[-2:], ["recipes.chalk is 11-02 since revision 2", "recipes.sand is 04-19 since revision 3"]
+        )
+
     def test_numbers_of_a_name_rise(self) -> None:
         replies = [self.call("POST", f"/numbers/{name}") for name in ("n1", "n1", "n2", "n1")]
         self.assertEqual({reply.status for reply in replies}, {200})
