--- a/rowanshift/soak/run.py
+++ b/rowanshift/soak/run.py
@@ -330,8 +330,8 @@
                 await trio.sleep(trouble.gap)
                 if number % 2:
                     await self._tell(name, signal.SIGHUP)
-                if number % 3 == 0:
-                    await self._tell(name, signal.SIGTERM)
+                if number % 3 == 0:  # it may be the next life already that is told, so that it is started again too
+                    nursery.start_soon(self._stop_then_start, name, trouble.lasts)
 
     async def _reload(self, trouble: Trouble) -> None:
         for name in trouble.machines:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -375,6 +375,44 @@
     return Answered(at, id, 200, f"seal-{id}", id, whole=False)
 
 
+class SecondSignals(unittest.TestCase):
+    """A roll tells each third machine to stop a second time. Where that signal met the machine's next life, nobody
+    started it again: a core machine stayed down to the end of the run, and with another's disk lost none was primary.
+
+        core-3 life 4 started at 26.921 s, SIGTERM at 27.001 s, ended with 0 at 27.015 s; not ready within 12 s
+    """
+
+    class QuickProcess(Process):
+        """A process that ends at once when it is told to, and takes a while to heed signals."""
+
+        def start(self) -> None:
+            if self.popen is None:
+                self.life, self.popen, self.ended = self.life + 1, mock.Mock(), trio.Event()
+
+        async def born(self) -> None:
+            await trio.sleep(0.1)
+
+        def send(self, number: signal.Signals) -> bool:
+            if self.popen is None:
+                return False
+            if number is signal.SIGTERM:
+                self.popen = None
+                self.ended.set()
+            return True
+
+    def test_a_machine_that_is_told_twice_runs_again(self) -> None:
+        async def main() -> list[str]:
+            run = Run(plan.draw_short(1), Path("unused"), "127.92.9.")
+            names = run.layout.cores
+            run.processes = {name: self.QuickProcess(name, run.layout, run.now, run.facts) for name in names}
+            for process in run.processes.values():
+                process.start()
+            await run._roll(Trouble(TroubleKind.ROLL, 0.0, 0.01, tuple(names), gap=0.05, rounds=2))
+            return [name for name, process in run.processes.items() if not process.running]
+
+        self.assertEqual(trio.run(main, clock=MockClock(autojump_threshold=0.0)), [])
+
+
 class ServingOn(unittest.TestCase):
     """How long the load goes on once all is ready again."""
 
