--- a/rowanshift/admin/core_status.py
+++ b/rowanshift/admin/core_status.py
@@ -32,6 +32,25 @@
     lacks_for_s: int | float
 
 
+class CoordinationReport(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
+    """A machine's replica of the coordination state; what only its primary knows is None elsewhere."""
+
+    primary: bool
+    epoch: int
+    in_sync: list[str]
+    amnesic: bool
+    locks: int | None
+    numbers: int | None
+    groups: int | None
+    keys: int | None
+    puts_kept: int | None
+    state_bytes: int | None
+    waiting_watches: int
+    calls: int
+    batches: int
+    saves: int
+
+
 class CoreStatus(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
     """The fields of a core machine's status document that commands use; machines are IPs.
 
@@ -61,6 +80,7 @@
     save_seconds: float
     known: list[str] = []
     behind: list[LaggingServer] = []
+    coordination: CoordinationReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanshift/cli/admin_commands.py
+++ b/rowanshift/cli/admin_commands.py
@@ -46,6 +46,14 @@
     return print_output(members, addresses)
 
 
+def coordination(arguments: argparse.Namespace) -> int:
+    """Say who is primary of the locks, numbers and keys of applications, and how many there are."""
+    addresses = control_addresses(arguments)
+    from rowanshift.admin.coordination_status import coordination_status
+
+    return print_output(coordination_status, addresses)
+
+
 def duties(arguments: argparse.Namespace) -> int:
     """Say who reads the platform's list and who orders, and which servers are behind a named version."""
     addresses = control_addresses(arguments)
--- a/rowanshift/cli/parser.py
+++ b/rowanshift/cli/parser.py
@@ -82,6 +82,7 @@
     status.add_argument("--json", action="store_true", help="all that they say, as JSON")
     add_control_addresses_option(add_command(commands, "members", admin_commands.members))
     add_control_addresses_option(add_command(commands, "duties", admin_commands.duties))
+    add_control_addresses_option(add_command(commands, "coordination", admin_commands.coordination))
 
 
 def add_configuration_commands(commands: "Subparsers") -> None:
--- a/tests/controlplane/test_coordination_calls.py
+++ b/tests/controlplane/test_coordination_calls.py
@@ -25,6 +25,7 @@
 from rowanshift.controlplane.coordination import limits
 from rowanshift.emulation import cluster
 from tests.support.coordination_client import CoordinationClient, Reply
+from tests.support.helpers import invoke
 from tests.support.small_system import TrioThread, unused_network
 
 ROOT = Path(__file__).parents[2]
@@ -119,6 +120,16 @@
         self.assertGreaterEqual(primaries[0]["numbers"], 1)
         self.assertGreaterEqual(primaries[0]["calls"], primaries[0]["batches"])
 
+    def test_staff_see_the_replicas_and_what_the_primary_holds(self) -> None:
+        self.call("POST", "/numbers/n7")
+        status, output = invoke("coordination", "--at", ",".join(self.client.addresses))
+        self.assertEqual(status, 0, output)
+        lines = output.splitlines()
+        self.assertEqual([line.split()[1] for line in lines[1:4]].count("primary"), 1)
+        self.assertRegex(
+            lines[-1], r"^\d+ locks, \d+ names of numbers, \d+ keys in \d+ groups, \d+ puts kept, \d+ bytes; "
+        )
+
     def test_the_example_of_the_client_library_runs(self) -> None:
         ran = subprocess.run(
             [sys.executable, "examples/coordination.py", *self.client.addresses],
