--- a/review/rig.py
+++ b/review/rig.py
@@ -341,4 +341,9 @@
         finally:
             await deployment.stop()
 
-    sys.exit(asyncio.run(play()))
+    try:
+        code = asyncio.run(play())
+    except Exception as error:
+        print(f"the case couldn't run: {error!r}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
