--- a/review/rig.py
+++ b/review/rig.py
@@ -97,7 +97,8 @@
     path: Path
     restart: bool = True
     popen: subprocess.Popen[bytes] | None = None
-    own_ends: list[tuple[float, int]] = field(default_factory=list)  # time and exit code of ends that nobody caused
+    started_at: float = 0.0
+    own_ends: list[float] = field(default_factory=list)  # for each end that nobody caused, how long it had run
     stopping: bool = False
 
 
@@ -176,6 +177,7 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["ROWANSHIFT_BOOT"] = str(process.path)
         log = (self.scratch / f"{process.name}.log").open("ab")
+        process.started_at = time.monotonic()
         process.popen = subprocess.Popen(
             self.commands[process.settings["machineClass"]], cwd=ROOT, env=environment, stdout=log, stderr=log,
             stdin=subprocess.DEVNULL,
@@ -189,7 +191,7 @@
             if process.popen is None or (code := process.popen.poll()) is None:
                 continue
             if not process.stopping:
-                process.own_ends.append((time.monotonic(), code))
+                process.own_ends.append(time.monotonic() - process.started_at)
                 self.record(
                     f"{process.name}: the process ended by itself, exit code {code}: {self.last_error(process.name)}"
                 )
