--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,8 +19,8 @@
 BODY_BYTES = 4_000_000  # under maxBodyBytes
 ROUTE_TIMEOUT_MS, DEADLINE_MS = 2000, 5000
 LATER_SECONDS = 3.0  # after its early answer the server reads on so much later
-CLIENTS, ORDERS = 8, 26  # each client sends so many orders, one after the other
-EARLY = (20, 75)  # which of the long requests at one of the two servers are answered early: 2 of about 100
+CLIENTS, ORDERS = 8, 30  # each client sends so many orders, one after the other
+EARLY = (50, 100)  # which of the long requests at one of the two servers are answered early: never over 2 in 100
 PROMISES = (408, 421, 429, 503)
 NEW_TRY = "-again"
 
