--- a/rowanshift/dataplane/forwarded_request.py
+++ b/rowanshift/dataplane/forwarded_request.py
@@ -15,7 +15,7 @@
     idempotency_of,
 )
 from rowanshift.dataplane.routing_table import Route, Tenant
-from rowanshift.dataplane.upstream import ServerConnection
+from rowanshift.dataplane.server_exchange import ServerConnection
 from rowanshift.placement.shadows import ring_position
 
 MIN_ATTEMPT_SECONDS = 0.02  # no attempt is made with less time left
--- a/rowanshift/dataplane/retry_decision.py
+++ b/rowanshift/dataplane/retry_decision.py
@@ -29,8 +29,8 @@
 class ExchangeOutcome(Enum):
     """How one exchange with a server ended."""
 
-    REQUEST_NOT_SENT = "the last byte of the request was not handed to the operating system"
-    NO_RESPONSE = "the request was sent, and the connection ended before a response"
+    REQUEST_NOT_SENT = "no server can have got the complete head of the request"
+    NO_RESPONSE = "the head of the request was sent, and the connection ended before a response"
     MALFORMED_RESPONSE = "the bytes received are no HTTP response"
     MISMATCHED_REQUEST_ID = "the response has another Request-Id, or none"
     SERVER_SILENT = "abandoned after a silence, because another server is available"
--- a/rowanshift/dataplane/server_attempt.py
+++ b/rowanshift/dataplane/server_attempt.py
@@ -17,18 +17,14 @@
 from rowanshift.dataplane.response_stream import relay_response
 from rowanshift.dataplane.response_writer import ClientDisconnected
 from rowanshift.dataplane.retry_decision import ClientResponse, Decision, ExchangeOutcome, decide
+from rowanshift.dataplane.server_exchange import ExchangeFailed, ExchangeFailure, ServerConnection, ServerExchange
 from rowanshift.dataplane.server_selection import ServerSelection, answers_for_another_server, back_off_after
 from rowanshift.dataplane.silence_monitor import SilenceMonitor
-from rowanshift.dataplane.upstream import (
-    AbandonCheck,
-    ExchangeFailed,
-    ExchangeFailure,
-    ServerConnection,
-    UpstreamPool,
-)
+from rowanshift.dataplane.upstream import UpstreamPool
 from rowanshift.transport.flow import Flow
 from rowanshift.transport.http_connection import Message
 
+MAX_RESEND_DELAY_SECONDS = 0.3  # a request is sent again with the same Deadline-Remaining for so long at most
 OVERDUE_WARNING_SECONDS = 0.2  # minimum interval between warnings of requests that began on overdue weights
 FAILURE_OUTCOMES = {
     ExchangeFailure.NOT_SENT: ExchangeOutcome.REQUEST_NOT_SENT,
@@ -94,9 +90,15 @@
         try:
             connection = connection or await self.upstream.acquire(endpoint, forwarded.deadline)
             self._check_choice(forwarded, connection, version)
-            await self.upstream.send_request(connection, data, forwarded.deadline)
-            request.attempted_servers.append(endpoint.id)
-            outcome = await self._receive(forwarded, connection, load, version)
+            try:
+                outcome = await self._exchange(forwarded, connection, data, load, version)
+            except ExchangeFailed as error:
+                if not self._was_ended_while_idle(connection, error):
+                    raise
+                self.upstream.close(connection)
+                connection = await self.upstream.connect(endpoint, forwarded.deadline)
+                self._check_choice(forwarded, connection, version)
+                outcome = await self._exchange(forwarded, connection, data, load, version)
             report = LOAD_REPORTS.get(outcome, DatagramKind.REQUEST_ABANDONED)
             return outcome
         except ExchangeFailed as error:
@@ -140,23 +142,48 @@
             self.upstream.put_idle(connection, now)
             raise ChoiceOutdated
 
+    async def _exchange(
+        self,
+        forwarded: ForwardedRequest,
+        connection: ServerConnection,
+        data: bytes,
+        load: ReportedRequest,
+        version: int,
+    ) -> ExchangeOutcome:
+        """Send the request and receive its response; the server counts as attempted once it may have begun."""
+        request = forwarded.request
+        abandon = partial(self.silence.check, forwarded, connection, version)
+        exchange = ServerExchange(self.upstream.runtime, connection, request.id, forwarded.deadline, abandon)
+        request.attempted_servers.append(connection.endpoint.id)
+        self.upstream.requests_sent += 1
+        try:
+            exchange.send(data, len(data) - len(request.body))
+            return await self._receive(forwarded, exchange, load, version)
+        except BaseException:  # a cancellation too: a router that shuts down tells whether the request may have run
+            if not exchange.may_have_begun:
+                request.attempted_servers.remove(connection.endpoint.id)
+            raise
+
+    @staticmethod
+    def _was_ended_while_idle(connection: ServerConnection, error: ExchangeFailed) -> bool:
+        """Whether a kept connection ended before the request reached its server, which a new one may reach."""
+        is_recent = trio.current_time() < connection.written_at + MAX_RESEND_DELAY_SECONDS
+        return error.failure is ExchangeFailure.NOT_SENT and bool(connection.idle_since) and is_recent
+
     async def _receive(
-        self, forwarded: ForwardedRequest, connection: ServerConnection, load: ReportedRequest, version: int
+        self, forwarded: ForwardedRequest, exchange: ServerExchange, load: ReportedRequest, version: int
     ) -> ExchangeOutcome:
         """Wait for the response, and relay it if it is final for the client."""
-        endpoint, upstream = connection.endpoint, self.upstream
-        request_id, deadline = forwarded.request.id, forwarded.deadline
-        abandon = partial(self.silence.check, forwarded, connection, version)
-        read_head = partial(upstream.read_head, connection, request_id, deadline, abandon)
-        response = await self.silence.wait(forwarded, connection, read_head)
+        endpoint = exchange.connection.endpoint
+        response = await self.silence.wait(forwarded, exchange.connection, exchange.read_head)
         endpoint.on_bytes_received(trio.current_time())
         if 200 <= response.status < 300 and response.flow is not None:
             self._warn_if_overdue(forwarded, endpoint, version)
             await self.loads.report_end(load, DatagramKind.FIRST_BYTES_RECEIVED)
-            return await self._relay_success(forwarded, connection, response, response.flow, abandon)
+            return await self._relay_success(forwarded, exchange, response, response.flow)
         outcome = forwarded.progress.outcome_of_status(response.status, b"not-executed" in dict(response.fields))
         decision = decide(forwarded.idempotency, outcome)
-        self._release(connection, response, decision)
+        self._release(exchange, response, decision)
         self._back_off(endpoint, response, outcome)
         if decision.client_response is ClientResponse.SERVER_RESPONSE and not decision.retry:
             await forwarded.writer.send_response(response, response.body)
@@ -165,26 +192,27 @@
     async def _relay_success(
         self,
         forwarded: ForwardedRequest,
-        connection: ServerConnection,
+        exchange: ServerExchange,
         response: Message,
         flow: Flow,
-        abandon: AbandonCheck,
     ) -> ExchangeOutcome:
         """Relay a successful response completely."""
-        read = partial(self.upstream.read_body, connection, flow, forwarded.deadline, abandon)
+        connection = exchange.connection
+        read = partial(exchange.read_body, flow)
         read_or_move = partial(self.silence.wait, forwarded, connection, read)
         await relay_response(forwarded, connection.endpoint, response, read_or_move)
         clean = connection.http.clean()
         outcome = ExchangeOutcome.SUCCESS if clean else ExchangeOutcome.SUCCESS_WITH_SURPLUS_BYTES
-        self._release(connection, response, decide(forwarded.idempotency, outcome))
+        self._release(exchange, response, decide(forwarded.idempotency, outcome))
         return outcome
 
-    def _release(self, connection: ServerConnection, response: Message, decision: Decision) -> None:
+    def _release(self, exchange: ServerExchange, response: Message, decision: Decision) -> None:
         """Return a connection to the pool, or close it, after a complete response."""
+        exchange.finish()
         if decision.keep_connection:
-            self.upstream.release(connection, response, trio.current_time())
+            self.upstream.release(exchange.connection, response, trio.current_time())
         else:
-            self.upstream.close(connection)
+            self.upstream.close(exchange.connection)
 
     def _back_off(self, endpoint: Endpoint, response: Message, outcome: ExchangeOutcome) -> None:
         """Send no more requests for a while to a server that rejected one."""
@@ -203,6 +231,13 @@
         if error.failure is ExchangeFailure.CLIENT_DISCONNECTED:
             raise ClientDisconnected from error
         if error.failure is ExchangeFailure.NOT_SENT:
+            logger.info(
+                "event=request_unsent server={} request={} connection={} why={!r}",
+                endpoint.id,
+                forwarded.request.id.decode("latin-1"),
+                "none" if connection is None else "kept" if connection.idle_since else "new",
+                str(error),
+            )
             return ExchangeOutcome.REQUEST_NOT_SENT
         logger.info(
             "event=send_failed server={} request={} outcome={} why={!r}",
--- a/rowanshift/dataplane/silence_monitor.py
+++ b/rowanshift/dataplane/silence_monitor.py
@@ -12,14 +12,14 @@
 from rowanshift.dataplane.control_state import ControlState
 from rowanshift.dataplane.forwarded_request import ForwardedRequest
 from rowanshift.dataplane.request_admission import RequestAdmission
-from rowanshift.dataplane.server_selection import ServerSelection
-from rowanshift.dataplane.upstream import (
+from rowanshift.dataplane.server_exchange import (
     ABANDON_CHECK_SECONDS,
     ExchangeFailed,
     ExchangeFailure,
     ServerConnection,
-    UpstreamPool,
 )
+from rowanshift.dataplane.server_selection import ServerSelection
+from rowanshift.dataplane.upstream import UpstreamPool
 from rowanshift.placement.shadows import back_off
 
 T = TypeVar("T")
@@ -49,7 +49,8 @@
         if not forwarded.idempotency.repeatable:
             return None
         now = trio.current_time()
-        silent = now - connection.endpoint.last_received_at > SERVER_SILENCE_SECONDS
+        last_progress_at = max(connection.endpoint.last_received_at, connection.written_at)
+        silent = now - last_progress_at > SERVER_SILENCE_SECONDS
         if not silent and not self._is_overdue(forwarded, connection, version, now):
             return None
         return ExchangeFailure.SERVER_SILENT if self.may_move(forwarded, now) else None
--- a/rowanshift/dataplane/upstream.py
+++ b/rowanshift/dataplane/upstream.py
@@ -1,72 +1,27 @@
-"""The pool of connections to model servers, and the exchange of one request and response on a connection.
+"""The pool of connections to model servers.
 
-A connection carries one exchange at a time. It returns to the pool only after a complete response without surplus
-bytes. Times are trio's, in seconds.
+A connection carries one exchange at a time (``server_exchange.py``). It returns to the pool only after a completely
+written request and a complete response without surplus bytes. Times are trio's, in seconds.
 """
 
 import errno
-from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 
 import httptools
 import trio
 
 from rowanshift.dataplane.endpoints import Endpoint
-from rowanshift.dataplane.errors import DataPlaneError
+from rowanshift.dataplane.server_exchange import ExchangeFailed, ExchangeFailure, ServerConnection
 from rowanshift.transport.descriptor_budget import DescriptorBudget
-from rowanshift.transport.flow import Flow
-from rowanshift.transport.http_connection import Connection, MalformedMessage, Message
+from rowanshift.transport.http_connection import Connection, Message
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Runtime
 
 CONNECT_TIMEOUT_SECONDS = 0.6
-DEFAULT_IDLE_SECONDS = 4.0  # idle connections are kept for this time if the server sends no Keep-Alive timeout
 KEEP_ALIVE_FRACTION = 0.85  # part of the server's Keep-Alive timeout, so that the router closes connections first
-ABANDON_CHECK_SECONDS = 0.5  # interval of checks whether to go on waiting for a response
 MAX_IDLE_CONNECTIONS = 64  # limit for one server
 MAX_BODY_BYTES = 1 << 18  # maximum body of a response that is not streamed
 
 
-class ExchangeFailure(Enum):
-    """How an exchange failed."""
-
-    NOT_SENT = "unsent"  # the request was not written completely: it can't have been executed
-    BROKEN = "broken"  # the connection ended after the request was written: it may have been executed
-    MALFORMED = "garbled"  # the received bytes are not an HTTP response
-    MISMATCHED = "mismatched"  # the response belongs to another request
-    TIMED_OUT = "late"  # the deadline passed
-    SERVER_SILENT = "silent"  # the server is abandoned for another one
-    CLIENT_DISCONNECTED = "client gone"  # the client no longer waits for the response
-
-
-AbandonCheck = Callable[[], ExchangeFailure | None]  # returns why to stop waiting for a response; None: wait on
-
-
-class ExchangeFailed(DataPlaneError):
-    """An exchange ended without a complete response; ``failure`` says how, the text why.
-
-    ``retry_decision`` decides whether the request may be retried.
-    """
-
-    def __init__(self, failure: ExchangeFailure, reason: str) -> None:
-        super().__init__(reason)
-        self.failure = failure
-
-
-@dataclass(slots=True, eq=False)
-class ServerConnection:
-    """One connection to a server, and the response being read from it."""
-
-    endpoint: Endpoint
-    http: Connection
-    idle_since: float = 0.0  # 0: it has not been idle yet
-    max_idle_seconds: float = DEFAULT_IDLE_SECONDS
-    response: Message | None = None
-    closed: bool = False
-    released: bool = False  # returned to the pool, which has kept or closed it
-
-
 class UpstreamPool:
     """Connections to servers: opened on demand, kept while idle, lent for one exchange at a time."""
 
@@ -144,7 +99,9 @@
         """Return a connection after a complete response; it is kept if it can be reused."""
         http, flow = connection.http, response.flow
         connection.released = True
-        if not http.kept or not http.clean() or (flow is not None and not flow.is_drained()):
+        rest_of_request_is_due = connection.request_unfinished or http.sending()
+        incomplete = flow is not None and not flow.is_drained()
+        if rest_of_request_is_due or not http.kept or not http.clean() or incomplete:
             self.close(connection)
             return
         http.release()
@@ -200,91 +157,3 @@
     def _is_stale(connection: ServerConnection, now: float) -> bool:
         idle_seconds = now - connection.idle_since
         return idle_seconds > connection.max_idle_seconds or connection.http.stream.readable()
-
-    # one exchange -----------------------------------------
-
-    async def send_request(self, connection: ServerConnection, data: bytes, deadline: float) -> None:
-        """Write a complete request; raises ``ExchangeFailed`` with NOT_SENT if its last byte was not written."""
-        http = connection.http
-        self.requests_sent += 1
-        complete = False
-        try:
-            with trio.CancelScope(deadline=deadline):
-                complete = http.push(data)
-                while not complete:
-                    await http.stream.wait_writable()
-                    complete = http.pump()
-        except (OSError, trio.ClosedResourceError) as error:
-            raise ExchangeFailed(ExchangeFailure.NOT_SENT, repr(error)) from error
-        if not complete:
-            raise ExchangeFailed(ExchangeFailure.NOT_SENT, "the deadline passed before the request was written")
-
-    async def read_head(
-        self, connection: ServerConnection, request_id: bytes, deadline: float, abandon: AbandonCheck
-    ) -> Message:
-        """Read a response's head, and its body unless that is streamed; raises ``ExchangeFailed`` if that fails.
-
-        ``abandon`` is called every ``ABANDON_CHECK_SECONDS``.
-        """
-        http = connection.http
-        while True:
-            try:
-                message, open_for_more = http.read_on()
-            except MalformedMessage as error:
-                raise ExchangeFailed(ExchangeFailure.MALFORMED, str(error)) from error
-            except (OSError, trio.ClosedResourceError) as error:
-                raise ExchangeFailed(ExchangeFailure.BROKEN, repr(error)) from error
-            if message is not None:
-                break
-            if not open_for_more:
-                raise ExchangeFailed(ExchangeFailure.BROKEN, "the server closed the connection before a response")
-            if http.read_filled_buffer:
-                continue
-            now = trio.current_time()
-            self._check_abandoned(now, deadline, abandon)
-            with trio.CancelScope(deadline=min(deadline, now + ABANDON_CHECK_SECONDS)):
-                await http.stream.wait_readable()
-        if dict(message.fields).get(b"request-id") != request_id:
-            raise ExchangeFailed(ExchangeFailure.MISMATCHED, "the response lacks the Request-Id of the request")
-        connection.response = message
-        return message
-
-    async def read_body(
-        self, connection: ServerConnection, flow: Flow, deadline: float, abandon: AbandonCheck
-    ) -> bytes:
-        """Return the next bytes of a response's body, b"" at its regular end.
-
-        Raises ``ExchangeFailed`` if the body is truncated. ``flow`` holds the bytes read so far. ``abandon`` is called
-        every ``ABANDON_CHECK_SECONDS``.
-        """
-        http = connection.http
-        while True:
-            if flow.pieces:
-                data = flow.pop()
-                return data + b"".join(flow.pop() for _ in range(len(flow.pieces)))
-            if flow.ended:
-                return b""
-            if http.error is not None:
-                raise ExchangeFailed(ExchangeFailure.MALFORMED, str(http.error))
-            open_for_more = True
-            try:
-                with trio.CancelScope(deadline=min(deadline, trio.current_time() + ABANDON_CHECK_SECONDS)) as scope:
-                    await http.stream.wait_readable()
-                if scope.cancelled_caught:
-                    self._check_abandoned(trio.current_time(), deadline, abandon)
-                    continue
-                open_for_more = http.read_body()
-            except (OSError, trio.ClosedResourceError) as error:
-                raise ExchangeFailed(ExchangeFailure.BROKEN, repr(error)) from error
-            if not open_for_more and not flow.ended and not flow.pieces:
-                raise ExchangeFailed(
-                    ExchangeFailure.BROKEN, "the server closed the connection within the response body"
-                )
-
-    @staticmethod
-    def _check_abandoned(now: float, deadline: float, abandon: AbandonCheck) -> None:
-        """Raise ``ExchangeFailed`` if the response is no longer worth waiting for."""
-        if (failure := abandon()) is not None:
-            raise ExchangeFailed(failure, "the response was abandoned")
-        if now >= deadline:
-            raise ExchangeFailed(ExchangeFailure.TIMED_OUT, "the deadline passed before the response was complete")
--- a/rowanshift/simulation/network.py
+++ b/rowanshift/simulation/network.py
@@ -48,6 +48,7 @@
     __slots__ = (
         "address",
         "arrived_at",
+        "arrived_bytes",
         "bytes_read",
         "closed_at",
         "eof",
@@ -80,7 +81,7 @@
         self.reader, self.writer = Waiter(machine), Waiter(machine)
         self.send_window = network.paths.window
         self.unread_bytes = 0  # in the inbox
-        self.wrote = self.bytes_read = 0  # total bytes sent and read
+        self.wrote = self.bytes_read = self.arrived_bytes = 0  # total bytes sent, read, and received from the peer
         self.latest_arrival = self.arrived_at = network.clock.time
         self.closed_at = float("inf")
         self.sent_at = self.latest_arrival  # send time of the first piece of the last read
@@ -166,6 +167,9 @@
     def age(self) -> float:
         return self.network.clock.time - self.arrived_at
 
+    def acknowledged(self) -> int | None:
+        return self.peer.arrived_bytes if self.peer is not None else None
+
     def end(self) -> None:
         self._check_usable()
         if not self.send_ended:
@@ -242,6 +246,7 @@
         if kind == "data":
             self.inbox.append((memoryview(data), sent_at))
             self.unread_bytes += len(data)
+            self.arrived_bytes += len(data)
         elif kind == "end":
             self.eof = True
         else:
--- a/rowanshift/transport/http_connection.py
+++ b/rowanshift/transport/http_connection.py
@@ -353,6 +353,11 @@
     def sending(self) -> bool:
         return bool(self.unsent or self.outbound)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes given to ``push`` that the stream has not accepted yet."""
+        return len(self.unsent) + len(self.outbound)
+
     # memory -----------------------------------------------
 
     def hold(self, size: int) -> bool:
--- a/rowanshift/transport/runtime.py
+++ b/rowanshift/transport/runtime.py
@@ -19,6 +19,7 @@
 
 import trio
 
+from rowanshift.process.error_groups import first_of
 from rowanshift.transport.signals import ReceivedSignal, received_signals
 from rowanshift.transport.sockets import Socket, SocketListener, SocketPort, bound
 from rowanshift.transport.streams import Address, Listener, Port, Stream
@@ -35,6 +36,22 @@
     def start_soon(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None: ...
 
 
+async def wait_readable_or_writable(runtime: "Runtime", stream: Stream) -> None:
+    """Wait until a stream can be read or written, or was closed."""
+
+    async def wait(event: Callable[[], Awaitable[None]]) -> None:
+        with suppress(trio.ClosedResourceError):
+            await event()
+        nursery.cancel_scope.cancel()
+
+    try:
+        async with runtime.nursery() as nursery:
+            nursery.start_soon(wait, stream.wait_readable)
+            nursery.start_soon(wait, stream.wait_writable)
+    except BaseExceptionGroup as group:  # a cancellation; callers expect it as such
+        raise first_of(group) from None
+
+
 class Runtime(Protocol):
     """The machine that a process runs on."""
 
--- a/rowanshift/transport/sockets.py
+++ b/rowanshift/transport/sockets.py
@@ -12,6 +12,7 @@
 
 RESET_AT_CLOSE = Struct("ii").pack(1, 0)  # SO_LINGER of 0 s: close sends a reset
 LAST_DATA_RECEIVED = Struct("52xI")  # tcpi_last_data_recv in Linux's tcp_info, in milliseconds
+BYTES_ACKNOWLEDGED = Struct("120xQ")  # tcpi_bytes_acked in Linux's tcp_info; it counts the opening packet as a byte
 
 
 class Socket(socket.socket):
@@ -48,6 +49,16 @@
         info = self.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
         return LAST_DATA_RECEIVED.unpack(info)[0] / 1000
 
+    def acknowledged(self) -> int | None:
+        """The bytes sent whose arrival the peer's system has acknowledged, maybe one more; None if unknown."""
+        if not hasattr(socket, "TCP_INFO"):
+            return None
+        try:
+            info = self.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, BYTES_ACKNOWLEDGED.size)
+        except OSError:
+            return None
+        return BYTES_ACKNOWLEDGED.unpack(info)[0] if len(info) == BYTES_ACKNOWLEDGED.size else None
+
     def end(self) -> None:
         self.shutdown(socket.SHUT_WR)
 
--- a/rowanshift/transport/streams.py
+++ b/rowanshift/transport/streams.py
@@ -52,6 +52,10 @@
         """Seconds since the last bytes arrived."""
         ...
 
+    def acknowledged(self) -> int | None:
+        """The bytes sent whose arrival the peer's system has acknowledged, maybe one more; ``None`` if unknown."""
+        ...
+
     def end(self) -> None:
         """End sending; the peer reads the end after the bytes that were sent."""
         ...
--- a/tests/dataplane/test_exchange_attempts.py
+++ b/tests/dataplane/test_exchange_attempts.py
@@ -6,8 +6,8 @@
 from loguru import logger
 
 from rowanshift.dataplane.endpoints import Endpoint
+from rowanshift.dataplane.server_exchange import ABANDON_CHECK_SECONDS, ServerConnection
 from rowanshift.dataplane.silence_monitor import SERVER_SILENCE_SECONDS
-from rowanshift.dataplane.upstream import ABANDON_CHECK_SECONDS, ServerConnection
 from tests.support.exchange_case import Case, Exchange, breaches, exchange, outcome
 from tests.support.exchange_rig import (
     CLIENT_DEADLINE_SECONDS,
@@ -71,7 +71,7 @@
             self.assertEqual([each[2] for each in results], [[]] * 8)
             self.assertEqual(stale_count, sum(each[0] == "own 502" for each in results))
 
-    def test_a_request_whose_last_byte_was_not_written_goes_elsewhere(self) -> None:
+    def test_a_request_whose_head_was_not_written_completely_goes_elsewhere(self) -> None:
         for kind in KINDS:
             results, stale_count = self.asked_on(kind, 2, 40)
             self.assertEqual(results, [("success", 1, [])] * 8)
--- a/tests/dataplane/test_exchange_faults.py
+++ b/tests/dataplane/test_exchange_faults.py
@@ -8,6 +8,7 @@
 
 import test_exchange_attempts
 import test_exchange_clients
+import test_exchange_early_answers
 import test_exchanges
 import trio
 from loguru import logger
@@ -16,8 +17,10 @@
 from rowanshift.dataplane.response_writer import ResponseWriter
 from rowanshift.dataplane.retry_decision import ClientResponse, Decision, ExchangeOutcome, RequestProgress
 from rowanshift.dataplane.server_attempt import ServerAttempts
+from rowanshift.dataplane.server_exchange import ExchangeFailed, ExchangeFailure, ServerConnection, ServerExchange
 from rowanshift.dataplane.silence_monitor import SilenceMonitor
-from rowanshift.dataplane.upstream import ExchangeFailed, ExchangeFailure, ServerConnection, UpstreamPool
+from rowanshift.dataplane.upstream import UpstreamPool
+from rowanshift.transport.buffer import RingBuffer
 from rowanshift.transport.http_connection import Connection
 
 
@@ -56,42 +59,86 @@
         self.assert_found(test_exchanges.Surplus, "test_directly_after_the_response", patch)
 
     def test_the_id_of_an_answer_is_not_compared(self) -> None:
-        original = UpstreamPool.read_head
+        original = ServerExchange.read_head
 
-        async def head(upstream: UpstreamPool, connection: ServerConnection, id: bytes, *more: Any) -> Any:
-            return await original(upstream, connection, AnyId(id), *more)
+        async def head(exchange: ServerExchange) -> Any:
+            exchange.request_id = AnyId(exchange.request_id)
+            return await original(exchange)
 
-        patch = mock.patch.object(UpstreamPool, "read_head", head)
+        patch = mock.patch.object(ServerExchange, "read_head", head)
         self.assert_found(test_exchanges.NoAnswers, "test_another_id_or_none", patch)
         self.assert_found(test_exchanges.SurplusBefore, "test_before_the_correct_response", patch)
         self.assert_found(test_exchanges.Surplus, "test_after_a_delay", patch)
 
     def test_a_reset_after_the_whole_write_counts_as_unsent(self) -> None:
-        original = UpstreamPool.send_request
-
-        async def send(upstream: UpstreamPool, connection: ServerConnection, data: bytes, until: float) -> None:
-            await original(upstream, connection, data, until)
-            await trio.sleep(0.02)
-            if connection.http.stream.failed:
-                raise ExchangeFailed(ExchangeFailure.NOT_SENT, "reset")
-
-        patch = mock.patch.object(UpstreamPool, "send_request", send)
+        patch = mock.patch.object(ServerExchange, "may_have_begun", False)
         self.assert_found(test_exchanges.AnswersBrokenOff, "test_reset_within_the_response_to_non_idempotent", patch)
         self.assert_found(test_exchanges.RequestsReadInPart, "test_the_request_was_written_completely", patch)
 
-    def test_the_last_byte_counts_as_unwritten(self) -> None:
-        """A send whose last write succeeded counts as unsent."""
-        original = Connection.pump
+    def test_a_request_counts_as_unsent_until_its_last_byte_is_written(self) -> None:
+        """A server may begin to work on a request from the last byte of its head on."""
+        original = ServerExchange.send
+
+        def send(exchange: ServerExchange, data: bytes, head_bytes: int) -> None:
+            original(exchange, data, len(data))
+
+        patch = mock.patch.object(ServerExchange, "send", send)
+        self.assert_found(test_exchanges.RequestsReadInPart, "test_a_small_window_leaves_a_part_unwritten", patch)
+        self.assert_found(test_exchange_early_answers.EndsWithoutAnAnswer, "test_closed_or_reset", patch)
+        self.assert_found(test_exchange_early_answers.EndsWithoutAnAnswer, "test_the_deadline_passes", patch)
+        self.assert_found(test_exchange_early_answers.EndsByTheRouterSide, "test_the_router_leaves", patch)
+
+    def test_the_last_byte_of_the_head_counts_as_unwritten(self) -> None:
+        original = ServerExchange.send
 
-        def pump(connection: Connection) -> bool:
-            complete = original(connection)
-            if complete and not connection.reads_requests and connection.stream.room == 0:
-                raise OSError("planted")
-            return complete
+        def send(exchange: ServerExchange, data: bytes, head_bytes: int) -> None:
+            original(exchange, data, head_bytes + 1)
 
-        patch = mock.patch.object(Connection, "pump", pump)
+        patch = mock.patch.object(ServerExchange, "send", send)
         self.assert_found(test_exchanges.RequestsReadInPart, "test_a_small_window_leaves_a_part_unwritten", patch)
 
+    def test_a_response_is_read_only_after_the_request_was_written(self) -> None:
+        original = ServerExchange.read_head
+
+        async def head(exchange: ServerExchange) -> Any:
+            while exchange.unwritten_bytes and trio.current_time() < exchange.deadline:
+                await trio.sleep(0.01)
+                exchange._write_on()
+            return await original(exchange)
+
+        patch = mock.patch.object(ServerExchange, "read_head", head)
+        self.assert_found(
+            test_exchange_early_answers.EarlyAnswers, "test_a_success_reaches_the_client_at_once_and_runs_once", patch
+        )
+
+    def test_a_connection_is_used_again_while_the_rest_of_a_body_is_due(self) -> None:
+        original = UpstreamPool.release
+
+        def release(upstream: UpstreamPool, connection: ServerConnection, *more: Any) -> None:
+            connection.request_unfinished = False
+            connection.http.unsent = memoryview(b"")
+            connection.http.outbound = RingBuffer()
+            original(upstream, connection, *more)
+
+        patch = mock.patch.object(UpstreamPool, "release", release)
+        self.assert_found(
+            test_exchange_early_answers.EarlyAnswers, "test_a_success_reaches_the_client_at_once_and_runs_once", patch
+        )
+
+    def test_a_reset_of_a_kept_connection_counts_as_its_end(self) -> None:
+        original = ServerExchange._failed
+
+        def failed(exchange: ServerExchange, *more: Any) -> ExchangeFailed:
+            exchange.closed_by_server = True
+            return original(exchange, *more)
+
+        patch = mock.patch.object(ServerExchange, "_failed", failed)
+        self.assert_found(test_exchange_early_answers.EndedWhileIdle, "test_a_reset_alone_proves_nothing", patch)
+
+    def test_the_end_of_a_kept_connection_proves_nothing(self) -> None:
+        patch = mock.patch.object(ServerExchange, "_ended_before_arrival", lambda exchange: False)
+        self.assert_found(test_exchange_early_answers.EndedWhileIdle, "test_a_closed_connection_makes_no_502", patch)
+
     def test_a_rejection_is_relayed_without_not_executed(self) -> None:
         original = RequestProgress.outcome_of_status
 
@@ -116,17 +163,17 @@
         )
 
     def test_a_truncated_stream_ends_as_complete(self) -> None:
-        original = UpstreamPool.read_body
+        original = ServerExchange.read_body
 
-        async def body(upstream: UpstreamPool, *arguments: Any) -> bytes:
+        async def body(exchange: ServerExchange, *arguments: Any) -> bytes:
             try:
-                return await original(upstream, *arguments)
+                return await original(exchange, *arguments)
             except ExchangeFailed as error:
                 if error.failure is ExchangeFailure.BROKEN:
                     return b""
                 raise
 
-        patch = mock.patch.object(UpstreamPool, "read_body", body)
+        patch = mock.patch.object(ServerExchange, "read_body", body)
         self.assert_found(test_exchanges.AnswersBrokenOff, "test_close_within_the_response_to_stream", patch)
 
     def test_a_reset_on_a_reused_connection_counts_as_unsent(self) -> None:
--- a/tests/dataplane/test_exchanges.py
+++ b/tests/dataplane/test_exchanges.py
@@ -1,10 +1,13 @@
 """Every way in surplus_kind an exchange with a server can end, at every byte boundary, for each kind of request."""
 
 import unittest
+from enum import Enum
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import test_exchange_attempts
+import test_exchange_early_answers
 import trio
 from loguru import logger
 
@@ -16,6 +19,7 @@
     RequestProgress,
     decide,
 )
+from rowanshift.dataplane.server_exchange import ServerExchange
 from tests.support.exchange_case import (
     CONNECTION_ENDINGS,
     IDEMPOTENCY_BY_KIND,
@@ -85,16 +89,27 @@
 _sweeps()
 
 
+class Written(Enum):
+    """How much of a request the router handed to the operating system."""
+
+    PART_OF_HEAD = 1
+    HEAD = 2  # and not all of the body
+    ALL = 3
+
+
 class RequestsReadInPart(Case):
-    """A server reads each number of bytes of the request in turn, then ends the connection or stays silent."""
+    """A server reads each number of bytes of the request in turn, then ends the connection or stays silent.
+
+    It may have begun to work on the request from the last byte of the head on.
+    """
 
-    def sweep(self, kind: str, then: AfterCut, window: int) -> set[bool]:
-        """Returns the set of answers to whether the router wrote the request's last byte to the socket."""
-        size = 0
+    def sweep(self, kind: str, then: AfterCut, window: int) -> set[Written]:
+        """Returns how much of the requests was written."""
+        size = head_size = 0
 
         async def main(rig: Rig) -> list:
-            nonlocal size
-            size = await written_size(rig, kind)
+            nonlocal size, head_size
+            size, head_size = await written_sizes(rig, kind)
             results = []
             for offset in range(1, size):
                 rig.close_idle_connections()
@@ -107,15 +122,19 @@
 
         seen = set()
         for offset, result, wrote in play(main, window=window):
-            written = wrote >= size
+            written = Written.ALL if wrote >= size else Written.HEAD if wrote >= head_size else Written.PART_OF_HEAD
             seen.add(written)
-            exchange_outcome = ExchangeOutcome.NO_RESPONSE if written else ExchangeOutcome.REQUEST_NOT_SENT
-            if then is AfterCut.SILENCE and written:
-                exchange_outcome = ExchangeOutcome.SERVER_SILENT if kind in REPEATABLE else ExchangeOutcome.TIMED_OUT
+            may_have_begun = written is not Written.PART_OF_HEAD
+            exchange_outcome = ExchangeOutcome.NO_RESPONSE if may_have_begun else ExchangeOutcome.REQUEST_NOT_SENT
+            if then is AfterCut.SILENCE:
+                if kind in REPEATABLE:
+                    exchange_outcome = ExchangeOutcome.SERVER_SILENT
+                elif may_have_begun:
+                    exchange_outcome = ExchangeOutcome.TIMED_OUT
             decision = decide(IDEMPOTENCY_BY_KIND[kind], exchange_outcome)
             wanted = expected(decision, False, decision.may_have_run)
-            if then is AfterCut.SILENCE and not written:  # no time remains for another server
-                wanted = "own 503"
+            if then is AfterCut.SILENCE and exchange_outcome is ExchangeOutcome.REQUEST_NOT_SENT:
+                wanted = "own 503"  # no time remains for another server
             got = outcome(kind, result.id, result.got)
             if (got, result.breaches) != (wanted, []):
                 self.mismatches.append(
@@ -127,31 +146,30 @@
     def test_the_request_was_written_completely(self) -> None:
         for kind in KINDS:
             for then in (AfterCut.RESET, AfterCut.CLOSE):
-                self.assertEqual(self.sweep(kind, then, 1 << 16), {True})
+                self.assertEqual(self.sweep(kind, then, 1 << 16), {Written.ALL})
 
     def test_a_small_window_leaves_a_part_unwritten(self) -> None:
         for kind in KINDS:
             for then in (AfterCut.RESET, AfterCut.CLOSE):
-                self.assertEqual(self.sweep(kind, then, 40), {True, False})
+                self.assertEqual(self.sweep(kind, then, 40), set(Written))
 
     def test_silence(self) -> None:
         for kind in ("idempotent", "non_idempotent"):
-            self.assertEqual(self.sweep(kind, AfterCut.SILENCE, 100), {True, False})
+            self.assertEqual(self.sweep(kind, AfterCut.SILENCE, 100), set(Written))
 
 
-async def written_size(rig: Rig, kind: str) -> int:
-    """The size in bytes of a request as sent to a server."""
+async def written_sizes(rig: Rig, kind: str) -> tuple[int, int]:
+    """The size in bytes of a request as sent to a server, and that of its head."""
     sizes = []
-    send_request = rig.upstream.send_request
+    original = ServerExchange.send
 
-    async def send(connection, data: bytes, until: float) -> None:
-        sizes.append(len(data))
-        await send_request(connection, data, until)
+    def send(sent: ServerExchange, data: bytes, head_bytes: int) -> None:
+        sizes.append((len(data), head_bytes))
+        original(sent, data, head_bytes)
 
     rig.request_count = 1000
-    rig.upstream.send_request = send
-    await exchange(rig, kind)
-    del rig.upstream.send_request
+    with mock.patch.object(ServerExchange, "send", send):
+        await exchange(rig, kind)
     return sizes[0]
 
 
@@ -505,15 +523,20 @@
                         self.mismatches.append(f"{kind}, {offset} of a {other} answer: {got} {result}")
 
 
+def table_rows(page: str, heading: str) -> tuple[tuple[str, ...], ...]:
+    """The cells of the table below a heading of the page, without its first line."""
+    return tuple(
+        tuple(cell.strip() for cell in line.strip("|").split("|"))
+        for line in page.split(heading)[1].split("\n## ")[0].splitlines()
+        if line.startswith("| ") and not line.startswith(("| how it ended ", "| --- "))
+    )
+
+
 class Page(unittest.TestCase):
     """``docs/exchanges.md`` against the table in the code, and against the tests above."""
 
     text = (Path(__file__).parents[2] / "docs" / "exchanges.md").read_text()
-    rows = tuple(
-        tuple(cell.strip() for cell in line.strip("|").split("|"))
-        for line in text.split("## The table")[1].split("\n## ")[0].splitlines()
-        if line.startswith("| ") and not line.startswith(("| how it ended ", "| --- "))
-    )
+    rows = table_rows(text, "## The table")
 
     def cell(self, decision: Decision) -> str:
         otherwise = decision.client_response.value
@@ -533,9 +556,10 @@
         self.assertEqual(len({row[0] for row in self.rows}), len(self.rows))
 
     def test_each_row_names_existing_tests(self) -> None:
-        for row in self.rows:
+        modules = vars(test_exchange_attempts) | vars(test_exchange_early_answers) | globals()
+        for row in (*self.rows, *table_rows(self.text, "## A request that is written in part")):
             for name in row[-1].split(", "):
-                self.assertTrue(issubclass(vars(test_exchange_attempts).get(name) or globals()[name], Case), row)
+                self.assertTrue(issubclass(modules[name], Case), row)
 
 
 class Table(unittest.TestCase):
--- a/tests/support/exchange_case.py
+++ b/tests/support/exchange_case.py
@@ -87,10 +87,12 @@
     breaches: list[str]
 
 
-async def exchange(rig: Rig, kind: str, *behaviours: Behaviour, within: float = CLIENT_DEADLINE_SECONDS) -> Exchange:
+async def exchange(
+    rig: Rig, kind: str, *behaviours: Behaviour, within: float = CLIENT_DEADLINE_SECONDS, body: str = ""
+) -> Exchange:
     id, client = rig.next_id(), Client(rig)
     rig.behaviours[:] = behaviours
-    got = await client.ask(kind, id, within=within)
+    got = await client.ask(kind, id, within=within, body=body)
     first = rig.arrivals[id][0] if rig.arrivals[id] else None
     connection_kept = first is not None and first.peer.state == "up"
     rig.behaviours.clear()
--- a/tests/support/exchange_rig.py
+++ b/tests/support/exchange_rig.py
@@ -75,6 +75,8 @@
     cut: int | None = None  # bytes of the response sent before ``then``; None: all
     then: AfterCut = AfterCut.GO_ON
     read: int | None = None  # bytes of the request read before ``then``; None: all, and it is executed
+    early: int | None = None  # bytes of the body read before the response; None: all
+    read_on_after: float = 0.0  # seconds after an early response, until the rest of the body is read
     runs: bool = True  # whether the request counts as executed
     surplus: bytes = b""  # sent after the response
     surplus_after: float = 0.0  # seconds after the response; 0: in the same write
@@ -155,6 +157,7 @@
     def __init__(self, rig: "Rig", machine: Machine, name: str) -> None:
         self.rig, self.machine, self.name = rig, machine, name
         self.connections: list[End] = []
+        self.bytes_per_read, self.read_pause = 1 << 16, 0.0  # of bodies that are read after an early response
 
     async def run(self) -> None:
         self.listener = self.machine.listen((self.machine.address, SERVER_PORT), 64)
@@ -178,6 +181,10 @@
                     self.rig.partly_read.append(stream.peer)
                     await self._end_connection(stream, behaviour.then)
                     return
+                if behaviour.early is not None:
+                    if not await self._answer_early(stream, buffer, behaviour):
+                        return
+                    continue
                 asked = await read_request(stream, buffer)
                 if asked is None:
                     return
@@ -189,6 +196,28 @@
             if not stream.closed():
                 stream.close()
 
+    async def _answer_early(self, stream: End, buffer: bytearray, behaviour: Behaviour) -> bool:
+        """Respond to a request before its body is read, then read on; whether the connection stays open."""
+        while b"\r\n\r\n" not in buffer:
+            if not await read_more(stream, buffer, 1):
+                return False
+        raw_head = bytes(buffer).removesuffix(b"\r\n\r\n")
+        buffer.clear()
+        while len(buffer) < behaviour.early:
+            if not await read_more(stream, buffer, behaviour.early - len(buffer)):
+                return False
+        asked = server_request(raw_head, b"")
+        if not await self._answer(stream, asked, behaviour):
+            return False
+        await trio.sleep(behaviour.read_on_after)
+        length = int(asked.fields[b"content-length"])
+        while len(buffer) < length and await read_more(stream, buffer, min(self.bytes_per_read, length - len(buffer))):
+            await trio.sleep(self.read_pause)
+        self.rig.bodies_read_on[asked.id] = bytes(buffer)
+        complete = len(buffer) == length
+        buffer.clear()
+        return complete
+
     async def _answer(self, stream: End, asked: ServerRequest, behaviour: Behaviour) -> bool:
         """Respond to a request; whether the connection stays open."""
         rig = self.rig
@@ -233,8 +262,8 @@
         count -= stream.recv_into(memoryview(bytearray(count)))
 
 
-async def read_more(stream: End, buffer: bytearray) -> bool:
-    space = bytearray(1 << 16)
+async def read_more(stream: End, buffer: bytearray, most: int = 1 << 16) -> bool:
+    space = bytearray(most)
     await stream.wait_readable()
     count = stream.recv_into(memoryview(space))
     buffer += space[:count]
@@ -253,8 +282,13 @@
             return None
         rest = bytes(buffer).partition(b"\r\n\r\n")[2]
     del buffer[: len(raw_head) + 4 + length]
+    return server_request(raw_head, rest[:length])
+
+
+def server_request(raw_head: bytes, body: bytes) -> ServerRequest:
+    fields = parse_fields(raw_head)
     kind = raw_head.split(b" ")[1].strip(b"/").decode()
-    return ServerRequest(fields[b"request-id"].decode(), fields, rest[:length], kind)
+    return ServerRequest(fields[b"request-id"].decode(), fields, body, kind)
 
 
 def parse_fields(raw_head: bytes) -> dict[bytes, bytes]:
@@ -266,9 +300,9 @@
 
 
 def request_bytes(
-    kind: str, id: str, within: float = CLIENT_DEADLINE_SECONDS, method: str = "POST", *more: str
+    kind: str, id: str, within: float = CLIENT_DEADLINE_SECONDS, method: str = "POST", *more: str, body: str = ""
 ) -> bytes:
-    body = f"for {id}"
+    body = body or f"for {id}"
     lines = [
         f"{method} /{kind}/ HTTP/1.1",
         "Host: h",
@@ -457,6 +491,7 @@
             list
         )  # servers' ends of connections, by request id in order of arrival
         self.server_statuses: dict[str, set[int]] = defaultdict(set)  # keyed by request id
+        self.bodies_read_on: dict[str, bytes] = {}  # by request id, of requests answered early
         self.partly_read: list[End] = []  # the router's ends of connections whose request was read in part
         self.finished = trio.Event()
         self.servers = [Server(self, self._machine(f"server-{n}"), f"s{n}") for n in range(servers)]
@@ -479,6 +514,7 @@
         ]
         endpoints.apply_listed(self.endpoints)
         budget, memory = DescriptorBudget(4096, 0), MemoryBudget(512)
+        self.memory = memory
         upstream = UpstreamPool(self.router, budget, memory)
         self.state = FixedState(endpoints, routing_table())
         front = Frontend(
