--- a/rowanshift/cacheproxy/clients.py
+++ b/rowanshift/cacheproxy/clients.py
@@ -471,7 +471,7 @@
         client.deadline, client.reply_status = trio.current_time() + WRITE_TIMEOUT_SECONDS, reply.status
         connection = client.connection
         if client.upload is not None:  # The reply precedes the end of the request, whose rest is not parsed.
-            client.upload.give_up()
+            client.upload.cancel()
             client.upload, client.keep_alive, client.rejected = None, False, True
         client.reply_flow = reply.flow
         client.chunked = reply.flow is not None and reply.length is None and not client.http_1_0
