--- a/rowanshift/cacheproxy/servers.py
+++ b/rowanshift/cacheproxy/servers.py
@@ -16,7 +16,7 @@
 from rowanshift.transport.flow import LAST_CHUNK, Flow, framed
 from rowanshift.transport.http_connection import Connection, MalformedMessage, Message
 from rowanshift.transport.memory_budget import MemoryBudget
-from rowanshift.transport.runtime import SYSTEM_RUNTIME, Nursery, Runtime
+from rowanshift.transport.runtime import SYSTEM_RUNTIME, Nursery, Runtime, wait_readable_or_writable
 
 REMARKS = {b"hit": 1, b"miss": 2, b"pending": 3}  # the decision module's numbers for the values of x-found
 OVERTAKEN_LIMIT = 8  # A hand-off without a response is reported once so many later ones have ended.
@@ -242,6 +242,10 @@
             return Verdict.MOOT  # The request expired first, which does not count against the server.
         return Verdict.UNREACHABLE
 
+    def _verdict_without_response(self, link: Link) -> Verdict:
+        """The verdict on a hand-off whose connection ended before a response."""
+        return Verdict.RESET if link.request_written else self._verdict_if_unwritten(link)
+
     def _start_request(self, link: Link) -> None:
         """Writes what the kernel accepts of the request at once; the connection's task writes the rest."""
         hand_off = link.hand_off
@@ -286,9 +290,13 @@
                 ):
                     if connection.sending():
                         with trio.move_on_at(stalls_at):
-                            await connection.stream.wait_writable()
+                            await wait_readable_or_writable(self.runtime, connection.stream)
                         link.write_failed = trio.current_time() >= stalls_at
+                        early = connection.stream.readable()
+                        unsent = connection.unsent_bytes
                         connection.pump()
+                        if connection.unsent_bytes < unsent:
+                            stalls_at = trio.current_time() + BODY_STALL_SECONDS
                     elif flow.pieces:
                         if not consumed:
                             consumed = True
@@ -313,7 +321,7 @@
             link.deadline = self.clock.deadline(hand_off.deadline)
         elif flow.aborted or flow.cancelled:  # The client side ended it, which does not count against the server.
             self._finish(link, Verdict.MOOT)
-        elif early:
+        elif early or (link.write_failed and connection.stream.readable()):
             self._continue_read(link)
         elif link.write_failed or link.scope.cancelled_caught:
             self._finish(link, self._verdict_if_unwritten(link))
@@ -348,14 +356,16 @@
         """Waits for the next event on an established connection and handles it."""
         stream, writing = link.connection.stream, link.hand_off is not None and not link.request_written
         with trio.CancelScope(deadline=link.deadline) as link.scope:
-            if not link.write_failed and not link.withdrawn:
-                await (stream.wait_writable() if writing else stream.wait_readable())
+            if writing and not link.write_failed and not link.withdrawn:
+                await wait_readable_or_writable(self.runtime, stream)
+            elif not link.write_failed and not link.withdrawn:
+                await stream.wait_readable()
         if link.hand_off is None:  # The server closed it or sent unrequested bytes, or the idle timeout is over.
             if not link.closed and not (link.scope.cancelled_caught and trio.current_time() < link.deadline):
                 self._close(link)
         elif link.withdrawn:
             self._finish(link, Verdict.WITHDRAWN)
-        elif not link.request_written:
+        elif not link.request_written and not stream.readable():
             self._continue_write(link)
         elif link.scope.cancelled_caught and not link.connection.stream.readable():
             if trio.current_time() >= link.deadline:  # A response that stalls halfway counts as malformed.
@@ -379,7 +389,7 @@
         try:
             message, open_for_more = link.connection.read_on()
         except OSError:
-            self._finish(link, Verdict.RESET)
+            self._finish(link, self._verdict_without_response(link))
         except MalformedMessage as error:  # The server is reachable and may have run the request.
             logger.info("event=response_malformed server={} error={!r}", link.hand_off.server, error)
             self._finish(link, Verdict.ERROR)
@@ -389,7 +399,7 @@
             elif message is not None:
                 self._finish(link, verdict_of(message), message)
             elif not open_for_more:
-                self._finish(link, Verdict.RESET)
+                self._finish(link, self._verdict_without_response(link))
             else:
                 link.response_begun = True
                 stalls_at = trio.current_time() + self.stall_timeout
--- a/tests/cacheproxy/test_bodies.py
+++ b/tests/cacheproxy/test_bodies.py
@@ -1,5 +1,6 @@
 """Long request and response bodies, in all framings of HTTP/1.1 and split into pieces of any size."""
 
+import contextlib
 import socket
 from functools import partial
 
@@ -360,6 +361,59 @@
     assert run_proxy(script) == [Verdict.UNREACHABLE]
 
 
+EARLY_RESPONSE = OK + b"Content-Length: 5\r\n\r\nearly"
+AT_ONCE_SECONDS = 3
+
+
+def test_an_early_response_reaches_a_client_that_is_still_sending():
+    # Guards against a client that gets the end of its connection in place of a response.
+    async def script(proxy):
+        client, accept = await proxy.connect()
+        await client.send_all(request(b"PUT", b"Content-Length: %d" % len(LONG)) + LONG[: WHOLE * 2])
+        server = await accept()
+        await read_until(server, size=WHOLE)
+        await server.send_all(EARLY_RESPONSE)
+        with trio.fail_after(AT_ONCE_SECONDS):
+            answer = await read_until(client, b"early")
+        await client.send_all(LONG[WHOLE * 2 :])
+        await client.aclose()
+        await read_until(server)
+        await trio.sleep(0.05)
+        return (
+            answer[:15],
+            b"Connection: close" in answer,
+            proxy.events,
+            proxy.memory.available == proxy.memory.capacity,
+        )
+
+    assert run_proxy(script) == (b"HTTP/1.1 200 OK", True, ["consumed", Verdict.FINISHED], True)
+
+
+def test_an_early_response_is_read_while_its_server_reads_nothing():
+    # Guards against a response that waits until the rest of a long request is written, and for the verdict that it
+    # never ran.
+    async def script(proxy):
+        client, accept = await proxy.connect()
+        size = 16 * 2**20
+        await client.send_all(request(b"PUT", b"Content-Length: %d" % size) + bytes(2 * WHOLE))
+        server = await accept()
+
+        async def upload():
+            with contextlib.suppress(trio.BrokenResourceError):
+                await client.send_all(bytes(size - 2 * WHOLE))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(upload)
+            await trio.sleep(0.5)  # the buffers between the client and its server are full
+            await server.send_all(EARLY_RESPONSE)
+            with trio.fail_after(AT_ONCE_SECONDS):
+                answer = await read_until(client, b"early")
+            nursery.cancel_scope.cancel()
+        return answer[:15], proxy.events
+
+    assert run_proxy(script) == (b"HTTP/1.1 200 OK", ["consumed", Verdict.FINISHED])
+
+
 def test_a_long_request_whose_client_disconnects_is_not_completed():
     async def script(proxy):
         client, accept = await proxy.connect()
--- a/tests/cacheproxy/test_network.py
+++ b/tests/cacheproxy/test_network.py
@@ -387,6 +387,20 @@
     assert run_with_server(script) == [Verdict.UNREACHABLE]
 
 
+@pytest.mark.parametrize("closes", [False, True])
+def test_a_response_to_a_request_that_is_written_in_part_is_read(closes):
+    # Guards against a second hand-off of a request that a server has already answered.
+    async def script(harness):
+        await harness.start_hand_off(3.0, bytes(60_000_000), b"PUT")
+        server = harness.accept()
+        server.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        if closes:
+            server.close()
+        return await harness.wait_for_verdicts()
+
+    assert run_with_server(script) == [Verdict.FINISHED]
+
+
 @pytest.mark.parametrize(("server_closes", "connections"), [(False, 1), (True, 2)])
 def test_an_idle_connection_is_reused_unless_the_server_closed_it(server_closes, connections):
     async def script(harness):
