--- a/rowanshift/transport/call_client.py
+++ b/rowanshift/transport/call_client.py
@@ -10,7 +10,7 @@
 
 from rowanshift.transport.http_connection import Connection, Fields, MalformedMessage, Message
 from rowanshift.transport.memory_budget import MemoryBudget
-from rowanshift.transport.runtime import Runtime
+from rowanshift.transport.runtime import Runtime, wait_readable_or_writable
 from rowanshift.transport.streams import Address, connect, send_all
 
 DEFAULT_TIMEOUT_SECONDS = 2.0
@@ -99,6 +99,23 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+async def send_call(runtime: Runtime, connection: Connection, data: bytes) -> bool:
+    """Write a call until it is complete or something has arrived; whether it is complete.
+
+    A peer may respond before it has read a long body, and may then end the connection. Raises ``OSError``.
+    """
+    stream = connection.stream
+    complete = connection.push(data)
+    while not complete and not stream.readable():
+        await wait_readable_or_writable(runtime, stream)
+        try:
+            complete = connection.pump()
+        except OSError:
+            if not stream.readable():
+                raise
+    return complete
+
+
 async def read_response(connection: Connection) -> Message:
     """The next complete response. Raises ``OSError`` if the connection ends before it."""
     while True:
@@ -130,8 +147,7 @@
     try:
         with trio.move_on_after(timeout_seconds):
             await connect(stream, address)
-            await send_all(stream, encode_call(address, method, target, body, fields, False))
-            sent = True
+            sent = await send_call(runtime, connection, encode_call(address, method, target, body, fields, False))
             message = await read_response(connection)
     except (OSError, MalformedMessage, trio.ClosedResourceError) as error:
         raise CallFailed(
