--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -26,14 +26,13 @@
 from rowanshift.transport.http_connection import Connection, MalformedMessage, Message
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Nursery
-from rowanshift.transport.streams import Listener, Stream
+from rowanshift.transport.streams import Listener, Stream, discard_input
 
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 MAX_ACCEPTS_PER_TURN = 16  # connections
 ACCEPT_RETRY_SECONDS = 0.02  # pause after a failed accept
 BODY_TIMEOUT_SECONDS = 10.0  # maximum time for receiving a request's body
 ERROR_LINGER_SECONDS = 0.5  # input is read for this time after a 4xx: closing at once might reset the connection
-LINGER_BUFFER_BYTES = 1 << 16
 DENIAL_STATUSES = (401, 404)  # refusals by this router that are final for the client
 CONFIRMATION_WAIT_SECONDS = 0.6  # maximum wait for confirmed state before a request is denied
 UNCONFIRMED_RETRY_AFTER_SECONDS = 0.3  # Retry-After of a denial whose state could not be confirmed
@@ -254,12 +253,8 @@
         try:
             await writer.refuse(Refusal(error.status, str(error)))
             connection.stream.end()
-            buffer = memoryview(bytearray(LINGER_BUFFER_BYTES))
             with trio.move_on_after(ERROR_LINGER_SECONDS):
-                while True:
-                    await connection.stream.wait_readable()
-                    if not connection.stream.recv_into(buffer):
-                        return
+                await discard_input(connection.stream)
         except ClientDisconnected:
             writer.outcome = RequestOutcome.CLIENT_DISCONNECTED
         except (OSError, trio.ClosedResourceError):
--- a/rowanshift/transport/call_server.py
+++ b/rowanshift/transport/call_server.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -14,13 +15,14 @@
 from rowanshift.transport.http_response import Response, error_body, unavailable
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Nursery
-from rowanshift.transport.streams import Listener, Stream, send_all
+from rowanshift.transport.streams import Listener, Stream, discard_input, send_all
 
 MAX_CALLERS = 256  # open connections; further ones are closed if none is idle
 CALL_TIMEOUT_SECONDS = 10.0  # maximum time for reading a complete request, and for writing its response
 IDLE_TIMEOUT_SECONDS = 15.0  # connections that are idle for longer are closed
 SHUTDOWN_CHECK_SECONDS = 0.01  # interval of checks for open calls during a shutdown
 LAST_WRITES_SECONDS = 0.1  # time for writing the responses to calls that a shutdown has cancelled
+MALFORMED_CALL_SECONDS = 1.0  # time for the response to a malformed call, and for reading the rest of it
 ACCEPT_ERROR_PAUSE_SECONDS = 0.02
 LOGGED_BYTES = 80  # maximum length of an unknown target in the log
 
@@ -172,8 +174,7 @@
                 keep = await self._serve_call(connection, message) and message.keep
                 self.calls_in_progress.pop(connection, None)
         except MalformedMessage as error:
-            with trio.move_on_after(1.0):
-                await send_all(stream, Response(error.status, error_body(str(error))).encode(False))
+            await self._reject_malformed(stream, error)
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception:
@@ -183,6 +184,14 @@
             self.calls_in_progress.pop(connection, None)
             connection.close()
 
+    @staticmethod
+    async def _reject_malformed(stream: Stream, error: MalformedMessage) -> None:
+        """Send the status of a malformed call and discard its rest: closing at once might reset the connection."""
+        with suppress(OSError, trio.ClosedResourceError), trio.move_on_after(MALFORMED_CALL_SECONDS):
+            await send_all(stream, Response(error.status, error_body(str(error))).encode(False))
+            stream.end()
+            await discard_input(stream)
+
     async def _read_call(self, connection: Connection) -> Message | None:
         until = trio.current_time() + IDLE_TIMEOUT_SECONDS
         while not connection.closed():
--- a/rowanshift/transport/streams.py
+++ b/rowanshift/transport/streams.py
@@ -15,6 +15,7 @@
 
 Address = tuple[str, int]  # IP and port
 ACCEPT_RETRY_SECONDS = 0.02
+DISCARD_BUFFER_BYTES = 1 << 16
 
 
 class Stream(Protocol):
@@ -137,6 +138,18 @@
             await stream.wait_writable()
 
 
+async def discard_input(stream: Stream) -> None:
+    """Read and discard until the peer ends its sending. Raises ``OSError``; the caller limits the time."""
+    discarded = memoryview(bytearray(DISCARD_BUFFER_BYTES))
+    while True:
+        await stream.wait_readable()
+        try:
+            if not stream.recv_into(discarded):
+                return
+        except BlockingIOError:
+            continue
+
+
 async def receive(stream: Stream, ring: RingBuffer) -> int:
     """Wait for bytes and append them to the ring; returns their number, 0 if the peer has ended its sending."""
     while True:
