--- a/rowanshift/dataplane/kv_transfers.py
+++ b/rowanshift/dataplane/kv_transfers.py
@@ -7,9 +7,10 @@
 from collections import OrderedDict
 from typing import NamedTuple, Protocol
 
+from rowanshift.dataplane.cache_pools import cache_salt
 from rowanshift.dataplane.endpoints import Endpoint
-from rowanshift.dataplane.requests import Request, cache_salt
-from rowanshift.dataplane.routing_table import RoutingTable, Tenant
+from rowanshift.dataplane.requests import Request
+from rowanshift.dataplane.routing_table import RoutingTable
 from rowanshift.kv_index.block_hashes import block_hash, presence_hash, store_for_prefix
 from rowanshift.placement.shadows import ServerPool, accepts_requests
 
@@ -62,13 +63,11 @@
         self.state = state
         self.saved_until: OrderedDict[int, float] = OrderedDict()  # keyed by block hash, the oldest first
 
-    def plan(
-        self, request: Request, tenant: Tenant | None, version: int, source: Endpoint | None, now: float
-    ) -> KvTransfer:
+    def plan(self, request: Request, pool: bytes, version: int, source: Endpoint | None, now: float) -> KvTransfer:
         """The transfers of a request for a server with this version of the weights (0: unknown).
 
-        ``source`` is a server that may hold its shared blocks. ``now`` is in seconds. A planned save counts as done for
-        ``SAVE_REPEAT_SECONDS``.
+        ``pool`` is its pool of blocks, ``source`` a server that may hold its shared blocks. ``now`` is in seconds. A
+        planned save counts as done for ``SAVE_REPEAT_SECONDS``.
         """
         shared_blocks = request.prompt_blocks[:-1]
         if not shared_blocks or not version:
@@ -77,7 +76,7 @@
         store = self._store_of(shared_blocks[-1][0])
         if store is None or request.shared_tokens < MIN_STORE_TRANSFER_TOKENS:
             return KvTransfer(source_address, None)
-        salt = cache_salt(tenant, version).decode("latin-1")
+        salt = cache_salt(pool, version).decode("latin-1")
         hashes = [block_hash(store, request.model, salt, block_id.decode("latin-1")) for block_id, _ in shared_blocks]
         missing = [hash_ for hash_ in hashes if hash_ not in self.state.stored_block_hashes]
         store_address = store.encode()
--- a/rowanshift/dataplane/requests.py
+++ b/rowanshift/dataplane/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from rowanshift.dataplane.cache_pools import SHARED_POOL_OF_ALL, cache_salt
 from rowanshift.dataplane.routing_table import Route, Tenant
 from rowanshift.transport.http_connection import Fields, MalformedMessage, Message
 
@@ -85,6 +86,7 @@
     fetch_address: bytes | None = None  # where the server may fetch shared prompt blocks
     save_address: bytes | None = None  # the store that the server saves them to
     priority: int | None = None
+    cache_pool: bytes = SHARED_POOL_OF_ALL  # the pool of prefix blocks that the request uses
 
 
 def parse_request(message: Message, now: float) -> Request:
@@ -166,11 +168,6 @@
     return text.isdigit() and len(text) <= MAX_TOKEN_COUNT_DIGITS
 
 
-def cache_salt(tenant: Tenant | None, version: int) -> bytes:
-    """The salt that separates prefix caches: they are never shared between versions, nor with an isolated tenant."""
-    return b"v%d.%s" % (version, tenant.name if tenant is not None and tenant.isolated else b"")
-
-
 def serialize_request(request: Request, tenant: Tenant | None, server_fields: ServerFields) -> bytes:
     """Encode a request as it is sent to a server."""
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
@@ -183,11 +180,12 @@
         lines.append(b"Last-Event-Id: " + server_fields.last_event_id)
     if server_fields.version:
         lines.append(b"Expect-Version: %d" % server_fields.version)
-        lines.append(b"Cache-Salt: " + cache_salt(tenant, server_fields.version))
-        if server_fields.fetch_address is not None:
-            lines.append(b"Kv-Fetch: " + server_fields.fetch_address)
-        if server_fields.save_address is not None:
-            lines.append(b"Kv-Save: " + server_fields.save_address)
+    if server_fields.version or server_fields.cache_pool:
+        lines.append(b"Cache-Salt: " + cache_salt(server_fields.cache_pool, server_fields.version))
+    if server_fields.version and server_fields.fetch_address is not None:
+        lines.append(b"Kv-Fetch: " + server_fields.fetch_address)
+    if server_fields.version and server_fields.save_address is not None:
+        lines.append(b"Kv-Save: " + server_fields.save_address)
     if server_fields.priority is not None:
         lines.append(b"Priority: %d" % server_fields.priority)
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
--- a/rowanshift/dataplane/routing_table.py
+++ b/rowanshift/dataplane/routing_table.py
@@ -10,6 +10,7 @@
 import msgspec
 import orjson
 
+from rowanshift.dataplane.cache_pools import SHARED_POOL_OF_ALL, shared_pool, tenant_pool
 from rowanshift.dataplane.errors import UnreadableConfiguration
 
 STREAMING, IDEMPOTENT = "streaming", "idempotent"  # route types
@@ -99,6 +100,8 @@
     header_timeout: float = DEFAULT_HEADER_TIMEOUT_MS / 1000  # seconds
     idle_timeout: float = DEFAULT_IDLE_TIMEOUT_MS / 1000  # seconds
     requires_keys: bool = False  # whether every request needs an API key
+    isolated_tenants: frozenset[bytes] = frozenset()  # their names
+    shared_pool: bytes = SHARED_POOL_OF_ALL  # the pool of prefix blocks of the other tenants
 
     def find_route(self, host: bytes, path: bytes) -> Route | None:
         """The route that matches the host and the longest prefix of the path; ``None`` if there is none."""
@@ -107,6 +110,15 @@
                 return route
         return None
 
+    def cache_pool(self, tenant: Tenant | None) -> bytes:
+        """The pool of prefix blocks that a request uses.
+
+        ``tenant`` may be from an earlier configuration, under which the request was admitted.
+        """
+        if tenant is not None and (tenant.isolated or tenant.name in self.isolated_tenants):
+            return tenant_pool(tenant.name)
+        return self.shared_pool
+
 
 def parse_routing_table(revision: int, config: bytes, versions: dict[str, int]) -> RoutingTable:
     """Parse a configuration in JSON; empty bytes give an empty table. Raises ``UnreadableConfiguration``."""
@@ -117,6 +129,7 @@
         limits = document.get("limits") or {}
         tenants = document.get("tenants")
         routes = parse_routes(document.get("routes") or ())
+        isolated_tenants = frozenset(row["name"].encode() for row in tenants or () if row.get("isolated"))
         has_public_route = any(route.public for routes_of_host in routes.values() for route in routes_of_host)
         return RoutingTable(
             revision,
@@ -128,6 +141,8 @@
             header_timeout=float(limits.get("headerTimeoutMs") or DEFAULT_HEADER_TIMEOUT_MS) / 1000,
             idle_timeout=float(limits.get("idleTimeoutMs") or DEFAULT_IDLE_TIMEOUT_MS) / 1000,
             requires_keys=tenants is not None and not has_public_route,
+            isolated_tenants=isolated_tenants,
+            shared_pool=shared_pool(isolated_tenants),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableConfiguration(repr(error)) from error
--- a/rowanshift/dataplane/server_attempt.py
+++ b/rowanshift/dataplane/server_attempt.py
@@ -81,7 +81,8 @@
         """
         request = forwarded.request
         version = endpoint.versions.get(request.model, 0)
-        data = self._serialize(forwarded, endpoint, version)
+        pool = self.state.routing_table.cache_pool(forwarded.tenant)
+        data = self._serialize(forwarded, endpoint, version, pool)
         self.counts.retries += forwarded.reached_server
         endpoint.on_request_sent(trio.current_time())
         load = await self.loads.report_sent(endpoint.id, max(1, request.token_count.prompt))
@@ -89,7 +90,7 @@
         connection, forwarded.reserved_connection = forwarded.reserved_connection, None
         try:
             connection = connection or await self.upstream.acquire(endpoint, forwarded.deadline)
-            self._check_choice(forwarded, connection, version)
+            self._check_choice(forwarded, connection, version, pool)
             try:
                 outcome = await self._exchange(forwarded, connection, data, load, version)
             except ExchangeFailed as error:
@@ -97,7 +98,7 @@
                     raise
                 self.upstream.close(connection)
                 connection = await self.upstream.connect(endpoint, forwarded.deadline)
-                self._check_choice(forwarded, connection, version)
+                self._check_choice(forwarded, connection, version, pool)
                 outcome = await self._exchange(forwarded, connection, data, load, version)
             report = LOAD_REPORTS.get(outcome, DatagramKind.REQUEST_ABANDONED)
             return outcome
@@ -111,12 +112,12 @@
             endpoint.on_request_ended()
             await self.loads.report_end(load, report)
 
-    def _serialize(self, forwarded: ForwardedRequest, endpoint: Endpoint, version: int) -> bytes:
+    def _serialize(self, forwarded: ForwardedRequest, endpoint: Endpoint, version: int, cache_pool: bytes) -> bytes:
         """Encode the request as it is sent to the server."""
         request, tenant, now = forwarded.request, forwarded.tenant, trio.current_time()
         pool = self.selection.pool(forwarded)
         near = transfer_source(pool, request, forwarded.ring_position, version, endpoint, now)
-        fetch, save = self.kv_transfers.plan(request, tenant, version, near, now)
+        fetch, save = self.kv_transfers.plan(request, cache_pool, version, near, now)
         server_fields = ServerFields(
             endpoint.id,
             forwarded.deadline - now,
@@ -125,17 +126,21 @@
             fetch,
             save,
             effective_priority(forwarded.route, tenant),
+            cache_pool,
         )
         return serialize_request(request, tenant, server_fields)
 
-    def _check_choice(self, forwarded: ForwardedRequest, connection: ServerConnection, version: int) -> None:
-        """Check whether the server may still get the request.
+    def _check_choice(
+        self, forwarded: ForwardedRequest, connection: ServerConnection, version: int, cache_pool: bytes
+    ) -> None:
+        """Check whether the server may still get the request, with blocks of the same pool.
 
         Raises ``ChoiceOutdated``, after returning the connection to the pool, if not; ``Refusal`` if the request is no
         longer admitted.
         """
         now = trio.current_time()
         valid = self.selection.is_still_valid(forwarded, connection.endpoint, version, now)
+        valid = valid and cache_pool == self.state.routing_table.cache_pool(forwarded.tenant)
         if valid and not (forwarded.may_have_run or forwarded.writer.started):
             valid = self.admission.admit(forwarded.request) == Admission(forwarded.route, forwarded.tenant)
         if not valid:
--- a/rowanshift/kv_index/block_hashes.py
+++ b/rowanshift/kv_index/block_hashes.py
@@ -14,7 +14,12 @@
 
 def block_hash(holder: str, model: str, salt: str, block_id: str) -> int:
     """The 64-bit hash of a block at the holder with this address (IP:PORT)."""
-    return stable_hash(f"{holder}|{model}|{salt}|{block_id}")
+    return stable_hash("|".join([holder, *(escaped(part) for part in (model, salt, block_id))]))
+
+
+def escaped(text: str) -> str:
+    """The text without separators; different texts stay different."""
+    return text.replace("%", "%25").replace("|", "%7C")
 
 
 def presence_hash(holder: str) -> int:
--- a/tests/dataplane/test_kv_transfers.py
+++ b/tests/dataplane/test_kv_transfers.py
@@ -4,10 +4,11 @@
 import unittest
 from types import SimpleNamespace
 
+from rowanshift.dataplane.cache_pools import SHARED_POOL_OF_ALL, tenant_pool
 from rowanshift.dataplane.endpoints import Endpoint
 from rowanshift.dataplane.kv_transfers import KvTransferPlanner
 from rowanshift.dataplane.requests import ServerFields, parse_request, serialize_request
-from rowanshift.dataplane.routing_table import RoutingTable, Service, Tenant
+from rowanshift.dataplane.routing_table import RoutingTable, Service
 from rowanshift.kv_index.block_hashes import block_hash, presence_hash
 from rowanshift.transport.http_connection import Message
 
@@ -37,7 +38,7 @@
 
     def encode(self, stored, prefix, source, tenant=None):
         request = self.request(prefix)
-        fetch, save = self.planner(stored).plan(request, tenant, 3, source, 1.0)
+        fetch, save = self.planner(stored).plan(request, SHARED_POOL_OF_ALL, 3, source, 1.0)
         data = serialize_request(request, tenant, ServerFields("i-1", 2.0, 3, None, fetch, save, 5))
         lines = data.split(b"\r\n")
         transfers = [line for line in lines if line.startswith((b"Kv-Fetch: ", b"Kv-Save: "))]
@@ -76,18 +77,18 @@
     def test_saved_blocks_are_not_saved_again_at_once(self):
         planner, request = self.planner({presence_hash(self.STORES[0])}), self.request(b"a:100,b:1")
         address = self.STORES[0].encode()
-        save = [planner.plan(request, None, 3, None, at)[1] for at in (1.0, 2.0, 20.0)]
+        save = [planner.plan(request, SHARED_POOL_OF_ALL, 3, None, at)[1] for at in (1.0, 2.0, 20.0)]
         self.assertEqual(save, [address, None, address])
-        self.assertEqual(planner.plan(request, Tenant(b"t", None, True), 3, None, 20.0)[1], address)
+        self.assertEqual(planner.plan(request, tenant_pool(b"t"), 3, None, 20.0)[1], address)
         self.assertEqual(planner.plan(request, None, 0, None, 40.0), (None, None))
 
     def test_some_blocks_are_fetched_from_the_store_that_holds_them(self):
         address, home = self.STORES[0].encode(), Endpoint("i-0", "s", "10.0.2.1:80", "z", 1, {"m": 3})
         stored = {presence_hash(self.STORES[0]), block_hash(self.STORES[0], "m", "v3.", "a")}
         planner = self.planner(stored)
-        self.assertEqual(planner.plan(self.request(b"a:100,b:1"), None, 3, None, 1.0), (address, None))
-        self.assertEqual(planner.plan(self.request(b"a:100,b:1"), None, 3, home, 1.0), (address, None))
-        fetch, save = planner.plan(self.request(b"a:100,c:50,b:1"), None, 3, home, 1.0)
+        self.assertEqual(planner.plan(self.request(b"a:100,b:1"), SHARED_POOL_OF_ALL, 3, None, 1.0), (address, None))
+        self.assertEqual(planner.plan(self.request(b"a:100,b:1"), SHARED_POOL_OF_ALL, 3, home, 1.0), (address, None))
+        fetch, save = planner.plan(self.request(b"a:100,c:50,b:1"), SHARED_POOL_OF_ALL, 3, home, 1.0)
         self.assertEqual((fetch, save), (home.address.encode(), address))
 
 
--- a/tests/dataplane/test_requests.py
+++ b/tests/dataplane/test_requests.py
@@ -6,11 +6,11 @@
 
 import orjson
 
+from rowanshift.dataplane.cache_pools import cache_salt
 from rowanshift.dataplane.errors import UnreadableConfiguration
 from rowanshift.dataplane.requests import (
     MAX_DEADLINE_MS,
     ServerFields,
-    cache_salt,
     effective_priority,
     parse_prompt_blocks,
     parse_request,
@@ -399,11 +399,14 @@
             self.assertNotIn(b"secret", data)
 
     def test_salts(self):
+        table = RoutingTable(1)
         tenants = (None, Tenant(b"a", None, False), Tenant(b"b", 1, False))
         isolated = (Tenant(b"a", None, True), Tenant(b"b", None, True), Tenant(b"1.a", None, True))
         for version in (1, 2, 11):
-            self.assertEqual(len({cache_salt(tenant, version) for tenant in tenants}), 1)
-        salts = [cache_salt(tenant, version) for version in (1, 2, 11, 12) for tenant in (None, *isolated)]
+            self.assertEqual(len({cache_salt(table.cache_pool(tenant), version) for tenant in tenants}), 1)
+        salts = [
+            cache_salt(table.cache_pool(tenant), version) for version in (1, 2, 11, 12) for tenant in (None, *isolated)
+        ]
         self.assertEqual(len(set(salts)), len(salts))
 
     def test_without_a_version_there_are_no_cache_fields(self):
--- a/tests/simulation/test_system_simulation.py
+++ b/tests/simulation/test_system_simulation.py
@@ -670,7 +670,7 @@
             await trio.sleep(2)
 
         self.assert_found(
-            "WALL", scenario, mock.patch.object(requests, "cache_salt", lambda tenant, version: b"v%d" % version)
+            "WALL", scenario, mock.patch.object(requests, "cache_salt", lambda pool, version: b"v%d" % version)
         )
 
     def test_router_keeps_its_first_configuration(self):
