--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -32,6 +32,7 @@
 MAX_ACCEPTS_PER_TURN = 16  # connections
 ACCEPT_RETRY_SECONDS = 0.02  # pause after a failed accept
 BODY_TIMEOUT_SECONDS = 10.0  # maximum time for receiving a request's body
+LIMITS_CHECK_SECONDS = 2.0  # a connection that waits for a request learns of changed limits within this time
 ERROR_LINGER_SECONDS = 0.5  # input is read for this time after a 4xx: closing at once might reset the connection
 DENIAL_STATUSES = (401, 404)  # refusals by this router that are final for the client
 CONFIRMATION_WAIT_SECONDS = 0.6  # maximum wait for confirmed state before a request is denied
@@ -221,28 +222,35 @@
             self.reading.discard(client)
 
     async def _next_message(self, client: ClientConnection) -> Message | None:
-        connection, routing_table = client.http, self.state.routing_table
-        connection.body_limit_bytes = routing_table.max_body_bytes
-        until, started_at = trio.current_time() + routing_table.idle_timeout, 0.0
+        """Read until a request is complete, by the limits in force; those at the end of its head bind its body."""
+        connection = client.http
+        idle_since, started_at = trio.current_time(), 0.0
         while True:
+            limits = self.state.routing_table
+            if connection.in_head:
+                connection.body_limit_bytes = limits.max_body_bytes
             if (message := connection.next()) is not None:
                 return message
             now = trio.current_time()
             if connection.partial:
                 self.reading.add(client)
                 started_at = started_at or now
-                until = started_at + (routing_table.header_timeout if connection.in_head else BODY_TIMEOUT_SECONDS)
+                until = started_at + (limits.header_timeout if connection.in_head else BODY_TIMEOUT_SECONDS)
+                if now >= until and not connection.stream.readable():
+                    raise MalformedMessage(408, "the request was not received completely in time")
                 self.idle.pop(client, None)
-            elif not connection.pending():
-                self.idle[client] = None
-            with trio.CancelScope(deadline=until) as client.scope:
+            else:
+                until = idle_since + limits.idle_timeout
+                if now >= until and not connection.stream.readable():
+                    return None
+                if not connection.pending():
+                    self.idle[client] = None
+            with trio.CancelScope(deadline=min(until, now + LIMITS_CHECK_SECONDS)) as client.scope:
                 await connection.stream.wait_readable()
             if client.scope.cancelled_caught and not connection.stream.readable():
-                if connection.partial and now < until:
-                    continue
-                if connection.partial:
-                    raise MalformedMessage(408, "the request was not received completely in time")
-                return None
+                if not connection.partial and client not in self.idle:  # it was chosen to be closed
+                    return None
+                continue
             self.idle.pop(client, None)
             if not connection.receive():
                 return None
