--- a/rowanshift/transport/signals.py
+++ b/rowanshift/transport/signals.py
@@ -38,7 +38,8 @@
         """Wait for the next signal."""
         while not self.pending:
             await self.waiting.park()
-        return self.pending.pop(next(iter(self.pending)))
+        received = [*self.pending.values()]  # copied in one bytecode instruction: a handler may run between two
+        return self.pending.pop(received[0].number)
 
 
 @contextmanager
