--- a/rowanshift/controlplane/prefix_store_follower.py
+++ b/rowanshift/controlplane/prefix_store_follower.py
@@ -16,6 +16,7 @@
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Nursery, Runtime
 from rowanshift.transport.streams import Address
+from rowanshift.transport.supervision import run_supervised
 
 HOLDINGS_UPDATE_SECONDS = 0.25  # interval between updates of the combined holdings of all stores
 EVENTS_LONG_POLL_MS = 1000  # maximum time for which a store may hold a request for events
@@ -56,7 +57,10 @@
             wanted = self.store_addresses() if self.replica_runner.lease_remaining() else set()
             for address in wanted - self.holders.keys():
                 self.holders[address] = BlockHolder("{}:{}".format(*address))
-                nursery.start_soon(self._follow_store, address, self.holders[address])
+                name = "prefix_store_{}:{}".format(*address)
+                nursery.start_soon(
+                    run_supervised, self.runtime.pause, name, self._follow_store, address, self.holders[address]
+                )
             for address in self.holders.keys() - wanted:
                 del self.holders[address]
             self._update_holdings()
@@ -70,15 +74,17 @@
     async def _follow_store(self, address: Address, holder: BlockHolder) -> None:
         """Poll one store until it is removed from ``holders``."""
         connection = PersistentCaller(self.runtime, self.memory, address)
-        while self.holders.get(address) is holder:
-            requested_at = trio.current_time()
-            try:
-                await self._poll_store(connection, address, holder)
-            except (CallFailed, MalformedHoldings, ValueError) as error:
-                self._discard_holdings(address, holder, error)
-                await self.runtime.pause(STORE_RETRY_SECONDS)
-            await self.runtime.pause(max(0.0, requested_at + EVENTS_INTERVAL_SECONDS - trio.current_time()))
-        connection.close()
+        try:
+            while self.holders.get(address) is holder:
+                requested_at = trio.current_time()
+                try:
+                    await self._poll_store(connection, address, holder)
+                except (CallFailed, MalformedHoldings, ValueError) as error:
+                    self._discard_holdings(address, holder, error)
+                    await self.runtime.pause(STORE_RETRY_SECONDS)
+                await self.runtime.pause(max(0.0, requested_at + EVENTS_INTERVAL_SECONDS - trio.current_time()))
+        finally:
+            connection.close()
 
     async def _poll_store(self, connection: PersistentCaller, address: Address, holder: BlockHolder) -> None:
         """Request the complete list of the store, or the events since the last response, and apply the response."""
--- a/rowanshift/controlplane/singleton_tasks.py
+++ b/rowanshift/controlplane/singleton_tasks.py
@@ -18,6 +18,7 @@
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Nursery, Runtime
 from rowanshift.transport.streams import Address
+from rowanshift.transport.supervision import run_supervised
 
 ROLLOUT_FRACTION = 0.85  # fraction of ``versionMs`` after which an announced version should be on all servers
 
@@ -39,6 +40,7 @@
         store_addresses: Callable[[], set[Address]],
         on_change: Callable[[], None],
     ) -> None:
+        self.runtime = runtime
         self.rollout_seconds = ROLLOUT_FRACTION * settings.bounds.version_ms / 1000
         self.registry = ServerRegistry(rollout_seconds=self.rollout_seconds)
         self.endpoint_list = EndpointListReader(
@@ -62,9 +64,10 @@
 
     def start(self, nursery: Nursery) -> None:
         """Start the tasks; they run until the nursery is cancelled."""
-        nursery.start_soon(self.endpoint_list.run)
-        nursery.start_soon(self.rollout.run, nursery)
-        nursery.start_soon(self.prefix_stores.run, nursery)
+        pause = self.runtime.pause
+        nursery.start_soon(run_supervised, pause, "endpoint_list", self.endpoint_list.run)
+        nursery.start_soon(run_supervised, pause, "rollout", self.rollout.run, nursery)
+        nursery.start_soon(run_supervised, pause, "prefix_stores", self.prefix_stores.run, nursery)
 
     def reset(self) -> None:
         """Discard the state of the tasks, because the primary has changed; the endpoint list is read again.
--- a/rowanshift/controlplane/version_rollout.py
+++ b/rowanshift/controlplane/version_rollout.py
@@ -85,6 +85,8 @@
             succeeded = await self._order(server, model, version)
         except CallFailed as error:
             logger.info("event=order_failed server={} why={!r}", server.id, str(error))
+        except Exception:  # of one order; the others go on
+            logger.exception("event=task_failed task=load server={}", server.id)
         if registry is not self.registry():  # the primary has changed since
             return
         if succeeded:
--- a/rowanshift/dataplane/service.py
+++ b/rowanshift/dataplane/service.py
@@ -25,6 +25,7 @@
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import SYSTEM_RUNTIME, Runtime
 from rowanshift.transport.signals import ReceivedSignal
+from rowanshift.transport.supervision import run_supervised
 from rowanshift.wire.machine_ids import machine_id_from_ip
 
 ROLE = "dataplane"
@@ -161,7 +162,7 @@
                     self.drain,
                     self.outcomes,
                 )
-                nursery.start_soon(self.loads.run)
+                nursery.start_soon(run_supervised, runtime.pause, "load_index", self.loads.run)
                 readiness = CallServer({b"/readiness": Readiness(self)}, memory)
                 nursery.start_soon(self._on_signals, signals)
                 nursery.start_soon(
@@ -170,7 +171,7 @@
                     nursery,
                     runtime.pause,
                 )
-                nursery.start_soon(self.control_client.run)
+                nursery.start_soon(run_supervised, runtime.pause, "control_client", self.control_client.run)
                 nursery.start_soon(self._watch_clock)
                 listener = runtime.listen(settings.required_address("frontend"), LISTEN_BACKLOG)
                 nursery.start_soon(self.frontend.accept, listener, nursery, runtime.pause)
