--- a/rowanshift/controlplane/configuration_checks.py
+++ b/rowanshift/controlplane/configuration_checks.py
@@ -5,6 +5,7 @@
 - A route with neither ``backend`` nor ``trafficSplit`` has no service and is invalid. If a route has both, the traffic
   split applies, and the services of both must exist.
 - Hostnames are compared case-insensitively, including the port; path prefixes are compared case-sensitively.
+- The address of a prefix store is IP:PORT; one to which nobody could connect is invalid.
 - Duplicate names of services or routes are no error; the last service with a given name takes effect.
 """
 
@@ -12,9 +13,12 @@
 
 from collections.abc import Sequence
 
-from rowanshift.controlplane.configuration import Configuration, Route, Tenant, TrafficSplit
+from rowanshift.controlplane.configuration import BackendService, Configuration, Route, Tenant, TrafficSplit
 from rowanshift.controlplane.errors import InvalidConfiguration
 from rowanshift.controlplane.revision_match import check_revision_bounds
+from rowanshift.process.addresses import EXPECTED_ADDRESS, parse_ip_port
+
+MAX_QUOTED_CHARACTERS = 64  # of an invalid value in an error
 
 
 def check_configuration(configuration: Configuration) -> None:
@@ -22,6 +26,16 @@
     check_revision_bounds(configuration.revision)
     _check_routes(configuration.routes, {service.name for service in configuration.backends})
     _check_tenants(configuration.tenants or ())
+    _check_services(configuration.backends)
+
+
+def _check_services(services: Sequence[BackendService]) -> None:
+    """Check that somebody could connect to the address of each prefix store."""
+    for index, service in enumerate(services):
+        address = service.kv_store_address
+        if address and parse_ip_port(address) is None:
+            reason = f"expected {EXPECTED_ADDRESS}, found {address[:MAX_QUOTED_CHARACTERS]!r}"
+            raise InvalidConfiguration(f"backends[{index}].kvStoreAddress", reason)
 
 
 def _check_routes(routes: Sequence[Route], service_names: set[str]) -> None:
--- a/rowanshift/controlplane/model_server_client.py
+++ b/rowanshift/controlplane/model_server_client.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from rowanshift.controlplane.registered_server import RegisteredServer
+from rowanshift.process.addresses import EXPECTED_ADDRESS, parse_ip_port
 from rowanshift.transport.call_client import CallFailed, call
 from rowanshift.transport.memory_budget import MemoryBudget
 from rowanshift.transport.runtime import Runtime
@@ -123,10 +124,12 @@
 
 def address_of(server: RegisteredServer) -> Address:
     """Return the IP and port of a server. Raises ``CallFailed`` if its listed address is not ``IP:PORT``."""
-    ip, _, port = server.address.rpartition(":")
-    if not (ip and port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536):
-        raise CallFailed(f"address in the endpoint list: expected IP:PORT, found {server.address[:64]!r}", False)
-    return ip, int(port)
+    address = parse_ip_port(server.address)
+    if address is None:
+        raise CallFailed(
+            f"address in the endpoint list: expected {EXPECTED_ADDRESS}, found {server.address[:64]!r}", False
+        )
+    return address
 
 
 def incarnation_field(server: RegisteredServer) -> list[tuple[bytes, bytes]]:
--- a/rowanshift/controlplane/state_publication.py
+++ b/rowanshift/controlplane/state_publication.py
@@ -11,6 +11,7 @@
 from rowanshift.controlplane.control_state import ControlState, unpack
 from rowanshift.controlplane.replication import Replica
 from rowanshift.dataplane.routing_table import parse_routing_table
+from rowanshift.process.addresses import parse_ip_port
 from rowanshift.transport.streams import Address
 
 
@@ -81,11 +82,13 @@
 
 
 def prefix_store_addresses(state: ControlState) -> set[Address]:
-    """Return the addresses of the prefix stores among the services of the configuration."""
+    """Return the addresses of the prefix stores among the services of the configuration.
+
+    A configuration on a disk may be from a program that accepted addresses to which nobody can connect.
+    """
     routing_table = parse_routing_table(state.revision, state.config, state.versions)
     addresses: set[Address] = set()
     for service in routing_table.services.values():
-        ip, _, port = service.store_address.rpartition(":")
-        if ip and port.isdigit():
-            addresses.add((ip, int(port)))
+        if (address := parse_ip_port(service.store_address)) is not None:
+            addresses.add(address)
     return addresses
--- a/rowanshift/dataplane/upstream.py
+++ b/rowanshift/dataplane/upstream.py
@@ -65,7 +65,7 @@
                 self.descriptors.release_server()
             else:
                 self.close(connection)
-            if isinstance(error, OSError):
+            if isinstance(error, (OSError, ValueError, OverflowError)):  # also an address that is no IP:PORT
                 raise ExchangeFailed(ExchangeFailure.NOT_SENT, repr(error)) from error
             raise
         if not connected:
--- a/rowanshift/transport/streams.py
+++ b/rowanshift/transport/streams.py
@@ -108,7 +108,10 @@
 
 async def connect(stream: Stream, address: Address) -> None:
     """Connect a stream. Raises ``OSError``; the caller limits the time."""
-    error_number = stream.connect_ex(address)
+    try:
+        error_number = stream.connect_ex(address)
+    except OverflowError as error:  # a port that no socket address can hold
+        raise OSError(errno.EADDRNOTAVAIL, str(error)) from error
     if error_number == errno.EINPROGRESS:
         await stream.wait_writable()
         error_number = stream.dialled()
