--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -275,7 +275,9 @@
         id = dict(message.fields).get(b"request-id", b"").decode("latin-1")
         logger.debug("event=request_read request={}", id)
         tracked = self.outcomes.track(id, client.connected_at, client.requests_read, trio.current_time())
-        writer = ResponseWriter(client.http, message.keep and not self.drain.draining, message.old)
+        writer = ResponseWriter(
+            client.http, message.keep and not self.drain.draining, message.old, message.method == b"HEAD"
+        )
         try:
             return await self._respond(message, writer)
         except MalformedMessage as error:
--- a/rowanshift/dataplane/server_attempt.py
+++ b/rowanshift/dataplane/server_attempt.py
@@ -186,7 +186,9 @@
             self._warn_if_overdue(forwarded, endpoint, version)
             await self.loads.report_end(load, DatagramKind.FIRST_BYTES_RECEIVED)
             return await self._relay_success(forwarded, exchange, response, response.flow)
-        outcome = forwarded.progress.outcome_of_status(response.status, b"not-executed" in dict(response.fields))
+        outcome = ExchangeOutcome.SUCCESS  # of a response without a body
+        if response.status >= 300:
+            outcome = forwarded.progress.outcome_of_status(response.status, b"not-executed" in dict(response.fields))
         decision = decide(forwarded.idempotency, outcome)
         self._release(exchange, response, decision)
         self._back_off(endpoint, response, outcome)
--- a/rowanshift/dataplane/server_exchange.py
+++ b/rowanshift/dataplane/server_exchange.py
@@ -96,6 +96,7 @@
         ``head_bytes`` is the size of the head, at the start of ``data``.
         """
         self.request_bytes, self.head_bytes = len(data), head_bytes
+        self.connection.http.response_has_no_body = data.startswith(b"HEAD ")
         self.connection.request_unfinished = False
         self._write(lambda: self.connection.http.push(data))
         self.connection.written_at = trio.current_time()
--- a/rowanshift/transport/http_connection.py
+++ b/rowanshift/transport/http_connection.py
@@ -103,6 +103,7 @@
         self.read_filled_buffer = False  # whether the last read filled the free space, so that more may be waiting
         self.held_bytes = 0  # bytes of bodies acquired from the memory budget
         self.owes_continue = False  # a pipelined request waits for 100 Continue behind one that is not answered yet
+        self.response_has_no_body = False  # the next response answers HEAD: its head is all of it
         self.reset_on_close = False  # the response ends with the connection; a plain close would make it look complete
         self._start()
 
@@ -260,28 +261,47 @@
         elif (
             length is not None
             and length > self.body_limit_bytes
+            and not self.response_has_no_body
             and (self.reads_requests or not self._may_stream_body())
         ):
             self._fail(413, f"{self.body_limit_bytes >> 10} KiB is the maximum body size")
         elif self.reads_requests:
-            message.method = self.parser.get_method()
-            if sum(name == b"host" for name, _ in message.fields) != 1 and version == "1.1":
-                self._fail(400, "exactly one Host header is required")
-            elif framing_fields.get(b"expect", b"").lower() == b"100-continue" and not self.unsent:
-                if self.complete_messages:  # the client would read it as part of the response to an earlier request
-                    self.owes_continue = True
-                else:
-                    self.push(GO_AHEAD)
+            self._on_request_head(framing_fields.get(b"expect", b""), version)
         else:
-            if not framing_fields and message.status >= 200 and message.status not in NO_BODY:
-                self.body_ends_at_close = True
-            if (self.stream_success_bodies and 200 <= message.status < 300) or (
-                length is not None and length > WHOLE and self._may_stream_body()
-            ):
-                self._begin_body_stream()
+            self._on_response_head(bool(framing_fields), length)
         if self.error is not None:
             raise self.error
 
+    def _on_request_head(self, expect: bytes, version: str) -> None:
+        message = self.message
+        message.method = self.parser.get_method()
+        if sum(name == b"host" for name, _ in message.fields) != 1 and version == "1.1":
+            self._fail(400, "exactly one Host header is required")
+        elif expect.lower() == b"100-continue" and not self.unsent:
+            if self.complete_messages:  # the client would read it as part of the response to an earlier request
+                self.owes_continue = True
+            else:
+                self.push(GO_AHEAD)
+
+    def _on_response_head(self, is_framed: bool, length: int | None) -> None:
+        status = self.message.status
+        if self.response_has_no_body and status >= 200:
+            self._end_at_head()
+            return
+        if not is_framed and status >= 200 and status not in NO_BODY:
+            self.body_ends_at_close = True
+        is_success = 200 <= status < 300
+        is_long = length is not None and length > WHOLE and self._may_stream_body()
+        if is_long or (self.stream_success_bodies and is_success):
+            self._begin_body_stream()
+
+    def _end_at_head(self) -> None:
+        """Complete a response at its head, and stop: the parser would take what follows for its body."""
+        message, self.message = self.message, Message()
+        message.keep = self.kept = self.partial = False
+        self.complete_messages.append(message)
+        self._fail(502, "bytes follow a response without a body")
+
     def _may_stream_body(self) -> bool:
         """Whether a long body may be streamed: that of a request, or of a 200 response."""
         return self.flows and (self.reads_requests or self.message.status == 200)
