--- a/rowanshift/transport/http_connection.py
+++ b/rowanshift/transport/http_connection.py
@@ -261,7 +261,7 @@
         elif (
             length is not None
             and length > self.body_limit_bytes
-            and not self.response_has_no_body
+            and not (self.response_has_no_body or message.status in NO_BODY)
             and (self.reads_requests or not self._may_stream_body())
         ):
             self._fail(413, f"{self.body_limit_bytes >> 10} KiB is the maximum body size")
