--- a/rowanshift/controlplane/endpoint_list.py
+++ b/rowanshift/controlplane/endpoint_list.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 import trio
@@ -24,6 +25,7 @@
 LIST_MIN_PAUSE_SECONDS = 0.05  # minimum pause after a read, even if it took longer than the interval
 LIST_PAGE_TIMEOUT_SECONDS = 1.0
 MAX_LIST_PAGES = 400
+MAX_LOGGED_ID_CHARACTERS = 80
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,12 +95,27 @@
         if self.replica_runner.lease_remaining() and self.registry().apply_list(entries):
             self.on_change()
 
+    def _parse_entry(self, entry: Any) -> RegisteredServer | None:
+        """Parse an entry; an invalid one leaves its server as it is known, and is passed over if it isn't known.
+
+        Raises ``BadEndpointList`` if the entry doesn't say which server it is about: the server must not seem gone.
+        """
+        try:
+            return parse_registered_server(entry)
+        except BadEndpointList as error:
+            server_id = entry.get("id") if isinstance(entry, dict) else None
+            if not server_id or not isinstance(server_id, str):
+                raise
+            logger.info("event=list_entry_invalid server={} why={!r}", server_id[:MAX_LOGGED_ID_CHARACTERS], str(error))
+            known = self.registry().servers.get(server_id)
+            return None if known is None else replace(known, versions=dict(known.versions))
+
     async def _read_pages(self, address: Address) -> list[RegisteredServer]:
         """Return all entries of the list. Raises ``CallFailed`` and ``BadEndpointList``."""
         servers: list[RegisteredServer] = []
         page_token: str | None = None
         for _ in range(MAX_LIST_PAGES):
-            target = b"/instances" if page_token is None else b"/instances?pageToken=" + page_token.encode()
+            target = b"/instances" if page_token is None else b"/instances?pageToken=" + quote(page_token, "").encode()
             self.pages_requested += 1
             response = await call(
                 self.runtime, self.memory, address, b"GET", target, timeout_seconds=LIST_PAGE_TIMEOUT_SECONDS
@@ -106,7 +123,7 @@
             if response.status != 200:
                 raise BadEndpointList(f"expected status 200, found {response.status}")
             page = ListPage.parse(response.body)
-            servers += [parse_registered_server(entry) for entry in page.entries]
+            servers += [server for entry in page.entries if (server := self._parse_entry(entry)) is not None]
             if not page.next_token:
                 return servers
             page_token = page.next_token
--- a/rowanshift/controlplane/registered_server.py
+++ b/rowanshift/controlplane/registered_server.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rowanshift.controlplane.control_state import MAX_REVISION
 from rowanshift.controlplane.errors import BadEndpointList
 from rowanshift.wire.control_updates import SERVER_DRAINING, SERVER_LOADING, SERVER_UP, ServerRecord
 
 MAX_LISTED_TEXT_CHARACTERS = 1024  # maximum length of an id, an address or another string in the list
-LISTED_NUMBER_LIMIT = 1 << 53  # exclusive upper bound of slots and revisions in the list
+LISTED_NUMBER_LIMIT = 1 << 53  # exclusive upper bound of slots in the list
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,8 +69,8 @@
         raise BadEndpointList(
             f"invalid entry: expected strings of at most {MAX_LISTED_TEXT_CHARACTERS} characters, found a longer one"
         )
-    if not all(0 <= number < LISTED_NUMBER_LIMIT for number in (server.slots, *versions.values())):
-        raise BadEndpointList(
-            f"{server.id}: expected slots and revisions from 0 to {LISTED_NUMBER_LIMIT - 1}, found one out of range"
-        )
+    if not 0 <= server.slots < LISTED_NUMBER_LIMIT:
+        raise BadEndpointList(f"{server.id}: expected slots from 0 to {LISTED_NUMBER_LIMIT - 1}, found {server.slots}")
+    if not all(0 <= revision <= MAX_REVISION for revision in versions.values()):
+        raise BadEndpointList(f"{server.id}: expected revisions from 0 to {MAX_REVISION}, found one out of range")
     return server
--- a/tests/controlplane/test_endpoint_list.py
+++ b/tests/controlplane/test_endpoint_list.py
@@ -118,6 +118,31 @@
         self.assertEqual(self.read(FakePlatform({b"/instances": page("b")}, status=429)), ["a"])
         self.assertEqual(self.registry.serial, 1)
 
+    def test_a_bad_row_hides_no_other_and_leaves_its_own_server_as_it_was(self) -> None:
+        """Guards against one row that makes the whole list unreadable."""
+        self.read(FakePlatform({b"/instances": page("a", "b")}))
+        entry = {"id": "b", "backend": "s", "address": "10.0.1.1:80"}
+        for change in (
+            {"slots": 1 << 53},
+            {"models": 3},
+            {"models": [{"name": "m", "revision": 1 << 63}]},
+            {"zone": "z" * 2000},
+        ):
+            instances = [
+                {"id": "a", "backend": "s", "address": "10.0.1.1:80"},
+                entry | change,
+                entry | change | {"id": "new"},
+            ]
+            platform = FakePlatform({b"/instances": orjson.dumps({"instances": instances})})
+            self.assertEqual(self.read(platform), ["a", "b"], change)
+        largest = entry | {"models": [{"name": "m", "revision": (1 << 63) - 1}]}
+        self.read(FakePlatform({b"/instances": orjson.dumps({"instances": [largest]})}))
+        self.assertEqual(self.registry.servers["b"].versions, {"m": (1 << 63) - 1})
+
+    def test_the_token_of_the_next_page_is_escaped(self) -> None:
+        pages = {b"/instances": page("a", next_token="a b&c\r\n"), b"/instances?pageToken=a%20b%26c%0D%0A": page("b")}
+        self.assertEqual(self.read(FakePlatform(pages)), ["a", "b"])
+
     def test_a_list_with_too_many_pages_is_abandoned(self) -> None:
         pages = {b"/instances": page("a", next_token="t"), b"/instances?pageToken=t": page("a", next_token="t")}
         platform = FakePlatform(pages)
