--- a/rowanshift/dataplane/server_exchange.py
+++ b/rowanshift/dataplane/server_exchange.py
@@ -175,6 +175,8 @@
             self._check_abandoned()
             await self._wait()
         if dict(message.fields).get(b"request-id") != self.request_id:
+            if message.flow is not None:
+                message.flow.cancel()
             raise self._failed(ExchangeFailure.MISMATCHED, "the response lacks the Request-Id of the request")
         connection.response = message
         return message
--- a/rowanshift/dataplane/upstream.py
+++ b/rowanshift/dataplane/upstream.py
@@ -128,6 +128,8 @@
         """Close a connection, if it is open, and return its file descriptor to the budget."""
         if not connection.closed:
             connection.closed = True
+            if connection.response is not None and connection.response.flow is not None:
+                connection.response.flow.cancel()
             connection.http.close()
             self.descriptors.release_server()
 
--- a/rowanshift/transport/http_connection.py
+++ b/rowanshift/transport/http_connection.py
@@ -123,6 +123,9 @@
                 self.stream.close()
             if self.flow is not None:
                 self.flow.abort()
+            for message in self.complete_messages:  # nobody will take them
+                if message.flow is not None:
+                    message.flow.cancel()
             self.parser = None  # breaks the reference cycle between connection and parser
             self.release()
 
--- a/tests/dataplane/test_exchange_early_answers.py
+++ b/tests/dataplane/test_exchange_early_answers.py
@@ -20,6 +20,7 @@
     Rig,
     ServerRequest,
     complete_response,
+    plain,
     play,
     rejection,
     request_bytes,
@@ -223,6 +224,42 @@
             self.assertEqual((arrivals, got), (1, "own 502"), kind)
 
 
+class MemoryOfResponses(EarlyCase):
+    """Bytes of a response that nobody gets don't stay counted in the memory for bodies."""
+
+    def held_after(self, kind: str, behaviour: Behaviour, leave_after: float = 0.0) -> int:
+        async def main(rig: Rig) -> int:
+            free, client = rig.memory.available, Client(rig)
+            rig.behaviours[:] = [behaviour]
+            await client.send(request_bytes(kind, rig.next_id()))
+            if leave_after:
+                await trio.sleep(leave_after)
+                client.close()
+            else:
+                await client.answer()
+            await trio.sleep(5.0)
+            client.close()
+            await trio.sleep(5.0)
+            return free - rig.memory.available
+
+        return play(main)
+
+    def test_of_another_request(self) -> None:
+        for kind in KINDS:
+            behaviour = Behaviour(lambda asked: complete_response(asked, "other"))
+            self.assertEqual(self.held_after(kind, behaviour), 0, kind)
+
+    def test_behind_a_complete_one(self) -> None:
+        for kind in KINDS:
+            surplus = plain(ServerRequest("other", {}, b"", kind))
+            self.assertEqual(self.held_after(kind, Behaviour(surplus=surplus)), 0, kind)
+
+    def test_of_a_client_that_left(self) -> None:
+        for kind in KINDS:
+            behaviour = Behaviour(wait=0.2, cut=150, pause=1.0)
+            self.assertEqual(self.held_after(kind, behaviour, leave_after=0.19), 0, kind)
+
+
 class EndedWhileIdle(EarlyCase):
     """A kept connection that its server has ended as the request is written: nothing can have reached the server."""
 
