--- a/rowanshift/cli/parser.py
+++ b/rowanshift/cli/parser.py
@@ -170,6 +170,9 @@
 
     capacity_options.add_options(add_command(commands, "capacity", tools.capacity))
     soak_options.add_options(add_command(commands, "soak", tools.soak))
+    fuzz = add_command(commands, "fuzz", tools.fuzz)
+    fuzz.add_argument("--seeds", default="10", help="N seeds, or FIRST:LAST with LAST excluded")
+    fuzz.add_argument("--short", action="store_true", help="a few fixed seeds, in about a minute")
 
 
 def add_simulate(commands: "Subparsers") -> None:
--- a/rowanshift/cli/tools.py
+++ b/rowanshift/cli/tools.py
@@ -1,6 +1,7 @@
 """Commands that work without a running system: checks, migration, demos, simulations and measurements."""
 
 import argparse
+from importlib.util import find_spec
 from pathlib import Path
 
 from rowanshift import __version__
@@ -57,6 +58,21 @@
     return capacity(arguments)
 
 
+def fuzz(arguments: argparse.Namespace) -> int:
+    """Send malformed messages to a small running system, and judge whether it goes on serving."""
+    if find_spec("hypothesis") is None:
+        fail("fuzz needs the package hypothesis (requirements-dev.txt)", EXIT_UNUSABLE_INPUT)
+    from rowanshift.fuzz import command
+    from rowanshift.simulation.command import UsageError, parse_seeds
+
+    if arguments.short:
+        return command.fuzz(command.SHORT_SEEDS, command.SHORT_EXAMPLES)
+    try:
+        return command.fuzz(parse_seeds(arguments.seeds), command.EXAMPLES)
+    except UsageError as error:
+        fail(error, EXIT_UNUSABLE_INPUT)
+
+
 def soak(arguments: argparse.Namespace) -> int:
     """Run real processes of the whole system on loopback under random faults, and check the recorded events."""
     from rowanshift.soak import command
