--- a/rowanshift/fuzz/command.py
+++ b/rowanshift/fuzz/command.py
@@ -25,7 +25,7 @@
     from hypothesis import seed as seeded
     from hypothesis import strategies as st
 
-    from rowanshift.fuzz.messages import messages
+    from rowanshift.fuzz.messages import Message, messages
 
     @seeded(seed)
     @settings(
@@ -37,7 +37,7 @@
         print_blob=False,
     )
     @given(st.lists(messages(), min_size=1, max_size=MAX_MESSAGES))
-    def play(drawn: list) -> None:
+    def play(drawn: list[Message]) -> None:
         if breaches := trio.from_thread.run(fuzzed.play, drawn):
             raise FoundBreach(f"{breaches}; messages: {drawn!r}")
 
--- a/rowanshift/fuzz/messages.py
+++ b/rowanshift/fuzz/messages.py
@@ -168,7 +168,8 @@
     if how == "cut":
         return data[:at]
     if how == "insert":
-        return data[:at] + draw(st.sampled_from(GARBAGE)) + data[at:]
+        garbage: bytes = draw(st.sampled_from(GARBAGE))
+        return data[:at] + garbage + data[at:]
     return data + data[at:]
 
 
