--- a/rowanshift/dataplane/frontend.py
+++ b/rowanshift/dataplane/frontend.py
@@ -33,7 +33,8 @@
 ACCEPT_RETRY_SECONDS = 0.02  # pause after a failed accept
 BODY_TIMEOUT_SECONDS = 10.0  # maximum time for receiving a request's body
 LIMITS_CHECK_SECONDS = 2.0  # a connection that waits for a request learns of changed limits within this time
-ERROR_LINGER_SECONDS = 0.5  # input is read for this time after a 4xx: closing at once might reset the connection
+ERROR_LINGER_SECONDS = 0.5  # input is read until such a pause after a 4xx: closing at once might reset the connection
+MAX_LINGER_SECONDS = 5.0  # for which it is read at most
 DENIAL_STATUSES = (401, 404)  # refusals by this router that are final for the client
 CONFIRMATION_WAIT_SECONDS = 0.6  # maximum wait for confirmed state before a request is denied
 UNCONFIRMED_RETRY_AFTER_SECONDS = 0.3  # Retry-After of a denial whose state could not be confirmed
@@ -261,8 +262,8 @@
         try:
             await writer.refuse(Refusal(error.status, str(error)))
             connection.stream.end()
-            with trio.move_on_after(ERROR_LINGER_SECONDS):
-                await discard_input(connection.stream)
+            with trio.move_on_after(MAX_LINGER_SECONDS):
+                await discard_input(connection.stream, ERROR_LINGER_SECONDS)
         except ClientDisconnected:
             writer.outcome = RequestOutcome.CLIENT_DISCONNECTED
         except (OSError, trio.ClosedResourceError):
--- a/rowanshift/transport/call_server.py
+++ b/rowanshift/transport/call_server.py
@@ -190,7 +190,7 @@
         with suppress(OSError, trio.ClosedResourceError), trio.move_on_after(MALFORMED_CALL_SECONDS):
             await send_all(stream, Response(error.status, error_body(str(error))).encode(False))
             stream.end()
-            await discard_input(stream)
+            await discard_input(stream, MALFORMED_CALL_SECONDS)
 
     async def _read_call(self, connection: Connection) -> Message | None:
         until = trio.current_time() + IDLE_TIMEOUT_SECONDS
--- a/rowanshift/transport/streams.py
+++ b/rowanshift/transport/streams.py
@@ -141,11 +141,17 @@
             await stream.wait_writable()
 
 
-async def discard_input(stream: Stream) -> None:
-    """Read and discard until the peer ends its sending. Raises ``OSError``; the caller limits the time."""
+async def discard_input(stream: Stream, pause_seconds: float) -> None:
+    """Read and discard until the peer ends its sending or pauses for so long.
+
+    Raises ``OSError``; the caller limits the whole time.
+    """
     discarded = memoryview(bytearray(DISCARD_BUFFER_BYTES))
     while True:
-        await stream.wait_readable()
+        with trio.move_on_after(pause_seconds) as scope:
+            await stream.wait_readable()
+        if scope.cancelled_caught:
+            return
         try:
             if not stream.recv_into(discarded):
                 return
--- a/tests/dataplane/test_connection_limits.py
+++ b/tests/dataplane/test_connection_limits.py
@@ -9,7 +9,7 @@
 import trio
 from loguru import logger
 
-from rowanshift.dataplane.frontend import LIMITS_CHECK_SECONDS
+from rowanshift.dataplane.frontend import LIMITS_CHECK_SECONDS, MAX_LINGER_SECONDS
 from tests.support.exchange_rig import Client, ReceivedResponse, Rig, play, request_bytes
 
 KIND = "idempotent"
@@ -59,6 +59,36 @@
         self.assertEqual(self.asked(LARGE_BYTES, SMALL_BYTES, change_after_head=True).status, 200)
 
 
+class Rejections(unittest.TestCase):
+    """A client that goes on sending behind a 413 reads it."""
+
+    def sent_after_rejection(self, pause: float, pieces: int) -> tuple[int, int]:
+        """How many pieces of a body that is too long a client could send, and the status that it then read."""
+
+        async def main(rig: Rig) -> tuple[int, int]:
+            set_limits(rig, max_body_bytes=SMALL_BYTES)
+            client, count = Client(rig), 0
+            data = request_bytes(KIND, rig.next_id(), body="x" * BODY_BYTES)
+            await client.send(data[:1000])
+            for _ in range(pieces):
+                await trio.sleep(pause)
+                try:
+                    await client.send(b"x" * 1000)
+                except OSError:
+                    break
+                count += 1
+            return count, (await client.answer()).status
+
+        return play(main)
+
+    def test_input_is_read_until_a_pause(self) -> None:
+        self.assertEqual(self.sent_after_rejection(0.3, 10), (10, 413))
+
+    def test_input_is_not_read_without_end(self) -> None:
+        count, _ = self.sent_after_rejection(0.3, 100)
+        self.assertLessEqual(count, MAX_LINGER_SECONDS / 0.3 + 2)
+
+
 class Timeouts(unittest.TestCase):
     def closed_after(self, sent: bytes, changed_after: float, name: str, before: float, after: float) -> float:
         """The seconds until a connection is closed on which ``sent`` has arrived, with a changed timeout."""
