--- a/rowanshift/dataplane/server_attempt.py
+++ b/rowanshift/dataplane/server_attempt.py
@@ -172,7 +172,7 @@
     @staticmethod
     def _was_ended_while_idle(connection: ServerConnection, error: ExchangeFailed) -> bool:
         """Whether a kept connection ended before the request reached its server, which a new one may reach."""
-        is_recent = trio.current_time() < connection.written_at + MAX_RESEND_DELAY_SECONDS
+        is_recent = trio.current_time() < connection.sent_at + MAX_RESEND_DELAY_SECONDS
         return error.failure is ExchangeFailure.NOT_SENT and bool(connection.idle_since) and is_recent
 
     async def _receive(
--- a/rowanshift/dataplane/server_exchange.py
+++ b/rowanshift/dataplane/server_exchange.py
@@ -60,7 +60,8 @@
     closed: bool = False
     released: bool = False  # returned to the pool, which has kept or closed it
     bytes_of_earlier_requests: int = 0
-    written_at: float = 0.0  # time at which the last bytes of a request were handed to the operating system
+    sent_at: float = 0.0  # time at which the first bytes of the last request were handed to the operating system
+    written_on_at: float = 0.0  # time at which the server last made room for the rest of a request
     request_unfinished: bool = False  # the rest of a request is due on it, and will not be written
 
 
@@ -99,7 +100,7 @@
         self.connection.http.response_has_no_body = data.startswith(b"HEAD ")
         self.connection.request_unfinished = False
         self._write(lambda: self.connection.http.push(data))
-        self.connection.written_at = trio.current_time()
+        self.connection.sent_at = trio.current_time()
 
     def _write_on(self) -> None:
         """Write more of the request, if some is left."""
@@ -109,7 +110,7 @@
         unwritten = http.unsent_bytes
         self._write(http.pump)
         if http.unsent_bytes < unwritten:
-            self.connection.written_at = trio.current_time()
+            self.connection.written_on_at = trio.current_time()
 
     def _write(self, write: Callable[[], bool]) -> None:
         """Call ``write``. After an error the rest is dropped; what the server has sent can still be read."""
--- a/rowanshift/dataplane/silence_monitor.py
+++ b/rowanshift/dataplane/silence_monitor.py
@@ -49,7 +49,7 @@
         if not forwarded.idempotency.repeatable:
             return None
         now = trio.current_time()
-        last_progress_at = max(connection.endpoint.last_received_at, connection.written_at)
+        last_progress_at = max(connection.endpoint.last_received_at, connection.written_on_at)
         silent = now - last_progress_at > SERVER_SILENCE_SECONDS
         if not silent and not self._is_overdue(forwarded, connection, version, now):
             return None
--- a/tests/dataplane/test_exchange_attempts.py
+++ b/tests/dataplane/test_exchange_attempts.py
@@ -220,6 +220,26 @@
             got, at, runs = self.result("resumable", 1, None, Behaviour(cut=cut, pause=2.5))
             self.assertEqual((got, runs), ("success", 1), f"{cut} of {size}, after {at} s")
 
+    def test_a_server_that_was_silent_before_is_left_as_soon(self) -> None:
+        """The silence counts from the server's last byte, also for a request that is sent during it."""
+
+        async def main(rig: Rig) -> float:
+            rig.behaviours[:] = [Behaviour(then=AfterCut.SILENCE, cut=0), Behaviour(then=AfterCut.SILENCE, cut=0)]
+            first, second = Client(rig), Client(rig)
+            rig.endpoints[1].versions = {"": -1}  # it takes no requests yet
+            began = rig.now()
+            await first.send(request_bytes("non_idempotent", rig.next_id()))
+            await trio.sleep(0.7)  # later, no new request would go to the silent server
+            await second.send(request_bytes("idempotent", rig.next_id()))
+            await trio.sleep(0.1)
+            rig.endpoints[1].versions = {"": 0}
+            got = await second.answer()
+            self.assertEqual(got.status, 200)
+            return rig.now() - began
+
+        took = play(main, 2)
+        self.assertLess(took, SERVER_SILENCE_SECONDS + ABANDON_CHECK_SECONDS + 0.1)
+
     def test_the_other_server_cannot_be_reached(self) -> None:
         """The other server is listed but does not accept connections: the router waits for the silent one."""
 
