--- a/tests/cacheproxy/test_network.py
+++ b/tests/cacheproxy/test_network.py
@@ -36,6 +36,7 @@
 from rowanshift.transport.sockets import Socket
 from tests.support.cache_proxy_rig import free_addresses
 from tests.support.helpers import make_entry, make_settings
+from tests.support.small_system import unused_network
 
 NAMES = NameIndex(
     {b"read": 0, b"write": 1}, {b"demo": 0, b"other": 1}, {"here": 0, "there": 1}, {"cache": 0, "origin": 1}
@@ -1012,8 +1013,7 @@
     # Guards against a process that ends on SIGHUP: on a repeated one, on an unusable file, or during shutdown, where an
     # unhandled signal would be raised again at the end.
     async def main():
-        with socket.create_server(("127.0.0.1", 0)) as unused:
-            address = unused.getsockname()
+        address = f"{unused_network()}1", 8099  # an ephemeral port of 127.0.0.1 may be taken again before the bind
         path, moves, phases = tmp_path / "config.json", [], []
         if text is not None:
             path.write_bytes(text)
@@ -1092,8 +1092,7 @@
 
 def test_after_sigterm_accepted_requests_are_answered_and_new_connections_refused():
     async def main():
-        with socket.create_server(("127.0.0.1", 0)) as unused:
-            address = unused.getsockname()
+        address = f"{unused_network()}1", 8099  # an ephemeral port of 127.0.0.1 may be taken again before the bind
         config = config_of(GOOD | {"listen": "{}:{}".format(*address)})
         service, start = Service(config), trio.current_time()
         async with trio.open_nursery() as nursery:
